fakes, wpctl/load, proof: a deployment on one machine

Cause: the path has to be seen working between separate processes. Ruled out: third-party servers; the stand-ins are ours. Change: stand-ins for the platform and the back ends, an open-loop load, a launcher, and a demo that takes a zone out and back.

--- /dev/null
+++ b/proof/fleet/http.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	agentctrl "wigeonplank.example/agent/ctrl"
+	"wigeonplank.example/core/meter"
+	entryctrl "wigeonplank.example/entry/ctrl"
+	"wigeonplank.example/fakes/config"
+	fakeload "wigeonplank.example/fakes/load"
+	"wigeonplank.example/fakes/plain"
+)
+
+const httpTimeout = 2 * time.Second
+
+func post(addr, path string, body []byte) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBody(body)
+	if err := fasthttp.DoTimeout(req, resp, httpTimeout); err != nil {
+		return fmt.Errorf("post %s: %w", path, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("post %s: status %d: %s", path, resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
+
+func get[T any](addr, path string) (T, error) {
+	var v T
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + path)
+	if err := fasthttp.DoTimeout(req, resp, httpTimeout); err != nil {
+		return v, fmt.Errorf("get %s: %w", path, err)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return v, fmt.Errorf("get %s: status %d", path, resp.StatusCode())
+	}
+	if err := json.Unmarshal(resp.Body(), &v); err != nil {
+		return v, fmt.Errorf("get %s: %w", path, err)
+	}
+	return v, nil
+}
+
+// EntryStatus is an entry's status page.
+type EntryStatus struct {
+	entryctrl.Status
+	Ready bool             `json:"ready"`
+	Costs []meter.CostLine `json:"costs"`
+}
+
+// EntryStatus reads an entry's status page.
+func (f *Fleet) EntryStatus(e *Entry) (EntryStatus, error) {
+	return get[EntryStatus](e.Admin, "/status")
+}
+
+// AgentStatus reads an agent's status page.
+func (f *Fleet) AgentStatus(e *Endpoint) (agentctrl.Status, error) {
+	return get[agentctrl.Status](e.Admin, "/status")
+}
+
+// Effects reads what a plain service's calls did.
+func (f *Fleet) Effects(e *Endpoint) (plain.Effects, error) {
+	return get[plain.Effects](e.Addr, "/effects")
+}
+
+// History reads what a back end has seen.
+func (f *Fleet) History(e *Endpoint) (fakeload.History, error) {
+	return get[fakeload.History](e.Addr, "/history")
+}
+
+// ConfigCounts reads how often the configuration service was asked.
+func (f *Fleet) ConfigCounts() (config.Counts, error) { return get[config.Counts](f.Config, "/counts") }
--- /dev/null
+++ b/proof/fleet/procs.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// Proc is one process of a fleet.
+type Proc struct {
+	Name string
+
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+func (p *Proc) start() error {
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("open log of %s: %w", p.Name, err)
+	}
+	defer func() { _ = f.Close() }()
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Stdout = f
+	p.cmd.Stderr = f
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		p.err = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+	return nil
+}
+
+// Running reports whether the process has not ended.
+func (p *Proc) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to the process.
+func (p *Proc) Signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %s: %w", p.Name, err)
+	}
+	return nil
+}
+
+// Wait waits for the end of the process and returns its error, such as a
+// non-zero status.
+func (p *Proc) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return fmt.Errorf("%s has not ended after %s", p.Name, limit)
+	}
+}
+
+// ID returns the process ID.
+func (p *Proc) ID() int { return p.cmd.Process.Pid }
+
+// Build builds the programs into dir. root is the top of the repository.
+func Build(root, dir string) error {
+	for _, name := range []string{"entry", "agent", "fakes", "wpctl"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, name), ".")
+		cmd.Dir = filepath.Join(root, name)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return errors.Join(fmt.Errorf("build %s: %w", name, err), errors.New(string(out)))
+		}
+	}
+	return nil
+}
