--- a/Makefile
+++ b/Makefile
@@ -12,4 +12,4 @@
 	@$(BIN)/proof demo --bin $(BIN) --deployment $(DEPLOYMENT)
 
 test:
-	@bash .ci/run
+	@bash .ci/test
--- a/agent/engine/client.go
+++ b/agent/engine/client.go
@@ -86,18 +86,18 @@
 	Model string `json:"model"`
 }
 
-// ErrOrderRefused says that an engine refused an order, and when to try again.
-type ErrOrderRefused struct {
+// OrderRefusedError says that an engine refused an order, and when to try again.
+type OrderRefusedError struct {
 	Status     int
 	RetryAfter time.Duration
 }
 
 // Error names the status.
-func (e *ErrOrderRefused) Error() string {
+func (e *OrderRefusedError) Error() string {
 	return fmt.Sprintf("engine refused the order with status %d", e.Status)
 }
 
-// SendOrder gives an engine an order. It returns *ErrOrderRefused if the engine
+// SendOrder gives an engine an order. It returns *OrderRefusedError if the engine
 // or the weight store behind it says no.
 func (c *Client) SendOrder(o Order) error {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -110,7 +110,7 @@
 		return fmt.Errorf("send order: %w", err)
 	}
 	if resp.StatusCode() >= fasthttp.StatusMultipleChoices {
-		return &ErrOrderRefused{Status: resp.StatusCode(), RetryAfter: retryAfter(resp)}
+		return &OrderRefusedError{Status: resp.StatusCode(), RetryAfter: retryAfter(resp)}
 	}
 	return nil
 }
--- a/agent/engine/driver.go
+++ b/agent/engine/driver.go
@@ -131,7 +131,7 @@
 
 func (d *Driver) order(a place.Action) {
 	err := d.Client.SendOrder(Order{Fence: a.Fence, Model: a.Model.String()})
-	var refused *ErrOrderRefused
+	var refused *OrderRefusedError
 	if errors.As(err, &refused) {
 		d.Control.OrderRefused(refused.RetryAfter)
 	}
--- a/base/fetch/fetch.go
+++ b/base/fetch/fetch.go
@@ -21,15 +21,17 @@
 	maxListBytes = 16 << 20
 )
 
-// ErrStatus says that a service of the platform answered with another status
+// StatusError says that a service of the platform answered with another status
 // than expected.
-type ErrStatus struct {
+type StatusError struct {
 	URL    string
 	Status int
 }
 
 // Error names the URL and the status.
-func (e *ErrStatus) Error() string { return fmt.Sprintf("%s answered with status %d", e.URL, e.Status) }
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answered with status %d", e.URL, e.Status)
+}
 
 // ErrUnchanged says that a watch ended with nothing newer.
 var ErrUnchanged = errors.New("no newer revision")
@@ -98,7 +100,7 @@
 	case fasthttp.StatusNoContent:
 		return nil, ErrUnchanged
 	default:
-		return nil, &ErrStatus{URL: url, Status: resp.StatusCode()}
+		return nil, &StatusError{URL: url, Status: resp.StatusCode()}
 	}
 	if n := len(resp.Body()); n > most {
 		return nil, fmt.Errorf("read %s: %d bytes, at most %d are allowed", url, n, most)
--- a/base/link/server.go
+++ b/base/link/server.go
@@ -13,11 +13,11 @@
 	"wigeonplank.example/core/wire"
 )
 
-// ErrOldEpoch says that an entry opened a link while it has a newer one.
-type ErrOldEpoch struct{ Have, Got uint64 }
+// OldEpochError says that an entry opened a link while it has a newer one.
+type OldEpochError struct{ Have, Got uint64 }
 
 // Error names both epochs.
-func (e *ErrOldEpoch) Error() string {
+func (e *OldEpochError) Error() string {
 	return fmt.Sprintf("link has epoch %d, the entry's newest is %d", e.Got, e.Have)
 }
 
@@ -140,7 +140,7 @@
 	}
 	if old, ok := s.links[l.entry]; ok {
 		if old.epoch >= l.epoch {
-			return &ErrOldEpoch{Have: old.epoch, Got: l.epoch}
+			return &OldEpochError{Have: old.epoch, Got: l.epoch}
 		}
 		_ = old.session.Close()
 	}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -15,14 +15,14 @@
 	cutInterval = 100 * time.Millisecond
 )
 
-// ErrOverShare says that a team has its share of an overloaded pipeline in use.
-type ErrOverShare struct {
+// OverShareError says that a team has its share of an overloaded pipeline in use.
+type OverShareError struct {
 	Team       string
 	RetryAfter time.Duration
 }
 
 // Error names the team.
-func (e *ErrOverShare) Error() string {
+func (e *OverShareError) Error() string {
 	return fmt.Sprintf("team %s uses its share of an overloaded pipeline", e.Team)
 }
 
@@ -45,14 +45,14 @@
 	weights int // of active teams
 }
 
-// Enter admits one request of a team with a weight, or returns *ErrOverShare.
+// Enter admits one request of a team with a weight, or returns *OverShareError.
 // Each admitted request is paired with one Leave.
 func (f *Fair) Enter(team string, weight int) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.teams[team]
 	if f.limit > 0 && f.total >= f.limit && !f.underShare(s, weight) {
-		return &ErrOverShare{Team: team, RetryAfter: retryAfter}
+		return &OverShareError{Team: team, RetryAfter: retryAfter}
 	}
 	if s == nil {
 		if f.teams == nil {
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -12,8 +12,8 @@
 }
 
 // firstProblem checks what field tags can't say: unique names and references.
-func firstProblem(d *Document) *ErrInvalid {
-	checks := []func(*Document) *ErrInvalid{
+func firstProblem(d *Document) *InvalidError {
+	checks := []func(*Document) *InvalidError{
 		checkZones,
 		checkTeams,
 		checkClasses,
@@ -29,9 +29,9 @@
 
 type nameSet map[string]int
 
-func (s nameSet) add(list string, i int, name string) *ErrInvalid {
+func (s nameSet) add(list string, i int, name string) *InvalidError {
 	if first, ok := s[name]; ok {
-		return &ErrInvalid{
+		return &InvalidError{
 			Key:     fmt.Sprintf("%s[%d].name", list, i),
 			Problem: fmt.Sprintf("%q is already the name of %s[%d]", name, list, first),
 			Allowed: "each name once",
@@ -41,7 +41,7 @@
 	return nil
 }
 
-func checkZones(d *Document) *ErrInvalid {
+func checkZones(d *Document) *InvalidError {
 	seen := nameSet{}
 	for i, z := range d.Zones {
 		if p := seen.add("zones", i, z.Name); p != nil {
@@ -51,7 +51,7 @@
 	return nil
 }
 
-func checkTeams(d *Document) *ErrInvalid {
+func checkTeams(d *Document) *InvalidError {
 	seen := nameSet{}
 	for i, t := range d.Teams {
 		if p := seen.add("teams", i, t.Name); p != nil {
@@ -61,7 +61,7 @@
 	return nil
 }
 
-func checkClasses(d *Document) *ErrInvalid {
+func checkClasses(d *Document) *InvalidError {
 	seen := nameSet{}
 	for i, c := range d.Classes {
 		if p := seen.add("classes", i, c.Name); p != nil {
@@ -71,7 +71,7 @@
 	return nil
 }
 
-func checkPipelines(d *Document) *ErrInvalid {
+func checkPipelines(d *Document) *InvalidError {
 	teams := make(map[string]bool, len(d.Teams))
 	for _, t := range d.Teams {
 		teams[t.Name] = true
@@ -93,7 +93,7 @@
 	return nil
 }
 
-func checkStages(key string, p *Pipeline, teams map[string]bool) *ErrInvalid {
+func checkStages(key string, p *Pipeline, teams map[string]bool) *InvalidError {
 	seen := nameSet{}
 	for i := range p.Stages {
 		s := &p.Stages[i]
@@ -113,25 +113,25 @@
 	return nil
 }
 
-func checkKind(key string, s *Stage) *ErrInvalid {
+func checkKind(key string, s *Stage) *InvalidError {
 	switch {
 	case s.Kind == KindGeneration && s.Model == nil:
-		return &ErrInvalid{Key: key, Problem: "a generation stage needs a model", Allowed: "model with name and version"}
+		return &InvalidError{Key: key, Problem: "a generation stage needs a model", Allowed: "model with name and version"}
 	case s.Kind != KindGeneration && s.Model != nil:
-		return &ErrInvalid{Key: key + ".model", Problem: fmt.Sprintf("a stage of kind %s takes no model", s.Kind)}
+		return &InvalidError{Key: key + ".model", Problem: fmt.Sprintf("a stage of kind %s takes no model", s.Kind)}
 	case s.Kind == KindService && !strings.HasPrefix(s.Path, "/"):
-		return &ErrInvalid{Key: key, Problem: "a service stage needs a path", Allowed: "a path that starts with /"}
+		return &InvalidError{Key: key, Problem: "a service stage needs a path", Allowed: "a path that starts with /"}
 	case s.Kind != KindService && s.Path != "":
-		return &ErrInvalid{Key: key + ".path", Problem: fmt.Sprintf("a stage of kind %s takes no path", s.Kind)}
+		return &InvalidError{Key: key + ".path", Problem: fmt.Sprintf("a stage of kind %s takes no path", s.Kind)}
 	default:
 		return nil
 	}
 }
 
-func checkTeamRefs(key string, names []string, teams map[string]bool) *ErrInvalid {
+func checkTeamRefs(key string, names []string, teams map[string]bool) *InvalidError {
 	for i, n := range names {
 		if !teams[n] {
-			return &ErrInvalid{
+			return &InvalidError{
 				Key:     fmt.Sprintf("%s.teams[%d]", key, i),
 				Problem: fmt.Sprintf("team %q is not declared", n),
 				Allowed: "a name from teams",
--- a/core/conf/keeper.go
+++ b/core/conf/keeper.go
@@ -65,7 +65,7 @@
 	case doc.Revision < k.cur.Revision():
 		return VerdictOld
 	}
-	k.err = &ErrConflict{Revision: doc.Revision, Digests: [2]uint64{k.cur.Digest, digest}}
+	k.err = &ConflictError{Revision: doc.Revision, Digests: [2]uint64{k.cur.Digest, digest}}
 	if digest < k.cur.Digest {
 		k.cur = next
 	}
@@ -91,13 +91,13 @@
 	}
 }
 
-// ErrConflict says that two different documents carry one revision.
-type ErrConflict struct {
+// ConflictError says that two different documents carry one revision.
+type ConflictError struct {
 	Revision uint64
 	Digests  [2]uint64
 }
 
 // Error names the revision and both digests.
-func (e *ErrConflict) Error() string {
+func (e *ConflictError) Error() string {
 	return fmt.Sprintf("revision %d was published with two contents, digests %016x and %016x", e.Revision, e.Digests[0], e.Digests[1])
 }
--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -15,8 +15,8 @@
 // MaxDocumentBytes is the largest value that the configuration service holds.
 const MaxDocumentBytes = 1 << 20
 
-// ErrInvalid says what is wrong with a document or a settings file.
-type ErrInvalid struct {
+// InvalidError says what is wrong with a document or a settings file.
+type InvalidError struct {
 	Line    int    // 1-based; 0 if it is not known
 	Key     string // path of the key, such as pipelines[0].stages[1].name
 	Problem string
@@ -24,7 +24,7 @@
 }
 
 // Error returns the line, key, problem and what is allowed.
-func (e *ErrInvalid) Error() string {
+func (e *InvalidError) Error() string {
 	var b strings.Builder
 	if e.Line > 0 {
 		fmt.Fprintf(&b, "line %d: ", e.Line)
@@ -43,7 +43,7 @@
 // the bytes, so all processes accept a document or none does.
 func Parse(raw []byte) (*Document, error) {
 	if len(raw) > MaxDocumentBytes {
-		return nil, &ErrInvalid{
+		return nil, &InvalidError{
 			Problem: fmt.Sprintf("document has %d bytes", len(raw)),
 			Allowed: fmt.Sprintf("at most %d", MaxDocumentBytes),
 		}
@@ -76,7 +76,7 @@
 // wrong type or unit, and a failed `validate` tag are errors that name the line.
 func DecodeStrict(raw []byte, v any) error {
 	if len(strings.TrimSpace(string(raw))) == 0 {
-		return &ErrInvalid{Problem: "the file is empty", Allowed: "YAML with the documented keys"}
+		return &InvalidError{Problem: "the file is empty", Allowed: "YAML with the documented keys"}
 	}
 	if err := yaml.UnmarshalWithOptions(raw, v, yaml.Strict()); err != nil {
 		return invalidFromYAML(err)
@@ -101,7 +101,7 @@
 func invalidFromYAML(err error) error {
 	var y yaml.Error
 	if !errors.As(err, &y) {
-		return &ErrInvalid{Problem: err.Error()}
+		return &InvalidError{Problem: err.Error()}
 	}
 	line := 0
 	key := ""
@@ -109,17 +109,17 @@
 		line = t.Position.Line
 		key = t.Value
 	}
-	return &ErrInvalid{Line: line, Key: key, Problem: y.GetMessage()}
+	return &InvalidError{Line: line, Key: key, Problem: y.GetMessage()}
 }
 
 func invalidFromTags(raw []byte, err error) error {
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) || len(fields) == 0 {
-		return &ErrInvalid{Problem: err.Error()}
+		return &InvalidError{Problem: err.Error()}
 	}
 	f := fields[0]
 	_, key, _ := strings.Cut(f.Namespace(), ".")
-	p := &ErrInvalid{Key: key, Line: lineOf(raw, key), Allowed: allowed(f)}
+	p := &InvalidError{Key: key, Line: lineOf(raw, key), Allowed: allowed(f)}
 	if f.Tag() == "required" {
 		p.Problem = "a value is missing"
 		return p
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -40,15 +40,15 @@
 	ReasonNoRoom       Reason = "no_room"              // all are full
 )
 
-// ErrNoEndpoint says that a stage has no endpoint now, and when to ask again.
-type ErrNoEndpoint struct {
+// NoEndpointError says that a stage has no endpoint now, and when to ask again.
+type NoEndpointError struct {
 	Stage      string
 	Reason     Reason
 	RetryAfter time.Duration
 }
 
 // Error names the stage and the reason.
-func (e *ErrNoEndpoint) Error() string {
+func (e *NoEndpointError) Error() string {
 	return fmt.Sprintf("stage %s: %s", e.Stage, e.Reason)
 }
 
@@ -68,20 +68,20 @@
 	turn atomic.Uint64
 }
 
-// Pick returns the endpoint for a stage. It returns *ErrNoEndpoint if there is
+// Pick returns the endpoint for a stage. It returns *NoEndpointError if there is
 // none now. It neither blocks nor counts the work: the caller does so with
 // Load.Begin.
 func (r *Router) Pick(s *StageRoutes, c Choice) (*Endpoint, error) {
 	p := s.pool(c.Team)
 	if len(p.all) == 0 {
-		return nil, &ErrNoEndpoint{Stage: s.Stage.Name, Reason: ReasonNoneSelected, RetryAfter: noTargetRetry}
+		return nil, &NoEndpointError{Stage: s.Stage.Name, Reason: ReasonNoneSelected, RetryAfter: noTargetRetry}
 	}
 	e, score := r.choose(s, p, c)
 	switch {
 	case e == nil:
-		return nil, &ErrNoEndpoint{Stage: s.Stage.Name, Reason: ReasonNoneReady, RetryAfter: noTargetRetry}
+		return nil, &NoEndpointError{Stage: s.Stage.Name, Reason: ReasonNoneReady, RetryAfter: noTargetRetry}
 	case score >= queueScore:
-		return nil, &ErrNoEndpoint{Stage: s.Stage.Name, Reason: ReasonNoRoom, RetryAfter: noRoomRetry}
+		return nil, &NoEndpointError{Stage: s.Stage.Name, Reason: ReasonNoRoom, RetryAfter: noRoomRetry}
 	default:
 		return e, nil
 	}
--- a/core/stage/assemble.go
+++ b/core/stage/assemble.go
@@ -8,20 +8,20 @@
 // MaxGapBytes bounds what is held of chunks that arrive before their turn.
 const MaxGapBytes = 1 << 20
 
-// ErrDiverged says that a repeated attempt gave other bytes than those already
+// DivergedError says that a repeated attempt gave other bytes than those already
 // passed on.
-type ErrDiverged struct{ Offset int }
+type DivergedError struct{ Offset int }
 
 // Error names the offset of the chunk that differs.
-func (e *ErrDiverged) Error() string {
+func (e *DivergedError) Error() string {
 	return fmt.Sprintf("repeated answer differs from the first one at offset %d or after", e.Offset)
 }
 
-// ErrGap says that a result ended before all its bytes arrived.
-type ErrGap struct{ Have, Want int }
+// GapError says that a result ended before all its bytes arrived.
+type GapError struct{ Have, Want int }
 
 // Error says how many bytes are there and how many were announced.
-func (e *ErrGap) Error() string {
+func (e *GapError) Error() string {
 	return fmt.Sprintf("result has %d of %d bytes", e.Have, e.Want)
 }
 
@@ -95,7 +95,7 @@
 		return nil
 	}
 	if a.held+len(data) > MaxGapBytes {
-		return fmt.Errorf("hold chunk at offset %d: %w", offset, &ErrGap{Have: a.pos, Want: offset})
+		return fmt.Errorf("hold chunk at offset %d: %w", offset, &GapError{Have: a.pos, Want: offset})
 	}
 	if a.early == nil {
 		a.early = make(map[int][]byte)
@@ -108,7 +108,7 @@
 func (a *Assembler) extend(data []byte) error {
 	known := min(len(a.whole)-a.pos, len(data))
 	if known > 0 && !bytes.Equal(a.whole[a.pos:a.pos+known], data[:known]) {
-		return &ErrDiverged{Offset: a.pos}
+		return &DivergedError{Offset: a.pos}
 	}
 	a.whole = append(a.whole, data[max(known, 0):]...)
 	a.pos += len(data)
@@ -119,10 +119,10 @@
 // earlier attempt counts as a difference.
 func (a *Assembler) Close(length int) error {
 	if a.pos != length {
-		return &ErrGap{Have: a.pos, Want: length}
+		return &GapError{Have: a.pos, Want: length}
 	}
 	if len(a.whole) != length {
-		return &ErrDiverged{Offset: length}
+		return &DivergedError{Offset: length}
 	}
 	return nil
 }
--- a/entry/ctrl/control.go
+++ b/entry/ctrl/control.go
@@ -143,8 +143,9 @@
 }
 
 func (c *Control) allPeers() []*Peer {
-	var out []*Peer
-	for _, p := range *c.peers.Load() {
+	peers := *c.peers.Load()
+	out := make([]*Peer, 0, len(peers)+len(c.neighbours))
+	for _, p := range peers {
 		out = append(out, p)
 	}
 	for _, p := range c.neighbours {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -232,7 +232,7 @@
 		return nil
 	}
 	err := s.fair(c.req.Pipeline).Enter(c.req.Team, c.weight)
-	var over *admit.ErrOverShare
+	var over *admit.OverShareError
 	if errors.As(err, &over) {
 		return &problem{
 			Status:     fasthttp.StatusTooManyRequests,
@@ -301,7 +301,7 @@
 		Cause:      string(stage.CauseNoEndpoint),
 		RetryAfter: time.Second,
 	}
-	var none *route.ErrNoEndpoint
+	var none *route.NoEndpointError
 	if errors.As(err, &none) {
 		p.RetryAfter = none.RetryAfter
 	}
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -51,7 +51,7 @@
 	if p != nil {
 		return nil, p
 	}
-	if p := checkFields(t, &b, routes); p != nil {
+	if p := checkFields(t, &b); p != nil {
 		return nil, p
 	}
 	c := &call{routes: routes, weight: t.Team(b.Team).Weight, stream: b.Stream, began: now}
@@ -108,7 +108,7 @@
 	return r, nil
 }
 
-func checkFields(t *route.Table, b *callBody, r *route.PipelineRoutes) *problem {
+func checkFields(t *route.Table, b *callBody) *problem {
 	if b.Input == nil {
 		return badField("input", "a value is missing")
 	}
--- a/entry/walk/attempt.go
+++ b/entry/walk/attempt.go
@@ -150,7 +150,7 @@
 // that differs from what the caller has seen can't be mended by another try.
 func (k *walk) spoiled(err error) stage.Event {
 	k.err = err
-	var diverged *stage.ErrDiverged
+	var diverged *stage.DivergedError
 	if errors.As(err, &diverged) {
 		k.cancel(k.cur)
 		return stage.Event{Kind: stage.EventRejected}
--- a/entry/walk/tickets.go
+++ b/entry/walk/tickets.go
@@ -66,7 +66,7 @@
 		}
 		tried = append(tried, ep)
 	}
-	return nil, &route.ErrNoEndpoint{Stage: s.Stage.Name, Reason: route.ReasonNoneReady, RetryAfter: time.Second}
+	return nil, &route.NoEndpointError{Stage: s.Stage.Name, Reason: route.ReasonNoneReady, RetryAfter: time.Second}
 }
 
 // take returns a serial of the agent's present incarnation, or nil.
@@ -123,11 +123,11 @@
 	Failure string
 }
 
-// ErrUnreachable says that the agent that a ticket names can't be asked now.
-type ErrUnreachable struct{ Instance string }
+// UnreachableError says that the agent that a ticket names can't be asked now.
+type UnreachableError struct{ Instance string }
 
 // Error names the instance.
-func (e *ErrUnreachable) Error() string {
+func (e *UnreachableError) Error() string {
 	return fmt.Sprintf("the agent of instance %s can't be reached", e.Instance)
 }
 
@@ -148,12 +148,12 @@
 func (t *Tickets) settle(ctx context.Context, ts *wire.TicketStage) (Settled, error) {
 	p := t.Control.Peer(ts.GetInstance())
 	if p == nil {
-		return Settled{}, &ErrUnreachable{Instance: ts.GetInstance()}
+		return Settled{}, &UnreachableError{Instance: ts.GetInstance()}
 	}
 	reply := &wire.OutcomeReply{}
 	req := &wire.Request{Kind: &wire.Request_Outcome{Outcome: &wire.OutcomeQuery{Serial: ts.GetSerial()}}}
 	if err := p.Ask(ctx, req, func(st *link.Stream) error { return st.Receive(reply) }); err != nil {
-		return Settled{}, errors.Join(&ErrUnreachable{Instance: ts.GetInstance()}, err)
+		return Settled{}, errors.Join(&UnreachableError{Instance: ts.GetInstance()}, err)
 	}
 	return Settled{Stage: ts.GetStage(), State: ticket.State(reply.GetState()), Body: reply.GetBody(), Failure: reply.GetFailure()}, nil
 }
--- a/entry/walk/walk.go
+++ b/entry/walk/walk.go
@@ -277,7 +277,7 @@
 }
 
 func (k *walk) noTarget(err error) stage.Event {
-	var none *route.ErrNoEndpoint
+	var none *route.NoEndpointError
 	if !errors.As(err, &none) {
 		return stage.Event{Kind: stage.EventUnsent}
 	}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -306,7 +306,7 @@
 
 // Instances returns the fleet's endpoints as the list shows them.
 func (f *Fleet) Instances() []roster.Instance {
-	var out []roster.Instance
+	out := make([]roster.Instance, 0, len(f.Endpoints))
 	for _, e := range f.Endpoints {
 		out = append(out, e.Instance)
 	}
@@ -315,7 +315,7 @@
 
 // Targets returns the entries' addresses for callers.
 func (f *Fleet) Targets() []string {
-	var out []string
+	out := make([]string, 0, len(f.Entries))
 	for _, e := range f.Entries {
 		out = append(out, e.HTTP)
 	}
@@ -468,22 +468,19 @@
 // Stop ends all processes by SIGTERM, entries first, and returns an error if
 // one does not end in order.
 func (f *Fleet) Stop() error {
-	var errs []error
-	var agents []*Proc
+	agents := make([]*Proc, 0, len(f.Endpoints))
 	for _, e := range f.Endpoints {
 		agents = append(agents, e.Agent)
 	}
-	var entries []*Proc
+	entries := make([]*Proc, 0, len(f.Entries))
 	for _, e := range f.Entries {
 		entries = append(entries, e.Proc)
 	}
-	for _, group := range [][]*Proc{entries, agents, {f.fakes}} {
-		errs = append(errs, stopAll(group))
-	}
+	err := errors.Join(stopAll(entries), stopAll(agents), stopAll([]*Proc{f.fakes}))
 	if f.Relays != nil {
 		f.Relays.Close()
 	}
-	return errors.Join(errs...)
+	return err
 }
 
 func stopAll(group []*Proc) error {
--- a/proof/fleet/plan.go
+++ b/proof/fleet/plan.go
@@ -69,7 +69,7 @@
 
 // LoadMix returns the plan's mix with the deadlines of its document.
 func (p *Plan) LoadMix(d *conf.Document) []load.Share {
-	var out []load.Share
+	out := make([]load.Share, 0, len(p.Mix))
 	for _, s := range p.Mix {
 		deadline := time.Duration(0)
 		if pl := d.Pipeline(s.Pipeline); pl != nil {
--- a/proof/fleet/relays.go
+++ b/proof/fleet/relays.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -166,7 +167,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				_ = from.Close()
 			}
 			_ = to.Close()
--- a/wpctl/load/report.go
+++ b/wpctl/load/report.go
@@ -99,7 +99,7 @@
 func (r *Report) Lines() []Line {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Line
+	out := make([]Line, 0, len(r.lines))
 	for _, k := range slices.Sorted(maps.Keys(r.lines)) {
 		l := *r.lines[k]
 		l.Attainment = float64(l.Ends[FinalInTime]) / float64(l.Sent)
@@ -157,7 +157,7 @@
 			sum[k] += n
 		}
 	}
-	var out []Tally
+	out := make([]Tally, 0, len(sum))
 	for k, n := range sum {
 		out = append(out, Tally{Key: k, Count: n})
 	}
