core: scenarios and properties for the invariants

Cause: the decisions had no proof yet. Ruled out: wall-clock tests; all run on a fake clock or on drawn schedules. Found while writing: a digest of another length than 32 bytes was cut, so an equal request seemed to conflict; the book now keeps it whole.

--- a/core/ticket/book.go
+++ b/core/ticket/book.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"bytes"
 	"container/list"
 	"crypto/hmac"
 	"crypto/sha256"
@@ -40,7 +41,7 @@
 
 type record struct {
 	number uint64
-	digest [sha256.Size]byte
+	digest []byte
 	state  State
 	answer Answer
 	place  *list.Element
@@ -138,8 +139,7 @@
 	if st := b.Check(s, digest); st != StateFresh {
 		return st
 	}
-	r := &record{number: s.GetNumber(), state: StateRunning}
-	copy(r.digest[:], digest)
+	r := &record{number: s.GetNumber(), state: StateRunning, digest: bytes.Clone(digest)}
 	b.records[r.number] = r
 	b.begun.set(r.number)
 	return StateFresh
@@ -149,7 +149,7 @@
 func (b *Book) Check(s *wire.Serial, digest []byte) State {
 	st := b.State(s)
 	r, ok := b.records[s.GetNumber()]
-	if ok && (st == StateRunning || st == StateAnswered) && !hmac.Equal(r.digest[:], digest) {
+	if ok && (st == StateRunning || st == StateAnswered) && !hmac.Equal(r.digest, digest) {
 		return StateConflict
 	}
 	return st
--- /dev/null
+++ b/core/ticket/book_test.go
@@ -0,0 +1,79 @@
+package ticket_test
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"wigeonplank.example/core/ticket"
+	"wigeonplank.example/core/wire"
+)
+
+// TestSerialRunsAtMostOnce uses serials in any order while the window wraps and
+// answers are dropped.
+func TestSerialRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := ticket.NewBook(1, []byte("key"), 64, 8)
+		var serials []*wire.Serial
+		begun := map[uint64]int{}
+		voided := map[uint64]bool{}
+		pick := func(t *rapid.T) *wire.Serial {
+			if len(serials) == 0 {
+				t.Skip("nothing handed out")
+			}
+			return rapid.SampledFrom(serials).Draw(t, "serial")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue": func(t *rapid.T) { serials = append(serials, b.Issue(rapid.IntRange(1, 40).Draw(t, "n"))...) },
+			"begin": func(t *rapid.T) {
+				s := pick(t)
+				if b.Begin(s, []byte("d")) != ticket.StateFresh {
+					return
+				}
+				begun[s.GetNumber()]++
+				if begun[s.GetNumber()] > 1 || voided[s.GetNumber()] {
+					t.Fatalf("serial %d began %d times, voided %v", s.GetNumber(), begun[s.GetNumber()], voided[s.GetNumber()])
+				}
+			},
+			"finish": func(t *rapid.T) { b.Finish(pick(t), ticket.Answer{Body: []byte("answer")}) },
+			"void": func(t *rapid.T) {
+				s := pick(t)
+				if b.Void(s) != ticket.StateVoided {
+					return
+				}
+				voided[s.GetNumber()] = true
+				if begun[s.GetNumber()] > 0 {
+					t.Fatalf("serial %d is said to be voided, but it ran", s.GetNumber())
+				}
+			},
+		})
+	})
+}
+
+func TestTextOfTicket(t *testing.T) {
+	b := ticket.NewBook(1, []byte("key"), 64, 0)
+	text, err := ticket.Encode(&wire.TicketBody{Pipeline: "p", Stages: []*wire.TicketStage{{Stage: "s", Instance: "i", Serial: b.Issue(1)[0]}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := ticket.Decode(text)
+	if err != nil || got.GetStages()[0].GetSerial().GetNumber() != 1 {
+		t.Fatalf("decoded %v, %v", got, err)
+	}
+	for _, bad := range []string{"", "!", "AAAA", text[:len(text)/2]} {
+		if _, err := ticket.Decode(bad); !errors.Is(err, ticket.ErrMalformed) {
+			t.Errorf("Decode(%q): %v, expected ErrMalformed", bad, err)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add("CgFwEgoKAXMSAWkaAggB")
+	f.Fuzz(func(t *testing.T, text string) {
+		b, err := ticket.Decode(text)
+		if err == nil && len(b.GetStages()) == 0 {
+			t.Fatalf("a ticket without stages was decoded")
+		}
+	})
+}
