--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -157,7 +157,10 @@
 		if whole {
 			return out
 		}
-		out.NotStarted = out.NotStarted && tokens == 0 && try == 0
+		if try > 0 {
+			// What is refused here is the resume, not the request.
+			out.NotStarted, out.Rejected = false, false
+		}
 		if out.NotStarted || out.Rejected || try == maxResumes || time.Now().After(deadline) {
 			return out
 		}
--- a/entry/ctrl/control.go
+++ b/entry/ctrl/control.go
@@ -164,7 +164,7 @@
 func (c *Control) Peer(instance string) *Peer { return (*c.peers.Load())[instance] }
 
 // offer considers a document from the service or from a neighbour.
-func (c *Control) offer(raw []byte, from string) {
+func (c *Control) offer(raw []byte, from string) conf.Verdict {
 	v := c.keeper.Offer(raw)
 	switch v {
 	case conf.VerdictAccepted:
@@ -176,6 +176,7 @@
 	case conf.VerdictInvalid:
 		c.cfg.Log.Error().Err(c.keeper.LastError()).Str("from", from).Msg("configuration refused")
 	}
+	return v
 }
 
 func (c *Control) rebuild() {
--- a/entry/ctrl/platform.go
+++ b/entry/ctrl/platform.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonplank.example/base/fetch"
+	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/retry"
 	"wigeonplank.example/core/roster"
 )
@@ -23,25 +24,39 @@
 		pauses := c.pauses.Load()
 		raw, err := c.readConfig(pauses != seen)
 		seen = pauses
-		c.post(ctx, func() { c.heardService(raw, err, pauses) })
-		if err == nil || errors.Is(err, fetch.ErrUnchanged) {
+		if c.heardService(ctx, raw, err, pauses) {
 			failures = 0
 			continue
 		}
 		failures++
-		c.cfg.Log.Warn().Err(err).Int("failures", failures).Msg("configuration service")
+		if err != nil {
+			c.cfg.Log.Warn().Err(err).Int("failures", failures).Msg("configuration service")
+		}
 		sleep(ctx, retry.Backoff{}.Wait(failures, rand.Float64()))
 	}
 }
 
-// heardService takes the end of a read into account. A read that began before
-// the last pause says nothing of now.
-func (c *Control) heardService(raw []byte, err error, pauses uint64) {
-	if pauses == c.pauses.Load() {
-		c.asked = true
-	}
-	if err == nil {
-		c.offer(raw, "service")
+// heardService takes the end of a read into account and reports whether the
+// next may follow at once. It may not after a document that was not put in
+// force: the service would give the same one again and again. A read that began
+// before the last pause says nothing of now.
+func (c *Control) heardService(ctx context.Context, raw []byte, err error, pauses uint64) bool {
+	verdict := make(chan conf.Verdict, 1)
+	c.post(ctx, func() {
+		if pauses == c.pauses.Load() {
+			c.asked = true
+		}
+		v := conf.VerdictSame
+		if err == nil {
+			v = c.offer(raw, "service")
+		}
+		verdict <- v
+	})
+	select {
+	case <-ctx.Done():
+		return false
+	case v := <-verdict:
+		return errors.Is(err, fetch.ErrUnchanged) || (err == nil && v == conf.VerdictAccepted)
 	}
 }
 
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -11,6 +11,7 @@
 
 	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/feed"
+	"wigeonplank.example/core/route"
 	"wigeonplank.example/core/stage"
 	"wigeonplank.example/core/ticket"
 	"wigeonplank.example/entry/walk"
@@ -23,7 +24,7 @@
 	Title      string        `json:"title"`
 	Detail     string        `json:"detail,omitempty"`
 	Field      string        `json:"field,omitempty"`
-	Outcome    stage.Outcome `json:"outcome"`
+	Outcome    stage.Outcome `json:"outcome,omitempty"`
 	Cause      string        `json:"cause,omitempty"`
 	Stage      string        `json:"stage,omitempty"`
 	Request    string        `json:"request,omitempty"`
@@ -31,6 +32,9 @@
 	TicketIs   string        `json:"ticket_state,omitempty"`
 	RetryMS    int64         `json:"retry_after_ms,omitempty"`
 	RetryAfter time.Duration `json:"-"`
+
+	routes *route.PipelineRoutes // of the request, if it got so far
+	team   string
 }
 
 func (p problem) write(ctx *fasthttp.RequestCtx) {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,7 +52,7 @@
 	MaxConns int
 	NoFair   bool // baseline: no fair share
 
-	http     fasthttp.Server
+	http     atomic.Pointer[fasthttp.Server]
 	fairs    sync.Map    // pipeline name to *admit.Fair
 	closed   atomic.Bool // not ready
 	refusing atomic.Bool // no new requests
@@ -82,7 +83,7 @@
 	if maxConns == 0 {
 		maxConns = DefaultMaxConns
 	}
-	s.http = fasthttp.Server{
+	srv := &fasthttp.Server{
 		Handler:               r.Handler,
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
@@ -94,7 +95,8 @@
 		CloseOnShutdown:       true,
 		ErrorHandler:          readError,
 	}
-	if err := s.http.Serve(ln); err != nil {
+	s.http.Store(srv)
+	if err := srv.Serve(ln); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
@@ -136,7 +138,11 @@
 	if err := s.idle(ctx); err != nil {
 		return err
 	}
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
+	srv := s.http.Load()
+	if srv == nil {
+		return nil
+	}
+	if err := srv.ShutdownWithContext(ctx); err != nil {
 		return fmt.Errorf("close callers' connections: %w", err)
 	}
 	return nil
@@ -160,14 +166,6 @@
 		defer s.leave()
 		if s.refusing.Load() {
 			ctx.SetConnectionClose()
-			problem{
-				Status:     fasthttp.StatusServiceUnavailable,
-				Title:      "this entry is stopping",
-				Outcome:    stage.OutcomeNotRun,
-				Cause:      "stopping",
-				RetryAfter: stopRetry,
-			}.write(ctx)
-			return
 		}
 		h(ctx)
 	}
@@ -199,11 +197,11 @@
 // call answers a request to a pipeline.
 func (s *Server) call(ctx *fasthttp.RequestCtx) {
 	c, p := s.parse(ctx)
-	if p != nil {
-		p.write(ctx)
-		return
+	if p == nil {
+		p = s.turnAway(c)
 	}
-	if p := s.admit(c); p != nil {
+	if p != nil {
+		s.settleTicket(ctx, p)
 		p.write(ctx)
 		return
 	}
@@ -216,34 +214,61 @@
 	s.answer(ctx, c, res, answer)
 }
 
-// admit enters the request with its team's share, or returns why not.
-func (s *Server) admit(c *call) *problem {
-	if !s.Control.Fresh() {
-		return &problem{
-			Status:     fasthttp.StatusServiceUnavailable,
-			Title:      "this entry has no confirmed view of the system yet",
-			Outcome:    stage.OutcomeNotRun,
-			Cause:      "view_not_confirmed",
-			RetryAfter: staleRetry,
-			Request:    c.req.ID,
-		}
+// turnAway returns why a request is not even begun, or nil. On nil the request
+// has entered with its team's share.
+func (s *Server) turnAway(c *call) *problem {
+	p := &problem{
+		Status:     fasthttp.StatusServiceUnavailable,
+		Outcome:    stage.OutcomeNotRun,
+		Request:    c.req.ID,
+		routes:     c.routes,
+		team:       c.req.Team,
+		RetryAfter: staleRetry,
 	}
-	if s.NoFair {
+	switch {
+	case s.refusing.Load():
+		p.Title = "this entry is stopping"
+		p.Cause = "stopping"
+		p.RetryAfter = stopRetry
+		return p
+	case !s.Control.Fresh():
+		p.Title = "this entry has no confirmed view of the system yet"
+		p.Cause = "view_not_confirmed"
+		return p
+	case s.NoFair:
 		return nil
 	}
 	err := s.fair(c.req.Pipeline).Enter(c.req.Team, c.weight)
 	var over *admit.OverShareError
-	if errors.As(err, &over) {
-		return &problem{
-			Status:     fasthttp.StatusTooManyRequests,
-			Title:      over.Error(),
-			Outcome:    stage.OutcomeNotRun,
-			Cause:      "over_share",
-			RetryAfter: over.RetryAfter,
-			Request:    c.req.ID,
+	if !errors.As(err, &over) {
+		return nil
+	}
+	p.Status = fasthttp.StatusTooManyRequests
+	p.Title = over.Error()
+	p.Cause = "over_share"
+	p.RetryAfter = over.RetryAfter
+	return p
+}
+
+// settleTicket makes a refusal true for a request that came with a ticket: the
+// caller may have sent it through another entry before. Either all serials of
+// the ticket are voided, or the outcome is not known.
+func (s *Server) settleTicket(ctx *fasthttp.RequestCtx, p *problem) {
+	b, err := ticket.Decode(string(ctx.Request.Header.Peek(TicketHeader)))
+	if err != nil || p.Outcome != stage.OutcomeNotRun {
+		return // nothing can have run by a text that is no ticket
+	}
+	if !s.Walker.Settle(b) {
+		p.Outcome = stage.OutcomeUnknown
+		p.Detail = strings.TrimSpace(p.Detail + " Ask what became of the ticket.")
+		return
+	}
+	p.TicketIs = string(ticket.StateVoided)
+	if p.routes != nil && p.Ticket == "" {
+		if text, err := s.Tickets.New(ctx, p.routes, p.team); err == nil {
+			p.Ticket = text
 		}
 	}
-	return nil
 }
 
 // run walks an admitted request and counts its end.
@@ -284,6 +309,10 @@
 		badField("pipeline", "all its stages are idempotent: it takes no ticket").write(ctx)
 		return
 	}
+	if s.refusing.Load() {
+		problem{Status: fasthttp.StatusServiceUnavailable, Title: "this entry is stopping", Cause: "stopping", RetryAfter: stopRetry}.write(ctx)
+		return
+	}
 	text, err := s.Tickets.New(ctx, routes, body.Team)
 	if err != nil {
 		s.noTicket(err).write(ctx)
--- a/entry/front/parse.go
+++ b/entry/front/parse.go
@@ -63,10 +63,8 @@
 		Input:    *b.Input,
 		Deadline: now.Add(deadline(&b, routes)),
 	}
-	if !routes.Pipeline.Idempotent() {
-		if p := s.takeTicket(ctx, c, raw); p != nil {
-			return nil, p
-		}
+	if p := s.takeTicket(ctx, c, raw); p != nil {
+		return nil, p
 	}
 	return c, nil
 }
@@ -124,11 +122,17 @@
 	return nil
 }
 
-// takeTicket reads the ticket that a request needs. A request without one gets
-// one, with status 428.
+// takeTicket reads the ticket that a request needs, if it does. A request
+// without one gets one, with status 428.
 func (s *Server) takeTicket(ctx *fasthttp.RequestCtx, c *call, raw []byte) *problem {
 	text := string(ctx.Request.Header.Peek(TicketHeader))
-	if text == "" {
+	idempotent := c.routes.Pipeline.Idempotent()
+	switch {
+	case idempotent && text == "":
+		return nil
+	case idempotent:
+		return badField(TicketHeader, fmt.Sprintf("pipeline %q takes no ticket: all its stages are idempotent", c.req.Pipeline))
+	case text == "":
 		return s.needTicket(ctx, c)
 	}
 	b, err := ticket.Decode(text)
--- a/entry/walk/walk.go
+++ b/entry/walk/walk.go
@@ -290,21 +290,21 @@
 
 func (k *walk) finish(end stage.End) Result {
 	k.drop()
-	if end.Settle && !k.settle() {
+	if end.Settle && !k.w.Settle(k.r.Ticket) {
 		end.Outcome = stage.OutcomeUnknown
 	}
 	k.account(end)
 	return Result{End: end, Kind: k.p.Stages[len(k.p.Stages)-1].Stage.Kind, Ticket: k.ticket, Err: k.err}
 }
 
-// settle voids all serials of the request's ticket and reports whether that
-// proves that none of them ran or will.
-func (k *walk) settle() bool {
+// Settle voids all serials of a ticket and reports whether that proves that
+// none of them ran or ever will.
+func (w *Walker) Settle(b *wire.TicketBody) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	all := true
-	for _, ts := range k.r.Ticket.GetStages() {
-		all = k.w.voidSerial(ctx, ts) && all
+	for _, ts := range b.GetStages() {
+		all = w.voidSerial(ctx, ts) && all
 	}
 	return all
 }
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -93,30 +92,6 @@
 	return f, nil
 }
 
-// ports hands out free ports of the loopback address. Each is kept open until
-// all are drawn, so that none is drawn twice.
-type ports struct {
-	held []net.Listener
-	err  error
-}
-
-func (p *ports) next() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		p.err = errors.Join(p.err, err)
-		return ""
-	}
-	p.held = append(p.held, ln)
-	return ln.Addr().String()
-}
-
-func (p *ports) release() {
-	for _, ln := range p.held {
-		_ = ln.Close()
-	}
-	p.held = nil
-}
-
 func (f *Fleet) layOut() error {
 	world := cmds.World{}
 	f.Config, f.Weights = f.ports.next(), f.ports.next()
@@ -230,7 +205,6 @@
 // Start starts all processes and waits until every entry is ready and every
 // endpoint takes work.
 func (f *Fleet) Start(ctx context.Context) error {
-	f.ports.release()
 	f.fakes = f.proc("fakes", "fakes", "all", "--file", f.path("world.yaml"))
 	if err := f.fakes.start(); err != nil {
 		return err
@@ -332,6 +306,14 @@
 	return post(f.Config, "/publish", raw)
 }
 
+// PublishRaw publishes bytes that need not be a valid document.
+func (f *Fleet) PublishRaw(raw []byte) error {
+	if d, err := conf.Parse(raw); err == nil {
+		f.Doc = d
+	}
+	return post(f.Config, "/publish", raw)
+}
+
 // PublishList publishes instances to every list. With relays each entry sees
 // addresses of its own.
 func (f *Fleet) PublishList(in []roster.Instance) error {
--- a/proof/fleet/procs.go
+++ b/proof/fleet/procs.go
@@ -74,9 +74,15 @@
 func (p *Proc) ID() int { return p.cmd.Process.Pid }
 
 // Build builds the programs into dir. root is the top of the repository.
-func Build(root, dir string) error {
+func Build(root, dir string) error { return build(root, dir) }
+
+// BuildRace is Build with the race detector.
+func BuildRace(root, dir string) error { return build(root, dir, "-race") }
+
+func build(root, dir string, flags ...string) error {
 	for _, name := range []string{"entry", "agent", "fakes", "wpctl"} {
-		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, name), ".")
+		args := append([]string{"build"}, flags...)
+		cmd := exec.Command("go", append(args, "-o", filepath.Join(dir, name), ".")...)
 		cmd.Dir = filepath.Join(root, name)
 		if out, err := cmd.CombinedOutput(); err != nil {
 			return errors.Join(fmt.Errorf("build %s: %w", name, err), errors.New(string(out)))
