--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"regexp"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 )
 
@@ -79,7 +81,7 @@
 		return &InvalidError{Problem: "the file is empty", Allowed: "YAML with the documented keys"}
 	}
 	if err := yaml.UnmarshalWithOptions(raw, v, yaml.Strict()); err != nil {
-		return invalidFromYAML(err)
+		return invalidFromYAML(raw, err)
 	}
 	if err := newValidator().Struct(v); err != nil {
 		return invalidFromTags(raw, err)
@@ -98,10 +100,20 @@
 	return v
 }
 
-func invalidFromYAML(err error) error {
+// quoted is the value that an error of the standard library complains about.
+var quoted = regexp.MustCompile(`"([^"]*)"$`)
+
+func invalidFromYAML(raw []byte, err error) error {
 	var y yaml.Error
 	if !errors.As(err, &y) {
-		return &InvalidError{Problem: err.Error()}
+		p := &InvalidError{Problem: err.Error()}
+		if m := quoted.FindStringSubmatch(err.Error()); m != nil {
+			p.Line, p.Key = whereIs(raw, m[1])
+		}
+		if strings.Contains(p.Problem, "duration") {
+			p.Allowed = "a number with a unit: ms, s, m or h"
+		}
+		return p
 	}
 	line := 0
 	key := ""
@@ -165,6 +177,22 @@
 	return 0
 }
 
+// whereIs finds the line and the path of the first scalar with that text.
+func whereIs(raw []byte, text string) (line int, key string) {
+	f, err := parser.ParseBytes(raw, 0)
+	if err != nil {
+		return 0, ""
+	}
+	for _, doc := range f.Docs {
+		for _, n := range ast.Filter(ast.StringType, doc) {
+			if n.GetToken().Value == text {
+				return n.GetToken().Position.Line, strings.TrimPrefix(n.GetPath(), "$.")
+			}
+		}
+	}
+	return 0, ""
+}
+
 func parentKey(key string) string {
 	i := strings.LastIndexAny(key, ".[")
 	if i < 0 {
--- a/core/stage/truth_test.go
+++ b/core/stage/truth_test.go
@@ -153,8 +153,9 @@
 		"failed":  stage.EventFailed,
 		"lost":    stage.EventLost,
 		"closing": stage.EventClosing,
+		"over":    stage.EventDeadline,
 	}
-	k := kinds[s.draw("progress", "done", "done", "failed", "lost", "closing")]
+	k := kinds[s.draw("progress", "done", "done", "failed", "lost", "closing", "over")]
 	if k == stage.EventDone && s.now.After(s.flow.Deadline) {
 		k = stage.EventDeadline
 	}
@@ -162,8 +163,11 @@
 }
 
 func (s *sim) void() stage.Event {
-	if s.draw("ask", "answer", "answer", "silence") == "silence" {
+	switch s.draw("ask", "answer", "answer", "silence", "over") {
+	case "silence":
 		return stage.Event{Kind: stage.EventUnreachable}
+	case "over":
+		return stage.Event{Kind: stage.EventDeadline}
 	}
 	if s.cur.incarnation != s.incarnation {
 		return stage.Event{Kind: stage.EventVanished}
--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -16,6 +16,7 @@
 		name, about string
 		cmd         any
 	}{
+		{"mutants", "remove each mechanism and see its check fail", &Mutants{}},
 		{"demo", "run a deployment, take a zone out and back under load, and judge it", &Demo{}},
 	}
 	for _, c := range commands {
--- /dev/null
+++ b/wpctl/cmds/status.go
@@ -0,0 +1,135 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	agentctrl "wigeonplank.example/agent/ctrl"
+	"wigeonplank.example/core/meter"
+	"wigeonplank.example/core/route"
+	entryctrl "wigeonplank.example/entry/ctrl"
+)
+
+type addrArgs struct {
+	Addr string `positional-arg-name:"IP:PORT" description:"operators' address of the process"`
+}
+
+type status struct {
+	*Globals `no-flag:"yes"`
+
+	Args addrArgs `positional-args:"yes" required:"yes"`
+}
+
+// entryStatus is an entry's status page.
+type entryStatus struct {
+	entryctrl.Status
+	Ready        bool              `json:"ready"`
+	Active       int64             `json:"active"`
+	RetriesSaved float64           `json:"retries_saved"`
+	Teams        []meter.TeamStats `json:"teams"`
+	Costs        []meter.CostLine  `json:"costs"`
+}
+
+// Execute shows the status page.
+func (s *status) Execute([]string) error {
+	var raw json.RawMessage
+	if err := fetch(s.Args.Addr, "/status", &raw); err != nil {
+		return err
+	}
+	var probe struct {
+		Endpoints *json.RawMessage `json:"endpoints"`
+	}
+	if err := json.Unmarshal(raw, &probe); err != nil {
+		return fmt.Errorf("decode status: %w", err)
+	}
+	if probe.Endpoints == nil {
+		return s.agent(raw)
+	}
+	var v entryStatus
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return fmt.Errorf("decode status: %w", err)
+	}
+	return s.show(v, func(w io.Writer) { writeEntry(w, v) })
+}
+
+func (s *status) agent(raw []byte) error {
+	var v agentctrl.Status
+	if err := json.Unmarshal(raw, &v); err != nil {
+		return fmt.Errorf("decode status: %w", err)
+	}
+	return s.show(v, func(w io.Writer) {
+		fmt.Fprintf(w, "agent\t%s in %s\n", v.Instance, v.Zone)
+		fmt.Fprintf(w, "revision in force\t%d\n", v.Revision)
+		fmt.Fprintf(w, "takes work\t%s\n", orYes(v.Closed))
+		fmt.Fprintf(w, "slots\t%d of %d in use, %d queued, cold: %v\n", v.Busy, v.Limit, v.Queued, v.Cold)
+		fmt.Fprintf(w, "model\t%s\n", v.Model)
+		fmt.Fprintf(w, "placement waits for\t%s\n", v.Waits)
+		if v.Error != "" {
+			fmt.Fprintf(w, "error\t%s\n", v.Error)
+		}
+	})
+}
+
+func orYes(why string) string {
+	if why == "" {
+		return "yes"
+	}
+	return "no: " + why
+}
+
+func writeEntry(w io.Writer, v entryStatus) {
+	fmt.Fprintf(w, "entry\t%s in %s\n", v.Instance, v.Zone)
+	fmt.Fprintf(w, "ready\t%v, view confirmed: %v\n", v.Ready, v.Fresh)
+	fmt.Fprintf(w, "revision in force\t%d\n", v.Revision)
+	if v.Error != "" {
+		fmt.Fprintf(w, "error\t%s\n", v.Error)
+	}
+	fmt.Fprintf(w, "requests under way\t%d\n", v.Active)
+	fmt.Fprintf(w, "retries saved up\t%.1f\n", v.RetriesSaved)
+	fmt.Fprintln(w, "\nZONE\tSTATE")
+	for _, z := range v.Zones {
+		fmt.Fprintf(w, "%s\t%s\n", z.Name, z.State)
+	}
+	fmt.Fprintln(w, "\nENDPOINT\tZONE\tSTATE\tLINK\tBUSY\tLIMIT\tOURS\tCOLD\tMODEL\tOUT BECAUSE")
+	for _, e := range v.Endpoints {
+		why := e.Closed
+		if why == "" {
+			why = e.Waits
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%d\t%d\t%v\t%s\t%s\n",
+			e.Instance, e.Zone, e.State, e.Linked, e.Busy, e.Limit, e.Outstanding, e.Cold, e.Model, why)
+	}
+	fmt.Fprintln(w, "\nTEAM\tREQUESTS\tANSWERED\tP50\tP95\tP99")
+	for _, t := range v.Teams {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\n", t.Team, t.Requests, t.InTime, t.P50, t.P95, t.P99)
+	}
+}
+
+type explain struct {
+	*Globals `no-flag:"yes"`
+
+	Team string `long:"team" required:"yes" description:"team that calls the pipeline"`
+	Args struct {
+		Addr     string `positional-arg-name:"IP:PORT" description:"operators' address of an entry"`
+		Pipeline string `positional-arg-name:"PIPELINE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute shows why each endpoint may or may not carry each stage.
+func (e *explain) Execute([]string) error {
+	var lines []route.Explanation
+	if err := fetch(e.Args.Addr, "/explain/"+e.Args.Pipeline+"?team="+e.Team, &lines); err != nil {
+		return err
+	}
+	return e.show(lines, func(w io.Writer) {
+		fmt.Fprintln(w, "STAGE\tENDPOINT\tZONE\tMAY\tWHY")
+		for _, l := range lines {
+			may := "no"
+			if l.Usable {
+				may = "yes"
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", l.Stage, l.Instance, l.Zone, may, l.Why)
+		}
+	})
+}
