conf, proof: fuzzing, pairs of failures, generated reference

Cause: foreign bytes and combined failures were untested. Change: fuzz targets for documents, lists, frames, tickets, engine answers and callers' bodies; `make chaos` strikes a fleet with two drawn failures; docs/COMMANDS.md and docs/SETTINGS.md come from the definitions. Ruled out as proofs: removing the silence limit alone, since yamux's own limit on unanswered streams finds silence too; cutting off a stopping agent's idempotent work, which is repeated elsewhere. Both have stricter checks now.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 MODULES := core base agent entry fakes wpctl proof
 BIN := $(CURDIR)/bin
 
-.PHONY: build demo test
+SEEDS ?= 10
+
+.PHONY: build demo test chaos mutants docs fuzz
 
 build:
 	@mkdir -p $(BIN)
@@ -13,3 +15,23 @@
 
 test:
 	@bash .ci/test
+
+# Pairs of failures over a small fleet, by seed.
+chaos: build
+	@$(BIN)/proof chaos --seeds $(SEEDS)
+
+# Removes each mechanism in a copy and sees its check fail.
+mutants: build
+	@$(BIN)/proof mutants
+
+docs: build
+	@$(BIN)/proof docs
+
+FUZZTIME ?= 30s
+fuzz:
+	cd core && go test ./conf -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	cd core && go test ./wire -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME)
+	cd core && go test ./roster -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME)
+	cd core && go test ./ticket -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	cd agent && go test ./engine -run '^$$' -fuzz FuzzTokens -fuzztime $(FUZZTIME)
+	cd entry && go test ./front -run '^$$' -fuzz FuzzBody -fuzztime $(FUZZTIME)
--- a/agent/cmds/cmds.go
+++ b/agent/cmds/cmds.go
@@ -43,10 +43,20 @@
 	Log      string `long:"log" value-name:"LAYERS" description:"layers whose debug lines are written: link, control, request, engine, http, all"`
 }
 
+// Parser returns the command line, which fills opts.
+func Parser(opts *Options) *flags.Parser {
+	p := flags.NewNamedParser("agent", flags.Default)
+	p.LongDescription = "Runs beside one endpoint and decides what it is given."
+	if _, err := p.AddGroup("Options", "", opts); err != nil {
+		panic(err) // a wrong tag in Options
+	}
+	return p
+}
+
 // Main runs the agent and returns its exit status.
 func Main(args []string) int {
 	var opts Options
-	if _, err := flags.NewParser(&opts, flags.Default).ParseArgs(args); err != nil {
+	if _, err := Parser(&opts).ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -193,7 +194,7 @@
 	if out, bad := judge(j.Stage, resp.StatusCode()); bad {
 		return 0, out, false
 	}
-	return readTokens(resp, body.Resume, emit)
+	return readTokens(resp.BodyStream(), body.Resume, emit)
 }
 
 var (
@@ -201,8 +202,9 @@
 	doneMark   = []byte("[DONE]")
 )
 
-func readTokens(resp *fasthttp.Response, next int, emit func([]byte)) (int, Outcome, bool) {
-	sc := bufio.NewScanner(resp.BodyStream())
+// readTokens passes on the tokens of a stream from number next on.
+func readTokens(r io.Reader, next int, emit func([]byte)) (int, Outcome, bool) {
+	sc := bufio.NewScanner(r)
 	n := 0
 	for sc.Scan() {
 		data, ok := bytes.CutPrefix(sc.Bytes(), dataPrefix)
--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -76,7 +76,14 @@
 
 // DecodeStrict decodes YAML into v: an unknown or doubled key, a value of the
 // wrong type or unit, and a failed `validate` tag are errors that name the line.
-func DecodeStrict(raw []byte, v any) error {
+func DecodeStrict(raw []byte, v any) (err error) {
+	// Some malformed input makes the YAML library panic. One bad document must
+	// not end all the processes that read it.
+	defer func() {
+		if r := recover(); r != nil {
+			err = &InvalidError{Problem: fmt.Sprintf("the YAML can't be decoded: %v", r)}
+		}
+	}()
 	if len(strings.TrimSpace(string(raw))) == 0 {
 		return &InvalidError{Problem: "the file is empty", Allowed: "YAML with the documented keys"}
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -26,6 +26,10 @@
 	return d
 }
 
+// settleSeconds is the time in which an order is confirmed or sent again, 20 s,
+// and half of that for the second one to be taken.
+const settleSeconds = 30
+
 type order struct {
 	fence uint64
 	model string
@@ -82,7 +86,7 @@
 		for _, o := range late {
 			take(o)
 		}
-		for range 200 {
+		for range settleSeconds {
 			now = now.Add(time.Second)
 			if a := p.Step(now, in, 0.5); a.Kind == place.ActionOrder {
 				take(order{a.Fence, a.Model.String()})
--- a/entry/cmds/cmds.go
+++ b/entry/cmds/cmds.go
@@ -48,10 +48,20 @@
 	Log      string `long:"log" value-name:"LAYERS" description:"layers whose debug lines are written: link, control, request, engine, http, all"`
 }
 
+// Parser returns the command line, which fills opts.
+func Parser(opts *Options) *flags.Parser {
+	p := flags.NewNamedParser("entry", flags.Default)
+	p.LongDescription = "Takes callers' requests and carries them through pipelines. Stand it behind the balancer."
+	if _, err := p.AddGroup("Options", "", opts); err != nil {
+		panic(err) // a wrong tag in Options
+	}
+	return p
+}
+
 // Main runs the entry and returns its exit status.
 func Main(args []string) int {
 	var opts Options
-	if _, err := flags.NewParser(&opts, flags.Default).ParseArgs(args); err != nil {
+	if _, err := Parser(&opts).ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
--- /dev/null
+++ b/entry/front/parse_test.go
@@ -0,0 +1,53 @@
+package front
+
+import (
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+func TestBodiesThatAreNotAsDocumented(t *testing.T) {
+	for _, raw := range []string{
+		``, `[]`, `{"team": 1}`, `{"input": "a", "unknown": 1}`, `{"input": "a"} {"input": "b"}`,
+		`{"deadline_ms": "1s"}`, `{"input": "a"`, `null garbage`,
+	} {
+		var b callBody
+		p := decodeStrict([]byte(raw), &b)
+		if p == nil || p.Status != 400 || p.Outcome != "not_run" {
+			t.Errorf("%q: %+v, expected 400 not_run", raw, p)
+		}
+	}
+}
+
+func TestWrongTypeNamesItsField(t *testing.T) {
+	var b callBody
+	if p := decodeStrict([]byte(`{"deadline_ms": "1s"}`), &b); p == nil || p.Field != "deadline_ms" {
+		t.Fatalf("got %+v, expected field deadline_ms", p)
+	}
+}
+
+func TestEventsDivideNoCharacter(t *testing.T) {
+	text := "አዲስ አበባ ✓ plain"
+	for cut := 1; cut <= len(text); cut++ {
+		n := wholeRunes([]byte(text[:cut]))
+		if n == 0 && cut >= utf8.UTFMax {
+			t.Fatalf("cut at %d: nothing passes", cut)
+		}
+		if n > 0 && cut < len(text) && !utf8.ValidString(text[:n]) && n != cut {
+			t.Errorf("cut at %d: passes %q", cut, text[:n])
+		}
+	}
+	if n := wholeRunes([]byte(strings.Repeat("\xff", 5))); n != 5 {
+		t.Errorf("bytes that aren't UTF-8: %d of 5 pass", n)
+	}
+}
+
+func FuzzBody(f *testing.F) {
+	f.Add([]byte(`{"team":"t","input":"a","deadline_ms":5,"stream":true}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var b callBody
+		if p := decodeStrict(raw, &b); p != nil && p.Status != 400 {
+			t.Fatalf("status %d", p.Status)
+		}
+	})
+}
--- a/fakes/cmds/cmds.go
+++ b/fakes/cmds/cmds.go
@@ -25,10 +25,10 @@
 
 const maxBody = 4 << 20
 
-// Main runs a stand-in and returns the exit status.
-func Main(args []string) int {
-	p := flags.NewParser(nil, flags.Default)
-	p.ShortDescription = "stand-ins for the platform and the back ends, for demos and tests"
+// Parser returns the command line.
+func Parser() *flags.Parser {
+	p := flags.NewNamedParser("fakes", flags.Default)
+	p.LongDescription = "Runs stand-ins for the platform and the back ends, for demos and tests. Faults are switched on by POST /fault."
 	commands := []struct {
 		name, about string
 		cmd         any
@@ -43,11 +43,15 @@
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.about, c.about, c.cmd); err != nil {
-			fmt.Fprintln(os.Stderr, "fakes:", err)
-			return 2
+			panic(err) // a wrong tag in this program
 		}
 	}
-	if _, err := p.ParseArgs(args); err != nil {
+	return p
+}
+
+// Main runs a stand-in and returns the exit status.
+func Main(args []string) int {
+	if _, err := Parser().ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -3,29 +3,33 @@
 package cmds
 
 import (
-	"fmt"
-	"os"
-
 	"github.com/jessevdk/go-flags"
 )
 
-// Main runs a command and returns the exit status.
-func Main(args []string) int {
-	p := flags.NewParser(nil, flags.Default)
+// Parser returns the command line.
+func Parser() *flags.Parser {
+	p := flags.NewNamedParser("proof", flags.Default)
+	p.LongDescription = "Runs whole deployments of stand-ins on loopback, for the demo, the proofs and the measurements."
 	commands := []struct {
 		name, about string
 		cmd         any
 	}{
+		{"chaos", "strike a small fleet with pairs of failures", &Chaos{}},
 		{"mutants", "remove each mechanism and see its check fail", &Mutants{}},
+		{"docs", "write the generated reference pages", &Docs{}},
 		{"demo", "run a deployment, take a zone out and back under load, and judge it", &Demo{}},
 	}
 	for _, c := range commands {
 		if _, err := p.AddCommand(c.name, c.about, c.about, c.cmd); err != nil {
-			fmt.Fprintln(os.Stderr, "proof:", err)
-			return 2
+			panic(err) // a wrong tag in this program
 		}
 	}
-	if _, err := p.ParseArgs(args); err != nil {
+	return p
+}
+
+// Main runs a command and returns the exit status.
+func Main(args []string) int {
+	if _, err := Parser().ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
--- /dev/null
+++ b/proof/cmds/docs_test.go
@@ -0,0 +1,27 @@
+package cmds_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"wigeonplank.example/proof/cmds"
+)
+
+// TestReferenceIsCurrent fails when a definition changed and the page did not.
+func TestReferenceIsCurrent(t *testing.T) {
+	root := filepath.Join("..", "..")
+	pages, err := cmds.Pages(root)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range pages {
+		got, err := os.ReadFile(filepath.Join(root, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if string(got) != want {
+			t.Errorf("%s is not current: run `make docs`", name)
+		}
+	}
+}
--- a/proof/cmds/mutants.go
+++ b/proof/cmds/mutants.go
@@ -27,13 +27,26 @@
 	Name    string `yaml:"name" validate:"required"`
 	Guards  string `yaml:"guards" validate:"required"`
 	File    string `yaml:"file" validate:"required"`
-	Old     string `yaml:"old" validate:"required"`
-	New     string `yaml:"new"`
+	Edit    `yaml:",inline"`
+	Also    *Edit  `yaml:"also,omitempty"` // where two mechanisms guard the same
 	Module  string `yaml:"module" validate:"required"`
 	Package string `yaml:"package" validate:"required"`
 	Test    string `yaml:"test" validate:"required"`
 }
 
+// Edit replaces a text that stands once in a file.
+type Edit struct {
+	Old string `yaml:"old" validate:"required"`
+	New string `yaml:"new"`
+}
+
+func (e *Edit) apply(text string) (string, error) {
+	if n := strings.Count(text, e.Old); n != 1 {
+		return "", fmt.Errorf("the text to replace stands %d times: %q", n, e.Old)
+	}
+	return strings.Replace(text, e.Old, e.New, 1), nil
+}
+
 type mutantsFile struct {
 	Mutants []Mutant `yaml:"mutants" validate:"required,dive"`
 }
@@ -78,22 +91,28 @@
 	if err := copyTree(root, dir); err != nil {
 		return err
 	}
-	file := filepath.Join(dir, mu.File)
+	if err := mu.mutate(filepath.Join(dir, mu.File)); err != nil {
+		return err
+	}
+	cmd := exec.Command("go", "test", "-count=1", "-timeout", mutantLimit, "-run", mu.Test, mu.Package)
+	cmd.Dir = filepath.Join(dir, mu.Module)
+	out, err := cmd.CombinedOutput()
+	return judgeMutant(out, err)
+}
+
+func (mu *Mutant) mutate(file string) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return err
 	}
-	if n := strings.Count(string(raw), mu.Old); n != 1 {
-		return fmt.Errorf("the text to replace stands %d times in %s", n, mu.File)
+	text, err := mu.apply(string(raw))
+	if err == nil && mu.Also != nil {
+		text, err = mu.Also.apply(text)
 	}
-	changed := strings.Replace(string(raw), mu.Old, mu.New, 1)
-	if err := os.WriteFile(file, []byte(changed), 0o644); err != nil {
+	if err != nil {
 		return err
 	}
-	cmd := exec.Command("go", "test", "-count=1", "-timeout", mutantLimit, "-run", mu.Test, mu.Package)
-	cmd.Dir = filepath.Join(dir, mu.Module)
-	out, err := cmd.CombinedOutput()
-	return judgeMutant(out, err)
+	return os.WriteFile(file, []byte(text), 0o644)
 }
 
 func judgeMutant(out []byte, err error) error {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/roster"
 	"wigeonplank.example/core/route"
+	entryctrl "wigeonplank.example/entry/ctrl"
 	entrysets "wigeonplank.example/entry/sets"
 	"wigeonplank.example/fakes/cmds"
 	"wigeonplank.example/fakes/config"
@@ -422,13 +423,35 @@
 		return false
 	}
 	for _, ep := range s.Endpoints {
-		if !ep.Linked || ep.Closed != "" || ep.Waits != "" {
+		if !serves(ep) {
 			return false
 		}
 	}
 	return true
 }
 
+func serves(ep entryctrl.EndpointStatus) bool {
+	return ep.Linked && ep.Closed == "" && ep.Waits == ""
+}
+
+// AwaitServing is AwaitReady without the endpoints that leave.
+func (f *Fleet) AwaitServing(ctx context.Context) error {
+	return f.await(ctx, "fleet to serve", func() bool {
+		for _, e := range f.Entries {
+			s, err := f.EntryStatus(e)
+			if err != nil || !s.Ready {
+				return false
+			}
+			for _, ep := range s.Endpoints {
+				if ep.State == roster.StateLive && !serves(ep) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
 func (f *Fleet) await(ctx context.Context, what string, ok func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
