--- a/wpctl/load/report.go
+++ b/wpctl/load/report.go
@@ -111,6 +111,17 @@
 	return out
 }
 
+// Latency returns the latency of all whole answers.
+func (r *Report) Latency() Latency {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := newHistogram()
+	for _, l := range r.lines {
+		all.Merge(l.latency)
+	}
+	return quantiles(all)
+}
+
 func quantiles(h *hdrhistogram.Histogram) Latency {
 	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
 	return Latency{P50: at(50), P95: at(95), P99: at(99)}
