--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 10
 
-.PHONY: build demo test chaos mutants docs fuzz
+.PHONY: build demo test chaos mutants docs fuzz bench slopes
 
 build:
 	@mkdir -p $(BIN)
@@ -24,6 +24,15 @@
 mutants: build
 	@$(BIN)/proof mutants
 
+# The policy under load and faults against baselines: about 50 min. Fewer:
+# bin/proof bench --repeats 1 --scenarios 'steady|zone'
+bench: build
+	@$(BIN)/proof bench
+
+# What a process costs as its surroundings grow: about 5 min.
+slopes: build
+	@$(BIN)/proof slopes
+
 docs: build
 	@$(BIN)/proof docs
 
--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -17,6 +17,7 @@
 		{"chaos", "strike a small fleet with pairs of failures", &Chaos{}},
 		{"mutants", "remove each mechanism and see its check fail", &Mutants{}},
 		{"bench", "measure the policy under load and faults against baselines", &Bench{}},
+		{"slopes", "measure what a process costs as its surroundings grow", &Slopes{}},
 		{"docs", "write the generated reference pages", &Docs{}},
 		{"demo", "run a deployment, take a zone out and back under load, and judge it", &Demo{}},
 	}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -124,9 +124,23 @@
 	if err := os.WriteFile(f.path("config.yaml"), f.Plan.Document, 0o644); err != nil {
 		return err
 	}
+	if err := f.writeKeys(); err != nil {
+		return err
+	}
 	return f.writeYAML("world.yaml", world)
 }
 
+func (f *Fleet) writeKeys() error {
+	if !f.Plan.TLS {
+		return nil
+	}
+	a, err := NewAuthority()
+	if err != nil {
+		return err
+	}
+	return a.Write(f.Dir)
+}
+
 // lists returns the addresses of the instance lists, each once.
 func (f *Fleet) lists() []string {
 	if f.Relays == nil {
@@ -226,6 +240,24 @@
 	return f.AwaitReady(ctx)
 }
 
+// StartBare starts the stand-ins and the entries under a list of instances that
+// somebody else runs.
+func (f *Fleet) StartBare(ctx context.Context, in []roster.Instance) error {
+	f.fakes = f.proc("fakes", "fakes", "all", "--file", f.path("world.yaml"))
+	if err := f.fakes.start(); err != nil {
+		return err
+	}
+	if err := f.await(ctx, "stand-ins", func() bool { return f.PublishList(in) == nil }); err != nil {
+		return err
+	}
+	for _, e := range f.Entries {
+		if err := f.startEntry(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) proc(name, program string, args ...string) *Proc {
 	return &Proc{Name: name, log: f.path(name + ".log"), args: append([]string{filepath.Join(f.Bin, program)}, args...)}
 }
@@ -240,6 +272,9 @@
 		Endpoint: agentsets.Endpoint{Address: e.Addr, Kind: agentsets.Kind(e.Kind), Slots: g.Slots, ColdSlots: 1},
 		Gate:     agentsets.GateMode(f.Plan.Gate),
 	}
+	if f.Plan.TLS {
+		s.TLS = &agentsets.TLS{Cert: f.path("cert.pem"), Key: f.path("key.pem"), CA: f.path("ca.pem")}
+	}
 	e.settings = "agent-" + e.Instance.ID + ".yaml"
 	if err := f.writeYAML(e.settings, s); err != nil {
 		return err
@@ -272,6 +307,9 @@
 		},
 		Stop: entrysets.Stop{Accept: 200 * time.Millisecond},
 	}
+	if f.Plan.TLS {
+		s.TLS = &entrysets.TLS{Cert: f.path("cert.pem"), Key: f.path("key.pem"), CA: f.path("ca.pem")}
+	}
 	if err := f.writeYAML(e.Name+".yaml", s); err != nil {
 		return err
 	}
--- a/proof/fleet/plan.go
+++ b/proof/fleet/plan.go
@@ -24,6 +24,7 @@
 
 	// What tests add to a deployment.
 	Relays   bool   `yaml:"relays,omitempty"` // a relay on each link, for faults of the network
+	TLS      bool   `yaml:"tls,omitempty"`    // mutual TLS on links
 	Route    string `yaml:"route,omitempty"`  // the entries' routing policy
 	Admit    bool   `yaml:"no_admission,omitempty"`
 	Retries  int    `yaml:"fixed_retries,omitempty"`
