core/admit: hold at the load that the endpoints bear

Cause: at each sign of full endpoints an entry cut its limit by a tenth below what was in, up to ten times a second, and grew by one for four ends. Endpoints with free slots then met refused requests. Ruled out: retries as the cause; fixed retries did better only since they brought refused work back. Change: the limit becomes what was in without the request that found no room.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -9,7 +9,6 @@
 
 const (
 	minLimit    = 4
-	cutFactor   = 0.9
 	growEach    = 4 // completions for each slot of growth
 	retryAfter  = 300 * time.Millisecond
 	cutInterval = 100 * time.Millisecond
@@ -32,8 +31,8 @@
 }
 
 // Fair limits the concurrent requests of one pipeline at one entry. It has no
-// limit until endpoints run out of room; then it backs off below that load and
-// grows again with completions. A team below its share gets in regardless. The
+// limit until endpoints run out of room; then it holds at that load and grows
+// again with completions. A team below its share gets in regardless. The
 // zero value is ready to use. It is safe for concurrent use.
 type Fair struct {
 	mu      sync.Mutex
@@ -92,7 +91,8 @@
 	}
 }
 
-// NoRoom records that no endpoint had room for a request at now.
+// NoRoom records that no endpoint had room for a request at now: what is in
+// without that one is as much as the endpoints bear.
 func (f *Fair) NoRoom(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -100,7 +100,7 @@
 		return
 	}
 	f.cutAt = now
-	f.limit = max(int(float64(f.total)*cutFactor), minLimit)
+	f.limit = max(f.total-1, minLimit)
 }
 
 // Active returns how many requests are in and the limit, 0 for none.
