core/route: weigh zones against load, look at all of a small pool

Cause: an entry filled the endpoints of its own zone before it looked further, and in a pool of three, two random choices fall on one endpoint in a third of the cases. Ruled out: stale load reports; they come every 200 ms and with each answer. Change: another zone costs a quarter of an endpoint's load; pools of up to eight are looked at whole.

--- a/core/route/router.go
+++ b/core/route/router.go
@@ -26,6 +26,8 @@
 	queueScore    = 2.0  // the agent's queue is full too
 	affinityBound = 0.75 // load up to which prefix affinity outweighs balance
 	scanLimit     = 64   // endpoints looked at when two random ones have no room
+	smallPool     = 8    // up to so many endpoints are all looked at
+	awayCost      = 0.25 // load by which an endpoint of another zone must be better
 	noRoomRetry   = 250 * time.Millisecond
 	noTargetRetry = time.Second
 )
@@ -100,19 +102,30 @@
 	}
 }
 
+// byRoom prefers, in this order, the endpoint that holds the prompt prefix, the
+// own zone, and the lesser load. The own zone is worth only a little load: a
+// zone further costs less than a millisecond, a crowded endpoint far more.
 func (r *Router) byRoom(s *StageRoutes, p *pool, c Choice) (*Endpoint, float64) {
 	if c.Affinity != 0 {
 		if e := p.owner(c.Affinity); scoreFor(s, e, c) < affinityBound {
 			return e, 0
 		}
 	}
-	if e, score := r.lesserOfTwo(s, p.local, c); score < fullScore {
-		return e, score
+	if len(p.all) <= smallPool {
+		return r.scan(s, p, c)
+	}
+	near, nearScore := r.lesserOfTwo(s, p.local, c)
+	if nearScore < awayCost {
+		return near, nearScore
 	}
-	if e, score := r.lesserOfTwo(s, p.all, c); score < fullScore {
+	e, score := r.lesserOfTwo(s, p.all, c)
+	if nearScore <= score+awayCost {
+		e, score = near, nearScore
+	}
+	if score < fullScore {
 		return e, score
 	}
-	return r.scan(s, p.all, c)
+	return r.scan(s, p, c)
 }
 
 func (p *pool) owner(h uint64) *Endpoint {
@@ -139,16 +152,20 @@
 }
 
 // scan looks at up to scanLimit endpoints from a random place and returns the
-// least loaded, or nil if none of them is ready.
-func (r *Router) scan(s *StageRoutes, list []*Endpoint, c Choice) (*Endpoint, float64) {
-	n := len(list)
+// best by load and zone, or nil if none of them is ready.
+func (r *Router) scan(s *StageRoutes, p *pool, c Choice) (*Endpoint, float64) {
+	n := len(p.all)
 	start := int(r.random() % uint64(n))
 	var best *Endpoint
-	least := blocked
+	least, cost := blocked, blocked
 	for i := range min(n, scanLimit) {
-		e := list[(start+i)%n]
-		if v := scoreFor(s, e, c); v < least {
-			best, least = e, v
+		e := p.all[(start+i)%n]
+		v := scoreFor(s, e, c)
+		if v == blocked {
+			continue
+		}
+		if with := v + e.away; with < cost {
+			best, least, cost = e, v, with
 		}
 	}
 	return best, least
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -14,6 +14,7 @@
 	Instance roster.Instance
 	Load     *Load
 	hash     uint64
+	away     float64 // cost of being in another zone than the entry
 }
 
 // pool is the endpoints that may carry one stage for one set of teams.
@@ -63,6 +64,9 @@
 	}
 	for _, m := range members {
 		e := &Endpoint{Instance: m, Load: loads.Of(m.ID), hash: xxhash.Sum64String(m.ID)}
+		if m.Zone != zone {
+			e.away = awayCost
+		}
 		t.Endpoints = append(t.Endpoints, e)
 		t.byID[m.ID] = e
 	}
