core/gate: half a place in the queue for each slot

Ruled out: no queue at all, which leaves slots idle between two reports. Change: a queue of half the limit, at least one; the router's bound follows.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -207,7 +207,7 @@
 	return Decision{Verdict: Refuse, Reason: r, RetryAfter: max(after, 50*time.Millisecond)}
 }
 
-func (g *Gate) queueBound() int { return g.Limit() }
+func (g *Gate) queueBound() int { return max(g.Limit()/2, 1) }
 
 // wait estimates how long the n-th in the queue waits.
 func (g *Gate) wait(n int) time.Duration {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -23,7 +23,7 @@
 const (
 	blocked       = math.MaxFloat64
 	fullScore     = 1.0  // no free slot
-	queueScore    = 2.0  // the agent's queue is full too
+	queueScore    = 1.5  // the agent's queue is full too
 	affinityBound = 0.75 // load up to which prefix affinity outweighs balance
 	scanLimit     = 64   // endpoints looked at when two random ones have no room
 	smallPool     = 8    // up to so many endpoints are all looked at
