core/gate: judge an endpoint by the pace of its running work

Cause: an endpoint that turned slow or cold was found out only when a unit of work ended, up to 2 s later; until then it was given more. Ruled out: the wait for first output alone; a slow engine's is still short. Change: every eighth token tells the gate how far a job is, and a pace three times slower than on the warm endpoint cuts the limit at once.

--- a/agent/ctrl/attempts.go
+++ b/agent/ctrl/attempts.go
@@ -75,9 +75,9 @@
 	return running
 }
 
-// Progress records the first output of a job.
-func (c *Control) Progress(j *Job) {
-	c.do(func() { c.gate.Progress(c.cfg.Clock.Now(), j.ID) })
+// Progress records that a job has given so many units of output.
+func (c *Control) Progress(j *Job, units int) {
+	c.do(func() { c.gate.Progress(c.cfg.Clock.Now(), j.ID, units) })
 }
 
 // End is how a job ended at the endpoint.
--- a/agent/engine/driver.go
+++ b/agent/engine/driver.go
@@ -14,6 +14,7 @@
 
 const (
 	reportInterval = 100 * time.Millisecond
+	progressUnits  = 8 // the control state hears of every so many tokens
 	planInterval   = 200 * time.Millisecond
 	orderFreshness = 500 * time.Millisecond // an older decision is not carried out
 	ticketTimeout  = 30 * time.Second       // for work that is not idempotent
@@ -48,11 +49,11 @@
 		Priority: int(j.Dispatch.GetPriority()),
 		Timeout:  timeout,
 	}
-	first := true
+	units := 0
 	out := d.Client.Run(job, func(p []byte) {
-		if first {
-			first = false
-			d.Control.Progress(j)
+		units++
+		if units == 1 || units%progressUnits == 0 {
+			d.Control.Progress(j, units)
 		}
 		j.Output.Append(p)
 	})
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -25,6 +25,7 @@
 	jumpFactor       = 3.0              // rise of the unit time that means cold
 	stallFactor      = 4.0              // wait for first output that means cold
 	minStall         = 150 * time.Millisecond
+	paceUnits        = 8 // of output before its pace is judged
 	smoothing        = 0.2
 	baselineDrift    = 1.01
 )
@@ -107,8 +108,8 @@
 }
 
 type active struct {
-	since    time.Time
-	progress bool
+	since time.Time
+	units int // of output so far
 }
 
 // Gate is the only authority over what an endpoint is given. It is not safe for
@@ -238,14 +239,16 @@
 	return true
 }
 
-// Progress records that running work gave its first output.
-func (g *Gate) Progress(now time.Time, id runs.ID) {
+// Progress records that running work has given so many units of output.
+func (g *Gate) Progress(now time.Time, id runs.ID, units int) {
 	a, ok := g.running[id]
-	if !ok || a.progress {
+	if !ok {
 		return
 	}
-	a.progress = true
-	g.first = smooth(g.first, now.Sub(a.since))
+	if a.units == 0 {
+		g.first = smooth(g.first, now.Sub(a.since))
+	}
+	a.units = max(a.units, units)
 }
 
 // Finish records the end of running work and starts queued work in its place.
@@ -300,15 +303,16 @@
 	return fx
 }
 
-// stalled reports whether some work waits for its first output far longer than
-// is usual here, which is the first sign of an endpoint that turned cold.
+// stalled reports whether some running work shows that the endpoint turned cold
+// or slow, long before it ends: it waits for its first output far longer than is
+// usual here, or its output comes far slower.
 func (g *Gate) stalled(now time.Time) bool {
-	if g.first == 0 {
-		return false
-	}
-	limit := max(time.Duration(stallFactor*float64(g.first)), minStall)
 	for _, a := range g.running {
-		if !a.progress && now.Sub(a.since) > limit {
+		took := now.Sub(a.since)
+		switch {
+		case a.units == 0 && g.first > 0 && took > max(time.Duration(stallFactor*float64(g.first)), minStall):
+			return true
+		case a.units >= paceUnits && g.ramp.jumped(took/time.Duration(a.units)):
 			return true
 		}
 	}
--- a/core/gate/ramp.go
+++ b/core/gate/ramp.go
@@ -71,7 +71,7 @@
 	} else {
 		r.unit = time.Duration(float64(r.unit) * baselineDrift)
 	}
-	if float64(unit) > jumpFactor*float64(r.unit) && !r.cold {
+	if r.jumped(unit) {
 		return r.cut(now)
 	}
 	if wanted && r.mayGrow(now) {
@@ -80,6 +80,12 @@
 	return false
 }
 
+// jumped reports whether a unit takes far longer than it did on the warm
+// endpoint.
+func (r *ramp) jumped(unit time.Duration) bool {
+	return !r.cold && r.unit > 0 && float64(unit) > jumpFactor*float64(r.unit)
+}
+
 func (r *ramp) mayGrow(now time.Time) bool {
 	return !r.cold && now.Sub(r.warmAt) <= reportFresh
 }
--- a/core/scen/gate_test.go
+++ b/core/scen/gate_test.go
@@ -33,7 +33,7 @@
 		s := gate.Sample{Service: service, Units: a.int("units", 1), OK: a.opts["ok"] != "no"}
 		w.fx = w.gate.Finish(now, attemptID(a.word(1)), s)
 	case "progress":
-		w.gate.Progress(now, attemptID(a.word(1)))
+		w.gate.Progress(now, attemptID(a.word(1)), a.int("units", 1))
 	case "report":
 		at := now.Add(-a.duration("age", 0))
 		w.fx = w.gate.Observe(now, gate.Report{Running: a.int("running", 0), Cold: a.word(1) == "cold", At: at})
