core/gate: noise on short calls is no sign of cold

Cause: on calls of 1 ms, a few milliseconds that a busy machine adds are three times the usual, so the limit fell to one again and again. Ruled out: the entry; agents' refusals were for cold. Change: a jump counts only if it is more than 25 ms beyond the usual as well.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -20,10 +20,11 @@
 const (
 	defaultMax       = 8
 	defaultColdLimit = 1
-	reportFresh      = 3 * time.Second  // age up to which a load report counts
-	unreportedHold   = 30 * time.Second // wait for a first report at most this long
-	jumpFactor       = 3.0              // rise of the unit time that means cold
-	stallFactor      = 4.0              // wait for first output that means cold
+	reportFresh      = 3 * time.Second       // age up to which a load report counts
+	unreportedHold   = 30 * time.Second      // wait for a first report at most this long
+	minJump          = 25 * time.Millisecond // a rise by less is the machine's, not the endpoint's
+	jumpFactor       = 3.0                   // rise of the unit time that means cold
+	stallFactor      = 4.0                   // wait for first output that means cold
 	minStall         = 150 * time.Millisecond
 	paceUnits        = 8 // of output before its pace is judged
 	smoothing        = 0.2
@@ -312,7 +313,7 @@
 		switch {
 		case a.units == 0 && g.first > 0 && took > max(time.Duration(stallFactor*float64(g.first)), minStall):
 			return true
-		case a.units >= paceUnits && g.ramp.jumped(took/time.Duration(a.units)):
+		case a.units >= paceUnits && g.ramp.jumped(took, a.units):
 			return true
 		}
 	}
--- a/core/gate/ramp.go
+++ b/core/gate/ramp.go
@@ -71,7 +71,7 @@
 	} else {
 		r.unit = time.Duration(float64(r.unit) * baselineDrift)
 	}
-	if r.jumped(unit) {
+	if r.jumped(s.Service, max(s.Units, 1)) {
 		return r.cut(now)
 	}
 	if wanted && r.mayGrow(now) {
@@ -80,10 +80,14 @@
 	return false
 }
 
-// jumped reports whether a unit takes far longer than it did on the warm
-// endpoint.
-func (r *ramp) jumped(unit time.Duration) bool {
-	return !r.cold && r.unit > 0 && float64(unit) > jumpFactor*float64(r.unit)
+// jumped reports whether so many units took far longer than they do on the warm
+// endpoint. What a busy machine adds to a short call is no sign of anything.
+func (r *ramp) jumped(took time.Duration, units int) bool {
+	if r.cold || r.unit == 0 {
+		return false
+	}
+	usual := time.Duration(units) * r.unit
+	return float64(took) > jumpFactor*float64(usual) && took-usual > minJump
 }
 
 func (r *ramp) mayGrow(now time.Time) bool {
