base/start, base/wait, entry/pages: say once what stood twice

Cause: the daemons' command lines, incarnations, stop signals, shared sections of settings, an entry's status page and a wait under a context stood two or three times. Ruled out: one place for the wiring by dig, which belongs to each program. Change: three small packages, shared sections in base/sets; the stand-ins' common pages are their load's; a With method that nobody used is gone.

--- a/agent/cmds/cmds.go
+++ b/agent/cmds/cmds.go
@@ -3,15 +3,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"errors"
 	"fmt"
-	mrand "math/rand/v2"
+	"math/rand/v2"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -27,54 +22,31 @@
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/base/logs"
 	base "wigeonplank.example/base/sets"
+	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/gate"
 	"wigeonplank.example/core/wire"
 )
 
-const (
-	keyBytes       = 32
-	defaultLongest = 2 * time.Minute
-)
-
-// Options is the agent's command line.
-type Options struct {
-	Settings string `long:"settings" short:"s" required:"yes" value-name:"FILE" description:"settings file (YAML)"`
-	Log      string `long:"log" value-name:"LAYERS" description:"layers whose debug lines are written: link, control, request, engine, http, all"`
-}
+const defaultLongest = 2 * time.Minute
 
 // Parser returns the command line, which fills opts.
-func Parser(opts *Options) *flags.Parser {
-	p := flags.NewNamedParser("agent", flags.Default)
-	p.LongDescription = "Runs beside one endpoint and decides what it is given."
-	if _, err := p.AddGroup("Options", "", opts); err != nil {
-		panic(err) // a wrong tag in Options
-	}
-	return p
+func Parser(opts *start.Options) *flags.Parser {
+	return start.Parser("agent", "Runs beside one endpoint and decides what it is given.", opts)
 }
 
 // Main runs the agent and returns its exit status.
 func Main(args []string) int {
-	var opts Options
-	if _, err := Parser(&opts).ParseArgs(args); err != nil {
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, "agent:", err)
-		return 1
-	}
-	return 0
+	var opts start.Options
+	return start.Main(Parser(&opts), args, func() error { return run(opts) })
 }
 
-func run(opts Options) error {
+func run(opts start.Options) error {
 	c := dig.New()
 	provide := []any{
 		func() (sets.Settings, error) { return base.Load[sets.Settings](opts.Settings) },
 		func() (*logs.Set, error) { return logs.New(os.Stderr, "agent", opts.Log) },
-		newIncarnation,
+		start.NewIncarnation,
 		newParts,
 		newServer,
 		newAdmin,
@@ -90,20 +62,6 @@
 	return nil
 }
 
-// incarnation is one life of the process.
-type incarnation struct {
-	id  uint64
-	key []byte
-}
-
-func newIncarnation() (incarnation, error) {
-	raw := make([]byte, 8+keyBytes)
-	if _, err := rand.Read(raw); err != nil {
-		return incarnation{}, fmt.Errorf("draw incarnation: %w", err)
-	}
-	return incarnation{id: binary.BigEndian.Uint64(raw), key: raw[8:]}, nil
-}
-
 type parts struct {
 	dig.Out
 
@@ -111,7 +69,7 @@
 	Driver  *engine.Driver
 }
 
-func newParts(s sets.Settings, l *logs.Set, inc incarnation) parts {
+func newParts(s sets.Settings, l *logs.Set, inc start.Incarnation) parts {
 	d := &engine.Driver{
 		Client: engine.NewClient(s.Endpoint.Address),
 		Orders: s.Endpoint.Kind == sets.KindEngine,
@@ -120,17 +78,17 @@
 	d.Control = ctrl.New(ctrl.Config{
 		Instance:    s.Instance,
 		Zone:        s.Zone,
-		Incarnation: inc.id,
-		Key:         inc.key,
+		Incarnation: inc.ID,
+		Key:         inc.Key,
 		Gate:        gate.Settings{Max: s.Endpoint.Slots, ColdLimit: s.Endpoint.ColdSlots, Open: s.Gate == sets.GateOpen},
 		Clock:       clock.System{},
 		Begin:       d.Begin,
-		Jitter:      mrand.Float64,
+		Jitter:      rand.Float64,
 	})
 	return parts{Control: d.Control, Driver: d}
 }
 
-func newServer(s sets.Settings, l *logs.Set, inc incarnation, c *ctrl.Control, d *engine.Driver) (*link.Server, error) {
+func newServer(s sets.Settings, l *logs.Set, inc start.Incarnation, c *ctrl.Control, d *engine.Driver) (*link.Server, error) {
 	tls, err := certs.Server(s.TLS.Files())
 	if err != nil {
 		return nil, fmt.Errorf("set up TLS: %w", err)
@@ -138,7 +96,7 @@
 	lg := l.Of(logs.LayerLink)
 	calls := &serve.Calls{Control: c, Stop: d.Stop, Log: l.Of(logs.LayerRequest)}
 	return &link.Server{
-		Welcome: &wire.Welcome{Incarnation: inc.id, Instance: s.Instance},
+		Welcome: &wire.Welcome{Incarnation: inc.ID, Instance: s.Instance},
 		TLS:     tls,
 		OnHello: c.Meet,
 		OnPing:  func(_ uint64, p *wire.Ping) *wire.Pong { return c.Ping(p) },
@@ -188,13 +146,8 @@
 	go func() { failed <- adm.Serve(adminLn) }()
 	go d.Run(ctx)
 
-	term := make(chan os.Signal, 1)
-	// A second signal changes nothing: what runs is still brought to its end.
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case err := <-failed:
-		return errors.Join(errors.New("a listener ended"), err)
-	case <-term:
+	if err := start.AwaitStop(failed); err != nil {
+		return err
 	}
 	l.Of(logs.LayerControl).Warn().Msg("stopping: no new work, running work goes on")
 	longest := s.Stop.Longest
--- a/agent/sets/sets.go
+++ b/agent/sets/sets.go
@@ -1,18 +1,22 @@
 // Package sets defines the agent's settings file.
 package sets
 
-import "time"
+import (
+	"time"
+
+	"wigeonplank.example/base/sets"
+)
 
 // Settings is what an agent reads at its start.
 type Settings struct {
-	Instance string   `yaml:"instance" validate:"required"` // ID of the instance, as in the platform's list
-	Zone     string   `yaml:"zone" validate:"required"`     // availability zone of the instance
-	Link     Listen   `yaml:"link"`                         // where entries connect to
-	Admin    Listen   `yaml:"admin"`                        // operators' pages
-	Endpoint Endpoint `yaml:"endpoint"`
-	TLS      *TLS     `yaml:"tls,omitempty"` // mutual TLS with entries; absent: plain TCP
-	Stop     Stop     `yaml:"stop,omitempty"`
-	Gate     GateMode `yaml:"gate,omitempty" validate:"omitempty,oneof=ramp open"` // open is a baseline without admission
+	Instance string      `yaml:"instance" validate:"required"` // ID of the instance, as in the platform's list
+	Zone     string      `yaml:"zone" validate:"required"`     // availability zone of the instance
+	Link     sets.Listen `yaml:"link"`                         // where entries connect to
+	Admin    sets.Listen `yaml:"admin"`                        // operators' pages
+	Endpoint Endpoint    `yaml:"endpoint"`
+	TLS      *sets.TLS   `yaml:"tls,omitempty"` // mutual TLS with entries; absent: plain TCP
+	Stop     Stop        `yaml:"stop,omitempty"`
+	Gate     GateMode    `yaml:"gate,omitempty" validate:"omitempty,oneof=ramp open"` // open is a baseline without admission
 }
 
 // GateMode names a way to admit work.
@@ -24,11 +28,6 @@
 	GateOpen GateMode = "open"
 )
 
-// Listen is an address to listen on.
-type Listen struct {
-	Listen string `yaml:"listen" validate:"required,ip_port"` // IP:port
-}
-
 // Kind says what stands beside the agent.
 type Kind string
 
@@ -47,22 +46,7 @@
 	ColdSlots int    `yaml:"cold_slots" validate:"min=1,ltefield=Slots"` // and when cold
 }
 
-// TLS names the files of mutual TLS. They are read again when they change.
-type TLS struct {
-	Cert string `yaml:"cert" validate:"required"`
-	Key  string `yaml:"key" validate:"required"`
-	CA   string `yaml:"ca" validate:"required"`
-}
-
 // Stop bounds a graceful shutdown.
 type Stop struct {
 	Longest time.Duration `yaml:"longest,omitempty" validate:"min=0"` // wait for running work; 0: 2m
 }
-
-// Files returns the names of the files, empty for a nil receiver.
-func (t *TLS) Files() (cert, key, ca string) {
-	if t == nil {
-		return "", "", ""
-	}
-	return t.Cert, t.Key, t.CA
-}
--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/retry"
 	"wigeonplank.example/core/wire"
 )
@@ -60,21 +61,12 @@
 		}
 		p.OnDown(err)
 		if failures > 0 {
-			pause(ctx, retry.Backoff{Max: time.Second}.Wait(failures, rand.Float64()))
+			wait.For(ctx, retry.Backoff{Max: time.Second}.Wait(failures, rand.Float64()))
 		}
 	}
 	p.set(nil)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 var errSilent = errors.New("link is silent")
 
 // once opens a link and serves it until it fails. A link before it, if silent,
--- a/core/conf/document.go
+++ b/core/conf/document.go
@@ -230,15 +230,3 @@
 	}
 	return &c
 }
-
-// WithPipeline returns a copy in which the pipeline of that name is replaced.
-func (d *Document) WithPipeline(p Pipeline) *Document {
-	c := *d
-	c.Pipelines = slices.Clone(d.Pipelines)
-	for i := range c.Pipelines {
-		if c.Pipelines[i].Name == p.Name {
-			c.Pipelines[i] = p
-		}
-	}
-	return &c
-}
--- a/entry/cmds/cmds.go
+++ b/entry/cmds/cmds.go
@@ -3,15 +3,10 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/binary"
-	"errors"
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -25,12 +20,13 @@
 	"wigeonplank.example/base/fetch"
 	"wigeonplank.example/base/logs"
 	base "wigeonplank.example/base/sets"
+	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
-	"wigeonplank.example/core/meter"
 	"wigeonplank.example/core/retry"
 	"wigeonplank.example/core/route"
 	"wigeonplank.example/entry/ctrl"
 	"wigeonplank.example/entry/front"
+	"wigeonplank.example/entry/pages"
 	"wigeonplank.example/entry/sets"
 	"wigeonplank.example/entry/walk"
 )
@@ -42,44 +38,23 @@
 	teamsInterval  = time.Minute
 )
 
-// Options is the entry's command line.
-type Options struct {
-	Settings string `long:"settings" short:"s" required:"yes" value-name:"FILE" description:"settings file (YAML)"`
-	Log      string `long:"log" value-name:"LAYERS" description:"layers whose debug lines are written: link, control, request, engine, http, all"`
-}
-
 // Parser returns the command line, which fills opts.
-func Parser(opts *Options) *flags.Parser {
-	p := flags.NewNamedParser("entry", flags.Default)
-	p.LongDescription = "Takes callers' requests and carries them through pipelines. Stand it behind the balancer."
-	if _, err := p.AddGroup("Options", "", opts); err != nil {
-		panic(err) // a wrong tag in Options
-	}
-	return p
+func Parser(opts *start.Options) *flags.Parser {
+	return start.Parser("entry", "Takes callers' requests and carries them through pipelines. Stand it behind the balancer.", opts)
 }
 
 // Main runs the entry and returns its exit status.
 func Main(args []string) int {
-	var opts Options
-	if _, err := Parser(&opts).ParseArgs(args); err != nil {
-		if flags.WroteHelp(err) {
-			return 0
-		}
-		return 2
-	}
-	if err := run(opts); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
-		return 1
-	}
-	return 0
+	var opts start.Options
+	return start.Main(Parser(&opts), args, func() error { return run(opts) })
 }
 
-func run(opts Options) error {
+func run(opts start.Options) error {
 	c := dig.New()
 	provide := []any{
 		func() (sets.Settings, error) { return base.Load[sets.Settings](opts.Settings) },
 		func() (*logs.Set, error) { return logs.New(os.Stderr, "entry", opts.Log) },
-		newIncarnation,
+		start.NewIncarnation,
 		newParts,
 		newFront,
 		newAdmin,
@@ -95,17 +70,6 @@
 	return nil
 }
 
-// incarnation is one life of the process.
-type incarnation uint64
-
-func newIncarnation() (incarnation, error) {
-	var raw [8]byte
-	if _, err := rand.Read(raw[:]); err != nil {
-		return 0, fmt.Errorf("draw incarnation: %w", err)
-	}
-	return incarnation(binary.BigEndian.Uint64(raw[:])), nil
-}
-
 type parts struct {
 	dig.Out
 
@@ -114,7 +78,7 @@
 	Tickets *walk.Tickets
 }
 
-func newParts(s sets.Settings, l *logs.Set, inc incarnation) (parts, error) {
+func newParts(s sets.Settings, l *logs.Set, inc start.Incarnation) (parts, error) {
 	linkTLS, err := certs.Client(s.TLS.Files())
 	if err != nil {
 		return parts{}, fmt.Errorf("set up TLS to agents: %w", err)
@@ -123,7 +87,7 @@
 		Router:   &route.Router{Policy: s.Policy.Route},
 		Retry:    &retry.Budget{Fixed: s.Policy.FixedRetries},
 		Stats:    &walk.Stats{},
-		Entry:    uint64(inc),
+		Entry:    inc.ID,
 		NoPlan:   s.Policy.NoAdmission,
 		NoPrefix: s.Policy.NoAffinity,
 		Log:      l.Of(logs.LayerRequest),
@@ -131,7 +95,7 @@
 	w.Control = ctrl.New(ctrl.Config{
 		Instance:   s.Instance,
 		Zone:       s.Zone,
-		Entry:      uint64(inc),
+		Entry:      inc.ID,
 		Neighbours: s.Neighbours,
 		Platform:   &fetch.Platform{Config: s.Platform.Config, List: s.Platform.List},
 		TLS:        linkTLS,
@@ -154,16 +118,6 @@
 	}
 }
 
-// status is what an entry tells operators.
-type status struct {
-	ctrl.Status
-	Ready        bool              `json:"ready"`
-	Active       int64             `json:"active"`
-	RetriesSaved float64           `json:"retries_saved"`
-	Teams        []meter.TeamStats `json:"teams"`
-	Costs        []meter.CostLine  `json:"costs"`
-}
-
 func newAdmin(c *ctrl.Control, w *walk.Walker, f *front.Server) *admin.Server {
 	reg := w.Stats.Registry()
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_entry_revision", reg, func() int64 { return int64(c.Table().Accepted.Revision()) })
@@ -172,7 +126,7 @@
 		Ready: f.Ready,
 		Status: func() any {
 			ok, _ := f.Ready()
-			return status{
+			return pages.Status{
 				Status:       c.Status(),
 				Ready:        ok,
 				Active:       f.Active(),
@@ -230,13 +184,8 @@
 	go c.Run(ctx)
 	go rotate(ctx, w.Stats)
 
-	term := make(chan os.Signal, 1)
-	// A second signal changes nothing: what runs is still brought to its end.
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case err := <-failed:
-		return errors.Join(errors.New("a listener ended"), err)
-	case <-term:
+	if err := start.AwaitStop(failed); err != nil {
+		return err
 	}
 	l.Of(logs.LayerControl).Warn().Msg("stopping: not ready, running requests go on")
 	return stop(s, f)
--- a/entry/ctrl/platform.go
+++ b/entry/ctrl/platform.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonplank.example/base/fetch"
+	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/retry"
 	"wigeonplank.example/core/roster"
@@ -32,7 +33,7 @@
 		if err != nil {
 			c.cfg.Log.Warn().Err(err).Int("failures", failures).Msg("configuration service")
 		}
-		sleep(ctx, retry.Backoff{}.Wait(failures, rand.Float64()))
+		wait.For(ctx, retry.Backoff{}.Wait(failures, rand.Float64()))
 	}
 }
 
@@ -76,7 +77,7 @@
 		} else {
 			c.post(ctx, func() { c.applyList(l) })
 		}
-		sleep(ctx, time.Duration(float64(listInterval)*(0.75+rand.Float64()/2)))
+		wait.For(ctx, time.Duration(float64(listInterval)*(0.75+rand.Float64()/2)))
 	}
 }
 
@@ -86,12 +87,3 @@
 		c.rebuild()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -139,16 +139,8 @@
 // problemFor turns an end without an answer into what the caller is told. A
 // ticket that was retired is replaced by a fresh one where that can be had.
 func (s *Server) problemFor(ctx *fasthttp.RequestCtx, c *call, res walk.Result) problem {
-	p := problem{
-		Status:     statusFor(res),
-		Title:      titleFor(res.End),
-		Outcome:    res.End.Outcome,
-		Cause:      string(res.End.Cause),
-		Stage:      res.End.Stage,
-		Request:    c.req.ID,
-		TicketIs:   res.Ticket,
-		RetryAfter: res.End.RetryAfter,
-	}
+	p := newProblem(c, res)
+	p.TicketIs = res.Ticket
 	if res.Err != nil {
 		p.Detail = res.Err.Error()
 	}
@@ -163,6 +155,18 @@
 	return p
 }
 
+func newProblem(c *call, res walk.Result) problem {
+	return problem{
+		Status:     statusFor(res),
+		Title:      titleFor(res.End),
+		Outcome:    res.End.Outcome,
+		Cause:      string(res.End.Cause),
+		Stage:      res.End.Stage,
+		Request:    c.req.ID,
+		RetryAfter: res.End.RetryAfter,
+	}
+}
+
 func statusFor(res walk.Result) int {
 	switch {
 	case res.End.Cause == stage.CauseTicket && ticket.State(res.Ticket) == ticket.StateForged:
@@ -264,15 +268,8 @@
 	if res.End.Outcome == stage.OutcomeAnswered {
 		err = writeEvent(w, "done", streamEnd{Request: c.req.ID, Outcome: res.End.Outcome, Length: length})
 	} else {
-		p := problem{
-			Status:  statusFor(res),
-			Title:   titleFor(res.End),
-			Outcome: res.End.Outcome,
-			Cause:   string(res.End.Cause),
-			Stage:   res.End.Stage,
-			Request: c.req.ID,
-			RetryMS: res.End.RetryAfter.Milliseconds(),
-		}
+		p := newProblem(c, res)
+		p.RetryMS = p.RetryAfter.Milliseconds()
 		err = writeEvent(w, "error", p)
 	}
 	if err != nil {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/admit"
 	"wigeonplank.example/core/route"
 	"wigeonplank.example/core/stage"
@@ -133,7 +134,7 @@
 // requests; then it waits for those that run, but not beyond ctx. It blocks.
 func (s *Server) Stop(ctx context.Context, accept time.Duration) error {
 	s.closed.Store(true)
-	sleep(ctx, accept)
+	wait.For(ctx, accept)
 	s.refusing.Store(true)
 	if err := s.idle(ctx); err != nil {
 		return err
@@ -148,15 +149,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Active returns how many requests are under way.
 func (s *Server) Active() int64 { return s.inFlight.Load() }
 
@@ -178,7 +170,7 @@
 // idle waits until no request is under way.
 func (s *Server) idle(ctx context.Context) error {
 	for s.inFlight.Load() > 0 {
-		sleep(ctx, idleCheck)
+		wait.For(ctx, idleCheck)
 		if ctx.Err() != nil {
 			return fmt.Errorf("wait for running requests: %w", ctx.Err())
 		}
--- a/entry/sets/sets.go
+++ b/entry/sets/sets.go
@@ -4,20 +4,21 @@
 import (
 	"time"
 
+	"wigeonplank.example/base/sets"
 	"wigeonplank.example/core/route"
 )
 
 // Settings is what an entry reads at its start.
 type Settings struct {
-	Instance   string   `yaml:"instance" validate:"required"`                 // ID of the instance
-	Zone       string   `yaml:"zone" validate:"required"`                     // availability zone of the instance
-	HTTP       HTTP     `yaml:"http"`                                         // callers
-	Admin      Listen   `yaml:"admin"`                                        // operators' pages
-	Platform   Platform `yaml:"platform"`                                     // the platform's services
-	Neighbours []string `yaml:"neighbours,omitempty" validate:"dive,ip_port"` // agents that are asked for the configuration while the list is down
-	Policy     Policy   `yaml:"policy,omitempty"`
-	TLS        *TLS     `yaml:"tls,omitempty"` // mutual TLS with agents; absent: plain TCP
-	Stop       Stop     `yaml:"stop,omitempty"`
+	Instance   string      `yaml:"instance" validate:"required"`                 // ID of the instance
+	Zone       string      `yaml:"zone" validate:"required"`                     // availability zone of the instance
+	HTTP       HTTP        `yaml:"http"`                                         // callers
+	Admin      sets.Listen `yaml:"admin"`                                        // operators' pages
+	Platform   Platform    `yaml:"platform"`                                     // the platform's services
+	Neighbours []string    `yaml:"neighbours,omitempty" validate:"dive,ip_port"` // agents that are asked for the configuration while the list is down
+	Policy     Policy      `yaml:"policy,omitempty"`
+	TLS        *sets.TLS   `yaml:"tls,omitempty"` // mutual TLS with agents; absent: plain TCP
+	Stop       Stop        `yaml:"stop,omitempty"`
 }
 
 // HTTP is the callers' side.
@@ -29,11 +30,6 @@
 	Key          string `yaml:"key,omitempty" validate:"required_with=Cert"`
 }
 
-// Listen is an address to listen on.
-type Listen struct {
-	Listen string `yaml:"listen" validate:"required,ip_port"` // IP:port
-}
-
 // Platform is where the platform's services are.
 type Platform struct {
 	Config string `yaml:"config" validate:"required,ip_port"` // configuration service, IP:port
@@ -49,21 +45,6 @@
 	NoAffinity   bool         `yaml:"no_affinity,omitempty"`                           // prompt prefixes don't matter
 }
 
-// TLS names the files of mutual TLS. They are read again when they change.
-type TLS struct {
-	Cert string `yaml:"cert" validate:"required"`
-	Key  string `yaml:"key" validate:"required"`
-	CA   string `yaml:"ca" validate:"required"`
-}
-
-// Files returns the names of the files, empty for a nil receiver.
-func (t *TLS) Files() (cert, key, ca string) {
-	if t == nil {
-		return "", "", ""
-	}
-	return t.Cert, t.Key, t.CA
-}
-
 // Stop sets the pace of a graceful shutdown.
 type Stop struct {
 	Accept  time.Duration `yaml:"accept,omitempty" validate:"min=0"`  // requests are still taken so long, until the balancer has noticed; 0: 1s
--- a/fakes/load/load.go
+++ b/fakes/load/load.go
@@ -5,6 +5,11 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"wigeonplank.example/fakes/fault"
 )
 
 // Options describes a back end.
@@ -116,6 +121,20 @@
 	m.note()
 }
 
+// Routes adds the pages that every back end has: its load report, and what it
+// has seen.
+func (m *Meter) Routes(r *router.Router) {
+	r.GET("/load", func(ctx *fasthttp.RequestCtx) {
+		rep, ok := m.Report()
+		if !ok {
+			ctx.Error("no report", fasthttp.StatusServiceUnavailable)
+			return
+		}
+		fault.JSON(ctx, fasthttp.StatusOK, rep)
+	})
+	r.GET("/history", func(ctx *fasthttp.RequestCtx) { fault.JSON(ctx, fasthttp.StatusOK, m.History()) })
+}
+
 // Factor returns how much longer than alone and warm a step takes now.
 func (m *Meter) Factor() float64 {
 	m.mu.Lock()
--- a/fakes/plain/plain.go
+++ b/fakes/plain/plain.go
@@ -48,15 +48,7 @@
 // Handler returns the service's pages. Every other path is a call.
 func (s *Server) Handler() fasthttp.RequestHandler {
 	r := router.New()
-	r.GET("/load", func(ctx *fasthttp.RequestCtx) {
-		rep, ok := s.meter.Report()
-		if !ok {
-			ctx.Error("no report", fasthttp.StatusServiceUnavailable)
-			return
-		}
-		fault.JSON(ctx, fasthttp.StatusOK, rep)
-	})
-	r.GET("/history", func(ctx *fasthttp.RequestCtx) { fault.JSON(ctx, fasthttp.StatusOK, s.meter.History()) })
+	s.meter.Routes(r)
 	r.GET("/effects", func(ctx *fasthttp.RequestCtx) { fault.JSON(ctx, fasthttp.StatusOK, s.Effects()) })
 	r.POST("/fault", func(ctx *fasthttp.RequestCtx) {
 		s.faults.Handle(ctx)
--- a/fakes/pool/pool.go
+++ b/fakes/pool/pool.go
@@ -45,15 +45,7 @@
 	r.POST("/v1/embeddings", s.work(embed))
 	r.POST("/v1/search", s.work(search))
 	r.POST("/v1/rerank", s.work(rerank))
-	r.GET("/load", func(ctx *fasthttp.RequestCtx) {
-		rep, ok := s.meter.Report()
-		if !ok {
-			ctx.Error("no report", fasthttp.StatusServiceUnavailable)
-			return
-		}
-		fault.JSON(ctx, fasthttp.StatusOK, rep)
-	})
-	r.GET("/history", func(ctx *fasthttp.RequestCtx) { fault.JSON(ctx, fasthttp.StatusOK, s.meter.History()) })
+	s.meter.Routes(r)
 	r.POST("/fault", func(ctx *fasthttp.RequestCtx) {
 		s.faults.Handle(ctx)
 		s.meter.Set(s.faults.Get().Faults)
--- a/proof/cmds/docs.go
+++ b/proof/cmds/docs.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	agentcmds "wigeonplank.example/agent/cmds"
+	"wigeonplank.example/base/start"
 	entrycmds "wigeonplank.example/entry/cmds"
 	fakescmds "wigeonplank.example/fakes/cmds"
 	wpctlcmds "wigeonplank.example/wpctl/cmds"
@@ -57,8 +58,8 @@
 	fmt.Fprintf(&b, "%s\n# Commands\n", generated)
 	for _, p := range []*flags.Parser{
 		wpctlcmds.Parser(&bytes.Buffer{}),
-		entrycmds.Parser(&entrycmds.Options{}),
-		agentcmds.Parser(&agentcmds.Options{}),
+		entrycmds.Parser(&start.Options{}),
+		agentcmds.Parser(&start.Options{}),
 		fakescmds.Parser(),
 		Parser(),
 	} {
@@ -113,6 +114,7 @@
 		{"Published configuration", "core/conf/document.go"},
 		{"Settings of an entry", "entry/sets/sets.go"},
 		{"Settings of an agent", "agent/sets/sets.go"},
+		{"Sections of both", "base/sets/shared.go"},
 	} {
 		f, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, src.file), nil, parser.ParseComments)
 		if err != nil {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/goccy/go-yaml"
 
 	agentsets "wigeonplank.example/agent/sets"
+	"wigeonplank.example/base/sets"
 	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/roster"
 	"wigeonplank.example/core/route"
@@ -267,13 +268,13 @@
 	s := agentsets.Settings{
 		Instance: e.Instance.ID,
 		Zone:     e.Instance.Zone,
-		Link:     agentsets.Listen{Listen: e.Instance.Agent},
-		Admin:    agentsets.Listen{Listen: e.Admin},
+		Link:     sets.Listen{Listen: e.Instance.Agent},
+		Admin:    sets.Listen{Listen: e.Admin},
 		Endpoint: agentsets.Endpoint{Address: e.Addr, Kind: agentsets.Kind(e.Kind), Slots: g.Slots, ColdSlots: 1},
 		Gate:     agentsets.GateMode(f.Plan.Gate),
 	}
 	if f.Plan.TLS {
-		s.TLS = &agentsets.TLS{Cert: f.path("cert.pem"), Key: f.path("key.pem"), CA: f.path("ca.pem")}
+		s.TLS = &sets.TLS{Cert: f.path("cert.pem"), Key: f.path("key.pem"), CA: f.path("ca.pem")}
 	}
 	e.settings = "agent-" + e.Instance.ID + ".yaml"
 	if err := f.writeYAML(e.settings, s); err != nil {
@@ -298,7 +299,7 @@
 		Instance: e.Name,
 		Zone:     e.Zone,
 		HTTP:     entrysets.HTTP{Listen: e.HTTP},
-		Admin:    entrysets.Listen{Listen: e.Admin},
+		Admin:    sets.Listen{Listen: e.Admin},
 		Platform: entrysets.Platform{Config: f.Config, List: e.List},
 		Policy: entrysets.Policy{
 			Route:        route.Policy(f.Plan.Route),
@@ -308,7 +309,7 @@
 		Stop: entrysets.Stop{Accept: 200 * time.Millisecond},
 	}
 	if f.Plan.TLS {
-		s.TLS = &entrysets.TLS{Cert: f.path("cert.pem"), Key: f.path("key.pem"), CA: f.path("ca.pem")}
+		s.TLS = &sets.TLS{Cert: f.path("cert.pem"), Key: f.path("key.pem"), CA: f.path("ca.pem")}
 	}
 	if err := f.writeYAML(e.Name+".yaml", s); err != nil {
 		return err
--- a/proof/fleet/http.go
+++ b/proof/fleet/http.go
@@ -8,8 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	agentctrl "wigeonplank.example/agent/ctrl"
-	"wigeonplank.example/core/meter"
-	entryctrl "wigeonplank.example/entry/ctrl"
+	"wigeonplank.example/entry/pages"
 	"wigeonplank.example/fakes/config"
 	fakeload "wigeonplank.example/fakes/load"
 	"wigeonplank.example/fakes/plain"
@@ -51,16 +50,9 @@
 	return v, nil
 }
 
-// EntryStatus is an entry's status page.
-type EntryStatus struct {
-	entryctrl.Status
-	Ready bool             `json:"ready"`
-	Costs []meter.CostLine `json:"costs"`
-}
-
 // EntryStatus reads an entry's status page.
-func (f *Fleet) EntryStatus(e *Entry) (EntryStatus, error) {
-	return get[EntryStatus](e.Admin, "/status")
+func (f *Fleet) EntryStatus(e *Entry) (pages.Status, error) {
+	return get[pages.Status](e.Admin, "/status")
 }
 
 // AgentStatus reads an agent's status page.
--- a/wpctl/cmds/status.go
+++ b/wpctl/cmds/status.go
@@ -6,9 +6,8 @@
 	"io"
 
 	agentctrl "wigeonplank.example/agent/ctrl"
-	"wigeonplank.example/core/meter"
 	"wigeonplank.example/core/route"
-	entryctrl "wigeonplank.example/entry/ctrl"
+	"wigeonplank.example/entry/pages"
 )
 
 type addrArgs struct {
@@ -21,16 +20,6 @@
 	Args addrArgs `positional-args:"yes" required:"yes"`
 }
 
-// entryStatus is an entry's status page.
-type entryStatus struct {
-	entryctrl.Status
-	Ready        bool              `json:"ready"`
-	Active       int64             `json:"active"`
-	RetriesSaved float64           `json:"retries_saved"`
-	Teams        []meter.TeamStats `json:"teams"`
-	Costs        []meter.CostLine  `json:"costs"`
-}
-
 // Execute shows the status page.
 func (s *status) Execute([]string) error {
 	var raw json.RawMessage
@@ -46,7 +35,7 @@
 	if probe.Endpoints == nil {
 		return s.agent(raw)
 	}
-	var v entryStatus
+	var v pages.Status
 	if err := json.Unmarshal(raw, &v); err != nil {
 		return fmt.Errorf("decode status: %w", err)
 	}
@@ -78,7 +67,7 @@
 	return "no: " + why
 }
 
-func writeEntry(w io.Writer, v entryStatus) {
+func writeEntry(w io.Writer, v pages.Status) {
 	fmt.Fprintf(w, "entry\t%s in %s\n", v.Instance, v.Zone)
 	fmt.Fprintf(w, "ready\t%v, view confirmed: %v\n", v.Ready, v.Fresh)
 	fmt.Fprintf(w, "revision in force\t%d\n", v.Revision)
