--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -18,6 +18,7 @@
 		{"mutants", "remove each mechanism and see its check fail", &Mutants{}},
 		{"bench", "measure the policy under load and faults against baselines", &Bench{}},
 		{"slopes", "measure what a process costs as its surroundings grow", &Slopes{}},
+		{"latency", "measure what entry and agent add to a call", &Latency{}},
 		{"docs", "write the generated reference pages", &Docs{}},
 		{"demo", "run a deployment, take a zone out and back under load, and judge it", &Demo{}},
 	}
