--- a/agent/ctrl/ctrl_test.go
+++ b/agent/ctrl/ctrl_test.go
@@ -84,7 +84,9 @@
 		// The zone was drained in the meantime; the entry that answers knows.
 		c.Ping(ping(2, late.GetNumber()))
 		expectRefused(t, c.Dispatch(dispatch(3)), "view_not_confirmed")
-		c.Offer(document(2, "drained"))
+		if v, err := c.Offer(document(2, "drained")); v != "accepted" {
+			t.Fatalf("document: %s, %v", v, err)
+		}
 		c.Ping(ping(2, late.GetNumber()))
 		expectRefused(t, c.Dispatch(dispatch(4)), "zone_drained")
 	})
--- a/core/scen/gate_test.go
+++ b/core/scen/gate_test.go
@@ -70,18 +70,15 @@
 }
 
 func (w *world) refused(a *args) error {
-	var got, expected []runs.ID
+	got := make([]runs.ID, 0, len(w.fx.Refused))
 	for _, r := range w.fx.Refused {
 		got = append(got, r.ID)
 	}
-	for _, n := range a.words[1:] {
-		expected = append(expected, attemptID(n))
-	}
-	return want("refused", names(got), names(expected))
+	return want("refused", names(got), ids(a.words[1:]))
 }
 
 func ids(list []string) string {
-	var out []runs.ID
+	out := make([]runs.ID, 0, len(list))
 	for _, n := range list {
 		out = append(out, attemptID(n))
 	}
--- a/core/stage/assemble_test.go
+++ b/core/stage/assemble_test.go
@@ -45,9 +45,9 @@
 
 func TestRepeatedAnswerMustMatch(t *testing.T) {
 	var asm stage.Assembler
-	mustAdd(t, &asm, 0, "abcd")
+	mustAdd(t, &asm, "abcd")
 	asm.Restart()
-	mustAdd(t, &asm, 0, "ab")
+	mustAdd(t, &asm, "ab")
 	if _, err := asm.Add(2, []byte("xy")); !errors.As(err, new(*stage.DivergedError)) {
 		t.Fatalf("got %v, expected DivergedError", err)
 	}
@@ -55,17 +55,18 @@
 
 func TestShorterRepeatIsNoWholeAnswer(t *testing.T) {
 	var asm stage.Assembler
-	mustAdd(t, &asm, 0, "abcd")
+	mustAdd(t, &asm, "abcd")
 	asm.Restart()
-	mustAdd(t, &asm, 0, "ab")
+	mustAdd(t, &asm, "ab")
 	if err := asm.Close(2); !errors.As(err, new(*stage.DivergedError)) {
 		t.Fatalf("got %v, expected DivergedError", err)
 	}
 }
 
-func mustAdd(t *testing.T, asm *stage.Assembler, offset int, data string) {
+// mustAdd adds a chunk at the start.
+func mustAdd(t *testing.T, asm *stage.Assembler, data string) {
 	t.Helper()
-	if _, err := asm.Add(offset, []byte(data)); err != nil {
-		t.Fatalf("add at %d: %v", offset, err)
+	if _, err := asm.Add(0, []byte(data)); err != nil {
+		t.Fatalf("add: %v", err)
 	}
 }
--- a/proof/bench/report.go
+++ b/proof/bench/report.go
@@ -131,7 +131,7 @@
 	p.Y.Min, p.Y.Max = 0, 100
 	width := vg.Points(60 / float64(len(variants)))
 	for i, v := range variants {
-		var vals plotter.Values
+		vals := make(plotter.Values, 0, len(scenarios))
 		for _, s := range scenarios {
 			vals = append(vals, 100*Median(rows, s, v, func(r Row) float64 { return r.Attainment }))
 		}
--- a/proof/bench/run.go
+++ b/proof/bench/run.go
@@ -232,8 +232,10 @@
 	whole := rep.Latency()
 	all.P50, all.P95, all.P99 = whole.P50, whole.P95, whole.P99
 	all.Refused, all.RefusedAfter = refusals(rep)
-	rows := []Row{all}
-	for _, l := range rep.Lines() {
+	lines := rep.Lines()
+	rows := make([]Row, 0, 1+len(lines))
+	rows = append(rows, all)
+	for _, l := range lines {
 		r := base
 		r.Key = l.Key
 		r.Sent = l.Sent
--- a/proof/chaos/faults.go
+++ b/proof/chaos/faults.go
@@ -130,12 +130,15 @@
 	Lines []string
 }
 
+// pair is how many faults come over a fleet in one run.
+const pair = 2
+
 // strike brings two faults about, one after the other, and ends them in the
 // order in which they came.
 func (s *Story) strike(f *fleet.Fleet, rng *rand.Rand) error {
-	var offs []func() error
-	var errs []error
-	for range 2 {
+	offs := make([]func() error, 0, pair)
+	errs := make([]error, 0, 2*pair)
+	for range pair {
 		wait(rng)
 		chosen := faults[rng.IntN(len(faults))]
 		what, off, err := chosen.on(f, rng)
--- a/proof/scene/calls_test.go
+++ b/proof/scene/calls_test.go
@@ -27,7 +27,6 @@
 	status  int
 	header  string
 	body    string
-	stream  []string
 	problem struct {
 		Outcome  string          `json:"outcome"`
 		Cause    string          `json:"cause"`
@@ -328,7 +327,7 @@
 	}
 	l.s.mu.Lock()
 	defer l.s.mu.Unlock()
-	var ops []porcupine.Operation
+	ops := make([]porcupine.Operation, 0, len(l.s.history))
 	for i, u := range l.s.history {
 		ops = append(ops, porcupine.Operation{ClientId: i, Input: u, Call: u.began, Output: summary(u.reply), Return: u.ended})
 	}
@@ -432,7 +431,7 @@
 	}
 	for _, e := range r.report.Ended() {
 		if !e.Ran || e.Tries > 1 && l.opts["tries"] == "one" {
-			return fmt.Errorf("%s %q ended as %s after %d tries: %v", e.Share.Pipeline, e.Input, e.Final, e.Tries, e.Err)
+			return fmt.Errorf("%s %q ended as %s after %d tries: %w", e.Share.Pipeline, e.Input, e.Final, e.Tries, e.Err)
 		}
 	}
 	return nil
--- a/proof/scene/stage_test.go
+++ b/proof/scene/stage_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,7 +19,6 @@
 // stage is what one script acts on.
 type stage struct {
 	fleet  *fleet.Fleet
-	ended  []string // processes that a script has ended for good
 	marks  map[string]int
 	values map[string]string
 
@@ -184,13 +182,11 @@
 
 // relay ENTRY|* INSTANCE|* MODE.
 func relay(l *line) error {
-	any := func(s string) string { return strings.Trim(s, "*") }
-	l.s.fleet.Relays.Set(any(l.word(0)), any(l.word(1)), fleet.RelayMode(l.word(2)))
+	all := func(s string) string { return strings.Trim(s, "*") }
+	l.s.fleet.Relays.Set(all(l.word(0)), all(l.word(1)), fleet.RelayMode(l.word(2)))
 	return nil
 }
 
-func (s *stage) isEnded(name string) bool { return slices.Contains(s.ended, name) }
-
 // started returns how often an endpoint began work.
 func (l *line) started(instance string) (int, error) {
 	e := l.s.fleet.Endpoint(instance)
