core/admit: grow with each completion

The limit had been set while the only engine left was still cold, and grew by one for four completions, while the engine's own limit grew by one for each. Ruled out: the stop itself; nothing was cut off. Change: one slot for each completion; the next sign of full endpoints takes it back.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -9,7 +9,7 @@
 
 const (
 	minLimit    = 4
-	growEach    = 4 // completions for each slot of growth
+	growEach    = 1 // completions for each slot of growth; the next sign of full endpoints takes it back
 	retryAfter  = 300 * time.Millisecond
 	cutInterval = 100 * time.Millisecond
 )
