relay: serve requests on the users' platform

A second front beside the entry: reads the platform's store, routes by host, prefix and key, runs stages in batches, forwards, and streams events whole. platform/ alone knows the names.

--- /dev/null
+++ b/relay/carry/carry.go
@@ -0,0 +1,224 @@
+// Package carry takes a caller's request through its stages to an endpoint, and
+// brings the answer back.
+package carry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"github.com/valyala/fasthttp"
+
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/retry"
+	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/pool"
+	"wigeonplank.example/relay/stage"
+)
+
+const (
+	defaultDeadline = 30 * time.Second       // of requests that name none
+	comeBack        = 300 * time.Millisecond // a refused caller may return after this
+	notReadyWait    = time.Second            // a caller may return after this to a relay that knows nothing yet
+	finishMargin    = 20 * time.Millisecond  // the final answer leaves so long before the deadline
+)
+
+// Walker carries requests. Set the exported fields before use.
+type Walker struct {
+	Zone   string
+	View   func() *fleet.View
+	Ready  func() (bool, string)
+	Nodes  *Nodes
+	Pool   *pool.Pool
+	Stages *stage.Runner
+	Clock  clock.Clock
+	Log    *log.Logger
+	// NewBudget returns the retry budget of a service.
+	NewBudget func() *retry.Budget
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget
+}
+
+// walk is one request under way.
+type walk struct {
+	*Walker
+	x        *front.Exchange
+	req      plat.Request
+	route    *fleet.Route
+	team     *fleet.Team
+	service  string
+	began    time.Time
+	deadline time.Time // of the final answer
+	attempts int       // endpoints that may have run it
+	tried    map[string]bool
+	inputs   []string
+	ran      bool // some endpoint may have run it
+	outcome  string
+}
+
+// Serve answers a request. It blocks until the answer is written.
+func (w *Walker) Serve(x *front.Exchange) {
+	k := &walk{Walker: w, x: x, began: x.Began, tried: make(map[string]bool)}
+	k.serve()
+	ev := w.Log.Info()
+	ev.Str("event", "request_done").Str("request", k.req.ID).Str("outcome", k.outcome).Int("attempts", k.attempts).
+		Dur("took", w.Clock.Now().Sub(k.began))
+	if k.route != nil {
+		ev.Str("route", k.route.Name)
+	}
+	ev.Msg("")
+}
+
+// refuse answers for the system itself. A status that promises "not run" is
+// only used if nothing may have run.
+func (k *walk) refuse(status int, after time.Duration, why string) {
+	k.outcome = why
+	if after > 0 {
+		after += time.Duration(rand.Int64N(int64(after))) // callers don't come back together
+	}
+	k.x.Refuse(status, after)
+}
+
+func (k *walk) serve() {
+	if ok, why := k.Ready(); !ok {
+		k.refuse(fasthttp.StatusServiceUnavailable, notReadyWait, why)
+		return
+	}
+	v := k.View()
+	var err error
+	if k.req, err = plat.ReadRequest(&k.x.Head); err != nil {
+		k.refuse(fasthttp.StatusBadRequest, 0, err.Error())
+		return
+	}
+	if !k.admit(v.Config) {
+		return
+	}
+	k.setDeadline()
+	ctx, cancel := context.WithDeadline(k.x.Context, k.deadline)
+	defer cancel()
+	if len(k.route.Stages) > 0 && !k.runStages(ctx) {
+		return
+	}
+	if k.route.Kind == fleet.KindStream {
+		k.stream(ctx)
+	} else {
+		k.plain(ctx)
+	}
+	k.Stages.Free(k.inputs)
+}
+
+// admit finds route and team.
+func (k *walk) admit(cfg *fleet.Config) bool {
+	path := k.x.Head.RequestURI()
+	for i, b := range path {
+		if b == '?' || b == '#' {
+			path = path[:i]
+			break
+		}
+	}
+	k.route = cfg.Match(string(k.x.Head.Host()), string(path))
+	if k.route == nil {
+		k.refuse(fasthttp.StatusNotFound, 0, "no route")
+		return false
+	}
+	if cfg.Keyed() && !k.route.Public {
+		team, ok := cfg.Team(k.req.Key)
+		if !ok {
+			k.refuse(fasthttp.StatusUnauthorized, 0, "unknown key")
+			return false
+		}
+		k.team = team
+	}
+	k.service = target(k.route)
+	return true
+}
+
+// target draws the service of a request by the weights of its route.
+func target(r *fleet.Route) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += t.Weight
+	}
+	at := rand.Float64() * sum
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[0].Service
+}
+
+func (k *walk) setDeadline() {
+	limit := k.req.Deadline
+	if limit == 0 {
+		limit = defaultDeadline
+	}
+	if k.route.Timeout > 0 {
+		limit = min(limit, k.route.Timeout)
+	}
+	k.deadline = k.began.Add(limit - finishMargin)
+}
+
+// runStages brings the results that the request needs. It answers the caller
+// and reports false if there are none.
+func (k *walk) runStages(ctx context.Context) bool {
+	inputs, err := k.Stages.Run(ctx, stage.Job{
+		ID: k.req.ID, Route: k.route, Items: k.req.Items, Key: k.req.ItemKey,
+		Due: k.began.Add(k.route.Objective), Deadline: k.deadline,
+	})
+	if err == nil {
+		k.inputs = inputs
+		return true
+	}
+	if k.x.Gone() {
+		k.outcome = "caller gone in stages"
+		return false
+	}
+	after := comeBack
+	if errors.Is(err, context.DeadlineExceeded) {
+		after = 0
+	}
+	k.refuse(fasthttp.StatusServiceUnavailable, after, err.Error())
+	return false
+}
+
+// budget returns the retry budget of a service.
+func (w *Walker) budget(service string) *retry.Budget {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.budgets == nil {
+		w.budgets = make(map[string]*retry.Budget)
+	}
+	b := w.budgets[service]
+	if b == nil {
+		b = w.NewBudget()
+		w.budgets[service] = b
+	}
+	return b
+}
+
+// affinity hashes the parts of a prompt that other requests of the same session
+// share.
+func (k *walk) affinity() uint64 {
+	if !k.route.Sticky || len(k.req.Prompt) == 0 {
+		return 0
+	}
+	return xxhash.Sum64String(k.req.Prompt[len(k.req.Prompt)-1].ID)
+}
+
+func (k *walk) teamName() string {
+	if k.team == nil {
+		return ""
+	}
+	return k.team.Name
+}
--- /dev/null
+++ b/relay/ctrl/ctrl.go
@@ -0,0 +1,313 @@
+// Package ctrl is a relay's control state: what the platform's store says, as a
+// view that traffic reads without asking. One goroutine owns it.
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"wigeonplank.example/base/wait"
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/retry"
+	plat "wigeonplank.example/platform"
+)
+
+// Timing of the reads from the store.
+const (
+	watchWait      = 2500 * time.Millisecond // a silent connection has to be found within the time in which changes take effect
+	gatherPause    = 40 * time.Millisecond   // changes that come together are read together
+	backoffBase    = 100 * time.Millisecond
+	backoffMost    = time.Second
+	returnWindow   = 4 * time.Second         // so long after an outage entries may be missing for no reason
+	missingGrace   = 1500 * time.Millisecond // a missing entry's endpoint serves so long, if no other can
+	defaultColdFor = 3 * time.Second         // for zones that come back, where the service doesn't say
+)
+
+// Control reads the store and publishes views. Set the exported fields before
+// Run.
+type Control struct {
+	Store *plat.Store
+	Clock clock.Clock
+	Log   *log.Logger
+	// OnView is called from the control goroutine after each change.
+	OnView func(v *fleet.View)
+
+	view   atomic.Pointer[fleet.View]
+	loaded atomic.Bool // the first list of endpoints was read
+	news   chan news
+	state  state
+}
+
+// state is owned by the control goroutine.
+type state struct {
+	view      fleet.View
+	coldUntil map[string]time.Time // zones that came back
+	regained  time.Time            // end of the last outage
+	seen      map[string]int64     // newest revision by key
+}
+
+// news is what one read of the store brought.
+type news struct {
+	prefix string
+	items  []plat.Item
+	full   bool // items are all there are
+	outage bool // the read before failed
+}
+
+// View returns what is believed now. It never blocks.
+func (c *Control) View() *fleet.View {
+	if v := c.view.Load(); v != nil {
+		return v
+	}
+	return &fleet.View{}
+}
+
+// Ready reports whether requests can be served, and what is missing if not.
+func (c *Control) Ready() (bool, string) {
+	switch {
+	case c.View().Config == nil:
+		return false, "no configuration yet"
+	case !c.loaded.Load():
+		return false, "no list of endpoints yet"
+	}
+	return true, "ok"
+}
+
+// Run reads the store until ctx ends. It blocks.
+func (c *Control) Run(ctx context.Context) {
+	c.news = make(chan news)
+	c.state = state{coldUntil: make(map[string]time.Time), seen: make(map[string]int64)}
+	for _, prefix := range []string{plat.OperatorPrefix, plat.EndpointPrefix} {
+		go c.follow(ctx, prefix)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-c.news:
+			c.apply(n)
+		}
+	}
+}
+
+// follow reads all below a prefix and then its changes.
+func (c *Control) follow(ctx context.Context, prefix string) {
+	after, failures := int64(-1), 0
+	for ctx.Err() == nil {
+		n, err := c.read(prefix, &after)
+		switch {
+		case errors.Is(err, plat.ErrCompacted):
+			c.Log.Warn().Str("event", "history_gone").Str("prefix", prefix).Int64("after", after).Msg("")
+			after = -1
+			continue
+		case err != nil:
+			failures++
+			if failures == 1 {
+				c.Log.Warn().Str("event", "store_lost").Str("prefix", prefix).Err(err).Msg("")
+			}
+			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: backoffMost}.Wait(failures, rand.Float64()))
+			continue
+		}
+		if failures > 0 {
+			c.Log.Warn().Str("event", "store_regained").Str("prefix", prefix).Int("failures", failures).Msg("")
+		}
+		n.outage = failures > 0
+		failures = 0
+		if n.full || n.outage || len(n.items) > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case c.news <- n:
+			}
+			wait.For(ctx, gatherPause)
+		}
+	}
+}
+
+func (c *Control) read(prefix string, after *int64) (news, error) {
+	if *after < 0 {
+		items, from, err := c.Store.Range(prefix)
+		if err != nil {
+			return news{}, err
+		}
+		*after = from
+		return news{prefix: prefix, items: items, full: true}, nil
+	}
+	items, next, err := c.Store.Watch(prefix, *after, watchWait)
+	if err != nil {
+		return news{}, err
+	}
+	*after = next
+	return news{prefix: prefix, items: items}, nil
+}
+
+func (c *Control) apply(n news) {
+	now := c.Clock.Now()
+	if n.outage {
+		c.state.regained = now
+	}
+	if n.prefix == plat.OperatorPrefix {
+		c.applyOperator(n, now)
+	} else {
+		c.applyEndpoints(n, now)
+		c.loaded.Store(true)
+	}
+	v := c.state.view
+	c.view.Store(&v)
+	if c.OnView != nil {
+		c.OnView(&v)
+	}
+}
+
+// newer records an item and reports whether it is news.
+func (c *Control) newer(it plat.Item) bool {
+	if it.Revision < c.state.seen[it.Key] {
+		return false
+	}
+	c.state.seen[it.Key] = it.Revision
+	return true
+}
+
+func (c *Control) applyOperator(n news, now time.Time) {
+	zones := make(map[string]bool)
+	if !n.full {
+		for z := range c.state.view.DrainedZones() {
+			zones[z] = true
+		}
+	}
+	for _, it := range n.items {
+		if !c.newer(it) {
+			continue
+		}
+		if plat.IsConfig(it.Key) && !it.Removed {
+			c.applyConfig(it)
+			continue
+		}
+		if zone, ok := plat.DrainedZone(it.Key); ok {
+			if it.Removed {
+				delete(zones, zone)
+			} else {
+				zones[zone] = true
+			}
+		}
+	}
+	c.applyZones(zones, now)
+}
+
+func (c *Control) applyConfig(it plat.Item) {
+	cfg, err := plat.DecodeConfig(it)
+	if err != nil {
+		c.Log.Error().Str("event", "config_rejected").Int64("revision", it.Revision).Err(err).Msg("")
+		return
+	}
+	if old := c.state.view.Config; old != nil && cfg.Version <= old.Version {
+		return
+	}
+	c.state.view = c.state.view.WithConfig(cfg)
+	c.Log.Info().Str("event", "config_applied").Int64("version", cfg.Version).Int64("revision", it.Revision).Int("routes", cfg.Routes()).Msg("")
+}
+
+// applyZones puts the drained zones in force. The endpoints of a zone that comes
+// back count as cold: they may have been started meanwhile.
+func (c *Control) applyZones(zones map[string]bool, now time.Time) {
+	before := c.state.view.DrainedZones()
+	change := fleet.Change{Drained: zones}
+	for z := range zones {
+		if !before[z] {
+			c.Log.Info().Str("event", "zone_drained").Str("zone", z).Msg("")
+		}
+	}
+	for z := range before {
+		if zones[z] {
+			continue
+		}
+		c.Log.Info().Str("event", "zone_returned").Str("zone", z).Msg("")
+		c.state.coldUntil[z] = now
+		for _, e := range c.state.view.All() {
+			if e.Zone == z {
+				change.Put = append(change.Put, c.chill(e, now))
+			}
+		}
+	}
+	c.state.view = c.state.view.With(change)
+}
+
+// chill returns the endpoint as cold, if its zone has just come back.
+func (c *Control) chill(e *fleet.Endpoint, now time.Time) *fleet.Endpoint {
+	back, ok := c.state.coldUntil[e.Zone]
+	if !ok {
+		return e
+	}
+	cold := defaultColdFor
+	if cfg := c.state.view.Config; cfg != nil && cfg.Service(e.Service) != nil {
+		cold = cfg.Service(e.Service).Cold
+	}
+	if ends := back.Add(cold); now.Before(ends) && ends.After(e.ColdEnds) {
+		cp := *e
+		cp.ColdEnds = ends
+		return &cp
+	}
+	return e
+}
+
+func (c *Control) applyEndpoints(n news, now time.Time) {
+	change := fleet.Change{Fallback: make(map[string]time.Time)}
+	listed := make(map[string]bool)
+	for _, it := range n.items {
+		id, ok := plat.EndpointID(it.Key)
+		if !ok || !c.newer(it) {
+			continue
+		}
+		if it.Removed {
+			c.remove(&change, id, now)
+			continue
+		}
+		e, err := plat.DecodeEndpoint(it, now)
+		if err != nil {
+			c.Log.Warn().Str("event", "endpoint_rejected").Str("endpoint", id).Int64("revision", it.Revision).Err(err).Msg("")
+			change.Drop = append(change.Drop, id)
+			continue
+		}
+		listed[id] = true
+		c.logEndpoint(e, now)
+		change.Put = append(change.Put, c.chill(e, now))
+	}
+	if n.full {
+		for id := range c.state.view.All() {
+			if !listed[id] {
+				c.remove(&change, id, now)
+			}
+		}
+	}
+	c.state.view = c.state.view.With(change)
+	c.state.view = c.state.view.With(fleet.Change{Drop: c.state.view.Missing(now)})
+}
+
+func (c *Control) remove(change *fleet.Change, id string, now time.Time) {
+	if c.state.view.Endpoint(id) == nil {
+		return
+	}
+	// An outage makes entries lapse whose endpoints are well.
+	if !c.state.regained.IsZero() && now.Sub(c.state.regained) < returnWindow {
+		change.Fallback[id] = now.Add(missingGrace)
+		c.Log.Info().Str("event", "endpoint_missing").Str("endpoint", id).Dur("grace", missingGrace).Msg("")
+		return
+	}
+	change.Drop = append(change.Drop, id)
+	c.Log.Info().Str("event", "endpoint_gone").Str("endpoint", id).Msg("")
+}
+
+func (c *Control) logEndpoint(e *fleet.Endpoint, now time.Time) {
+	old := c.state.view.Endpoint(e.ID)
+	if old != nil && old.State == e.State && old.Born == e.Born && old.ColdAt(now) == e.ColdAt(now) {
+		return
+	}
+	c.Log.Info().Str("event", "endpoint_seen").Str("endpoint", e.ID).Str("service", e.Service).Str("zone", e.Zone).
+		Str("addr", e.Addr).Str("state", string(e.State)).Bool("cold", e.ColdAt(now)).Int64("revision", e.Revision).Msg("")
+}
