--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -207,13 +207,13 @@
 	return b
 }
 
-// affinity hashes the parts of a prompt that other requests of the same session
-// share.
+// affinity hashes the longest beginning of the prompt that other requests may
+// share: all but the last part, which mostly is the request's own.
 func (k *walk) affinity() uint64 {
 	if !k.route.Sticky || len(k.req.Prompt) == 0 {
 		return 0
 	}
-	return xxhash.Sum64String(k.req.Prompt[len(k.req.Prompt)-1].ID)
+	return xxhash.Sum64String(k.req.Prompt[max(0, len(k.req.Prompt)-2)].ID)
 }
 
 func (k *walk) teamName() string {
