relay: one relay looks after the stage pools of a zone

Cause: each relay filled calls from its own requests. Results also crossed zones, since nothing tied them to the engine. Change: relays link to each other (membership by seeds and beats); items of a pool, that is a service in a zone, go to its owner by rendezvous hash, which fills calls for all. The engine is looked up first and its zone preferred. Results are given up as soon as the stage after them is done, and room for results is reckoned with. If a link breaks, its items are run elsewhere.

--- a/base/link/link.go
+++ b/base/link/link.go
@@ -29,7 +29,9 @@
 	acceptBacklog    = 1024
 )
 
-func sessionConfig() *yamux.Config {
+// SessionConfig returns the settings of a link's session: no silence of its own,
+// and no wait of more than half a second.
+func SessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = false // the control stream has its own pings
 	c.AcceptBacklog = acceptBacklog
@@ -52,7 +54,8 @@
 	mu   sync.Mutex // guards writes
 }
 
-func newStream(c net.Conn) *Stream { return &Stream{conn: c, r: bufio.NewReader(c)} }
+// NewStream returns a Stream over a connection or a yamux stream.
+func NewStream(c net.Conn) *Stream { return &Stream{conn: c, r: bufio.NewReader(c)} }
 
 // Send writes messages, all in one write.
 func (s *Stream) Send(list ...proto.Message) error {
--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -102,7 +102,7 @@
 		cfg.ServerName, _, _ = net.SplitHostPort(p.Addr)
 		conn = tls.Client(conn, cfg)
 	}
-	s, err := yamux.Client(conn, sessionConfig())
+	s, err := yamux.Client(conn, SessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("open session: %w", err)
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("open control stream: %w", err)
 	}
-	ctl := newStream(conn)
+	ctl := NewStream(conn)
 	p.epoch++
 	hello := &wire.Hello{Entry: p.Entry, Epoch: p.epoch, Instance: p.Instance, LastSeq: p.LastSeq()}
 	if err := ctl.Send(&wire.Request{Kind: &wire.Request_Hello{Hello: hello}}); err != nil {
@@ -235,7 +235,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: open stream: %w", ErrNoLink, err)
 	}
-	st := newStream(conn)
+	st := NewStream(conn)
 	st.Silent = silent
 	if err := st.Send(req); err != nil {
 		st.Close()
--- a/base/link/server.go
+++ b/base/link/server.go
@@ -79,7 +79,7 @@
 	if s.TLS != nil {
 		conn = tls.Server(conn, s.TLS)
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(conn, SessionConfig())
 	if err != nil {
 		s.OnError(fmt.Errorf("open session: %w", err))
 		_ = conn.Close()
@@ -109,7 +109,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("accept control stream: %w", err)
 	}
-	ctl := newStream(conn)
+	ctl := NewStream(conn)
 	req := &wire.Request{}
 	if err := ctl.ReceiveWithin(req, handshakeTimeout); err != nil {
 		return nil, nil, err
@@ -191,7 +191,7 @@
 }
 
 func (s *Server) call(conn net.Conn) {
-	st := newStream(conn)
+	st := NewStream(conn)
 	defer st.Close()
 	req := &wire.Request{}
 	if err := st.ReceiveWithin(req, handshakeTimeout); err != nil {
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -1,5 +1,6 @@
-// Package batch puts the stage items of many requests together into calls, and
-// says which endpoint gets the next one.
+// Package batch puts the stage items of many requests together into calls. It
+// says where items should wait, and which endpoint gets the next call with which
+// of them.
 package batch
 
 import (
@@ -10,10 +11,18 @@
 )
 
 const (
-	fullWait = 150 * time.Millisecond // an endpoint that refused a call gets none for so long
-	overflow = 100 * time.Millisecond // items that waited so long may go to another zone
+	fullWait       = 150 * time.Millisecond // an endpoint that refused a call gets none for so long
+	crossZonePerMB = 40 * time.Millisecond  // a result that crosses zones costs the users about as much as so much delay
+	bytesPerMB     = 1 << 20
 )
 
+// Pool is the endpoints of a service in one availability zone. Items wait for a
+// pool, not for an endpoint.
+type Pool struct {
+	Service string
+	Zone    string
+}
+
 // Item is one piece of work of a stage.
 type Item struct {
 	Request  string // attempt of a caller
@@ -22,9 +31,9 @@
 	Key      string   // of items that take no inputs
 	Inputs   []string // references to results
 	Chain    bool     // takes inputs
+	Bytes    int64    // approximate size of the result
 	Due      time.Time
 	Deadline time.Time
-	Added    time.Time
 	Flow     any // of whoever added it
 }
 
@@ -32,80 +41,117 @@
 type Call struct {
 	Service  *fleet.Service
 	Endpoint *fleet.Endpoint
+	Pool     Pool
 	Items    []*Item
 	Began    time.Time
 }
 
-type server struct {
-	calls     int       // of this process under way
-	fullUntil time.Time // it refused a call
+// Load is how much waits for a pool.
+type Load struct {
+	Servers int // endpoints that take calls
+	Items   int // items that wait or are at work
 }
 
-type queue struct {
-	items []*Item // by due time
+type held struct {
+	bytes   int64
+	expires time.Time // the result is dropped by then
 }
 
-// Scheduler holds the items that wait. The zero value is ready to use. It is not
-// safe for concurrent use.
-type Scheduler struct {
-	Zone string // of this process
+type server struct {
+	calls     int             // under way
+	coming    int64           // bytes of the results of calls under way
+	fullUntil time.Time       // it refused a call
+	results   map[string]held // by reference
+}
 
-	queues  map[string]*queue
-	servers map[string]*server
+// Scheduler holds the items that wait for the pools that this process serves.
+// The zero value is ready to use. It is not safe for concurrent use.
+type Scheduler struct {
+	queues  map[Pool][]*Item   // by due time
+	atWork  map[Pool]int       // items in calls
+	servers map[string]*server // by endpoint ID
 }
 
-func (s *Scheduler) queue(service string) *queue {
+func (s *Scheduler) prepare() {
 	if s.queues == nil {
-		s.queues = make(map[string]*queue)
+		s.queues = make(map[Pool][]*Item)
+		s.atWork = make(map[Pool]int)
 		s.servers = make(map[string]*server)
 	}
-	q := s.queues[service]
-	if q == nil {
-		q = &queue{}
-		s.queues[service] = q
-	}
-	return q
 }
 
 func (s *Scheduler) server(id string) *server {
+	s.prepare()
 	v := s.servers[id]
 	if v == nil {
-		v = &server{}
+		v = &server{results: make(map[string]held)}
 		s.servers[id] = v
 	}
 	return v
 }
 
-// Add queues items of one request.
-func (s *Scheduler) Add(service string, items ...*Item) {
-	if len(items) == 0 {
-		return
+// Add queues items for a pool.
+func (s *Scheduler) Add(p Pool, items ...*Item) {
+	s.prepare()
+	q := s.queues[p]
+	for _, it := range items {
+		at, _ := slices.BinarySearchFunc(q, it, func(a, b *Item) int {
+			if a.Due.After(b.Due) {
+				return 1
+			}
+			return -1
+		})
+		q = slices.Insert(q, at, it)
 	}
-	q := s.queue(service)
-	at, _ := slices.BinarySearchFunc(q.items, items[0], func(a, b *Item) int {
-		if a.Due.After(b.Due) {
-			return 1
-		}
-		return -1
-	})
-	q.items = slices.Insert(q.items, at, items...)
+	s.queues[p] = q
 }
 
 // Remove drops the items of a request that wait.
 func (s *Scheduler) Remove(request string) {
-	for _, q := range s.queues {
-		q.items = slices.DeleteFunc(q.items, func(it *Item) bool { return it.Request == request })
+	for p, q := range s.queues {
+		s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool { return it.Request == request })
 	}
 }
 
-// Waiting returns the number of items that wait for a service.
-func (s *Scheduler) Waiting(service string) int { return len(s.queue(service).items) }
+// TakeAll returns all items that wait for a pool, and forgets them.
+func (s *Scheduler) TakeAll(p Pool) []*Item {
+	q := s.queues[p]
+	delete(s.queues, p)
+	return q
+}
+
+// Pools returns the pools for which items wait, in a fixed order.
+func (s *Scheduler) Pools() []Pool {
+	var out []Pool
+	for p, q := range s.queues {
+		if len(q) > 0 {
+			out = append(out, p)
+		}
+	}
+	slices.SortFunc(out, func(a, b Pool) int {
+		if a.Service != b.Service {
+			return compare(a.Service, b.Service)
+		}
+		return compare(a.Zone, b.Zone)
+	})
+	return out
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// Items returns how many items of a pool wait or are at work.
+func (s *Scheduler) Items(p Pool) int { return len(s.queues[p]) + s.atWork[p] }
 
 // Expired takes out the items whose deadline has passed.
 func (s *Scheduler) Expired(now time.Time) []*Item {
 	var out []*Item
-	for _, q := range s.queues {
-		q.items = slices.DeleteFunc(q.items, func(it *Item) bool {
+	for p, q := range s.queues {
+		s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool {
 			if now.Before(it.Deadline) {
 				return false
 			}
@@ -116,68 +162,153 @@
 	return out
 }
 
-// Next returns a call to start now, or nil. usable are the endpoints that may
-// be given work.
-func (s *Scheduler) Next(now time.Time, svc *fleet.Service, usable []*fleet.Endpoint) *Call {
-	q := s.queue(svc.Name)
-	if len(q.items) == 0 {
-		return nil
-	}
-	e := s.choose(now, svc, q, usable)
-	if e == nil {
+// Next returns a call to start now for a pool, or nil. usable are the pool's
+// endpoints that may be given work.
+func (s *Scheduler) Next(now time.Time, svc *fleet.Service, p Pool, usable []*fleet.Endpoint) *Call {
+	if len(s.queues[p]) == 0 {
 		return nil
 	}
-	n := min(svc.Batch.Size, len(q.items))
-	c := &Call{Service: svc, Endpoint: e, Items: slices.Clone(q.items[:n]), Began: now}
-	q.items = slices.Delete(q.items, 0, n)
-	s.server(e.ID).calls++
-	return c
-}
-
-// choose returns an idle endpoint: of this zone if there is one, of another if
-// items wait for more than a call, or for too long.
-func (s *Scheduler) choose(now time.Time, svc *fleet.Service, q *queue, usable []*fleet.Endpoint) *fleet.Endpoint {
-	var far, near *fleet.Endpoint
-	home := false
+	var best *fleet.Endpoint
+	var bestRoom int64
 	for _, e := range usable {
-		home = home || e.Zone == s.Zone
 		v := s.server(e.ID)
-		if v.calls > 0 || now.Before(v.fullUntil) {
+		if v.calls >= max(1, svc.Batch.Slots) || now.Before(v.fullUntil) {
 			continue
 		}
-		if e.Zone == s.Zone {
-			near = e
-		} else if far == nil {
-			far = e
+		if room := v.room(now, svc.Batch.MemoryBytes); best == nil || room > bestRoom {
+			best, bestRoom = e, room
 		}
 	}
-	if near != nil {
-		return near
+	if best == nil {
+		return nil
+	}
+	items := s.take(now, svc.Batch, p, bestRoom)
+	if len(items) == 0 {
+		return nil
+	}
+	v := s.server(best.ID)
+	v.calls++
+	for _, it := range items {
+		v.coming += it.Bytes
 	}
-	pressed := len(q.items) > svc.Batch.Size || now.Sub(q.items[0].Added) > overflow
-	if !home || pressed {
-		return far
+	s.atWork[p] += len(items)
+	return &Call{Service: svc, Endpoint: best, Pool: p, Items: items, Began: now}
+}
+
+// room returns the bytes that are free for results.
+func (v *server) room(now time.Time, memory int64) int64 {
+	free := memory - v.coming
+	for ref, h := range v.results {
+		if now.After(h.expires) {
+			delete(v.results, ref)
+			continue
+		}
+		free -= h.bytes
+	}
+	return free
+}
+
+// take takes the items of the next call: first those that can still be in time,
+// the most urgent first; then, where there is room, those that are late.
+func (s *Scheduler) take(now time.Time, b *fleet.Batch, p Pool, room int64) []*Item {
+	q := s.queues[p]
+	soonest := now.Add(b.Call + b.Item)
+	first, _ := slices.BinarySearchFunc(q, soonest, func(it *Item, t time.Time) int {
+		if it.Due.Before(t) {
+			return -1
+		}
+		return 1
+	})
+	var out []*Item
+	taken := make(map[*Item]bool)
+	for i := range q {
+		it := q[(first+i)%len(q)]
+		if len(out) >= b.Size {
+			break
+		}
+		if b.MemoryBytes > 0 && it.Bytes > room {
+			continue
+		}
+		room -= it.Bytes
+		out = append(out, it)
+		taken[it] = true
 	}
-	return nil
+	s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
+	return out
 }
 
-// Done records the end of a call. full says that the endpoint refused it.
-func (s *Scheduler) Done(now time.Time, c *Call, full bool) {
+// Done records the end of a call. refs are its results by item, empty where
+// there is none; nil if the call failed. full says that the endpoint refused it.
+func (s *Scheduler) Done(now time.Time, c *Call, refs []string, full bool) {
 	v := s.server(c.Endpoint.ID)
 	v.calls = max(0, v.calls-1)
+	s.atWork[c.Pool] = max(0, s.atWork[c.Pool]-len(c.Items))
+	for i, it := range c.Items {
+		v.coming = max(0, v.coming-it.Bytes)
+		if refs != nil && refs[i] != "" {
+			v.results[refs[i]] = held{bytes: it.Bytes, expires: now.Add(c.Service.Batch.Keep)}
+		}
+	}
 	if full {
 		v.fullUntil = now.Add(fullWait)
 	}
 }
 
-// Services returns the services for which items wait.
-func (s *Scheduler) Services() []string {
-	var out []string
-	for name, q := range s.queues {
-		if len(q.items) > 0 {
-			out = append(out, name)
+// Freed records that results of an endpoint were given up.
+func (s *Scheduler) Freed(endpoint string, refs []string) {
+	v := s.server(endpoint)
+	for _, ref := range refs {
+		delete(v.results, ref)
+	}
+}
+
+// Choice is a pool that items could go to.
+type Choice struct {
+	Zone string
+	Load Load
+}
+
+// Place returns the zone in which n items should wait, or "" if there is none:
+// where they get their turn first, but rather in the zone that wants their
+// results, of so many bytes.
+func Place(b *fleet.Batch, choices []Choice, want string, n int, bytes int64) string {
+	best := ""
+	var bestCost time.Duration
+	for _, c := range choices {
+		if c.Load.Servers == 0 {
+			continue
+		}
+		cost := Wait(b, c.Load, n)
+		if c.Zone != want {
+			cost += time.Duration(float64(bytes) / bytesPerMB * float64(crossZonePerMB))
+		}
+		if best == "" || cost < bestCost || (cost == bestCost && c.Zone == want) {
+			best, bestCost = c.Zone, cost
+		}
+	}
+	return best
+}
+
+// Wait estimates how long n more items take at a pool.
+func Wait(b *fleet.Batch, l Load, n int) time.Duration {
+	full := b.Call + time.Duration(b.Size)*b.Item
+	perItem := full / time.Duration(b.Size)
+	own := b.Call + time.Duration(min(n, b.Size))*b.Item
+	return own + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Servers*max(1, b.Slots)))
+}
+
+// Loads returns how many items wait or are at work, by pool.
+func (s *Scheduler) Loads() map[Pool]int {
+	out := make(map[Pool]int)
+	for p := range s.queues {
+		if n := s.Items(p); n > 0 {
+			out[p] = n
+		}
+	}
+	for p := range s.atWork {
+		if n := s.Items(p); n > 0 {
+			out[p] = n
 		}
 	}
-	slices.Sort(out)
 	return out
 }
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -27,6 +27,8 @@
 	comeBack        = 300 * time.Millisecond // a refused caller may return after this
 	notReadyWait    = time.Second            // a caller may return after this to a relay that knows nothing yet
 	finishMargin    = 20 * time.Millisecond  // the final answer leaves so long before the deadline
+	engineStart     = 60 * time.Millisecond  // from the send to the first event of an empty prompt
+	promptToken     = 30 * time.Microsecond  // an engine takes about so long to read a token of a prompt
 )
 
 // Walker carries requests. Set the exported fields before use.
@@ -172,10 +174,16 @@
 // runStages brings the results that the request needs. It answers the caller
 // and reports false if there are none.
 func (k *walk) runStages(ctx context.Context) bool {
-	inputs, err := k.Stages.Run(ctx, stage.Job{
-		ID: k.req.ID, Route: k.route, Items: k.req.Items, Key: k.req.ItemKey,
-		Due: k.began.Add(k.route.Objective), Deadline: k.deadline,
-	})
+	job := stage.Job{
+		ID: k.req.ID, Route: k.route, Items: k.req.Items, Key: k.req.ItemKey, Zone: k.Zone,
+		Due: k.began.Add(k.route.Objective - k.firstEvent()), Deadline: k.deadline,
+	}
+	// The results should be near the endpoint that the request will most likely
+	// go to.
+	if _, e := k.choose(); e != nil {
+		job.Zone = e.Zone
+	}
+	inputs, err := k.Stages.Run(ctx, job)
 	if err == nil {
 		k.inputs = inputs
 		return true
@@ -192,6 +200,11 @@
 	return false
 }
 
+// firstEvent estimates how long an engine takes to the first event.
+func (k *walk) firstEvent() time.Duration {
+	return engineStart + time.Duration(k.req.PromptTokens)*promptToken
+}
+
 // budget returns the retry budget of a service.
 func (w *Walker) budget(service string) *retry.Budget {
 	w.mu.Lock()
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -22,11 +22,14 @@
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/quota"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/carry"
 	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/peers"
 	"wigeonplank.example/relay/pool"
 	"wigeonplank.example/relay/sets"
 	"wigeonplank.example/relay/stage"
@@ -38,6 +41,7 @@
 	memoryShare    = 0.7                   // of the instance's memory that the heap may use
 	gcPercent      = 200
 	defaultExpect  = 8
+	defaultBeat    = 250 * time.Millisecond
 	defaultRatio   = 0.2
 	defaultLongest = 8 * time.Second
 	stopMargin     = 500 * time.Millisecond // the process ends so long before it would be killed
@@ -63,7 +67,9 @@
 		newLogger,
 		newControl,
 		newNodes,
+		newMesh,
 		newStages,
+		start.NewIncarnation,
 		newWalker,
 		newFront,
 		newAdmin,
@@ -99,20 +105,36 @@
 	return defaultExpect
 }
 
-func newNodes(s sets.Settings) *carry.Nodes {
+func newMesh(s sets.Settings, l *log.Logger, inc start.Incarnation) *peers.Mesh {
+	beat := s.Peers.Beat
+	if beat == 0 {
+		beat = defaultBeat
+	}
+	return &peers.Mesh{
+		Group: &peer.Group{
+			Self:   peer.Member{Instance: s.Instance, Incarnation: inc.ID, Addr: s.Peers.Listen, Zone: s.Zone},
+			Expect: expected(s), Started: time.Now(),
+		},
+		Seeds: s.Peers.Seeds, Beat: beat, Clock: clock.System{}, Log: l, Alone: s.Policy.BatchAlone,
+	}
+}
+
+func newNodes(s sets.Settings, m *peers.Mesh) *carry.Nodes {
 	n := &carry.Nodes{Clock: clock.System{}}
-	n.Picker.ColdShare = func(svc *fleet.Service, _ *fleet.Endpoint) int {
+	n.Picker.ColdShare = func(svc *fleet.Service, e *fleet.Endpoint) int {
 		all := svc.ColdRate*max(1, s.Cold.Overshoot) + s.Cold.Slack
-		return int(all * coldMargin / float64(expected(s)))
+		return quota.Share(all*coldMargin, m.Size(), m.Rank(e.ID))
 	}
 	return n
 }
 
-func newStages(s sets.Settings, l *log.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool) *stage.Runner {
-	return &stage.Runner{Zone: s.Zone, View: c.View, Health: n, Pool: p, Clock: clock.System{}, Log: l}
+func newStages(l *log.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, m *peers.Mesh) *stage.Runner {
+	st := &stage.Runner{View: c.View, Health: n, Peers: m, Pool: p, Clock: clock.System{}, Log: l}
+	m.Handler = st
+	return st
 }
 
-func newWalker(s sets.Settings, l *log.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, st *stage.Runner) *carry.Walker {
+func newWalker(s sets.Settings, l *log.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, st *stage.Runner, m *peers.Mesh) *carry.Walker {
 	ratio := s.Retry.Ratio
 	if ratio == 0 {
 		ratio = defaultRatio
@@ -120,7 +142,7 @@
 	return &carry.Walker{
 		Zone: s.Zone, View: c.View, Ready: c.Ready, Nodes: n, Pool: p, Stages: st, Clock: clock.System{}, Log: l,
 		NewBudget: func() *retry.Budget {
-			return &retry.Budget{Share: ratio * ratioShare, Reserve: max(1, s.Retry.Slack*ratioShare/float64(expected(s)))}
+			return &retry.Budget{Share: ratio * ratioShare, Reserve: max(1, s.Retry.Slack*ratioShare/float64(max(expected(s), m.Size())))}
 		},
 	}
 }
@@ -154,7 +176,7 @@
 	}}
 }
 
-func serveUntilStopped(s sets.Settings, l *log.Logger, c *ctrl.Control, st *stage.Runner, f *front.Server, adm *admin.Server) error {
+func serveUntilStopped(s sets.Settings, l *log.Logger, c *ctrl.Control, st *stage.Runner, m *peers.Mesh, f *front.Server, adm *admin.Server) error {
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	}
@@ -169,7 +191,13 @@
 	if err != nil {
 		return fmt.Errorf("listen for readiness: %w", err)
 	}
-	failed := make(chan error, 2)
+	peerLn, err := net.Listen("tcp", s.Peers.Listen)
+	if err != nil {
+		return fmt.Errorf("listen for relays: %w", err)
+	}
+	failed := make(chan error, 3)
+	go func() { failed <- m.Serve(peerLn) }()
+	go m.Run(ctx)
 	go func() { failed <- f.Serve(ln) }()
 	go func() { failed <- adm.Serve(adminLn) }()
 	go c.Run(ctx)
@@ -179,7 +207,9 @@
 	if err != nil {
 		return err
 	}
+	m.Leave()
 	stop(s, l, f)
+	m.Close()
 	return nil
 }
 
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -19,19 +19,17 @@
 	Stop        Stop        `yaml:"stop,omitempty"`
 	Retry       Retry       `yaml:"retry,omitempty"`
 	Cold        Cold        `yaml:"cold,omitempty"`
+	Policy      Policy      `yaml:"policy,omitempty"`
 }
 
 // Peers says how the relays of a deployment find each other.
 type Peers struct {
-	Listen string   `yaml:"listen" validate:"required,ip_port"`          // IP:port
-	Seeds  []string `yaml:"seeds,omitempty" validate:"dive,ip_port"`     // some relays, IP:port; they may be gone
-	Beat   Duration `yaml:"beat,omitempty"`                              // 0: 1s
-	Expect int      `yaml:"expect,omitempty" validate:"min=0,max=10000"` // relays to reckon with until they are known; 0: 8
+	Listen string        `yaml:"listen" validate:"required,ip_port"`          // IP:port
+	Seeds  []string      `yaml:"seeds,omitempty" validate:"dive,ip_port"`     // some relays, IP:port; they may be gone
+	Beat   time.Duration `yaml:"beat,omitempty" validate:"min=0"`             // 0: 250ms
+	Expect int           `yaml:"expect,omitempty" validate:"min=0,max=10000"` // relays to reckon with until they are known; 0: 8
 }
 
-// Duration is a time as text, such as 1200ms.
-type Duration = time.Duration
-
 // Stop sets the pace of a graceful shutdown.
 type Stop struct {
 	Longest time.Duration `yaml:"longest,omitempty" validate:"min=0"` // from the signal to the end; 0: 8s
@@ -49,3 +47,9 @@
 	Overshoot float64 `yaml:"overshoot,omitempty" validate:"min=0"` // times the rate that it bears; 0: 1
 	Slack     float64 `yaml:"slack,omitempty" validate:"min=0"`     // on top, requests a second
 }
+
+// Policy selects how work is placed. The defaults are the product; the rest are
+// baselines to measure against.
+type Policy struct {
+	BatchAlone bool `yaml:"batch_alone,omitempty"` // each relay fills calls from its own requests only
+}
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -1,17 +1,15 @@
 // Package stage runs the stages that come before a request: it queues their
-// items, calls endpoints with batches of them, and gives results back.
+// items, here or at the relay that looks after a pool, calls endpoints with
+// batches of them, and gives results up.
 package stage
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/valyala/fasthttp"
 
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
@@ -21,11 +19,7 @@
 	"wigeonplank.example/relay/pool"
 )
 
-const (
-	callGrace   = 1500 * time.Millisecond // beyond the expected end of a call and of those before it
-	maxTries    = 3                       // calls that one item may be part of
-	freeTimeout = time.Second
-)
+const maxTries = 3 // calls that one item may be part of
 
 // FailedError says that a stage of a request gave no result.
 type FailedError struct {
@@ -45,51 +39,62 @@
 	Report(e *fleet.Endpoint, l pick.Load)
 }
 
-// Runner runs stages. Set the exported fields before use.
+// Peers are the other relays. None of its methods blocks.
+type Peers interface {
+	// Submit hands items to the relay that looks after a pool; false: to be run here.
+	Submit(p batch.Pool, items []*batch.Item) bool
+	// Items returns what waits for a pool elsewhere; -1: it is looked after here.
+	Items(p batch.Pool) int
+	// Cancel drops what waits of a request.
+	Cancel(request string)
+	// Release has results given up; false: to be done here.
+	Release(p batch.Pool, refs []string) bool
+}
+
+// Runner runs stages. Set the exported fields before use. It is safe for
+// concurrent use.
 type Runner struct {
-	Zone   string
 	View   func() *fleet.View
 	Health Health
+	Peers  Peers
 	Pool   *pool.Pool
 	Clock  clock.Clock
 	Log    *log.Logger
 
-	mu    sync.Mutex
-	sched batch.Scheduler
+	mu       sync.Mutex
+	sched    batch.Scheduler
+	releases map[string][]string // results to give up by endpoint ID
+}
+
+// guest is the flow of an item of another relay.
+type guest struct {
+	reply func(it *batch.Item, res plat.StageResult)
+}
+
+// effects is what has to happen once the runner's mu is free.
+type effects struct {
+	free    []string
+	submits []submit
+	replies []reply
 }
 
-// Job is the stages of one request.
-type Job struct {
-	ID       string // attempt of the caller
-	Route    *fleet.Route
-	Items    []int // by stage
-	Key      string
-	Due      time.Time
-	Deadline time.Time
+type submit struct {
+	pool  batch.Pool
+	items []*batch.Item
 }
 
-// flow is a job under way. Its fields are guarded by the runner's mu.
-type flow struct {
-	job   Job
-	refs  [][]string // by stage and item; empty: not there yet
-	left  []int      // items of each stage without a result
-	begun []bool
-	tries map[[2]int]int
-	err   error
-	done  chan struct{} // closed when all have results, or err is set
-	over  bool
+type reply struct {
+	to  *guest
+	it  *batch.Item
+	res plat.StageResult
 }
 
 // Run runs the stages of a job. It returns the results that its request needs
 // and blocks until they are there, ctx ends, or a stage fails with a
-// *FailedError. The results have to be given back by Free.
+// *FailedError. The results have to be given up by Free.
 func (r *Runner) Run(ctx context.Context, job Job) ([]string, error) {
 	f := newFlow(job)
-	r.mu.Lock()
-	r.sched.Zone = r.Zone
-	r.advance(f)
-	r.mu.Unlock()
-	r.pump()
+	r.do(func(fx *effects) { r.advance(f, fx) })
 	select {
 	case <-f.done:
 	case <-ctx.Done():
@@ -98,75 +103,48 @@
 	f.over = true
 	r.sched.Remove(job.ID)
 	refs, err := f.results(), f.err
-	all := f.all()
-	r.mu.Unlock()
 	if err == nil && ctx.Err() != nil {
 		err = fmt.Errorf("stages: %w", context.Cause(ctx))
 	}
 	if err != nil {
-		r.Free(all)
-		return nil, err
-	}
-	r.Free(slices.DeleteFunc(all, func(ref string) bool { return slices.Contains(refs, ref) }))
-	return refs, nil
-}
-
-func newFlow(job Job) *flow {
-	n := len(job.Route.Stages)
-	f := &flow{job: job, refs: make([][]string, n), left: make([]int, n), begun: make([]bool, n),
-		tries: make(map[[2]int]int), done: make(chan struct{})}
-	for i := range n {
-		if i < len(job.Items) {
-			f.refs[i] = make([]string, job.Items[i])
-			f.left[i] = job.Items[i]
-		}
+		refs = nil
 	}
-	return f
-}
-
-// results returns the results of the stages that no other stage follows.
-func (f *flow) results() []string {
-	followed := make([]bool, len(f.refs))
-	for _, s := range f.job.Route.Stages {
-		for _, a := range s.After {
-			followed[a] = true
-		}
-	}
-	var out []string
-	for i, refs := range f.refs {
-		if !followed[i] {
-			out = append(out, refs...)
-		}
+	rest := f.rest(refs)
+	r.mu.Unlock()
+	if err != nil {
+		r.Peers.Cancel(job.ID)
 	}
-	return out
+	r.Free(rest)
+	return refs, err
 }
 
-func (f *flow) all() []string {
-	var out []string
-	for _, refs := range f.refs {
-		for _, ref := range refs {
-			if ref != "" {
-				out = append(out, ref)
-			}
+// do changes the runner's state, then does what follows from it.
+func (r *Runner) do(change func(fx *effects)) {
+	var fx effects
+	r.mu.Lock()
+	change(&fx)
+	r.mu.Unlock()
+	for _, s := range fx.submits {
+		if !r.Peers.Submit(s.pool, s.items) {
+			r.mu.Lock()
+			r.sched.Add(s.pool, s.items...)
+			r.mu.Unlock()
 		}
 	}
-	return out
-}
-
-func (f *flow) finish(err error) {
-	if f.over {
-		return
+	for _, p := range fx.replies {
+		p.to.reply(p.it, p.res)
 	}
-	f.over, f.err = true, err
-	close(f.done)
+	r.Free(fx.free)
+	r.pump()
 }
 
 // advance queues the items of stages that can start, and ends the flow when all
 // have results.
-func (r *Runner) advance(f *flow) {
+func (r *Runner) advance(f *flow, fx *effects) {
 	if f.over {
 		return
 	}
+	cfg := r.View().Config
 	left := 0
 	for i, s := range f.job.Route.Stages {
 		left += f.left[i]
@@ -174,36 +152,44 @@
 			continue
 		}
 		f.begun[i] = true
-		r.sched.Add(s.Service, r.items(f, i, s)...)
+		r.place(f, s.Service, f.items(cfg, i), fx)
 	}
 	if left == 0 {
 		f.finish(nil)
 	}
 }
 
-func (f *flow) ready(s fleet.Stage) bool {
-	for _, a := range s.After {
-		if f.left[a] > 0 {
-			return false
-		}
+// place chooses the pool for items of one stage.
+func (r *Runner) place(f *flow, service string, items []*batch.Item, fx *effects) {
+	v, now := r.View(), r.Clock.Now()
+	svc := v.Config.Service(service)
+	if svc == nil || svc.Batch == nil {
+		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
+		return
 	}
-	return true
-}
-
-func (r *Runner) items(f *flow, stage int, s fleet.Stage) []*batch.Item {
-	now := r.Clock.Now()
-	var inputs []string
-	for _, a := range s.After {
-		inputs = append(inputs, f.refs[a]...)
+	servers := make(map[string]int)
+	for _, e := range r.usable(v, service, now) {
+		servers[e.Zone]++
 	}
-	out := make([]*batch.Item, 0, len(f.refs[stage]))
-	for i := range f.refs[stage] {
-		out = append(out, &batch.Item{
-			Request: f.job.ID, Stage: stage, Index: i, Key: f.job.Key, Inputs: inputs, Chain: len(s.After) > 0,
-			Due: f.job.Due, Deadline: f.job.Deadline, Added: now, Flow: f,
-		})
+	choices := make([]batch.Choice, 0, len(servers))
+	bytes := int64(0)
+	for _, it := range items {
+		bytes += it.Bytes
 	}
-	return out
+	for zone, n := range servers {
+		p := batch.Pool{Service: service, Zone: zone}
+		waiting := r.Peers.Items(p)
+		if waiting < 0 {
+			waiting = r.sched.Items(p)
+		}
+		choices = append(choices, batch.Choice{Zone: zone, Load: batch.Load{Servers: n, Items: waiting}})
+	}
+	zone := batch.Place(svc.Batch, choices, f.job.Zone, len(items), bytes)
+	if zone == "" {
+		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
+		return
+	}
+	fx.submits = append(fx.submits, submit{pool: batch.Pool{Service: service, Zone: zone}, items: items})
 }
 
 // pump starts the calls that can start now.
@@ -213,25 +199,43 @@
 		return
 	}
 	now := r.Clock.Now()
+	var fx effects
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, it := range r.sched.Expired(now) {
-		if f, ok := it.Flow.(*flow); ok {
-			f.finish(&FailedError{Stage: it.Stage, Reason: plat.ReasonLate})
+		r.book(it, plat.StageResult{Reason: plat.ReasonLate}, &fx)
+	}
+	for _, p := range r.sched.Pools() {
+		r.start(v, p, now, &fx)
+	}
+	r.mu.Unlock()
+	if len(fx.free)+len(fx.submits)+len(fx.replies) > 0 {
+		r.do(func(out *effects) { *out = fx })
+	}
+}
+
+// start starts the calls of one pool.
+func (r *Runner) start(v *fleet.View, p batch.Pool, now time.Time, fx *effects) {
+	svc := v.Config.Service(p.Service)
+	var usable []*fleet.Endpoint
+	if svc != nil && svc.Batch != nil {
+		for _, e := range r.usable(v, p.Service, now) {
+			if e.Zone == p.Zone {
+				usable = append(usable, e)
+			}
 		}
 	}
-	for _, name := range r.sched.Services() {
-		svc := v.Config.Service(name)
-		if svc == nil || svc.Batch == nil {
-			continue
+	if len(usable) == 0 {
+		for _, it := range r.sched.TakeAll(p) {
+			r.book(it, plat.StageResult{Reason: plat.ReasonError}, fx)
 		}
-		for {
-			c := r.sched.Next(now, svc, r.usable(v, name, now))
-			if c == nil {
-				break
-			}
-			go r.call(c)
+		return
+	}
+	for {
+		c := r.sched.Next(now, svc, p, usable)
+		if c == nil {
+			return
 		}
+		go r.call(c)
 	}
 }
 
@@ -249,180 +253,78 @@
 	return sound
 }
 
-// call runs one call and books its results.
-func (r *Runner) call(c *batch.Call) {
-	began := r.Clock.Now()
-	r.Health.Begin(c.Service, c.Endpoint)
-	results, result, full, err := r.exchange(c)
-	now := r.Clock.Now()
-	if errors.Is(err, pool.ErrUnreachable) {
-		r.Health.Unreachable(c.Endpoint)
-	}
-	r.Health.End(c.Endpoint, result)
-	ev := r.Log.Info()
-	if err != nil {
-		ev = r.Log.Warn().Err(err)
-	}
-	ev.Str("event", "stage_call").Str("endpoint", c.Endpoint.ID).Str("service", c.Service.Name).Int("items", len(c.Items)).
-		Strs("requests", requests(c.Items)).Str("result", string(result)).Dur("took", now.Sub(began)).Msg("")
-	var stale []string
-	r.mu.Lock()
-	r.sched.Done(now, c, full)
-	for i, it := range c.Items {
-		res := plat.StageResult{Reason: plat.ReasonError}
-		if results != nil {
-			res = results[i]
-		}
-		if ref := r.book(c.Service.Name, it, res); ref != "" {
-			stale = append(stale, ref)
-		}
-	}
-	r.mu.Unlock()
-	r.Free(stale)
-	r.pump()
-}
-
-func requests(items []*batch.Item) []string {
-	var out []string
-	for _, it := range items {
-		if len(out) == 0 || out[len(out)-1] != it.Request {
-			out = append(out, it.Request)
-		}
+// book records the result of one item.
+func (r *Runner) book(it *batch.Item, res plat.StageResult, fx *effects) {
+	if g, ok := it.Flow.(*guest); ok {
+		fx.replies = append(fx.replies, reply{to: g, it: it, res: res})
+		return
 	}
-	return out
-}
-
-// book records the result of one item. It returns a result that nobody needs.
-func (r *Runner) book(service string, it *batch.Item, res plat.StageResult) string {
 	f, ok := it.Flow.(*flow)
 	if !ok || f.over || (res.Ref != "" && f.refs[it.Stage][it.Index] != "") {
-		return res.Ref
+		if res.Ref != "" {
+			fx.free = append(fx.free, res.Ref)
+		}
+		return
 	}
 	if res.Ref != "" {
 		f.refs[it.Stage][it.Index] = res.Ref
 		f.left[it.Stage]--
 		if f.left[it.Stage] == 0 {
-			r.advance(f)
+			fx.free = append(fx.free, f.used(it.Stage)...)
+			r.advance(f, fx)
 		}
-		return ""
+		return
 	}
 	k := [2]int{it.Stage, it.Index}
 	f.tries[k]++
 	if res.Reason == plat.ReasonLate || res.Reason == plat.ReasonGone || f.tries[k] >= maxTries {
 		f.finish(&FailedError{Stage: it.Stage, Reason: res.Reason})
-		return ""
-	}
-	r.sched.Add(service, it)
-	return ""
-}
-
-// exchange makes a call at an endpoint.
-func (r *Runner) exchange(c *batch.Call) (results []plat.StageResult, result pick.Result, full bool, err error) {
-	now := r.Clock.Now()
-	expected := c.Service.Batch.Call + time.Duration(len(c.Items))*c.Service.Batch.Item
-	deadline := now.Add(time.Duration(c.Service.Batch.Queue+1)*expected + callGrace)
-	msg, err := plat.AppendStageCall(nil, c.Endpoint.Addr, c.Endpoint.ID, wireItems(c.Items, now))
-	if err != nil {
-		return nil, pick.ResultNone, false, err
-	}
-	conn, err := r.Pool.Get(context.Background(), c.Endpoint.ID, c.Endpoint.Addr, false)
-	if err != nil {
-		return nil, pick.ResultFailed, false, err
-	}
-	call := &pool.Call{Conn: conn}
-	defer call.Finish(r.Pool)
-	if _, err := call.Send(msg, nil, deadline); err != nil {
-		return nil, pick.ResultFailed, false, err
-	}
-	if err := call.Receive("", deadline); err != nil {
-		return nil, pick.ResultFailed, false, err
-	}
-	body, err := call.ReadAll()
-	if err != nil {
-		return nil, pick.ResultFailed, false, err
-	}
-	if l := call.Answer.Load; l != nil {
-		r.Health.Report(c.Endpoint, pick.Load(*l))
-	}
-	if call.Answer.Status != fasthttp.StatusOK {
-		result = pick.ResultFailed
-		if call.Answer.NotRun {
-			result = pick.ResultFull
-		}
-		return nil, result, true, fmt.Errorf("endpoint answered with status %d", call.Answer.Status)
-	}
-	results, err = plat.DecodeStageResults(body, len(c.Items))
-	if err != nil {
-		return nil, pick.ResultFailed, false, err
+		return
 	}
-	return results, pick.ResultGood, false, nil
+	r.place(f, f.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, fx)
 }
 
-func wireItems(items []*batch.Item, now time.Time) []plat.StageItem {
-	out := make([]plat.StageItem, len(items))
-	for i, it := range items {
-		out[i] = plat.StageItem{
-			ID: it.Request, Stage: it.Stage, Index: it.Index, Left: it.Deadline.Sub(now),
-			Key: it.Key, Inputs: it.Inputs, Chain: it.Chain,
-		}
+// Accept queues items of another relay. reply tells what became of each.
+func (r *Runner) Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult)) {
+	g := &guest{reply: reply}
+	for _, it := range items {
+		it.Flow = g
 	}
-	return out
+	r.mu.Lock()
+	r.sched.Add(p, items...)
+	r.mu.Unlock()
+	r.pump()
 }
 
-// Free gives results up, so that their endpoints have room again. It doesn't
-// block; a result whose release fails goes away by itself after a few seconds.
-func (r *Runner) Free(refs []string) {
-	if len(refs) == 0 {
-		return
-	}
-	byAddr := make(map[string][]string)
-	for _, ref := range refs {
-		a := plat.RefAddr(ref)
-		byAddr[a] = append(byAddr[a], ref)
-	}
-	v := r.View()
-	for _, e := range v.All() {
-		if list, ok := byAddr[e.Addr]; ok {
-			delete(byAddr, e.Addr)
-			go r.free(e, list)
-		}
-	}
+// Drop forgets what waits of a request of another relay.
+func (r *Runner) Drop(request string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sched.Remove(request)
 }
 
-func (r *Runner) free(e *fleet.Endpoint, refs []string) {
-	msg, err := plat.AppendFreeCall(nil, e.Addr, refs)
-	if err == nil {
-		err = r.freeCall(e, msg)
-	}
-	if err != nil {
-		r.Log.Info().Str("event", "release_failed").Str("endpoint", e.ID).Int("results", len(refs)).Err(err).Msg("")
-	}
+// Result books what became of an own item that another relay ran.
+func (r *Runner) Result(it *batch.Item, res plat.StageResult) {
+	r.do(func(fx *effects) { r.book(it, res, fx) })
 }
 
-func (r *Runner) freeCall(e *fleet.Endpoint, msg []byte) error {
-	conn, err := r.Pool.Get(context.Background(), e.ID, e.Addr, false)
-	if err != nil {
-		return err
-	}
-	deadline := r.Clock.Now().Add(freeTimeout)
-	call := &pool.Call{Conn: conn}
-	defer call.Finish(r.Pool)
-	if _, err := call.Send(msg, nil, deadline); err != nil {
-		return err
-	}
-	if err := call.Receive("", deadline); err != nil {
-		return err
-	}
-	_, err = call.ReadAll()
-	return err
+// Lost takes back own items whose link broke. They are not counted as tried.
+func (r *Runner) Lost(items []*batch.Item) {
+	r.do(func(fx *effects) {
+		for _, it := range items {
+			if f, ok := it.Flow.(*flow); ok && !f.over {
+				r.place(f, f.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, fx)
+			}
+		}
+	})
 }
 
-// Tick starts calls that had to wait. Call it often.
-func (r *Runner) Tick() { r.pump() }
-
-// Waiting returns the number of items that wait for a service.
-func (r *Runner) Waiting(service string) int {
+// Loads returns what waits for the pools that this relay serves.
+func (r *Runner) Loads() map[batch.Pool]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sched.Waiting(service)
+	return r.sched.Loads()
 }
+
+// Tick starts calls that had to wait, and gives up results. Call it often.
+func (r *Runner) Tick() { r.pump() }
