relay: admission by what waits for the stages

Change: refuse at the beginning what can't be in time because of others; late items last; items that hold room first; learn how much room there is.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -12,8 +12,12 @@
 
 const (
 	fullWait       = 150 * time.Millisecond // an endpoint that refused a call gets none for so long
+	roomWait       = 50 * time.Millisecond  // an endpoint without room gets no call for so long
+	leastMemory    = 0.25                   // share of an endpoint's memory that is always reckoned with
+	memoryGrowth   = 1.02                   // with each call whose results found room
 	crossZonePerMB = 40 * time.Millisecond  // a result that crosses zones costs the users about as much as so much delay
-	bytesPerMB     = 1 << 20
+	bytesPerMB     = 1_000_000
+	ranks          = 3
 )
 
 // Pool is the endpoints of a service in one availability zone. Items wait for a
@@ -32,7 +36,9 @@
 	Inputs   []string // references to results
 	Chain    bool     // takes inputs
 	Bytes    int64    // approximate size of the result
+	Holds    bool     // its inputs take up much of the room where they lie
 	Due      time.Time
+	GiveUp   time.Time // unless it holds room, it is not started after this
 	Deadline time.Time
 	Flow     any // of whoever added it
 }
@@ -60,8 +66,9 @@
 type server struct {
 	calls     int             // under way
 	coming    int64           // bytes of the results of calls under way
-	fullUntil time.Time       // it refused a call
+	fullUntil time.Time       // it refused a call, or had no room
 	results   map[string]held // by reference
+	memory    int64           // bytes of results that it was seen to have room for; 0: all
 }
 
 // Scheduler holds the items that wait for the pools that this process serves.
@@ -147,12 +154,13 @@
 // Items returns how many items of a pool wait or are at work.
 func (s *Scheduler) Items(p Pool) int { return len(s.queues[p]) + s.atWork[p] }
 
-// Expired takes out the items whose deadline has passed.
+// Expired takes out the items that are not worth a call any more: those whose
+// deadline has passed, and those that were to be given up by now.
 func (s *Scheduler) Expired(now time.Time) []*Item {
 	var out []*Item
 	for p, q := range s.queues {
 		s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool {
-			if now.Before(it.Deadline) {
+			if now.Before(it.Deadline) && (it.Holds || now.Before(it.GiveUp)) {
 				return false
 			}
 			out = append(out, it)
@@ -197,6 +205,9 @@
 
 // room returns the bytes that are free for results.
 func (v *server) room(now time.Time, memory int64) int64 {
+	if v.memory > 0 {
+		memory = min(memory, v.memory)
+	}
 	free := memory - v.coming
 	for ref, h := range v.results {
 		if now.After(h.expires) {
@@ -208,50 +219,84 @@
 	return free
 }
 
-// take takes the items of the next call: first those that can still be in time,
-// the most urgent first; then, where there is room, those that are late.
+// rank orders the items of a pool: those that give room back come first, late or
+// not; then those that can still be in time; then those that are late.
+func (it *Item) rank(soonest time.Time) int {
+	switch {
+	case it.Holds:
+		return 0
+	case !it.Due.Before(soonest):
+		return 1
+	}
+	return 2
+}
+
+// take takes the items of the next call, by rank and then by due time, as far as
+// there is room for their results.
 func (s *Scheduler) take(now time.Time, b *fleet.Batch, p Pool, room int64) []*Item {
 	q := s.queues[p]
 	soonest := now.Add(b.Call + b.Item)
-	first, _ := slices.BinarySearchFunc(q, soonest, func(it *Item, t time.Time) int {
-		if it.Due.Before(t) {
-			return -1
-		}
-		return 1
-	})
 	var out []*Item
 	taken := make(map[*Item]bool)
-	for i := range q {
-		it := q[(first+i)%len(q)]
-		if len(out) >= b.Size {
-			break
-		}
-		if b.MemoryBytes > 0 && it.Bytes > room {
-			continue
+	for rank := range ranks {
+		for _, it := range q {
+			if len(out) >= b.Size {
+				break
+			}
+			if it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) {
+				continue
+			}
+			room -= it.Bytes
+			out = append(out, it)
+			taken[it] = true
 		}
-		room -= it.Bytes
-		out = append(out, it)
-		taken[it] = true
 	}
 	s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
 	return out
 }
 
-// Done records the end of a call. refs are its results by item, empty where
-// there is none; nil if the call failed. full says that the endpoint refused it.
-func (s *Scheduler) Done(now time.Time, c *Call, refs []string, full bool) {
+// Outcome is how a call ended.
+type Outcome struct {
+	Refs   []string // results by item, empty where there is none; nil: the call failed
+	Full   bool     // the endpoint refused the call
+	NoRoom bool     // the endpoint had no room for some results
+}
+
+// Done records the end of a call.
+func (s *Scheduler) Done(now time.Time, c *Call, o Outcome) {
 	v := s.server(c.Endpoint.ID)
 	v.calls = max(0, v.calls-1)
 	s.atWork[c.Pool] = max(0, s.atWork[c.Pool]-len(c.Items))
 	for i, it := range c.Items {
 		v.coming = max(0, v.coming-it.Bytes)
-		if refs != nil && refs[i] != "" {
-			v.results[refs[i]] = held{bytes: it.Bytes, expires: now.Add(c.Service.Batch.Keep)}
+		if o.Refs != nil && o.Refs[i] != "" {
+			v.results[o.Refs[i]] = held{bytes: it.Bytes, expires: now.Add(c.Service.Batch.Keep)}
 		}
 	}
-	if full {
+	if o.Full {
 		v.fullUntil = now.Add(fullWait)
 	}
+	v.learnMemory(now, c.Service.Batch.MemoryBytes, o)
+}
+
+// learnMemory lowers what an endpoint is reckoned to have room for to what it
+// held when it had none left, and raises it again slowly: sizes of results are
+// approximate, and others may hold some.
+func (v *server) learnMemory(now time.Time, memory int64, o Outcome) {
+	switch {
+	case o.NoRoom:
+		v.fullUntil = now.Add(roomWait)
+		total := int64(0)
+		for _, h := range v.results {
+			total += h.bytes
+		}
+		v.memory = max(total, int64(float64(memory)*leastMemory))
+	case o.Refs != nil && v.memory > 0:
+		v.memory = int64(float64(v.memory) * memoryGrowth)
+		if v.memory >= memory {
+			v.memory = 0
+		}
+	}
 }
 
 // Freed records that results of an endpoint were given up.
@@ -289,6 +334,17 @@
 	return best
 }
 
+// Best returns the shortest wait for n items in any of some pools.
+func Best(b *fleet.Batch, choices []Choice, n int) time.Duration {
+	best := time.Duration(-1)
+	for _, c := range choices {
+		if w := Wait(b, c.Load, n); c.Load.Servers > 0 && (best < 0 || w < best) {
+			best = w
+		}
+	}
+	return max(0, best)
+}
+
 // Wait estimates how long n more items take at a pool.
 func Wait(b *fleet.Batch, l Load, n int) time.Duration {
 	full := b.Call + time.Duration(b.Size)*b.Item
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -27,6 +27,7 @@
 	comeBack        = 300 * time.Millisecond // a refused caller may return after this
 	notReadyWait    = time.Second            // a caller may return after this to a relay that knows nothing yet
 	finishMargin    = 20 * time.Millisecond  // the final answer leaves so long before the deadline
+	overloadSlack   = 100 * time.Millisecond // a request is only refused if others delay it by more
 	engineStart     = 60 * time.Millisecond  // from the send to the first event of an empty prompt
 	promptToken     = 30 * time.Microsecond  // an engine takes about so long to read a token of a prompt
 )
@@ -44,8 +45,13 @@
 	// NewBudget returns the retry budget of a service.
 	NewBudget func() *retry.Budget
 
+	// NoAdmission is a baseline: requests that can't be in time are begun all
+	// the same.
+	NoAdmission bool
+
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
+	longest map[string]time.Duration // time that callers begin with, by route
 }
 
 // walk is one request under way.
@@ -58,6 +64,7 @@
 	service  string
 	began    time.Time
 	deadline time.Time // of the final answer
+	due      time.Time // when the answer, or its first event, is in time
 	attempts int       // endpoints that may have run it
 	tried    map[string]bool
 	inputs   []string
@@ -169,6 +176,23 @@
 		limit = min(limit, k.route.Timeout)
 	}
 	k.deadline = k.began.Add(limit - finishMargin)
+	k.due = k.began.Add(k.route.Objective - k.elapsed())
+}
+
+// elapsed estimates how long the caller has waited before this attempt: by how
+// much less time it has left than the callers of the route mostly begin with.
+func (k *walk) elapsed() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.longest == nil {
+		k.longest = make(map[string]time.Duration)
+	}
+	longest := max(k.longest[k.route.Name], k.req.Deadline)
+	k.longest[k.route.Name] = longest
+	if k.req.Deadline == 0 {
+		return 0
+	}
+	return longest - k.req.Deadline
 }
 
 // runStages brings the results that the request needs. It answers the caller
@@ -176,7 +200,11 @@
 func (k *walk) runStages(ctx context.Context) bool {
 	job := stage.Job{
 		ID: k.req.ID, Route: k.route, Items: k.req.Items, Key: k.req.ItemKey, Zone: k.Zone,
-		Due: k.began.Add(k.route.Objective - k.firstEvent()), Deadline: k.deadline,
+		Due: k.due.Add(-k.firstEvent()), GiveUp: k.due, Deadline: k.deadline,
+	}
+	if after, ok := k.inTime(job); !ok {
+		k.refuse(fasthttp.StatusServiceUnavailable, after, "stages are overloaded")
+		return false
 	}
 	// The results should be near the endpoint that the request will most likely
 	// go to.
@@ -200,6 +228,20 @@
 	return false
 }
 
+// inTime reports whether a job can be through its stages when it is due. If not,
+// and only others before it are the reason, it returns after what time it could.
+func (k *walk) inTime(job stage.Job) (time.Duration, bool) {
+	if k.NoAdmission {
+		return 0, true
+	}
+	est, idle := k.Stages.Estimate(job)
+	left := job.Due.Sub(k.Clock.Now())
+	if est <= left || est-idle < overloadSlack {
+		return 0, true
+	}
+	return max(comeBack, est-max(left, idle)), false
+}
+
 // firstEvent estimates how long an engine takes to the first event.
 func (k *walk) firstEvent() time.Duration {
 	return engineStart + time.Duration(k.req.PromptTokens)*promptToken
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -141,6 +141,7 @@
 	}
 	return &carry.Walker{
 		Zone: s.Zone, View: c.View, Ready: c.Ready, Nodes: n, Pool: p, Stages: st, Clock: clock.System{}, Log: l,
+		NoAdmission: s.Policy.NoAdmission,
 		NewBudget: func() *retry.Budget {
 			return &retry.Budget{Share: ratio * ratioShare, Reserve: max(1, s.Retry.Slack*ratioShare/float64(max(expected(s), m.Size())))}
 		},
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -344,7 +344,8 @@
 	for _, w := range s.GetItems() {
 		items = append(items, &batch.Item{
 			Request: w.GetRequest(), Stage: int(w.GetStage()), Index: int(w.GetIndex()), Key: w.GetKey(),
-			Inputs: w.GetInputs(), Chain: w.GetChain(), Bytes: w.GetBytes(),
+			Inputs: w.GetInputs(), Chain: w.GetChain(), Bytes: w.GetBytes(), Holds: w.GetHolds(),
+			GiveUp:   now.Add(time.Duration(w.GetGiveUpUs()) * time.Microsecond),
 			Due:      now.Add(time.Duration(w.GetDueUs()) * time.Microsecond),
 			Deadline: now.Add(time.Duration(w.GetDeadlineUs()) * time.Microsecond),
 		})
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -51,5 +51,6 @@
 // Policy selects how work is placed. The defaults are the product; the rest are
 // baselines to measure against.
 type Policy struct {
-	BatchAlone bool `yaml:"batch_alone,omitempty"` // each relay fills calls from its own requests only
+	NoAdmission bool `yaml:"no_admission,omitempty"` // requests that can't be in time are begun all the same
+	BatchAlone  bool `yaml:"batch_alone,omitempty"`  // each relay fills calls from its own requests only
 }
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -37,7 +37,7 @@
 	ev.Str("event", "stage_call").Str("endpoint", c.Endpoint.ID).Str("service", c.Service.Name).Int("items", len(c.Items)).
 		Strs("requests", requests(c.Items)).Str("result", string(result)).Dur("took", now.Sub(c.Began)).Msg("")
 	r.do(func(fx *effects) {
-		r.sched.Done(now, c, refs(results), full)
+		r.sched.Done(now, c, outcome(results, full))
 		for i, it := range c.Items {
 			res := plat.StageResult{Reason: plat.ReasonError}
 			if results != nil {
@@ -48,15 +48,13 @@
 	})
 }
 
-func refs(results []plat.StageResult) []string {
-	if results == nil {
-		return nil
-	}
-	out := make([]string, len(results))
-	for i, res := range results {
-		out[i] = res.Ref
+func outcome(results []plat.StageResult, full bool) batch.Outcome {
+	o := batch.Outcome{Full: full}
+	for _, res := range results {
+		o.Refs = append(o.Refs, res.Ref)
+		o.NoRoom = o.NoRoom || res.Reason == plat.ReasonRoom
 	}
-	return out
+	return o
 }
 
 func requests(items []*batch.Item) []string {
--- a/relay/stage/flow.go
+++ b/relay/stage/flow.go
@@ -7,7 +7,10 @@
 	"wigeonplank.example/core/fleet"
 )
 
-const turnSlack = 50 * time.Millisecond // for the turn of a call and the ways to and from its endpoint
+const (
+	turnSlack = 50 * time.Millisecond // for the turn of a call and the ways to and from its endpoint
+	muchRoom  = 0.05                  // share of an endpoint's room for results
+)
 
 // Job is the stages of one request.
 type Job struct {
@@ -17,6 +20,7 @@
 	Key      string
 	Zone     string    // where the results are wanted
 	Due      time.Time // when the last stage should be done
+	GiveUp   time.Time // stages that hold little are not started after this
 	Deadline time.Time
 }
 
@@ -142,12 +146,29 @@
 		inputs = append(inputs, f.refs[a]...)
 	}
 	due := f.job.Due.Add(-f.tail(cfg, stage))
+	holds := f.holds(cfg, s)
 	out := make([]*batch.Item, 0, len(f.refs[stage]))
 	for i := range f.refs[stage] {
 		out = append(out, &batch.Item{
 			Request: f.job.ID, Stage: stage, Index: i, Key: f.job.Key, Inputs: inputs, Chain: len(s.After) > 0,
-			Bytes: s.ResultBytes, Due: due, Deadline: f.job.Deadline, Flow: f,
+			Bytes: s.ResultBytes, Holds: holds, Due: due, GiveUp: f.job.GiveUp, Deadline: f.job.Deadline, Flow: f,
 		})
 	}
 	return out
 }
+
+// holds reports whether the inputs of a stage take up much of the room of the
+// endpoints where they lie.
+func (f *flow) holds(cfg *fleet.Config, s fleet.Stage) bool {
+	for _, a := range s.After {
+		before := f.job.Route.Stages[a]
+		svc := cfg.Service(before.Service)
+		if svc == nil || svc.Batch == nil {
+			continue
+		}
+		if float64(before.ResultBytes)*float64(len(f.refs[a])) > muchRoom*float64(svc.Batch.MemoryBytes) {
+			return true
+		}
+	}
+	return false
+}
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -161,35 +161,86 @@
 
 // place chooses the pool for items of one stage.
 func (r *Runner) place(f *flow, service string, items []*batch.Item, fx *effects) {
-	v, now := r.View(), r.Clock.Now()
+	v := r.View()
 	svc := v.Config.Service(service)
 	if svc == nil || svc.Batch == nil {
 		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
 		return
 	}
-	servers := make(map[string]int)
-	for _, e := range r.usable(v, service, now) {
-		servers[e.Zone]++
-	}
-	choices := make([]batch.Choice, 0, len(servers))
 	bytes := int64(0)
 	for _, it := range items {
 		bytes += it.Bytes
 	}
+	zone := batch.Place(svc.Batch, r.choices(v, service), f.job.Zone, len(items), bytes)
+	if zone == "" {
+		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
+		return
+	}
+	fx.submits = append(fx.submits, submit{pool: batch.Pool{Service: service, Zone: zone}, items: items})
+}
+
+// choices returns the pools of a service with what waits for them.
+func (r *Runner) choices(v *fleet.View, service string) []batch.Choice {
+	servers := make(map[string]int)
+	for _, e := range r.usable(v, service, r.Clock.Now()) {
+		servers[e.Zone]++
+	}
+	out := make([]batch.Choice, 0, len(servers))
 	for zone, n := range servers {
 		p := batch.Pool{Service: service, Zone: zone}
 		waiting := r.Peers.Items(p)
 		if waiting < 0 {
 			waiting = r.sched.Items(p)
 		}
-		choices = append(choices, batch.Choice{Zone: zone, Load: batch.Load{Servers: n, Items: waiting}})
+		out = append(out, batch.Choice{Zone: zone, Load: batch.Load{Servers: n, Items: waiting}})
 	}
-	zone := batch.Place(svc.Batch, choices, f.job.Zone, len(items), bytes)
-	if zone == "" {
-		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
-		return
+	return out
+}
+
+// Estimate returns how long the stages of a job would take now, and how long if
+// nothing waited before them.
+func (r *Runner) Estimate(job Job) (now, idle time.Duration) {
+	v := r.View()
+	f := newFlow(job)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ends := make([][2]time.Duration, len(f.refs))
+	done := make([]bool, len(f.refs))
+	for range f.refs {
+		for i, s := range job.Route.Stages {
+			if done[i] {
+				continue
+			}
+			start, ok := latest(ends, done, s.After)
+			if !ok {
+				continue
+			}
+			done[i] = true
+			ends[i] = start
+			svc := v.Config.Service(s.Service)
+			if f.left[i] == 0 || svc == nil || svc.Batch == nil {
+				continue
+			}
+			n := f.left[i]
+			ends[i][0] += batch.Best(svc.Batch, r.choices(v, s.Service), n) + turnSlack
+			ends[i][1] += batch.Wait(svc.Batch, batch.Load{}, n) + turnSlack
+		}
 	}
-	fx.submits = append(fx.submits, submit{pool: batch.Pool{Service: service, Zone: zone}, items: items})
+	for _, e := range ends {
+		now, idle = max(now, e[0]), max(idle, e[1])
+	}
+	return now, idle
+}
+
+// latest returns when the last of some stages ends; false if one isn't known.
+func latest(ends [][2]time.Duration, done []bool, stages []int) (out [2]time.Duration, ok bool) {
+	for _, a := range stages {
+		if !done[a] {
+			return out, false
+		}
+		out[0], out[1] = max(out[0], ends[a][0]), max(out[1], ends[a][1])
+	}
+	return out, true
 }
 
 // pump starts the calls that can start now.
@@ -276,7 +327,9 @@
 		return
 	}
 	k := [2]int{it.Stage, it.Index}
-	f.tries[k]++
+	if res.Reason != plat.ReasonRoom {
+		f.tries[k]++
+	}
 	if res.Reason == plat.ReasonLate || res.Reason == plat.ReasonGone || f.tries[k] >= maxTries {
 		f.finish(&FailedError{Stage: it.Stage, Reason: res.Reason})
 		return
