relay/carry: count the objective from the attempt at hand

Cause: the time that a caller had waited before was guessed from how much less its deadline was than others'. A log of estimates showed times left below zero for fresh requests: deadlines of one route differ by more than a retry costs. Change: no guess. The estimate itself is right to about a tenth of a second where the wait is short, and too high where it is long.

--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -51,7 +51,6 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
-	longest map[string]time.Duration // time that callers begin with, by route
 }
 
 // walk is one request under way.
@@ -176,23 +175,7 @@
 		limit = min(limit, k.route.Timeout)
 	}
 	k.deadline = k.began.Add(limit - finishMargin)
-	k.due = k.began.Add(k.route.Objective - k.elapsed())
-}
-
-// elapsed estimates how long the caller has waited before this attempt: by how
-// much less time it has left than the callers of the route mostly begin with.
-func (k *walk) elapsed() time.Duration {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.longest == nil {
-		k.longest = make(map[string]time.Duration)
-	}
-	longest := max(k.longest[k.route.Name], k.req.Deadline)
-	k.longest[k.route.Name] = longest
-	if k.req.Deadline == 0 {
-		return 0
-	}
-	return longest - k.req.Deadline
+	k.due = k.began.Add(k.route.Objective)
 }
 
 // runStages brings the results that the request needs. It answers the caller
@@ -212,6 +195,7 @@
 		job.Zone = e.Zone
 	}
 	inputs, err := k.Stages.Run(ctx, job)
+	k.Log.Info().Str("event", "stages_done").Str("request", k.req.ID).Dur("since", k.Clock.Now().Sub(k.began)).Err(err).Msg("")
 	if err == nil {
 		k.inputs = inputs
 		return true
@@ -231,12 +215,11 @@
 // inTime reports whether a job can be through its stages when it is due. If not,
 // and only others before it are the reason, it returns after what time it could.
 func (k *walk) inTime(job stage.Job) (time.Duration, bool) {
-	if k.NoAdmission {
-		return 0, true
-	}
 	est, idle := k.Stages.Estimate(job)
 	left := job.Due.Sub(k.Clock.Now())
-	if est <= left || est-idle < overloadSlack {
+	k.Log.Info().Str("event", "stages_estimated").Str("request", k.req.ID).Str("route", k.route.Name).Dur("now", est).Dur("idle", idle).
+		Dur("left", left).Msg("")
+	if k.NoAdmission || est <= left || est-idle < overloadSlack {
 		return 0, true
 	}
 	return max(comeBack, est-max(left, idle)), false
