core/batch: one pool for all zones where a zone has few servers

Cause: with a pool for each zone most pools had one server. Three stages in a row each waited for the rest of a call, about 0.25 s a request in all, though servers were busy for only 70% of the time. Change: a service has a pool for each zone only from three servers a zone on. Items wait for a server of the zone that wants their result for as long as crossing costs, then go anywhere.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -17,16 +17,26 @@
 	memoryGrowth   = 1.02                   // with each call whose results found room
 	crossZonePerMB = 40 * time.Millisecond  // a result that crosses zones costs the users about as much as so much delay
 	bytesPerMB     = 1_000_000
+	leastPerZone   = 3 // endpoints of a service; with fewer in a zone, all zones are one pool
 	ranks          = 3
 )
 
-// Pool is the endpoints of a service in one availability zone. Items wait for a
-// pool, not for an endpoint.
+// Pool is endpoints of one service, for which items wait together: those of one
+// availability zone, or of all where a zone has only a few.
 type Pool struct {
 	Service string
-	Zone    string
+	Zone    string // empty: all zones
 }
 
+// Holds reports whether an endpoint belongs to the pool.
+func (p Pool) Holds(e *fleet.Endpoint) bool {
+	return e.Service == p.Service && (p.Zone == "" || e.Zone == p.Zone)
+}
+
+// Zoned reports whether a service with so many endpoints in so many zones has a
+// pool for each zone.
+func Zoned(endpoints, zones int) bool { return endpoints >= leastPerZone*zones }
+
 // Item is one piece of work of a stage.
 type Item struct {
 	Request  string // attempt of a caller
@@ -36,7 +46,9 @@
 	Inputs   []string // references to results
 	Chain    bool     // takes inputs
 	Bytes    int64    // approximate size of the result
+	Zone     string   // where the result is wanted
 	Holds    bool     // its inputs take up much of the room where they lie
+	Added    time.Time
 	Due      time.Time
 	GiveUp   time.Time // unless it holds room, it is not started after this
 	Deadline time.Time
@@ -173,34 +185,37 @@
 // Next returns a call to start now for a pool, or nil. usable are the pool's
 // endpoints that may be given work.
 func (s *Scheduler) Next(now time.Time, svc *fleet.Service, p Pool, usable []*fleet.Endpoint) *Call {
-	if len(s.queues[p]) == 0 {
+	q := s.queues[p]
+	if len(q) == 0 {
 		return nil
 	}
-	var best *fleet.Endpoint
-	var bestRoom int64
+	wanted := make(map[string]int) // items by the zone that wants them
+	for _, it := range q {
+		wanted[it.Zone]++
+	}
+	idle := make([]*fleet.Endpoint, 0, len(usable))
+	served := make(map[string]bool) // zones with a usable endpoint
 	for _, e := range usable {
+		served[e.Zone] = true
+		if v := s.server(e.ID); v.calls < max(1, svc.Batch.Slots) && !now.Before(v.fullUntil) {
+			idle = append(idle, e)
+		}
+	}
+	slices.SortStableFunc(idle, func(a, b *fleet.Endpoint) int { return wanted[b.Zone] - wanted[a.Zone] })
+	for _, e := range idle {
 		v := s.server(e.ID)
-		if v.calls >= max(1, svc.Batch.Slots) || now.Before(v.fullUntil) {
+		items := s.take(now, svc.Batch, p, e.Zone, v.room(now, svc.Batch.MemoryBytes), served)
+		if len(items) == 0 {
 			continue
 		}
-		if room := v.room(now, svc.Batch.MemoryBytes); best == nil || room > bestRoom {
-			best, bestRoom = e, room
+		v.calls++
+		for _, it := range items {
+			v.coming += it.Bytes
 		}
+		s.atWork[p] += len(items)
+		return &Call{Service: svc, Endpoint: e, Pool: p, Items: items, Began: now}
 	}
-	if best == nil {
-		return nil
-	}
-	items := s.take(now, svc.Batch, p, bestRoom)
-	if len(items) == 0 {
-		return nil
-	}
-	v := s.server(best.ID)
-	v.calls++
-	for _, it := range items {
-		v.coming += it.Bytes
-	}
-	s.atWork[p] += len(items)
-	return &Call{Service: svc, Endpoint: best, Pool: p, Items: items, Began: now}
+	return nil
 }
 
 // room returns the bytes that are free for results.
@@ -231,9 +246,20 @@
 	return 2
 }
 
-// take takes the items of the next call, by rank and then by due time, as far as
-// there is room for their results.
-func (s *Scheduler) take(now time.Time, b *fleet.Batch, p Pool, room int64) []*Item {
+// mayGo reports whether an item may go to an endpoint of a zone: of the zone that
+// wants its result, or of any once it has waited as long as crossing is worth.
+func (it *Item) mayGo(now time.Time, zone string, served map[string]bool) bool {
+	return it.Zone == zone || !served[it.Zone] || now.Sub(it.Added) >= crossing(it.Bytes)
+}
+
+// crossing returns the delay that a result which crosses zones is worth.
+func crossing(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / bytesPerMB * float64(crossZonePerMB))
+}
+
+// take takes the items of the next call to an endpoint of a zone, by rank and
+// then by due time, as far as there is room for their results.
+func (s *Scheduler) take(now time.Time, b *fleet.Batch, p Pool, zone string, room int64, served map[string]bool) []*Item {
 	q := s.queues[p]
 	soonest := now.Add(b.Call + b.Item)
 	var out []*Item
@@ -243,7 +269,7 @@
 			if len(out) >= b.Size {
 				break
 			}
-			if it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) {
+			if it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) || !it.mayGo(now, zone, served) {
 				continue
 			}
 			room -= it.Bytes
@@ -313,25 +339,25 @@
 	Load Load
 }
 
-// Place returns the zone in which n items should wait, or "" if there is none:
-// where they get their turn first, but rather in the zone that wants their
-// results, of so many bytes.
-func Place(b *fleet.Batch, choices []Choice, want string, n int, bytes int64) string {
-	best := ""
+// Place returns the zone of the pool in which n items should wait, and false if
+// there is none: where they get their turn first, but rather in the zone that
+// wants their results, of so many bytes.
+func Place(b *fleet.Batch, choices []Choice, want string, n int, bytes int64) (string, bool) {
+	best, found := "", false
 	var bestCost time.Duration
 	for _, c := range choices {
 		if c.Load.Servers == 0 {
 			continue
 		}
 		cost := Wait(b, c.Load, n)
-		if c.Zone != want {
-			cost += time.Duration(float64(bytes) / bytesPerMB * float64(crossZonePerMB))
+		if c.Zone != want && c.Zone != "" {
+			cost += crossing(bytes)
 		}
-		if best == "" || cost < bestCost || (cost == bestCost && c.Zone == want) {
-			best, bestCost = c.Zone, cost
+		if !found || cost < bestCost || (cost == bestCost && c.Zone == want) {
+			best, bestCost, found = c.Zone, cost, true
 		}
 	}
-	return best
+	return best, found
 }
 
 // Best returns the shortest wait for n items in any of some pools.
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -36,7 +36,7 @@
 )
 
 const (
-	tickInterval   = 50 * time.Millisecond // of what has to happen without an event
+	tickInterval   = 25 * time.Millisecond // of what has to happen without an event
 	logBuffer      = 4096                  // lines; more are dropped rather than wait
 	memoryShare    = 0.7                   // of the instance's memory that the heap may use
 	gcPercent      = 200
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -130,12 +130,26 @@
 // block; a result whose release fails goes away by itself after a few seconds.
 func (r *Runner) Free(refs []string) {
 	for e, list := range r.byEndpoint(refs) {
-		if !r.Peers.Release(batch.Pool{Service: e.Service, Zone: e.Zone}, list) {
+		if !r.Peers.Release(r.poolOf(e), list) {
 			r.release(e, list)
 		}
 	}
 }
 
+// poolOf returns the pool that an endpoint belongs to.
+func (r *Runner) poolOf(e *fleet.Endpoint) batch.Pool {
+	p := batch.Pool{Service: e.Service}
+	all := r.usable(r.View(), e.Service, r.Clock.Now())
+	zones := make(map[string]bool)
+	for _, o := range all {
+		zones[o.Zone] = true
+	}
+	if batch.Zoned(len(all), len(zones)) {
+		p.Zone = e.Zone
+	}
+	return p
+}
+
 // Release gives up results for another relay.
 func (r *Runner) Release(refs []string) {
 	for e, list := range r.byEndpoint(refs) {
--- a/relay/stage/flow.go
+++ b/relay/stage/flow.go
@@ -139,7 +139,7 @@
 }
 
 // items returns the items of a stage that can start.
-func (f *flow) items(cfg *fleet.Config, stage int) []*batch.Item {
+func (f *flow) items(cfg *fleet.Config, stage int, now time.Time) []*batch.Item {
 	s := f.job.Route.Stages[stage]
 	var inputs []string
 	for _, a := range s.After {
@@ -151,7 +151,7 @@
 	for i := range f.refs[stage] {
 		out = append(out, &batch.Item{
 			Request: f.job.ID, Stage: stage, Index: i, Key: f.job.Key, Inputs: inputs, Chain: len(s.After) > 0,
-			Bytes: s.ResultBytes, Holds: holds, Due: due, GiveUp: f.job.GiveUp, Deadline: f.job.Deadline, Flow: f,
+			Bytes: s.ResultBytes, Holds: holds, Zone: f.job.Zone, Added: now, Due: due, GiveUp: f.job.GiveUp, Deadline: f.job.Deadline, Flow: f,
 		})
 	}
 	return out
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		f.begun[i] = true
-		r.place(f, s.Service, f.items(cfg, i), fx)
+		r.place(f, s.Service, f.items(cfg, i, r.Clock.Now()), fx)
 	}
 	if left == 0 {
 		f.finish(nil)
@@ -171,8 +171,8 @@
 	for _, it := range items {
 		bytes += it.Bytes
 	}
-	zone := batch.Place(svc.Batch, r.choices(v, service), f.job.Zone, len(items), bytes)
-	if zone == "" {
+	zone, ok := batch.Place(svc.Batch, r.choices(v, service), f.job.Zone, len(items), bytes)
+	if !ok {
 		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
 		return
 	}
@@ -181,10 +181,14 @@
 
 // choices returns the pools of a service with what waits for them.
 func (r *Runner) choices(v *fleet.View, service string) []batch.Choice {
+	usable := r.usable(v, service, r.Clock.Now())
 	servers := make(map[string]int)
-	for _, e := range r.usable(v, service, r.Clock.Now()) {
+	for _, e := range usable {
 		servers[e.Zone]++
 	}
+	if !batch.Zoned(len(usable), len(servers)) {
+		servers = map[string]int{"": len(usable)}
+	}
 	out := make([]batch.Choice, 0, len(servers))
 	for zone, n := range servers {
 		p := batch.Pool{Service: service, Zone: zone}
@@ -270,7 +274,7 @@
 	var usable []*fleet.Endpoint
 	if svc != nil && svc.Batch != nil {
 		for _, e := range r.usable(v, p.Service, now) {
-			if e.Zone == p.Zone {
+			if p.Holds(e) {
 				usable = append(usable, e)
 			}
 		}
