relay/carry: admit without regard to a prompt's size

The admission took the time to read the prompt off what the stages may take, so large requests were refused first. Change: only the order of stage items still knows the size.

--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -216,7 +216,9 @@
 // and only others before it are the reason, it returns after what time it could.
 func (k *walk) inTime(job stage.Job) (time.Duration, bool) {
 	est, idle := k.Stages.Estimate(job)
-	left := job.Due.Sub(k.Clock.Now())
+	// The size of a prompt doesn't count here: large requests would be refused
+	// more often than small ones, though the stages work no longer for them.
+	left := k.due.Add(-engineStart).Sub(k.Clock.Now())
 	k.Log.Info().Str("event", "stages_estimated").Str("request", k.req.ID).Str("route", k.route.Name).Dur("now", est).Dur("idle", idle).
 		Dur("left", left).Msg("")
 	if k.NoAdmission || est <= left || est-idle < overloadSlack {
