relay/front: take no more requests once the balancer has noticed a stop

Two streams begun 4 and 6 s after SIGTERM were cut when its time was over (LOST). Change: new requests are taken for 2.5 s, then the listener and idle connections close and what is under way ends.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -44,9 +44,10 @@
 	defaultBeat    = 250 * time.Millisecond
 	defaultRatio   = 0.2
 	defaultLongest = 8 * time.Second
-	stopMargin     = 500 * time.Millisecond // the process ends so long before it would be killed
-	ratioShare     = 0.75                   // of the retries that are allowed; the rest is margin
-	coldMargin     = 0.8                    // of the requests that a cold endpoint may get
+	noticeTime     = 2500 * time.Millisecond // the balancer notices a relay that is not ready by its second question, a second apart
+	stopMargin     = 500 * time.Millisecond  // the process ends so long before it would be killed
+	ratioShare     = 0.75                    // of the retries that are allowed; the rest is margin
+	coldMargin     = 0.8                     // of the requests that a cold endpoint may get
 )
 
 // Parser returns the command line, which fills opts.
@@ -251,7 +252,9 @@
 	l.Info().Str("event", "stopping").Int64("active", f.Active()).Dur("longest", longest).Msg("")
 	ctx, cancel := context.WithTimeout(context.Background(), longest-stopMargin)
 	defer cancel()
-	f.Stop(ctx)
+	accept, cancelAccept := context.WithTimeout(ctx, min(noticeTime, longest/3))
+	defer cancelAccept()
+	f.Stop(ctx, accept)
 	l.Info().Str("event", "stopped").Int64("active", f.Active()).Msg("")
 	if w, ok := l.Writer.(*log.AsyncWriter); ok {
 		_ = w.Close() // the last lines are written, or standard output is gone
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -29,7 +29,6 @@
 	bodyTimeout          = 10 * time.Second       // for a whole body
 	writeTimeout         = 10 * time.Second       // a caller that takes nothing for so long is gone
 	lingerTime           = 500 * time.Millisecond // unread bytes are taken so long after the last answer
-	closeNotice          = 300 * time.Millisecond // idle connections stay open so long after a stop
 )
 
 // Server answers callers. Set the exported fields before Serve.
@@ -43,6 +42,7 @@
 	ln       net.Listener
 	mu       sync.Mutex
 	idle     map[net.Conn]bool // open connections; true: no request under way
+	closed   bool              // no more requests are taken
 	stopping atomic.Bool
 	active   atomic.Int64
 	wg       sync.WaitGroup
@@ -82,39 +82,39 @@
 	}
 }
 
-// Stop lets requests under way end, and serves those that still come on open
-// connections, until ctx ends. It blocks until all connections are closed.
-func (s *Server) Stop(ctx context.Context) {
+// Stop serves new requests for a while longer, until accept ends: the balancer
+// has to notice first. Then it takes no more, and lets those under way end until
+// ctx does. It blocks until all connections are closed.
+func (s *Server) Stop(ctx, accept context.Context) {
 	s.stopping.Store(true)
-	// New connections are still taken until the balancer has noticed; idle ones
-	// are closed a little later, so that requests that cross the close are read.
-	done := make(chan struct{})
-	go func() {
-		ticker := time.NewTicker(closeNotice)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-			case <-ticker.C:
-			}
-			if ctx.Err() != nil || s.Active() == 0 {
-				close(done)
-				return
-			}
-		}
-	}()
-	<-done
+	<-accept.Done()
 	s.mu.Lock()
+	s.closed = true
 	if s.ln != nil {
 		_ = s.ln.Close() // nothing is left to accept
 	}
 	for c, idle := range s.idle {
-		if idle || ctx.Err() != nil {
+		if idle {
 			_ = c.Close() // its goroutine ends by this
 		}
 	}
 	s.mu.Unlock()
-	s.wg.Wait()
+	ended := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	for c := range s.idle {
+		_ = c.Close() // its goroutine ends by this
+	}
+	s.mu.Unlock()
+	<-ended
 }
 
 func (s *Server) limits() fleet.Limits {
@@ -134,10 +134,13 @@
 	return l
 }
 
-func (s *Server) mark(c net.Conn, idle bool) {
+// mark records whether a request is under way on a connection. It reports false
+// if the connection has to end instead.
+func (s *Server) mark(c net.Conn, idle bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.idle[c] = idle
+	return !s.closed
 }
 
 func (s *Server) forget(c net.Conn) {
@@ -156,19 +159,25 @@
 	limits := s.limits()
 	br := bufio.NewReaderSize(c, limits.HeaderBytes)
 	next := make(chan peeked, 1)
-	s.mark(c, true)
+	if !s.mark(c, true) {
+		return
+	}
 	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) // fails only on a closed connection
 	_, err := br.Peek(1)
 	for err == nil {
 		limits = s.limits()
-		s.mark(c, false)
+		if !s.mark(c, false) {
+			return
+		}
 		s.active.Add(1)
 		keep := s.exchange(c, br, limits, next)
 		s.active.Add(-1)
 		if !keep {
 			return
 		}
-		s.mark(c, true)
+		if !s.mark(c, true) {
+			return
+		}
 		_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) // fails only on a closed connection
 		err = (<-next).err
 	}
