--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 DEPLOYMENT ?= lone_star
-MODULES := core base agent entry fakes wpctl proof
+MODULES := core base platform agent entry relay fakes wpctl proof
 BIN := $(CURDIR)/bin
 
 SEEDS ?= 10
@@ -8,7 +8,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	@for m in entry agent fakes wpctl proof; do (cd $$m && go build -o $(BIN)/$$m .) || exit 1; done
+	@for m in entry relay agent fakes wpctl proof; do (cd $$m && go build -o $(BIN)/$$m .) || exit 1; done
 
 demo: build
 	@$(BIN)/proof demo --bin $(BIN) --deployment $(DEPLOYMENT)
--- a/core/scen/scen_test.go
+++ b/core/scen/scen_test.go
@@ -32,6 +32,7 @@
 	serials map[string]*wire.Serial
 	tables  map[string]*runs.Table
 	planner *planner
+	relay   relayWorld
 }
 
 type planner struct {
@@ -64,6 +65,13 @@
 			"book":   command(bookCmd),
 			"table":  command(tableCmd),
 			"plan":   command(planCmd),
+			"view":   command(viewCmd),
+			"config": command(configCmd),
+			"pick":   command(pickCmd),
+			"batch":  command(batchCmd),
+			"group":  command(groupCmd),
+			"share":  command(shareCmd),
+			"events": command(eventsCmd),
 		},
 	})
 }
--- a/relay/stage/flow.go
+++ b/relay/stage/flow.go
@@ -39,8 +39,10 @@
 
 func newFlow(job Job) *flow {
 	n := len(job.Route.Stages)
-	f := &flow{job: job, refs: make([][]string, n), left: make([]int, n), begun: make([]bool, n), freed: make([]bool, n),
-		tries: make(map[[2]int]int), done: make(chan struct{})}
+	f := &flow{
+		job: job, refs: make([][]string, n), left: make([]int, n), begun: make([]bool, n), freed: make([]bool, n),
+		tries: make(map[[2]int]int), done: make(chan struct{}),
+	}
 	for i := range n {
 		if i < len(job.Items) {
 			f.refs[i] = make([]string, job.Items[i])
