--- /dev/null
+++ b/fakes/site/standard.go
@@ -0,0 +1,95 @@
+package site
+
+import (
+	"fmt"
+	"time"
+)
+
+// Standard site: its zones, services and routes.
+const (
+	StandardHost = "site.example"
+	StandardKey  = "key-1"
+	StandardTeam = "team-1"
+
+	workTime      = 5 * time.Millisecond // short, so that a demo has many requests
+	streamEvents  = 8
+	stageBatch    = 4
+	deadlineMs    = 20_000 // of routes; no test waits so long
+	objectiveMs   = 2_000
+	pauseMs       = 500
+	resultBytes   = 1_000
+	stageMemoryMB = 10
+	cacheTokens   = 100_000
+)
+
+// StandardZones are the zones of the standard site.
+func StandardZones() []string { return []string{"z1", "z2"} }
+
+// StartStandard starts a site with two plain endpoints (p1, p2), two engines
+// (g1, g2) and two endpoints for each of two stages (e1, e2, r1, r2), one of each
+// a zone, and publishes its configuration.
+func StartStandard() (*Site, error) {
+	s, err := New()
+	if err != nil {
+		return nil, err
+	}
+	for i, zone := range StandardZones() {
+		for _, spec := range []Spec{
+			{ID: "p", Service: "desk", Kind: KindPlain, Slots: 8},
+			{ID: "g", Service: "engines", Kind: KindEngine, Slots: 16, Events: streamEvents},
+			{ID: "e", Service: "encode", Kind: KindStage, Slots: 1, Batch: stageBatch},
+			{ID: "r", Service: "retrieve", Kind: KindStage, Slots: 1, Batch: stageBatch},
+		} {
+			spec.ID = fmt.Sprint(spec.ID, i+1)
+			spec.Zone, spec.Work = zone, workTime
+			if _, err := s.Start(spec); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return s, s.Publish(StandardConfig(1))
+}
+
+// StandardConfig returns a version of the standard site's configuration, as it
+// is written into the store. It may be changed by the caller.
+func StandardConfig(version int) map[string]any {
+	route := func(prefix, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": "route" + prefix, "host": StandardHost, "prefix": prefix, "type": kind, "service": service,
+			"timeoutMs": deadlineMs, "sloMs": objectiveMs, "maxGapMs": pauseMs, "maxAttempts": 2, "priority": 1,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	stages := []any{
+		map[string]any{"service": "encode", "after": []int{}, "bytes": resultBytes},
+		map[string]any{"service": "retrieve", "after": []int{0}, "bytes": resultBytes},
+	}
+	stageService := func(name string) map[string]any {
+		return map[string]any{"name": name, "maxConns": 50, "segments": map[string]any{
+			"slots": 1, "queue": 8, "batch": stageBatch, "callMs": workTime.Milliseconds(), "itemMs": 1,
+			"headroomMb": stageMemoryMB, "handleS": 30, "linkMbps": 1000,
+		}}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("/plain/", "idempotent", "desk", nil),
+			route("/once/", "non_idempotent", "desk", nil),
+			route("/review/", "streaming", "engines", map[string]any{"resumable": true, "sticky": true, "stages": stages}),
+			route("/note/", "streaming", "engines", nil),
+		},
+		"services": []any{
+			map[string]any{"name": "desk", "maxConns": 50, "coldS": 1, "coldPerS": 5},
+			map[string]any{"name": "engines", "maxConns": 50, "engine": map[string]any{"slots": 16, "kvCapacity": cacheTokens}},
+			stageService("encode"),
+			stageService("retrieve"),
+		},
+		"limits": map[string]any{
+			"maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 2000, "idleTimeoutMs": 30_000,
+		},
+		"tenants": []any{map[string]any{"name": StandardTeam, "apiKeys": []string{StandardKey}}},
+	}
+}
