relay/logs: a log writer that nothing can block or break, and scripted scenes

Cause: the scenes, run with the race detector, found two faults of the asynchronous writer in use: a data race at its first line, and a panic (send on a closed channel) when a link wrote a line after a stopping relay had closed it. A relay that panics while it drains would cut the requests under way. Ruled out: the scenes themselves; both stacks lie in the writer. Change: lines go to bounded queues that are never closed, what went wrong first; each kind of line has a rate, and what is left out is counted. More lines: the endpoint chosen and why, whether a retry was made and why not, suspicion of endpoints. Settings are read again on SIGHUP and when the file changes.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -66,6 +66,12 @@
 	// ColdShare returns how many requests this process may send to a cold
 	// endpoint of a service in any one second.
 	ColdShare func(svc *fleet.Service, e *fleet.Endpoint) int
+	// OnSuspect hears that an endpoint gets no work for a while, and why. It may
+	// be nil.
+	OnSuspect func(e *fleet.Endpoint, why string, failures int, pause time.Duration)
+	// OnClear hears that an endpoint answered well after it was suspected. It may
+	// be nil.
+	OnClear func(e *fleet.Endpoint)
 
 	nodes map[string]*node
 }
@@ -103,17 +109,47 @@
 	return p.node(e).load(e, now)
 }
 
-// Pick returns the endpoint for a request, or nil if none can take it. list are
-// the endpoints that may be given work.
-func (p *Picker) Pick(now time.Time, svc *fleet.Service, list []*fleet.Endpoint, w Want) *fleet.Endpoint {
+// Why says what decided a choice.
+type Why string
+
+// Reasons of choices.
+const (
+	WhyLoad     Why = "load"     // the least loaded
+	WhyAffinity Why = "affinity" // it holds, or will hold, the prompt
+	WhyCold     Why = "cold"     // cold, and within this process's share
+	WhySuspect  Why = "suspect"  // no better one was left
+)
+
+// Choice is an endpoint and why it was chosen.
+type Choice struct {
+	Endpoint   *fleet.Endpoint // nil: none can take the request
+	Why        Why
+	Candidates int     // endpoints that were usable
+	Load       float64 // share of the endpoint's slots in use, as believed
+}
+
+// Pick chooses the endpoint for a request. list are the endpoints that may be
+// given work.
+func (p *Picker) Pick(now time.Time, svc *fleet.Service, list []*fleet.Endpoint, w Want) Choice {
 	usable := p.usable(now, svc, list, w)
 	if len(usable) == 0 {
-		return nil
+		return Choice{}
 	}
+	c := Choice{Why: WhyLoad, Candidates: len(usable)}
 	if w.Affinity != 0 {
-		return p.near(now, usable, w)
+		c.Why = WhyAffinity
+		c.Endpoint = p.near(now, usable, w)
+	} else {
+		c.Endpoint = p.least(now, usable, w)
 	}
-	return p.least(now, usable, w)
+	c.Load = p.Load(c.Endpoint, now)
+	switch {
+	case p.cold(now, svc, c.Endpoint):
+		c.Why = WhyCold
+	case p.Suspect(c.Endpoint, now):
+		c.Why = WhySuspect
+	}
+	return c
 }
 
 // usable drops endpoints that were tried, are suspect, or are cold beyond this
@@ -204,13 +240,19 @@
 	n.own = max(0, n.own-1)
 	switch r {
 	case ResultGood:
+		if n.ejected > 0 && p.OnClear != nil {
+			p.OnClear(e)
+		}
 		n.failures, n.ejected = 0, 0
 		n.answered(0)
 	case ResultFailed:
 		n.failures++
 		n.answered(1)
-		if n.failures >= suspectAfter || (n.samples >= failureSamples && n.share > failureEject) {
-			n.eject(now)
+		switch {
+		case n.failures >= suspectAfter:
+			p.eject(now, e, "failures in a row")
+		case n.samples >= failureSamples && n.share > failureEject:
+			p.eject(now, e, "share of failures")
 		}
 	}
 }
@@ -220,15 +262,20 @@
 	n.share += failureWeight * (failure - n.share)
 }
 
-func (n *node) eject(now time.Time) {
-	n.until = now.Add(min(suspectMost, suspectBase<<min(n.ejected, 8)))
+func (p *Picker) eject(now time.Time, e *fleet.Endpoint, why string) {
+	n := p.node(e)
+	pause := min(suspectMost, suspectBase<<min(n.ejected, 8))
+	if p.OnSuspect != nil {
+		p.OnSuspect(e, why, n.failures, pause)
+	}
+	n.until = now.Add(pause)
 	n.ejected++
 	n.failures = suspectAfter - 1 // one more failure after the return ejects again
 	n.samples, n.share = 0, 0
 }
 
 // Unreachable records that no connection to an endpoint could be made.
-func (p *Picker) Unreachable(now time.Time, e *fleet.Endpoint) { p.node(e).eject(now) }
+func (p *Picker) Unreachable(now time.Time, e *fleet.Endpoint) { p.eject(now, e, "unreachable") }
 
 // Report records what an endpoint said of its load.
 func (p *Picker) Report(now time.Time, e *fleet.Endpoint, l Load) {
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -137,7 +137,7 @@
 			ask.Affinity = xxhash.Sum64String(p)
 		}
 		got := "none"
-		if e := r.picker.Pick(now, svc, r.view.Endpoints("s", now), ask); e != nil {
+		if e := r.picker.Pick(now, svc, r.view.Endpoints("s", now), ask).Endpoint; e != nil {
 			got = e.ID
 			if a.opts["begin"] != "no" {
 				r.picker.Begin(now, svc, e)
--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -223,7 +223,7 @@
 	case FaultUnsigned:
 		delete(head, "X-Server-Stamp")
 	case FaultForeign:
-		head["X-Attempt-Id"] = "foreign"
+		head["X-Attempt-Id"] = "of-another"
 	}
 	for k, v := range head {
 		ctx.Response.Header.Set(k, v)
@@ -255,9 +255,6 @@
 // Body returns the answer to a request.
 func Body(uri, body string) string { return fmt.Sprintf("answer to %s with %d bytes", uri, len(body)) }
 
-// Event returns the data of an event of the answer to a request.
-func Event(uri string, id int) string { return fmt.Sprintf("%s-%d", uri, id) }
-
 // stageItem is one item of a stage call.
 type stageItem struct {
 	ID      string   `json:"id"`
@@ -321,3 +318,15 @@
 		delete(s.results, h)
 	}
 }
+
+// Events returns the answer of an engine: the events with ids from one to the
+// last of count.
+func Events(uri string, from, count int) string {
+	var b strings.Builder
+	for i := from; i < count; i++ {
+		b.WriteString(event(uri, i))
+	}
+	return b.String()
+}
+
+func event(uri string, id int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, uri, id) }
--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -22,15 +21,15 @@
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		for i := from; i < s.Events; i++ {
 			time.Sleep(s.Work)
-			event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, Event(uri, i))
+			text := event(uri, i)
 			if fault == FaultCut && i == from+s.Events/2 {
 				// In the middle of an event.
-				_, _ = w.WriteString(event[:len(event)/2]) // the caller is gone if this fails
+				_, _ = w.WriteString(text[:len(text)/2]) // the caller is gone if this fails
 				_ = w.Flush()
 				_ = conn.Close()
 				return
 			}
-			if _, err := w.WriteString(event); err != nil || w.Flush() != nil {
+			if _, err := w.WriteString(text); err != nil || w.Flush() != nil {
 				return
 			}
 		}
--- a/proof/fleet/ports.go
+++ b/proof/fleet/ports.go
@@ -43,3 +43,13 @@
 	p.err = errors.New("no free port")
 	return ""
 }
+
+// FreeAddrs returns n addresses of the loopback to listen on.
+func FreeAddrs(n int) ([]string, error) {
+	var p ports
+	out := make([]string, n)
+	for i := range out {
+		out[i] = p.next()
+	}
+	return out, p.err
+}
--- a/proof/fleet/procs.go
+++ b/proof/fleet/procs.go
@@ -41,6 +41,20 @@
 	return nil
 }
 
+// StartProc starts a program that writes to a log file.
+func StartProc(name, log string, args ...string) (*Proc, error) {
+	p := &Proc{Name: name, args: args, log: log}
+	return p, p.start()
+}
+
+// Stop ends the process by SIGTERM and waits for its end.
+func (p *Proc) Stop(limit time.Duration) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return p.Wait(limit)
+}
+
 // Running reports whether the process has not ended.
 func (p *Proc) Running() bool {
 	select {
@@ -74,13 +88,21 @@
 func (p *Proc) ID() int { return p.cmd.Process.Pid }
 
 // Build builds the programs into dir. root is the top of the repository.
-func Build(root, dir string) error { return build(root, dir) }
+func Build(root, dir string) error { return build(root, dir, programs()) }
+
+// BuildRace is Build with the race detector. It builds only the programs that
+// are named, if any are.
+func BuildRace(root, dir string, names ...string) error {
+	if len(names) == 0 {
+		names = programs()
+	}
+	return build(root, dir, names, "-race")
+}
 
-// BuildRace is Build with the race detector.
-func BuildRace(root, dir string) error { return build(root, dir, "-race") }
+func programs() []string { return []string{"entry", "agent", "fakes", "wpctl"} }
 
-func build(root, dir string, flags ...string) error {
-	for _, name := range []string{"entry", "agent", "fakes", "wpctl"} {
+func build(root, dir string, names []string, flags ...string) error {
+	for _, name := range names {
 		args := append([]string{"build"}, flags...)
 		cmd := exec.Command("go", append(args, "-o", filepath.Join(dir, name), ".")...)
 		cmd.Dir = filepath.Join(root, name)
--- a/relay/carry/attempt.go
+++ b/relay/carry/attempt.go
@@ -10,6 +10,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 )
 
@@ -25,26 +26,49 @@
 	endGone   end = "gone"    // the caller went away
 )
 
-// choose returns the endpoint for the next attempt, or nil.
-func (k *walk) choose() (*fleet.Service, *fleet.Endpoint) {
+// choose returns the endpoint for the next attempt.
+func (k *walk) choose() (*fleet.Service, pick.Choice) {
 	v, now := k.View(), k.Clock.Now()
 	svc := v.Config.Service(k.service)
 	if svc == nil {
-		return nil, nil
+		return nil, pick.Choice{}
 	}
 	want := pick.Want{Zone: k.Zone, Affinity: k.affinity(), Exclude: k.tried}
 	return svc, k.Nodes.Pick(svc, v.Endpoints(k.service, now), want)
 }
 
-// again reports whether one more attempt may be made after an end.
-func (k *walk) again(e end) bool {
-	if e == endFailed && (!k.route.Repeatable() || k.attempts >= k.route.MaxAttempts) {
-		return false
+// again reports whether one more attempt may be made after an end. lastEvent is
+// where a stream goes on.
+func (k *walk) again(e end, lastEvent int64) bool {
+	b := k.budget(k.service)
+	saved := b.Saved()
+	why := ""
+	switch {
+	case e == endFailed && !k.route.Repeatable():
+		why = "it may have run and must not run twice"
+	case e == endFailed && k.attempts >= k.route.MaxAttempts:
+		why = "as many attempts as the route allows"
+	case !k.Clock.Now().Before(k.deadline):
+		why = "no time left"
+	case k.x.Gone():
+		why = "caller gone"
+	case !b.Spend(0):
+		why = "retry budget is spent"
 	}
-	if !k.Clock.Now().Before(k.deadline) || k.x.Gone() {
-		return false
+	ev := k.Log.Event
+	if why != "" {
+		ev = k.Log.Failure
 	}
-	return k.budget(k.service).Spend(0)
+	ev(logs.RetryDecided).Str("request", k.req.ID).Bool("retry", why == "").Str("reason", why).Float64("saved", saved).
+		Int64("event_id", lastEvent).Msg("")
+	return why == ""
+}
+
+// logBegin tells which endpoint was chosen and why.
+func (k *walk) logBegin(c pick.Choice, lastEvent int64) {
+	k.Log.Event(logs.AttemptBegun).Str("request", k.req.ID).Str("endpoint", c.Endpoint.ID).Str("zone", c.Endpoint.Zone).
+		Int("attempt", len(k.tried)).Str("choice", string(c.Why)).Int("candidates", c.Candidates).Float64("load", c.Load).
+		Uint64("affinity", k.affinity()).Int64("event_id", lastEvent).Dur("left_ms", k.deadline.Sub(k.Clock.Now())).Msg("")
 }
 
 // giveUp answers after the last attempt.
@@ -65,17 +89,19 @@
 func (k *walk) plain(ctx context.Context) {
 	k.budget(k.service).Earn()
 	for {
-		svc, e := k.choose()
+		svc, c := k.choose()
+		e := c.Endpoint
 		if e == nil {
 			k.giveUp("no endpoint")
 			return
 		}
 		k.tried[e.ID] = true
+		k.logBegin(c, -1)
 		came, why := k.attempt(ctx, svc, e)
 		if came == endDone || came == endGone {
 			return
 		}
-		if !k.again(came) {
+		if !k.again(came, -1) {
 			k.giveUp(why)
 			return
 		}
@@ -127,7 +153,7 @@
 	k.ended(e, pick.ResultGood, endDone, "")
 	var h fasthttp.ResponseHeader
 	plat.CopyAnswer(&h, &call.Head)
-	k.outcome = "answered"
+	k.outcome = answered
 	k.x.Answer(&h, body)
 	return endDone, ""
 }
@@ -192,8 +218,12 @@
 
 func (k *walk) ended(e *fleet.Endpoint, r pick.Result, came end, why string) {
 	k.Nodes.End(e, r)
-	k.Log.Info().Str("event", "attempt_done").Str("request", k.req.ID).Str("endpoint", e.ID).Int("attempt", k.attempts).
-		Str("result", string(r)).Str("end", string(came)).Str("reason", why).Dur("since", k.Clock.Now().Sub(k.began)).Msg("")
+	ev := k.Log.Event
+	if came != endDone {
+		ev = k.Log.Failure
+	}
+	ev(logs.AttemptDone).Str("request", k.req.ID).Str("endpoint", e.ID).Int("attempt", len(k.tried)).
+		Str("result", string(r)).Str("end", string(came)).Str("reason", why).Dur("since_ms", k.Clock.Now().Sub(k.began)).Msg("")
 }
 
 func (k *walk) report(e *fleet.Endpoint, a plat.Answer) {
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
 	"wigeonplank.example/core/clock"
@@ -18,7 +17,9 @@
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
+	"wigeonplank.example/relay/sets"
 	"wigeonplank.example/relay/stage"
 )
 
@@ -41,13 +42,11 @@
 	Pool   *pool.Pool
 	Stages *stage.Runner
 	Clock  clock.Clock
-	Log    *log.Logger
+	Log    *logs.Logger
 	// NewBudget returns the retry budget of a service.
 	NewBudget func() *retry.Budget
-
-	// NoAdmission is a baseline: requests that can't be in time are begun all
-	// the same.
-	NoAdmission bool
+	// Policy returns the policy in force.
+	Policy func() sets.Policy
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
@@ -69,19 +68,38 @@
 	inputs   []string
 	ran      bool // some endpoint may have run it
 	outcome  string
+	version  int64         // of the configuration that decides
+	after    time.Duration // when the caller may come back; 0: not said
 }
 
+// answered is the outcome of a request that an endpoint answered.
+const answered = "answered"
+
 // Serve answers a request. It blocks until the answer is written.
 func (w *Walker) Serve(x *front.Exchange) {
 	k := &walk{Walker: w, x: x, began: x.Began, tried: make(map[string]bool)}
 	k.serve()
-	ev := w.Log.Info()
-	ev.Str("event", "request_done").Str("request", k.req.ID).Str("outcome", k.outcome).Int("attempts", k.attempts).
-		Dur("took", w.Clock.Now().Sub(k.began))
+	k.logDone()
+}
+
+func (k *walk) logDone() {
+	now := k.Clock.Now()
+	ev := k.Log.Event
+	if k.outcome != answered {
+		ev = k.Log.Failure
+	}
+	line := ev(logs.RequestDone).Str("request", k.req.ID).Str("outcome", k.outcome).Int("status", k.x.Status()).
+		Int("attempts", k.attempts).Dur("took_ms", now.Sub(k.began)).Int64("version", k.version)
 	if k.route != nil {
-		ev.Str("route", k.route.Name)
+		line.Str("route", k.route.Name).Str("service", k.service).Str("team", k.teamName())
+	}
+	if !k.deadline.IsZero() {
+		line.Dur("left_ms", k.deadline.Sub(now))
+	}
+	if k.after > 0 {
+		line.Dur("retry_after_ms", k.after)
 	}
-	ev.Msg("")
+	line.Msg("")
 }
 
 // refuse answers for the system itself. A status that promises "not run" is
@@ -91,6 +109,7 @@
 	if after > 0 {
 		after += time.Duration(rand.Int64N(int64(after))) // callers don't come back together
 	}
+	k.after = after
 	k.x.Refuse(status, after)
 }
 
@@ -100,6 +119,7 @@
 		return
 	}
 	v := k.View()
+	k.version = v.Config.Version
 	var err error
 	if k.req, err = plat.ReadRequest(&k.x.Head); err != nil {
 		k.refuse(fasthttp.StatusBadRequest, 0, err.Error())
@@ -191,11 +211,15 @@
 	}
 	// The results should be near the endpoint that the request will most likely
 	// go to.
-	if _, e := k.choose(); e != nil {
-		job.Zone = e.Zone
+	if _, c := k.choose(); c.Endpoint != nil {
+		job.Zone = c.Endpoint.Zone
 	}
 	inputs, err := k.Stages.Run(ctx, job)
-	k.Log.Info().Str("event", "stages_done").Str("request", k.req.ID).Dur("since", k.Clock.Now().Sub(k.began)).Err(err).Msg("")
+	ev := k.Log.Event
+	if err != nil {
+		ev = k.Log.Failure
+	}
+	ev(logs.StagesDone).Str("request", k.req.ID).Dur("took_ms", k.Clock.Now().Sub(k.began)).Int("results", len(inputs)).Err(err).Msg("")
 	if err == nil {
 		k.inputs = inputs
 		return true
@@ -219,9 +243,14 @@
 	// The size of a prompt doesn't count here: large requests would be refused
 	// more often than small ones, though the stages work no longer for them.
 	left := k.due.Add(-engineStart).Sub(k.Clock.Now())
-	k.Log.Info().Str("event", "stages_estimated").Str("request", k.req.ID).Str("route", k.route.Name).Dur("now", est).Dur("idle", idle).
-		Dur("left", left).Msg("")
-	if k.NoAdmission || est <= left || est-idle < overloadSlack {
+	admitted := k.Policy().NoAdmission || est <= left || est-idle < overloadSlack
+	ev := k.Log.Event
+	if !admitted {
+		ev = k.Log.Failure
+	}
+	ev(logs.StagesEstimated).Str("request", k.req.ID).Dur("now_ms", est).Dur("idle_ms", idle).Dur("slack_ms", left).
+		Bool("admitted", admitted).Msg("")
+	if admitted {
 		return 0, true
 	}
 	return max(comeBack, est-max(left, idle)), false
@@ -232,6 +261,13 @@
 	return engineStart + time.Duration(k.req.PromptTokens)*promptToken
 }
 
+// ResetBudgets starts the retry budgets anew, with the settings in force.
+func (w *Walker) ResetBudgets() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.budgets)
+}
+
 // budget returns the retry budget of a service.
 func (w *Walker) budget(service string) *retry.Budget {
 	w.mu.Lock()
--- a/relay/carry/nodes.go
+++ b/relay/carry/nodes.go
@@ -17,8 +17,8 @@
 	mu sync.Mutex
 }
 
-// Pick returns the endpoint for a request, or nil.
-func (n *Nodes) Pick(svc *fleet.Service, list []*fleet.Endpoint, w pick.Want) *fleet.Endpoint {
+// Pick chooses the endpoint for a request.
+func (n *Nodes) Pick(svc *fleet.Service, list []*fleet.Endpoint, w pick.Want) pick.Choice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.Picker.Pick(n.Clock.Now(), svc, list, w)
--- a/relay/carry/stream.go
+++ b/relay/carry/stream.go
@@ -27,17 +27,19 @@
 	k.budget(k.service).Earn()
 	last := k.req.LastEvent
 	for {
-		svc, e := k.choose()
+		svc, c := k.choose()
+		e := c.Endpoint
 		if e == nil {
 			k.breakOff("no endpoint")
 			return
 		}
 		k.tried[e.ID] = true
+		k.logBegin(c, last)
 		came, why := k.attemptStream(ctx, svc, e, &last)
 		if came == endDone || came == endGone {
 			return
 		}
-		if !k.again(came) {
+		if !k.again(came, last) {
 			k.breakOff(why)
 			return
 		}
@@ -126,7 +128,7 @@
 
 func (k *walk) endStream(e *fleet.Endpoint, call *pool.Call) (end, string) {
 	k.ended(e, pick.ResultGood, endDone, "")
-	k.outcome = "answered"
+	k.outcome = answered
 	if !k.x.Begun() {
 		var h fasthttp.ResponseHeader
 		plat.CopyAnswer(&h, &call.Head)
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -13,12 +13,10 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 
 	"wigeonplank.example/base/admin"
-	base "wigeonplank.example/base/sets"
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
@@ -29,6 +27,7 @@
 	"wigeonplank.example/relay/carry"
 	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/peers"
 	"wigeonplank.example/relay/pool"
 	"wigeonplank.example/relay/sets"
@@ -37,7 +36,6 @@
 
 const (
 	tickInterval   = 25 * time.Millisecond // of what has to happen without an event
-	logBuffer      = 4096                  // lines; more are dropped rather than wait
 	memoryShare    = 0.7                   // of the instance's memory that the heap may use
 	gcPercent      = 200
 	defaultExpect  = 8
@@ -48,6 +46,8 @@
 	stopMargin     = 500 * time.Millisecond  // the process ends so long before it would be killed
 	ratioShare     = 0.75                    // of the retries that are allowed; the rest is margin
 	coldMargin     = 0.8                     // of the requests that a cold endpoint may get
+	reloadPause    = time.Second             // between two looks at the settings file
+	flushTime      = 200 * time.Millisecond  // for the last lines, if standard output is slow
 )
 
 // Parser returns the command line, which fills opts.
@@ -64,7 +64,7 @@
 func run(opts start.Options) error {
 	c := dig.New()
 	provide := []any{
-		func() (sets.Settings, error) { return base.Load[sets.Settings](opts.Settings) },
+		func() (*sets.Live, error) { return sets.Open(opts.Settings) },
 		newLogger,
 		newControl,
 		newNodes,
@@ -87,26 +87,27 @@
 	return nil
 }
 
-func newLogger(s sets.Settings) *log.Logger {
-	return &log.Logger{
-		Level:   log.InfoLevel,
-		Writer:  &log.AsyncWriter{ChannelSize: logBuffer, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}},
-		Context: log.NewContext(nil).Str("program", "relay").Str("instance", s.Instance).Value(),
-	}
+func newLogger(s *sets.Live) *logs.Logger {
+	return logs.New(os.Stdout, clock.System{}, s.Get().Instance)
+}
+
+func newControl(s *sets.Live, l *logs.Logger, n *carry.Nodes) *ctrl.Control {
+	return &ctrl.Control{Store: plat.NewStore(s.Get().Store), Clock: clock.System{}, Log: l, OnView: n.Forget}
 }
 
-func newControl(s sets.Settings, l *log.Logger, n *carry.Nodes) *ctrl.Control {
-	return &ctrl.Control{Store: plat.NewStore(s.Store), Clock: clock.System{}, Log: l, OnView: n.Forget}
+func policy(s *sets.Live) func() sets.Policy {
+	return func() sets.Policy { return s.Get().Policy }
 }
 
-func expected(s sets.Settings) int {
+func expected(s *sets.Settings) int {
 	if s.Peers.Expect > 0 {
 		return s.Peers.Expect
 	}
 	return defaultExpect
 }
 
-func newMesh(s sets.Settings, l *log.Logger, inc start.Incarnation) *peers.Mesh {
+func newMesh(live *sets.Live, l *logs.Logger, inc start.Incarnation) *peers.Mesh {
+	s := live.Get()
 	beat := s.Peers.Beat
 	if beat == 0 {
 		beat = defaultBeat
@@ -116,40 +117,46 @@
 			Self:   peer.Member{Instance: s.Instance, Incarnation: inc.ID, Addr: s.Peers.Listen, Zone: s.Zone},
 			Expect: expected(s), Started: time.Now(),
 		},
-		Seeds: s.Peers.Seeds, Beat: beat, Clock: clock.System{}, Log: l, Alone: s.Policy.BatchAlone,
+		Seeds: func() []string { return live.Get().Peers.Seeds }, Beat: beat, Clock: clock.System{}, Log: l, Policy: policy(live),
 	}
 }
 
-func newNodes(s sets.Settings, m *peers.Mesh) *carry.Nodes {
+func newNodes(s *sets.Live, l *logs.Logger, m *peers.Mesh) *carry.Nodes {
 	n := &carry.Nodes{Clock: clock.System{}}
+	n.Picker.OnSuspect = func(e *fleet.Endpoint, why string, failures int, pause time.Duration) {
+		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", why).Int("failures", failures).Dur("pause_ms", pause).Msg("")
+	}
+	n.Picker.OnClear = func(e *fleet.Endpoint) { l.Event(logs.EndpointCleared).Str("endpoint", e.ID).Msg("") }
 	n.Picker.ColdShare = func(svc *fleet.Service, e *fleet.Endpoint) int {
-		all := svc.ColdRate*max(1, s.Cold.Overshoot) + s.Cold.Slack
+		cold := s.Get().Cold
+		all := svc.ColdRate*max(1, cold.Overshoot) + cold.Slack
 		return quota.Share(all*coldMargin, m.Size(), m.Rank(e.ID))
 	}
 	return n
 }
 
-func newStages(l *log.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, m *peers.Mesh) *stage.Runner {
+func newStages(l *logs.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, m *peers.Mesh) *stage.Runner {
 	st := &stage.Runner{View: c.View, Health: n, Peers: m, Pool: p, Clock: clock.System{}, Log: l}
 	m.Handler = st
 	return st
 }
 
-func newWalker(s sets.Settings, l *log.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, st *stage.Runner, m *peers.Mesh) *carry.Walker {
-	ratio := s.Retry.Ratio
-	if ratio == 0 {
-		ratio = defaultRatio
-	}
+func newWalker(live *sets.Live, l *logs.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, st *stage.Runner, m *peers.Mesh) *carry.Walker {
 	return &carry.Walker{
-		Zone: s.Zone, View: c.View, Ready: c.Ready, Nodes: n, Pool: p, Stages: st, Clock: clock.System{}, Log: l,
-		NoAdmission: s.Policy.NoAdmission,
+		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Nodes: n, Pool: p, Stages: st, Clock: clock.System{}, Log: l,
+		Policy: policy(live),
 		NewBudget: func() *retry.Budget {
+			s := live.Get()
+			ratio := s.Retry.Ratio
+			if ratio == 0 {
+				ratio = defaultRatio
+			}
 			return &retry.Budget{Share: ratio * ratioShare, Reserve: max(1, s.Retry.Slack*ratioShare/float64(max(expected(s), m.Size())))}
 		},
 	}
 }
 
-func newFront(l *log.Logger, c *ctrl.Control, w *carry.Walker) *front.Server {
+func newFront(l *logs.Logger, c *ctrl.Control, w *carry.Walker) *front.Server {
 	return &front.Server{
 		Handle: w.Serve,
 		Limits: func() fleet.Limits {
@@ -178,10 +185,9 @@
 	}}
 }
 
-func serveUntilStopped(s sets.Settings, l *log.Logger, c *ctrl.Control, st *stage.Runner, m *peers.Mesh, f *front.Server, adm *admin.Server) error {
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
-	}
+func serveUntilStopped(live *sets.Live, l *logs.Logger, c *ctrl.Control, w *carry.Walker, st *stage.Runner, m *peers.Mesh, f *front.Server, adm *admin.Server) error {
+	s := live.Get()
+	limitMemory(s)
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -204,17 +210,37 @@
 	go func() { failed <- adm.Serve(adminLn) }()
 	go c.Run(ctx)
 	go tick(ctx, st)
-	l.Info().Str("event", "started").Str("zone", s.Zone).Msg("")
-	err = await(failed, l)
-	if err != nil {
+	l.Event(logs.Started).Str("zone", s.Zone).Str("store", s.Store).Str("settings", live.File()).Msg("")
+	if err := await(failed, func() { reload(live, l, w) }); err != nil {
 		return err
 	}
 	m.Leave()
-	stop(s, l, f)
+	stop(live.Get(), l, f)
 	m.Close()
 	return nil
 }
 
+func limitMemory(s *sets.Settings) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
+}
+
+// reload puts changed settings in force.
+func reload(live *sets.Live, l *logs.Logger, w *carry.Walker) {
+	keys, err := live.Reload()
+	if err != nil {
+		l.Event(logs.SettingsRejected).Str("settings", live.File()).Err(err).Msg("")
+		return
+	}
+	if len(keys) == 0 {
+		return
+	}
+	limitMemory(live.Get())
+	w.ResetBudgets()
+	l.Event(logs.SettingsApplied).Str("settings", live.File()).Strs("keys", keys).Msg("")
+}
+
 func tick(ctx context.Context, st *stage.Runner) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
@@ -228,7 +254,11 @@
 	}
 }
 
-func await(failed <-chan error, l *log.Logger) error {
+// await blocks until a signal to stop, which is no error, or the end of a
+// listener. It looks for changed settings on SIGHUP and every now and then.
+func await(failed <-chan error, reload func()) error {
+	t := time.NewTicker(reloadPause)
+	defer t.Stop()
 	sig := make(chan os.Signal, 4)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
@@ -239,24 +269,24 @@
 			if got != syscall.SIGHUP {
 				return nil
 			}
-			l.Info().Str("event", "reload").Msg("")
+			reload()
+		case <-t.C:
+			reload()
 		}
 	}
 }
 
-func stop(s sets.Settings, l *log.Logger, f *front.Server) {
+func stop(s *sets.Settings, l *logs.Logger, f *front.Server) {
 	longest := s.Stop.Longest
 	if longest == 0 {
 		longest = defaultLongest
 	}
-	l.Info().Str("event", "stopping").Int64("active", f.Active()).Dur("longest", longest).Msg("")
+	l.Event(logs.Stopping).Int64("active", f.Active()).Dur("longest_ms", longest).Msg("")
 	ctx, cancel := context.WithTimeout(context.Background(), longest-stopMargin)
 	defer cancel()
 	accept, cancelAccept := context.WithTimeout(ctx, min(noticeTime, longest/3))
 	defer cancelAccept()
 	f.Stop(ctx, accept)
-	l.Info().Str("event", "stopped").Int64("active", f.Active()).Msg("")
-	if w, ok := l.Writer.(*log.AsyncWriter); ok {
-		_ = w.Close() // the last lines are written, or standard output is gone
-	}
+	l.Event(logs.Stopped).Int64("active", f.Active()).Msg("")
+	l.Flush(flushTime)
 }
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -9,13 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 )
 
 // Timing of the reads from the store.
@@ -34,7 +33,7 @@
 type Control struct {
 	Store *plat.Store
 	Clock clock.Clock
-	Log   *log.Logger
+	Log   *logs.Logger
 	// OnView is called from the control goroutine after each change.
 	OnView func(v *fleet.View)
 
@@ -98,24 +97,25 @@
 
 // follow reads all below a prefix and then its changes.
 func (c *Control) follow(ctx context.Context, prefix string) {
-	after, failures := int64(-1), 0
+	after, failures, lost := int64(-1), 0, time.Time{}
 	for ctx.Err() == nil {
 		n, err := c.read(prefix, &after)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
-			c.Log.Warn().Str("event", "history_gone").Str("prefix", prefix).Int64("after", after).Msg("")
+			c.Log.Event(logs.HistoryGone).Str("prefix", prefix).Int64("after", after).Msg("")
 			after = -1
 			continue
 		case err != nil:
 			failures++
 			if failures == 1 {
-				c.Log.Warn().Str("event", "store_lost").Str("prefix", prefix).Err(err).Msg("")
+				lost = c.Clock.Now()
+				c.Log.Event(logs.StoreLost).Str("prefix", prefix).Err(err).Msg("")
 			}
 			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: backoffMost}.Wait(failures, rand.Float64()))
 			continue
 		}
 		if failures > 0 {
-			c.Log.Warn().Str("event", "store_regained").Str("prefix", prefix).Int("failures", failures).Msg("")
+			c.Log.Event(logs.StoreRegained).Str("prefix", prefix).Int("failures", failures).Dur("lost_ms", c.Clock.Now().Sub(lost)).Msg("")
 		}
 		n.outage = failures > 0
 		failures = 0
@@ -203,14 +203,14 @@
 func (c *Control) applyConfig(it plat.Item) {
 	cfg, err := plat.DecodeConfig(it)
 	if err != nil {
-		c.Log.Error().Str("event", "config_rejected").Int64("revision", it.Revision).Err(err).Msg("")
+		c.Log.Event(logs.ConfigRejected).Int64("revision", it.Revision).Err(err).Msg("")
 		return
 	}
 	if old := c.state.view.Config; old != nil && cfg.Version <= old.Version {
 		return
 	}
 	c.state.view = c.state.view.WithConfig(cfg)
-	c.Log.Info().Str("event", "config_applied").Int64("version", cfg.Version).Int64("revision", it.Revision).Int("routes", cfg.Routes()).Msg("")
+	c.Log.Event(logs.ConfigApplied).Int64("version", cfg.Version).Int64("revision", it.Revision).Int("routes", cfg.Routes()).Msg("")
 }
 
 // applyZones puts the drained zones in force. The endpoints of a zone that comes
@@ -220,14 +220,14 @@
 	change := fleet.Change{Drained: zones}
 	for z := range zones {
 		if !before[z] {
-			c.Log.Info().Str("event", "zone_drained").Str("zone", z).Msg("")
+			c.Log.Event(logs.ZoneDrained).Str("zone", z).Msg("")
 		}
 	}
 	for z := range before {
 		if zones[z] {
 			continue
 		}
-		c.Log.Info().Str("event", "zone_returned").Str("zone", z).Msg("")
+		c.Log.Event(logs.ZoneReturned).Str("zone", z).Msg("")
 		c.state.coldUntil[z] = now
 		for _, e := range c.state.view.All() {
 			if e.Zone == z {
@@ -270,7 +270,7 @@
 		}
 		e, err := plat.DecodeEndpoint(it, now)
 		if err != nil {
-			c.Log.Warn().Str("event", "endpoint_rejected").Str("endpoint", id).Int64("revision", it.Revision).Err(err).Msg("")
+			c.Log.Event(logs.EndpointRejected).Str("endpoint", id).Int64("revision", it.Revision).Err(err).Msg("")
 			change.Drop = append(change.Drop, id)
 			continue
 		}
@@ -296,11 +296,11 @@
 	// An outage makes entries lapse whose endpoints are well.
 	if !c.state.regained.IsZero() && now.Sub(c.state.regained) < returnWindow {
 		change.Fallback[id] = now.Add(missingGrace)
-		c.Log.Info().Str("event", "endpoint_missing").Str("endpoint", id).Dur("grace", missingGrace).Msg("")
+		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", missingGrace).Msg("")
 		return
 	}
 	change.Drop = append(change.Drop, id)
-	c.Log.Info().Str("event", "endpoint_gone").Str("endpoint", id).Msg("")
+	c.Log.Event(logs.EndpointGone).Str("endpoint", id).Msg("")
 }
 
 func (c *Control) logEndpoint(e *fleet.Endpoint, now time.Time) {
@@ -308,6 +308,6 @@
 	if old != nil && old.State == e.State && old.Born == e.Born && old.ColdAt(now) == e.ColdAt(now) {
 		return
 	}
-	c.Log.Info().Str("event", "endpoint_seen").Str("endpoint", e.ID).Str("service", e.Service).Str("zone", e.Zone).
+	c.Log.Event(logs.EndpointSeen).Str("endpoint", e.ID).Str("service", e.Service).Str("zone", e.Zone).
 		Str("addr", e.Addr).Str("state", string(e.State)).Bool("cold", e.ColdAt(now)).Int64("revision", e.Revision).Msg("")
 }
--- a/relay/front/answer.go
+++ b/relay/front/answer.go
@@ -21,6 +21,7 @@
 
 // Answer writes a whole answer. A caller that has gone is no error.
 func (x *Exchange) Answer(h *fasthttp.ResponseHeader, body []byte) {
+	x.status = h.StatusCode()
 	h.SetContentLength(len(body))
 	x.out = x.head(x.out[:0], h)
 	if !x.Head.IsHead() {
@@ -32,6 +33,7 @@
 
 // Begin writes the head of a stream together with its first events.
 func (x *Exchange) Begin(h *fasthttp.ResponseHeader, first []byte) error {
+	x.status = h.StatusCode()
 	h.SetContentLength(-1)
 	x.out = x.head(x.out[:0], h)
 	x.begun = true
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -14,10 +14,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/valyala/fasthttp"
 
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/relay/logs"
 )
 
 // Defaults and bounds of a connection.
@@ -37,7 +37,7 @@
 	Handle func(x *Exchange)
 	// Limits returns the limits in force.
 	Limits func() fleet.Limits
-	Log    *log.Logger
+	Log    *logs.Logger
 
 	ln       net.Listener
 	mu       sync.Mutex
@@ -190,7 +190,7 @@
 	_ = c.SetReadDeadline(x.Began.Add(limits.HeaderTimeout)) // fails only on a closed connection
 	if bad := x.read(c, br, limits); bad != nil {
 		if bad.Status != 0 {
-			s.Log.Info().Str("event", "request_rejected").Str("caller", c.RemoteAddr().String()).
+			s.Log.Failure(logs.RequestRejected).Str("caller", c.RemoteAddr().String()).
 				Int("status", bad.Status).Str("reason", bad.Reason).Msg("")
 			x.close = true
 			x.Refuse(bad.Status, 0)
@@ -248,9 +248,13 @@
 	answered bool // the answer is whole
 	begun    bool
 	close    bool // the connection ends after this answer
+	status   int
 	out      []byte
 }
 
+// Status returns the status of the answer, 0 if none was begun.
+func (x *Exchange) Status() int { return x.status }
+
 // Gone reports whether the caller has closed its connection.
 func (x *Exchange) Gone() bool { return x.Context != nil && x.Context.Err() != nil }
 
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -16,6 +16,7 @@
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 )
 
 const (
@@ -54,7 +55,7 @@
 		}
 		failures++
 		if failures == 1 {
-			l.mesh.Log.Info().Str("event", "link_down").Str("addr", l.addr).Err(err).Msg("")
+			l.mesh.Log.Event(logs.LinkDown).Str("addr", l.addr).Err(err).Msg("")
 		}
 		wait.For(ctx, retry.Backoff{Base: redialBase, Max: redialMost}.Wait(failures, rand.Float64()))
 	}
@@ -128,7 +129,7 @@
 	m.mu.Lock()
 	m.byID[who.Instance] = l
 	m.mu.Unlock()
-	m.Log.Info().Str("event", "link_up").Str("member", who.Instance).Str("addr", l.addr).Msg("")
+	m.Log.Event(logs.LinkUp).Str("member", who.Instance).Str("addr", l.addr).Msg("")
 }
 
 func write(st *link.Stream, out <-chan *Work, done <-chan struct{}) {
@@ -161,7 +162,7 @@
 	}
 	l.pending = nil
 	l.mu.Unlock()
-	m.Log.Info().Str("event", "link_lost").Str("member", who.Instance).Int("items", len(lost)).Msg("")
+	m.Log.Event(logs.LinkLost).Str("member", who.Instance).Int("items", len(lost)).Msg("")
 	m.Handler.Lost(lost)
 }
 
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
-	"github.com/phuslu/log"
 
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/peer"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
+	"wigeonplank.example/relay/sets"
 )
 
 // Timing of links. A request's objective is about a second, so a silent link
@@ -48,14 +49,14 @@
 // Mesh holds the links of one relay. Set the exported fields before Serve and
 // Run. It is safe for concurrent use.
 type Mesh struct {
-	Group   *peer.Group // used by the mesh alone
-	Seeds   []string    // IP:port
+	Group   *peer.Group     // used by the mesh alone
+	Seeds   func() []string // IP:port; they may change
 	Beat    time.Duration
 	Handler Handler
 	Clock   clock.Clock
-	Log     *log.Logger
-	// Alone is a baseline: items are never handed to other relays.
-	Alone bool
+	Log     *logs.Logger
+	// Policy returns the policy in force.
+	Policy func() sets.Policy
 
 	mu      sync.Mutex
 	links   map[string]*outLink // by address
@@ -70,9 +71,7 @@
 	m.links = make(map[string]*outLink)
 	m.byID = make(map[string]*outLink)
 	m.mu.Unlock()
-	for _, a := range m.Seeds {
-		m.connect(ctx, a)
-	}
+	m.maintain(ctx)
 	t := time.NewTicker(m.Beat)
 	defer t.Stop()
 	for {
@@ -99,7 +98,10 @@
 	}
 	m.mu.Unlock()
 	for _, g := range gone {
-		m.Log.Info().Str("event", "member_forgotten").Str("member", g.Instance).Msg("")
+		m.Log.Event(logs.MemberForgotten).Str("member", g.Instance).Msg("")
+	}
+	for _, a := range m.Seeds() {
+		m.connect(ctx, a)
 	}
 	for _, k := range members {
 		m.connect(ctx, k.Addr)
@@ -107,7 +109,7 @@
 }
 
 func (m *Mesh) isSeed(addr string) bool {
-	for _, s := range m.Seeds {
+	for _, s := range m.Seeds() {
 		if s == addr {
 			return true
 		}
@@ -153,7 +155,7 @@
 // owner returns the link to the relay that looks after a pool, or nil if that
 // is this one.
 func (m *Mesh) owner(p batch.Pool) *outLink {
-	if m.Alone {
+	if m.Policy().BatchAlone {
 		return nil
 	}
 	m.mu.Lock()
@@ -220,7 +222,7 @@
 	defer m.mu.Unlock()
 	for _, w := range append(b.GetMembers(), b.GetSelf()) {
 		if m.Group.Heard(now, fromWire(w)) {
-			m.Log.Info().Str("event", "member_heard").Str("member", w.GetInstance()).Str("addr", w.GetAddr()).
+			m.Log.Event(logs.MemberHeard).Str("member", w.GetInstance()).Str("addr", w.GetAddr()).
 				Str("zone", w.GetZone()).Str("from", b.GetSelf().GetInstance()).Msg("")
 		}
 	}
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -12,6 +12,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 )
 
@@ -30,12 +31,12 @@
 		r.Health.Unreachable(c.Endpoint)
 	}
 	r.Health.End(c.Endpoint, result)
-	ev := r.Log.Info()
+	ev := r.Log.Event
 	if err != nil {
-		ev = r.Log.Warn().Err(err)
+		ev = r.Log.Failure
 	}
-	ev.Str("event", "stage_call").Str("endpoint", c.Endpoint.ID).Str("service", c.Service.Name).Int("items", len(c.Items)).
-		Strs("requests", requests(c.Items)).Str("result", string(result)).Dur("took", now.Sub(c.Began)).Msg("")
+	ev(logs.StageCall).Str("endpoint", c.Endpoint.ID).Str("service", c.Service.Name).Int("items", len(c.Items)).
+		Strs("requests", requests(c.Items)).Str("result", string(result)).Dur("took_ms", now.Sub(c.Began)).Err(err).Msg("")
 	r.do(func(fx *effects) {
 		r.sched.Done(now, c, outcome(results, full))
 		for i, it := range c.Items {
@@ -201,7 +202,7 @@
 		_, _, err = r.roundTrip(e, msg, r.Clock.Now().Add(freeTimeout))
 	}
 	if err != nil {
-		r.Log.Info().Str("event", "release_failed").Str("endpoint", e.ID).Int("results", len(list)).Err(err).Msg("")
+		r.Log.Failure(logs.ReleaseFailed).Str("endpoint", e.ID).Int("results", len(list)).Err(err).Msg("")
 		return
 	}
 	r.mu.Lock()
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -9,13 +9,12 @@
 	"sync"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 )
 
@@ -59,7 +58,7 @@
 	Peers  Peers
 	Pool   *pool.Pool
 	Clock  clock.Clock
-	Log    *log.Logger
+	Log    *logs.Logger
 
 	mu       sync.Mutex
 	sched    batch.Scheduler
