relay/carry: run the stages again for a stream that goes on elsewhere

Cause: the results of the last stages are given up at the first event. When the endpoint then broke off, the next one answered 409 (not run), and the stream was broken off although it may be resumed. Change: stages run again (twice at the most) if their results were given up or an endpoint doesn't find them; the latter says nothing against the endpoint.

--- a/relay/carry/attempt.go
+++ b/relay/carry/attempt.go
@@ -22,6 +22,7 @@
 const (
 	endDone   end = "done"    // the caller has its answer
 	endNotRun end = "not_run" // it did not run there and never will
+	endInputs end = "inputs"  // not run, as the results of its stages are gone
 	endFailed end = "failed"  // it may have run
 	endGone   end = "gone"    // the caller went away
 )
@@ -101,7 +102,10 @@
 		if came == endDone || came == endGone {
 			return
 		}
-		if !k.again(came, -1) {
+		if came == endInputs {
+			delete(k.tried, e.ID) // it has nothing against the request
+		}
+		if !k.again(came, -1) || !k.restage(ctx, came) {
 			k.giveUp(why)
 			return
 		}
@@ -139,6 +143,10 @@
 func (k *walk) judge(e *fleet.Endpoint, call *pool.Call, body []byte) (end, string) {
 	a := call.Answer
 	switch {
+	case a.NoInputs:
+		k.attempts--
+		k.ended(e, pick.ResultNone, endInputs, "results of stages are gone")
+		return endInputs, "results of stages are gone"
 	case a.NotRun:
 		k.attempts--
 		k.ended(e, pick.ResultFull, endNotRun, "endpoint did not run it")
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -30,6 +30,7 @@
 	finishMargin    = 20 * time.Millisecond  // the final answer leaves so long before the deadline
 	overloadSlack   = 100 * time.Millisecond // a request is only refused if others delay it by more
 	engineStart     = 60 * time.Millisecond  // from the send to the first event of an empty prompt
+	maxRestages     = 2                      // times that the stages of a request are run again
 	promptToken     = 30 * time.Microsecond  // an engine takes about so long to read a token of a prompt
 )
 
@@ -66,6 +67,8 @@
 	attempts int       // endpoints that may have run it
 	tried    map[string]bool
 	inputs   []string
+	freed    bool // inputs were given up
+	restaged int  // times that the stages ran again
 	ran      bool // some endpoint may have run it
 	outcome  string
 	version  int64         // of the configuration that decides
@@ -215,11 +218,7 @@
 		job.Zone = c.Endpoint.Zone
 	}
 	inputs, err := k.Stages.Run(ctx, job)
-	ev := k.Log.Event
-	if err != nil {
-		ev = k.Log.Failure
-	}
-	ev(logs.StagesDone).Str("request", k.req.ID).Dur("took_ms", k.Clock.Now().Sub(k.began)).Int("results", len(inputs)).Err(err).Msg("")
+	k.logStages(inputs, err)
 	if err == nil {
 		k.inputs = inputs
 		return true
@@ -236,6 +235,44 @@
 	return false
 }
 
+// restage runs the stages again if an attempt needs them and their results are
+// gone. It reports whether the next attempt can be made.
+func (k *walk) restage(ctx context.Context, came end) bool {
+	if len(k.route.Stages) == 0 || (!k.freed && came != endInputs) {
+		return true
+	}
+	if k.restaged == maxRestages {
+		return false
+	}
+	k.restaged++
+	k.Stages.Free(k.inputs)
+	k.inputs = nil
+	why := "they were given up when the stream began"
+	if came == endInputs {
+		why = "the endpoint did not find them"
+	}
+	k.Log.Event(logs.StagesAgain).Str("request", k.req.ID).Str("reason", why).Msg("")
+	now := k.Clock.Now()
+	inputs, err := k.Stages.Run(ctx, stage.Job{
+		ID: k.req.ID, Route: k.route, Items: k.req.Items, Key: k.req.ItemKey, Zone: k.Zone,
+		Due: now, GiveUp: k.deadline, Deadline: k.deadline,
+	})
+	k.logStages(inputs, err)
+	if err != nil {
+		return false
+	}
+	k.inputs, k.freed = inputs, false
+	return true
+}
+
+func (k *walk) logStages(inputs []string, err error) {
+	ev := k.Log.Event
+	if err != nil {
+		ev = k.Log.Failure
+	}
+	ev(logs.StagesDone).Str("request", k.req.ID).Dur("took_ms", k.Clock.Now().Sub(k.began)).Int("results", len(inputs)).Err(err).Msg("")
+}
+
 // inTime reports whether a job can be through its stages when it is due. If not,
 // and only others before it are the reason, it returns after what time it could.
 func (k *walk) inTime(job stage.Job) (time.Duration, bool) {
--- a/relay/carry/stream.go
+++ b/relay/carry/stream.go
@@ -39,7 +39,10 @@
 		if came == endDone || came == endGone {
 			return
 		}
-		if !k.again(came, last) {
+		if came == endInputs {
+			delete(k.tried, e.ID) // it has nothing against the request
+		}
+		if !k.again(came, last) || !k.restage(ctx, came) {
 			k.breakOff(why)
 			return
 		}
@@ -123,6 +126,7 @@
 	plat.CopyAnswer(&h, &call.Head)
 	// The model has read its inputs once its first event is there.
 	k.Stages.Free(k.inputs)
+	k.freed = true
 	return k.x.Begin(&h, raw)
 }
 
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -59,6 +59,7 @@
 	StagesEstimated = kind("stages_estimated", log.InfoLevel, rateRequest, "How long a request's stages will take now, and would take with nothing before them. It is refused if that is too long and others are the reason.",
 		"request", "now_ms", "idle_ms", "slack_ms", "admitted")
 	StagesDone    = kind("stages_done", log.InfoLevel, rateRequest, "The results of a request's stages are there, or won't be.", "request", "took_ms", "results", "error")
+	StagesAgain   = kind("stages_again", log.InfoLevel, rateRequest, "The stages of a request run once more, as their results are gone.", "request", "reason")
 	StageCall     = kind("stage_call", log.InfoLevel, rateStep, "A call with items of some requests has ended.", "endpoint", "service", "requests", "items", "result", "took_ms", "error")
 	ReleaseFailed = kind("release_failed", log.InfoLevel, rateRare, "Results could not be given up; they go away by themselves.", "endpoint", "results", "error")
 	AttemptBegun  = kind("attempt_begun", log.InfoLevel, rateRequest, "An endpoint was chosen for a request.",
@@ -82,7 +83,7 @@
 	"candidates":     {"", "endpoints that were usable"},
 	"choice":         {"", "why this endpoint: affinity, load, cold (within its share), or suspect (none better)"},
 	"cold":           {"", "the endpoint has just started and bears little"},
-	"end":            {"", "done, not_run, failed (may have run) or gone (the caller went away)"},
+	"end":            {"", "done, not_run, inputs (not run, results of stages are gone), failed (may have run) or gone (the caller went away)"},
 	"endpoint":       {"", "ID of the endpoint"},
 	"error":          {"", "what went wrong"},
 	"event_id":       {"", "last event of the stream that the caller has; -1: none"},
