relay/ctrl: notice the end of a silent outage soon; keep entries that lapse and return in one read

Ruled out: a store that doesn't send the returns (the reads were printed: 30 removals and 30 returns in one answer); dead endpoints (their calls succeeded). Change: reads after a failure ask without waiting, 0.7 s each, every fourth 1.5 s; of several changes of one key in a read only the newest counts; endpoints whose entries lapsed serve on until the store, heard again after the grace, still misses them. The script relay_view said that they serve only where there is no other; that sent all load to the first that came back, so it now says the new rule, with the check of the time kept.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -12,7 +12,7 @@
 	Config *Config // nil: none yet
 
 	endpoints map[string]*Endpoint // by ID
-	fallback  map[string]time.Time // IDs that were removed around an outage, until when they may serve
+	lapsed    map[string]time.Time // IDs whose entries an outage may have removed; when they should be back
 	drained   map[string]bool      // zones that operators took out
 	byService map[string][]*Endpoint
 }
@@ -25,25 +25,25 @@
 
 // Change is a set of news about endpoints.
 type Change struct {
-	Put      []*Endpoint          // in place of any of the same ID
-	Drop     []string             // IDs
-	Fallback map[string]time.Time // IDs whose entry is missing; until when they serve if no other can
-	Drained  map[string]bool      // nil: as before; else exactly these zones are taken out
+	Put     []*Endpoint          // in place of any of the same ID
+	Drop    []string             // IDs
+	Lapse   map[string]time.Time // IDs whose entry is missing for now; when it should be back
+	Drained map[string]bool      // nil: as before; else exactly these zones are taken out
 }
 
 // With returns a view after a change.
 func (v View) With(c Change) View {
 	v.endpoints = grown(v.endpoints)
-	v.fallback = grown(v.fallback)
+	v.lapsed = grown(v.lapsed)
 	for _, e := range c.Put {
 		v.endpoints[e.ID] = e
-		delete(v.fallback, e.ID)
+		delete(v.lapsed, e.ID)
 	}
 	for _, id := range c.Drop {
 		delete(v.endpoints, id)
-		delete(v.fallback, id)
+		delete(v.lapsed, id)
 	}
-	maps.Copy(v.fallback, c.Fallback)
+	maps.Copy(v.lapsed, c.Lapse)
 	if c.Drained != nil {
 		v.drained = c.Drained
 	}
@@ -72,29 +72,8 @@
 }
 
 // Endpoints returns the endpoints of a service that may be given new work, by
-// ID. Those whose entry went missing around an outage of the store come only
-// where there is no other. The slice must not be changed.
-func (v *View) Endpoints(service string, now time.Time) []*Endpoint {
-	all := v.byService[service]
-	if len(v.fallback) == 0 {
-		return all
-	}
-	sound := make([]*Endpoint, 0, len(all))
-	spare := make([]*Endpoint, 0, len(v.fallback))
-	for _, e := range all {
-		until, missing := v.fallback[e.ID]
-		switch {
-		case !missing:
-			sound = append(sound, e)
-		case now.Before(until):
-			spare = append(spare, e)
-		}
-	}
-	if len(sound) > 0 {
-		return sound
-	}
-	return spare
-}
+// ID. The slice must not be changed.
+func (v *View) Endpoints(service string) []*Endpoint { return v.byService[service] }
 
 // Endpoint returns the endpoint of an ID, or nil.
 func (v *View) Endpoint(id string) *Endpoint { return v.endpoints[id] }
@@ -102,27 +81,20 @@
 // All returns every endpoint, in no order.
 func (v *View) All() map[string]*Endpoint { return v.endpoints }
 
-// Usable reports whether an endpoint may still be given new work.
-func (v *View) Usable(id string, now time.Time) bool {
-	e := v.endpoints[id]
-	if e == nil || e.State != StateReady || v.drained[e.Zone] {
-		return false
-	}
-	until, missing := v.fallback[id]
-	return !missing || now.Before(until)
-}
-
 // Drained reports whether operators took a zone out.
 func (v *View) Drained(zone string) bool { return v.drained[zone] }
 
 // DrainedZones returns the zones that operators took out. It must not be changed.
 func (v *View) DrainedZones() map[string]bool { return v.drained }
 
-// Missing returns the IDs of endpoints whose entry is missing and whose time to
-// serve without one is over.
-func (v *View) Missing(now time.Time) []string {
+// Lapsing reports whether the entry of any endpoint is missing.
+func (v *View) Lapsing() bool { return len(v.lapsed) > 0 }
+
+// Lapsed returns the IDs of endpoints whose entry is missing and should have come
+// back by now.
+func (v *View) Lapsed(now time.Time) []string {
 	var out []string
-	for id, until := range v.fallback {
+	for id, until := range v.lapsed {
 		if !now.Before(until) {
 			out = append(out, id)
 		}
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -54,8 +54,8 @@
 		r.view = r.view.With(fleet.Change{Put: []*fleet.Endpoint{e}})
 	case "drop":
 		r.view = r.view.With(fleet.Change{Drop: a.words[1:]})
-	case "missing":
-		r.view = r.view.With(fleet.Change{Fallback: map[string]time.Time{a.word(1): now.Add(a.duration("grace", time.Second))}})
+	case "lapse":
+		r.view = r.view.With(fleet.Change{Lapse: map[string]time.Time{a.word(1): now.Add(a.duration("grace", time.Second))}})
 	case "drain":
 		zones := make(map[string]bool)
 		for _, z := range a.words[1:] {
@@ -63,9 +63,9 @@
 		}
 		r.view = r.view.With(fleet.Change{Drained: zones})
 	case "usable":
-		return want("usable endpoints", endpointIDs(r.view.Endpoints(a.opt("service", "s"), now)), strings.Join(a.words[1:], " "))
+		return want("usable endpoints", endpointIDs(r.view.Endpoints(a.opt("service", "s"))), strings.Join(a.words[1:], " "))
 	case "lapsed":
-		return want("lapsed endpoints", strings.Join(r.view.Missing(now), " "), strings.Join(a.words[1:], " "))
+		return want("lapsed endpoints", strings.Join(r.view.Lapsed(now), " "), strings.Join(a.words[1:], " "))
 	default:
 		return fmt.Errorf("view: unknown word %q", a.word(0))
 	}
@@ -137,7 +137,7 @@
 			ask.Affinity = xxhash.Sum64String(p)
 		}
 		got := "none"
-		if e := r.picker.Pick(now, svc, r.view.Endpoints("s", now), ask).Endpoint; e != nil {
+		if e := r.picker.Pick(now, svc, r.view.Endpoints("s"), ask).Endpoint; e != nil {
 			got = e.ID
 			if a.opts["begin"] != "no" {
 				r.picker.Begin(now, svc, e)
@@ -178,7 +178,7 @@
 		}
 		r.sched.Add(p, items...)
 	case "next":
-		c := r.sched.Next(now, scriptService("s"), p, r.view.Endpoints("s", now))
+		c := r.sched.Next(now, scriptService("s"), p, r.view.Endpoints("s"))
 		if c == nil {
 			return want("call", "none", strings.Join(a.words[1:], " "))
 		}
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -22,9 +22,13 @@
 	OutageNone Outage = ""
 	OutageBusy Outage = "busy" // answers 503
 	OutageDown Outage = "down" // closes connections
+	OutageMute Outage = "mute" // never answers, also not later
 )
 
-const pageItems = 3 // small, so that lists have pages
+const (
+	pageItems = 3               // small, so that lists have pages
+	muteTime  = 5 * time.Second // longer than any caller waits
+)
 
 // Item is one entry of the store, as it is sent.
 type Item struct {
@@ -111,6 +115,9 @@
 	switch {
 	case outage == OutageBusy:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	case outage == OutageMute:
+		time.Sleep(muteTime)
+		_ = ctx.Conn().Close() // the caller has given up
 	case outage == OutageDown:
 		_ = ctx.Conn().Close() // the caller sees it
 	case string(ctx.Path()) == "/kv-range":
--- a/proof/deploy/stage_test.go
+++ b/proof/deploy/stage_test.go
@@ -241,7 +241,7 @@
 	return l.s.d.Site.Publish(cfg)
 }
 
-// store up|busy|down|compact.
+// store up|busy|down|mute|compact.
 func failStore(l *line) error {
 	switch l.word(0) {
 	case "up":
--- a/relay/carry/attempt.go
+++ b/relay/carry/attempt.go
@@ -29,13 +29,13 @@
 
 // choose returns the endpoint for the next attempt.
 func (k *walk) choose() (*fleet.Service, pick.Choice) {
-	v, now := k.View(), k.Clock.Now()
+	v := k.View()
 	svc := v.Config.Service(k.service)
 	if svc == nil {
 		return nil, pick.Choice{}
 	}
 	want := pick.Want{Zone: k.Zone, Affinity: k.affinity(), Exclude: k.tried}
-	return svc, k.Nodes.Pick(svc, v.Endpoints(k.service, now), want)
+	return svc, k.Nodes.Pick(svc, v.Endpoints(k.service), want)
 }
 
 // again reports whether one more attempt may be made after an end. lastEvent is
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -22,9 +22,14 @@
 	watchWait      = 2500 * time.Millisecond // a silent connection has to be found within the time in which changes take effect
 	gatherPause    = 40 * time.Millisecond   // changes that come together are read together
 	backoffBase    = 100 * time.Millisecond
-	backoffMost    = time.Second
+	backoffMost    = 500 * time.Millisecond
+	answerLimit    = time.Second             // of a read; a store under load takes 200 ms
+	probeLimit     = 700 * time.Millisecond  // of a read after a failed one: what was sent during an outage is never answered
+	longProbe      = 1500 * time.Millisecond // of each fourth of these, for a store that is slower than that
+	longProbeEvery = 4
 	returnWindow   = 4 * time.Second         // so long after an outage entries may be missing for no reason
-	missingGrace   = 1500 * time.Millisecond // a missing entry's endpoint serves so long, if no other can
+	lapseGrace     = 1500 * time.Millisecond // by then the entry of a living endpoint is back; endpoints that leave serve for two seconds
+	lapseWait      = 250 * time.Millisecond  // of a watch while entries are missing
 	defaultColdFor = 3 * time.Second         // for zones that come back, where the service doesn't say
 )
 
@@ -51,6 +56,10 @@
 	seen      map[string]int64     // newest revision by key
 }
 
+func newState() state {
+	return state{coldUntil: make(map[string]time.Time), seen: make(map[string]int64)}
+}
+
 // news is what one read of the store brought.
 type news struct {
 	prefix string
@@ -81,7 +90,7 @@
 // Run reads the store until ctx ends. It blocks.
 func (c *Control) Run(ctx context.Context) {
 	c.news = make(chan news)
-	c.state = state{coldUntil: make(map[string]time.Time), seen: make(map[string]int64)}
+	c.state = newState()
 	for _, prefix := range []string{plat.OperatorPrefix, plat.EndpointPrefix} {
 		go c.follow(ctx, prefix)
 	}
@@ -99,7 +108,7 @@
 func (c *Control) follow(ctx context.Context, prefix string) {
 	after, failures, lost := int64(-1), 0, time.Time{}
 	for ctx.Err() == nil {
-		n, err := c.read(prefix, &after)
+		n, err := c.read(prefix, &after, failures)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
 			c.Log.Event(logs.HistoryGone).Str("prefix", prefix).Int64("after", after).Msg("")
@@ -119,7 +128,7 @@
 		}
 		n.outage = failures > 0
 		failures = 0
-		if n.full || n.outage || len(n.items) > 0 {
+		if n.full || n.outage || len(n.items) > 0 || (prefix == plat.EndpointPrefix && c.View().Lapsing()) {
 			select {
 			case <-ctx.Done():
 				return
@@ -130,16 +139,33 @@
 	}
 }
 
-func (c *Control) read(prefix string, after *int64) (news, error) {
+// patience returns how long a read may wait for changes, and how long for its
+// answer beyond that, after so many failures in a row. After a failure it asks
+// at short intervals, so that the end of an outage is noticed soon.
+func patience(failures int) (changes, limit time.Duration) {
+	switch {
+	case failures == 0:
+		return watchWait, answerLimit
+	case failures%longProbeEvery == 0:
+		return 0, longProbe
+	}
+	return 0, probeLimit
+}
+
+func (c *Control) read(prefix string, after *int64, failures int) (news, error) {
+	changes, limit := patience(failures)
+	if prefix == plat.EndpointPrefix && c.View().Lapsing() {
+		changes = min(changes, lapseWait)
+	}
 	if *after < 0 {
-		items, from, err := c.Store.Range(prefix)
+		items, from, err := c.Store.Range(prefix, limit)
 		if err != nil {
 			return news{}, err
 		}
 		*after = from
 		return news{prefix: prefix, items: items, full: true}, nil
 	}
-	items, next, err := c.Store.Watch(prefix, *after, watchWait)
+	items, next, err := c.Store.Watch(prefix, *after, changes, limit)
 	if err != nil {
 		return news{}, err
 	}
@@ -152,6 +178,7 @@
 	if n.outage {
 		c.state.regained = now
 	}
+	n.items = newest(n.items)
 	if n.prefix == plat.OperatorPrefix {
 		c.applyOperator(n, now)
 	} else {
@@ -165,6 +192,23 @@
 	}
 }
 
+// newest keeps the last item of each key.
+func newest(items []plat.Item) []plat.Item {
+	last := make(map[string]int, len(items))
+	for i, it := range items {
+		if at, ok := last[it.Key]; !ok || it.Revision >= items[at].Revision {
+			last[it.Key] = i
+		}
+	}
+	out := make([]plat.Item, 0, len(last))
+	for i, it := range items {
+		if last[it.Key] == i {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
 // newer records an item and reports whether it is news.
 func (c *Control) newer(it plat.Item) bool {
 	if it.Revision < c.state.seen[it.Key] {
@@ -257,7 +301,7 @@
 }
 
 func (c *Control) applyEndpoints(n news, now time.Time) {
-	change := fleet.Change{Fallback: make(map[string]time.Time)}
+	change := fleet.Change{Lapse: make(map[string]time.Time)}
 	listed := make(map[string]bool)
 	for _, it := range n.items {
 		id, ok := plat.EndpointID(it.Key)
@@ -286,7 +330,19 @@
 		}
 	}
 	c.state.view = c.state.view.With(change)
-	c.state.view = c.state.view.With(fleet.Change{Drop: c.state.view.Missing(now)})
+	c.confirm(now)
+}
+
+// confirm drops endpoints whose entries should have come back: the store has just
+// answered, and still misses them. While it is away they are left alone.
+func (c *Control) confirm(now time.Time) {
+	gone := c.state.view.Lapsed(now)
+	for _, id := range gone {
+		c.Log.Event(logs.EndpointGone).Str("endpoint", id).Msg("")
+	}
+	if len(gone) > 0 {
+		c.state.view = c.state.view.With(fleet.Change{Drop: gone})
+	}
 }
 
 func (c *Control) remove(change *fleet.Change, id string, now time.Time) {
@@ -295,8 +351,8 @@
 	}
 	// An outage makes entries lapse whose endpoints are well.
 	if !c.state.regained.IsZero() && now.Sub(c.state.regained) < returnWindow {
-		change.Fallback[id] = now.Add(missingGrace)
-		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", missingGrace).Msg("")
+		change.Lapse[id] = now.Add(lapseGrace)
+		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", lapseGrace).Msg("")
 		return
 	}
 	change.Drop = append(change.Drop, id)
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -140,7 +140,7 @@
 // poolOf returns the pool that an endpoint belongs to.
 func (r *Runner) poolOf(e *fleet.Endpoint) batch.Pool {
 	p := batch.Pool{Service: e.Service}
-	all := r.usable(r.View(), e.Service, r.Clock.Now())
+	all := r.usable(r.View(), e.Service)
 	zones := make(map[string]bool)
 	for _, o := range all {
 		zones[o.Zone] = true
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -180,7 +180,7 @@
 
 // choices returns the pools of a service with what waits for them.
 func (r *Runner) choices(v *fleet.View, service string) []batch.Choice {
-	usable := r.usable(v, service, r.Clock.Now())
+	usable := r.usable(v, service)
 	servers := make(map[string]int)
 	for _, e := range usable {
 		servers[e.Zone]++
@@ -272,7 +272,7 @@
 	svc := v.Config.Service(p.Service)
 	var usable []*fleet.Endpoint
 	if svc != nil && svc.Batch != nil {
-		for _, e := range r.usable(v, p.Service, now) {
+		for _, e := range r.usable(v, p.Service) {
 			if p.Holds(e) {
 				usable = append(usable, e)
 			}
@@ -293,8 +293,8 @@
 	}
 }
 
-func (r *Runner) usable(v *fleet.View, service string, now time.Time) []*fleet.Endpoint {
-	all := v.Endpoints(service, now)
+func (r *Runner) usable(v *fleet.View, service string) []*fleet.Endpoint {
+	all := v.Endpoints(service)
 	sound := make([]*fleet.Endpoint, 0, len(all))
 	for _, e := range all {
 		if !r.Health.Suspect(e) {
