relay: learn from another relay what the store can't tell

Change: a relay that isn't ready asks each relay that it is linked to for the entries that it has read; it takes them once, with their revisions, and reads all anew when the store answers. Nothing is written anywhere, and a relay that can read the store asks nobody.

--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -23,6 +23,12 @@
 	store   *fasthttp.Server
 }
 
+// quiet drops what a server says of connections that a fault has closed.
+type quiet struct{}
+
+// Printf does nothing.
+func (quiet) Printf(string, ...any) {}
+
 // New starts a site that has a store and no endpoints.
 func New() (*Site, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -33,7 +39,7 @@
 		StoreAddr: ln.Addr().String(), servers: make(map[string]*Server), byAddr: make(map[string]*Server),
 		closed: make(chan struct{}),
 	}
-	s.store = &fasthttp.Server{Handler: s.Store.Handler}
+	s.store = &fasthttp.Server{Handler: s.Store.Handler, Logger: quiet{}}
 	go func() { _ = s.store.Serve(ln) }() // ends with the site
 	return s, nil
 }
@@ -45,7 +51,7 @@
 		return nil, fmt.Errorf("listen for %s: %w", spec.ID, err)
 	}
 	srv := &Server{Spec: spec, Addr: ln.Addr().String(), site: s, ln: ln, results: make(map[string]bool)}
-	srv.http = &fasthttp.Server{Handler: srv.handle, NoDefaultServerHeader: true}
+	srv.http = &fasthttp.Server{Handler: srv.handle, NoDefaultServerHeader: true, Logger: quiet{}}
 	s.mu.Lock()
 	s.servers[spec.ID], s.byAddr[srv.Addr] = srv, srv
 	s.mu.Unlock()
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -92,7 +92,9 @@
 }
 
 func newControl(s *sets.Live, l *logs.Logger, n *carry.Nodes) *ctrl.Control {
-	return &ctrl.Control{Store: plat.NewStore(s.Get().Store), Clock: clock.System{}, Log: l, OnView: n.Forget}
+	c := ctrl.New(plat.NewStore(s.Get().Store), clock.System{}, l)
+	c.OnView = n.Forget
+	return c
 }
 
 func policy(s *sets.Live) func() sets.Policy {
@@ -137,7 +139,7 @@
 
 func newStages(l *logs.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, m *peers.Mesh) *stage.Runner {
 	st := &stage.Runner{View: c.View, Health: n, Peers: m, Pool: p, Clock: clock.System{}, Log: l}
-	m.Handler = st
+	m.Handler, m.Source = st, c
 	return st
 }
 
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -5,7 +5,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +32,7 @@
 	longProbeEvery = 4
 	returnWindow   = 4 * time.Second         // so long after an outage entries may be missing for no reason
 	lapseGrace     = 1500 * time.Millisecond // by then the entry of a living endpoint is back; endpoints that leave serve for two seconds
+	askLimit       = time.Second             // for the control goroutine to answer
 	lapseWait      = 250 * time.Millisecond  // of a watch while entries are missing
 	defaultColdFor = 3 * time.Second         // for zones that come back, where the service doesn't say
 )
@@ -43,8 +47,10 @@
 	OnView func(v *fleet.View)
 
 	view   atomic.Pointer[fleet.View]
-	loaded atomic.Bool // the first list of endpoints was read
+	loaded atomic.Bool // a list of endpoints is known
+	heard  atomic.Pointer[time.Time]
 	news   chan news
+	asks   chan chan<- []plat.Item
 	state  state
 }
 
@@ -54,18 +60,21 @@
 	coldUntil map[string]time.Time // zones that came back
 	regained  time.Time            // end of the last outage
 	seen      map[string]int64     // newest revision by key
+	items     map[string]plat.Item // as read, by key, to be handed to other relays
 }
 
 func newState() state {
-	return state{coldUntil: make(map[string]time.Time), seen: make(map[string]int64)}
+	return state{coldUntil: make(map[string]time.Time), seen: make(map[string]int64), items: make(map[string]plat.Item)}
 }
 
 // news is what one read of the store brought.
 type news struct {
 	prefix string
 	items  []plat.Item
-	full   bool // items are all there are
-	outage bool // the read before failed
+	full   bool   // items are all there are
+	outage bool   // the read before failed
+	from   string // relay that told; empty: read from the store
+	age    time.Duration
 }
 
 // View returns what is believed now. It never blocks.
@@ -89,7 +98,6 @@
 
 // Run reads the store until ctx ends. It blocks.
 func (c *Control) Run(ctx context.Context) {
-	c.news = make(chan news)
 	c.state = newState()
 	for _, prefix := range []string{plat.OperatorPrefix, plat.EndpointPrefix} {
 		go c.follow(ctx, prefix)
@@ -100,10 +108,59 @@
 			return
 		case n := <-c.news:
 			c.apply(n)
+		case reply := <-c.asks:
+			reply <- slices.Collect(maps.Values(c.state.items))
 		}
 	}
 }
 
+// New returns a Control that reads from store.
+func New(store *plat.Store, clk clock.Clock, l *logs.Logger) *Control {
+	return &Control{Store: store, Clock: clk, Log: l, news: make(chan news), asks: make(chan chan<- []plat.Item)}
+}
+
+// Learnt returns what is known of the store's items, and how long ago the store
+// was heard. It blocks until the control goroutine answers, or returns nothing
+// if that has ended or is busy for long.
+func (c *Control) Learnt() ([]plat.Item, time.Duration) {
+	reply := make(chan []plat.Item, 1)
+	t := time.NewTimer(askLimit)
+	defer t.Stop()
+	select {
+	case c.asks <- reply:
+	case <-t.C:
+		return nil, 0
+	}
+	at := c.heard.Load()
+	if at == nil {
+		return <-reply, 0
+	}
+	return <-reply, c.Clock.Now().Sub(*at)
+}
+
+// Learn takes what another relay has learnt, for as long as nothing is known.
+// It doesn't block.
+func (c *Control) Learn(from string, items []plat.Item, age time.Duration) {
+	go func() {
+		for _, prefix := range []string{plat.OperatorPrefix, plat.EndpointPrefix} {
+			n := news{prefix: prefix, from: from, age: age}
+			for _, it := range items {
+				if strings.HasPrefix(it.Key, prefix) {
+					n.items = append(n.items, it)
+				}
+			}
+			if len(n.items) == 0 {
+				return // the other relay doesn't know enough itself
+			}
+			select {
+			case c.news <- n:
+			case <-time.After(askLimit):
+				return
+			}
+		}
+	}()
+}
+
 // follow reads all below a prefix and then its changes.
 func (c *Control) follow(ctx context.Context, prefix string) {
 	after, failures, lost := int64(-1), 0, time.Time{}
@@ -178,7 +235,16 @@
 	if n.outage {
 		c.state.regained = now
 	}
+	if n.from != "" {
+		if c.known(n.prefix) {
+			return
+		}
+		c.Log.Event(logs.ViewLearnt).Str("from", n.from).Str("prefix", n.prefix).Int("entries", len(n.items)).Dur("age_ms", n.age).Msg("")
+	} else {
+		c.heard.Store(&now)
+	}
 	n.items = newest(n.items)
+	c.keep(n)
 	if n.prefix == plat.OperatorPrefix {
 		c.applyOperator(n, now)
 	} else {
@@ -192,6 +258,31 @@
 	}
 }
 
+func (c *Control) known(prefix string) bool {
+	if prefix == plat.OperatorPrefix {
+		return c.state.view.Config != nil
+	}
+	return c.loaded.Load()
+}
+
+// keep holds on to items for other relays.
+func (c *Control) keep(n news) {
+	if n.full {
+		for key := range c.state.items {
+			if strings.HasPrefix(key, n.prefix) {
+				delete(c.state.items, key)
+			}
+		}
+	}
+	for _, it := range n.items {
+		if it.Removed {
+			delete(c.state.items, it.Key)
+		} else {
+			c.state.items[it.Key] = it
+		}
+	}
+}
+
 // newest keeps the last item of each key.
 func newest(items []plat.Item) []plat.Item {
 	last := make(map[string]int, len(items))
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -36,7 +36,8 @@
 
 func newFixture() *fixture {
 	clk := clock.NewFake(time.Unix(0, 0))
-	c := &Control{Clock: clk, Log: logs.New(io.Discard, clk, "a"), state: newState()}
+	c := New(nil, clk, logs.New(io.Discard, clk, "a"))
+	c.state = newState()
 	return &fixture{Control: c, clock: clk, revision: 1}
 }
 
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -36,6 +36,7 @@
 	StoreLost         = kind("store_lost", log.WarnLevel, rateRare, "A read from the platform's store failed; what was learnt stays in force.", "prefix", "error")
 	StoreRegained     = kind("store_regained", log.WarnLevel, rateRare, "The store answers again.", "prefix", "failures", "lost_ms")
 	HistoryGone       = kind("history_gone", log.WarnLevel, rateRare, "The store no longer holds the changes after a revision; all is read anew.", "prefix", "after")
+	ViewLearnt        = kind("view_learnt", log.InfoLevel, rateRare, "Another relay told what it has learnt from the store, which this one can't read yet.", "from", "prefix", "entries", "age_ms")
 	ConfigApplied     = kind("config_applied", log.InfoLevel, rateRare, "A configuration is in force.", "version", "revision", "routes")
 	ConfigRejected    = kind("config_rejected", log.ErrorLevel, rateRare, "A configuration can't be used; the one before stays in force.", "revision", "error")
 	ZoneDrained       = kind("zone_drained", log.InfoLevel, rateRare, "Nothing is sent to the endpoints of a zone from now on.", "zone")
@@ -77,6 +78,8 @@
 	"admitted":       {"", "false: refused at once"},
 	"affinity":       {"", "hash of the part of the prompt that should meet its cache; 0: none"},
 	"after":          {"revision", "the last one that was known"},
+	"age_ms":         {"ms", "time since the other relay heard from the store"},
+	"entries":        {"", "entries of the store"},
 	"attempt":        {"", "number of the attempt at an endpoint, from 1"},
 	"attempts":       {"", "endpoints that may have run the request"},
 	"caller":         {"", "IP:port"},
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -40,6 +40,7 @@
 	pending map[itemKey]*batch.Item
 	loads   map[batch.Pool]int // as the other relay last told
 	since   map[batch.Pool]int // items handed over since then
+	learnt  []plat.Item        // parts that have arrived
 }
 
 func (l *outLink) run(ctx context.Context) {
@@ -112,6 +113,9 @@
 			l.up(who, work, done)
 		}
 		l.heard(who, &b)
+		if ready, _ := l.mesh.Source.Ready(); !ready {
+			l.send(&Work{Kind: &Work_Fetch{Fetch: &Fetch{}}})
+		}
 		if !wait.For(ctx, l.mesh.Beat) {
 			return ctx.Err()
 		}
@@ -124,7 +128,7 @@
 	l.out, l.pending, l.loads, l.since = out, make(map[itemKey]*batch.Item), nil, nil
 	l.mu.Unlock()
 	go write(work, out, done)
-	go l.read(work)
+	go l.read(who, work)
 	m := l.mesh
 	m.mu.Lock()
 	m.byID[who.Instance] = l
@@ -181,12 +185,15 @@
 }
 
 // read books the results that come back.
-func (l *outLink) read(st *link.Stream) {
+func (l *outLink) read(who peer.Member, st *link.Stream) {
 	for {
 		var w Work
 		if st.Receive(&w) != nil {
 			return
 		}
+		if part := w.GetLearnt(); part != nil {
+			l.learn(who, part)
+		}
 		d := w.GetDone()
 		for _, r := range d.GetResults() {
 			k := itemKey{request: d.GetRequest(), stage: int(d.GetStage()), index: int(r.GetIndex())}
@@ -203,6 +210,19 @@
 	}
 }
 
+// learn gathers the parts of what the other relay has learnt. It is called from
+// the reading goroutine alone.
+func (l *outLink) learn(who peer.Member, part *Learnt) {
+	for _, e := range part.GetEntries() {
+		l.learnt = append(l.learnt, plat.Item{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision()})
+	}
+	if part.GetMore() {
+		return
+	}
+	l.mesh.Source.Learn(who.Instance, l.learnt, time.Duration(part.GetAgeMs())*time.Millisecond)
+	l.learnt = nil
+}
+
 func (l *outLink) send(w *Work) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -27,7 +27,8 @@
 const (
 	silenceLimit = 800 * time.Millisecond
 	dialTimeout  = 500 * time.Millisecond
-	workBuffer   = 1024 // messages that wait for one link; more are not taken
+	workBuffer   = 1024     // messages that wait for one link; more are not taken
+	partBytes    = 64 << 10 // of what was learnt from the store go in one message
 )
 
 // Handler runs the items of others, and hears what became of one's own.
@@ -46,6 +47,16 @@
 	Loads() map[batch.Pool]int
 }
 
+// Source is what a relay has learnt from the platform's store.
+type Source interface {
+	// Ready reports whether it is enough to serve, and what is missing if not.
+	Ready() (bool, string)
+	// Learnt returns all of it, and how long ago the store was heard.
+	Learnt() ([]plat.Item, time.Duration)
+	// Learn takes what another relay has learnt, if nothing is known yet.
+	Learn(from string, items []plat.Item, age time.Duration)
+}
+
 // Mesh holds the links of one relay. Set the exported fields before Serve and
 // Run. It is safe for concurrent use.
 type Mesh struct {
@@ -55,6 +66,8 @@
 	Handler Handler
 	Clock   clock.Clock
 	Log     *logs.Logger
+	// Source holds what is learnt from the platform's store.
+	Source Source
 	// Policy returns the policy in force.
 	Policy func() sets.Policy
 
@@ -336,7 +349,29 @@
 			l.mesh.Handler.Drop(k.Cancel.GetRequest())
 		case *Work_Release:
 			l.mesh.Handler.Release(k.Release.GetRefs())
+		case *Work_Fetch:
+			l.tell()
+		}
+	}
+}
+
+// tell sends what this relay has learnt from the store, in parts.
+func (l *inLink) tell() {
+	items, age := l.mesh.Source.Learnt()
+	part, size := &Learnt{AgeMs: age.Milliseconds()}, 0
+	for i, it := range items {
+		part.Entries = append(part.Entries, &Entry{Key: it.Key, Value: it.Value, Revision: it.Revision})
+		size += len(it.Key) + len(it.Value)
+		if size < partBytes && i < len(items)-1 {
+			continue
+		}
+		part.More = i < len(items)-1
+		select {
+		case <-l.done:
+			return
+		case l.out <- &Work{Kind: &Work_Learnt{Learnt: part}}:
 		}
+		part, size = &Learnt{AgeMs: age.Milliseconds()}, 0
 	}
 }
 
