core/batch: run the items of a request together, and those that read them near by

Ruled out: the results of the first step (1.7 GB are made, and items already waited for the zone of the engine). Change: an item knows the bytes that cross if its request's items run elsewhere, counted with all that read them. What reads much runs where its inputs lie; what others will read runs anywhere, but together; only then is the engine's zone wanted. An item waits as long as crossing is worth, and not at all without time for two calls.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,6 +19,7 @@
 	bytesPerMB     = 1_000_000
 	leastPerZone   = 3 // endpoints of a service; with fewer in a zone, all zones are one pool
 	ranks          = 3
+	patientCalls   = 2 // an item waits for its zone while it has time for so many calls
 )
 
 // Pool is endpoints of one service, for which items wait together: those of one
@@ -46,7 +47,8 @@
 	Inputs   []string // references to results
 	Chain    bool     // takes inputs
 	Bytes    int64    // approximate size of the result
-	Zone     string   // where the result is wanted
+	Zone     string   // where it should run; empty: wherever the first of its request and stage runs
+	Cross    int64    // bytes that cross zones if the items of its request and stage run elsewhere
 	Holds    bool     // its inputs take up much of the room where they lie
 	Added    time.Time
 	Due      time.Time
@@ -246,12 +248,18 @@
 	return 2
 }
 
-// mayGo reports whether an item may go to an endpoint of a zone: of the zone that
-// wants its result, or of any once it has waited as long as crossing is worth.
-func (it *Item) mayGo(now time.Time, zone string, served map[string]bool) bool {
-	return it.Zone == zone || !served[it.Zone] || now.Sub(it.Added) >= crossing(it.Bytes)
+// mayGo reports whether an item may go to an endpoint of a zone: of its own, or
+// of any once it has waited as long as crossing is worth, or has no more time to
+// wait.
+func (it *Item) mayGo(now time.Time, b *fleet.Batch, zone string, served map[string]bool) bool {
+	if it.Zone == "" || it.Zone == zone || !served[it.Zone] || now.Sub(it.Added) >= crossing(it.Cross) {
+		return true
+	}
+	return now.Add(patientCalls * fullCall(b)).After(it.Due)
 }
 
+func fullCall(b *fleet.Batch) time.Duration { return b.Call + time.Duration(b.Size)*b.Item }
+
 // crossing returns the delay that a result which crosses zones is worth.
 func crossing(bytes int64) time.Duration {
 	return time.Duration(float64(bytes) / bytesPerMB * float64(crossZonePerMB))
@@ -269,7 +277,7 @@
 			if len(out) >= b.Size {
 				break
 			}
-			if it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) || !it.mayGo(now, zone, served) {
+			if it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) || !it.mayGo(now, b, zone, served) {
 				continue
 			}
 			room -= it.Bytes
@@ -277,10 +285,31 @@
 			taken[it] = true
 		}
 	}
-	s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
+	q = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
+	together(out, q, zone)
+	s.queues[p] = q
 	return out
 }
 
+// together has the rest of what was taken in parts wait for the same zone.
+func together(taken, rest []*Item, zone string) {
+	type group struct {
+		request string
+		stage   int
+	}
+	begun := make(map[group]bool)
+	for _, it := range taken {
+		if it.Zone == "" {
+			begun[group{it.Request, it.Stage}] = true
+		}
+	}
+	for _, it := range rest {
+		if it.Zone == "" && begun[group{it.Request, it.Stage}] {
+			it.Zone = zone
+		}
+	}
+}
+
 // Outcome is how a call ended.
 type Outcome struct {
 	Refs   []string // results by item, empty where there is none; nil: the call failed
@@ -373,7 +402,7 @@
 
 // Wait estimates how long n more items take at a pool.
 func Wait(b *fleet.Batch, l Load, n int) time.Duration {
-	full := b.Call + time.Duration(b.Size)*b.Item
+	full := fullCall(b)
 	perItem := full / time.Duration(b.Size)
 	own := b.Call + time.Duration(min(n, b.Size))*b.Item
 	return own + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Servers*max(1, b.Slots)))
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -171,7 +171,7 @@
 		items := make([]*batch.Item, a.int("n", 1))
 		for i := range items {
 			items[i] = &batch.Item{
-				Request: a.word(1), Index: i, Bytes: int64(a.int("bytes", 10)), Holds: a.opts["holds"] == "yes", Zone: a.opt("zone", "z1"),
+				Request: a.word(1), Index: i, Bytes: int64(a.int("bytes", 10)), Holds: a.opts["holds"] == "yes", Zone: a.opts["zone"], Cross: int64(a.int("cross", 0)),
 				Added: now, Due: now.Add(a.duration("due", time.Second)), GiveUp: now.Add(a.duration("give_up", time.Second)),
 				Deadline: now.Add(a.duration("deadline", 5*time.Second)),
 			}
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -247,7 +247,7 @@
 	for _, it := range items {
 		s.Items = append(s.Items, &Item{
 			Request: it.Request, Stage: uint32(it.Stage), Index: uint32(it.Index), Key: it.Key, Inputs: it.Inputs,
-			Chain: it.Chain, Bytes: it.Bytes, Holds: it.Holds, Zone: it.Zone, GiveUpUs: it.GiveUp.Sub(now).Microseconds(),
+			Chain: it.Chain, Bytes: it.Bytes, Cross: it.Cross, Holds: it.Holds, Zone: it.Zone, GiveUpUs: it.GiveUp.Sub(now).Microseconds(),
 			DueUs: it.Due.Sub(now).Microseconds(), DeadlineUs: it.Deadline.Sub(now).Microseconds(),
 		})
 	}
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -381,7 +381,7 @@
 	for _, w := range s.GetItems() {
 		items = append(items, &batch.Item{
 			Request: w.GetRequest(), Stage: int(w.GetStage()), Index: int(w.GetIndex()), Key: w.GetKey(),
-			Inputs: w.GetInputs(), Chain: w.GetChain(), Bytes: w.GetBytes(), Holds: w.GetHolds(),
+			Inputs: w.GetInputs(), Chain: w.GetChain(), Bytes: w.GetBytes(), Cross: w.GetCross(), Holds: w.GetHolds(),
 			Zone: w.GetZone(), Added: now,
 			GiveUp:   now.Add(time.Duration(w.GetGiveUpUs()) * time.Microsecond),
 			Due:      now.Add(time.Duration(w.GetDueUs()) * time.Microsecond),
--- a/relay/stage/flow.go
+++ b/relay/stage/flow.go
@@ -141,7 +141,7 @@
 }
 
 // items returns the items of a stage that can start.
-func (f *flow) items(cfg *fleet.Config, stage int, now time.Time) []*batch.Item {
+func (f *flow) items(cfg *fleet.Config, stage int, now time.Time, zoneOf func(ref string) string) []*batch.Item {
 	s := f.job.Route.Stages[stage]
 	var inputs []string
 	for _, a := range s.After {
@@ -149,16 +149,51 @@
 	}
 	due := f.job.Due.Add(-f.tail(cfg, stage))
 	holds := f.holds(cfg, s)
+	zone, cross := f.home(stage, inputs, zoneOf)
 	out := make([]*batch.Item, 0, len(f.refs[stage]))
 	for i := range f.refs[stage] {
 		out = append(out, &batch.Item{
 			Request: f.job.ID, Stage: stage, Index: i, Key: f.job.Key, Inputs: inputs, Chain: len(s.After) > 0,
-			Bytes: s.ResultBytes, Holds: holds, Zone: f.job.Zone, Added: now, Due: due, GiveUp: f.job.GiveUp, Deadline: f.job.Deadline, Flow: f,
+			Bytes: s.ResultBytes, Holds: holds, Zone: zone, Cross: cross, Added: now, Due: due, GiveUp: f.job.GiveUp, Deadline: f.job.Deadline, Flow: f,
 		})
 	}
 	return out
 }
 
+// home returns the zone in which the items of a stage should run, and how many
+// bytes cross zones if they don't. Each item fetches all inputs, and each item of
+// the stages that follow fetches all results: what weighs more decides. Results
+// for other stages may lie in any zone, but together.
+func (f *flow) home(stage int, inputs []string, zoneOf func(ref string) string) (string, int64) {
+	s := f.job.Route.Stages[stage]
+	n := int64(len(f.refs[stage]))
+	readers := int64(0)
+	followers := f.followers(stage)
+	for _, i := range followers {
+		readers += int64(len(f.refs[i]))
+	}
+	out := s.ResultBytes * n * max(1, readers)
+	in := make(map[string]int64)
+	for _, a := range s.After {
+		for _, ref := range f.refs[a] {
+			in[zoneOf(ref)] += f.job.Route.Stages[a].ResultBytes * n
+		}
+	}
+	most := ""
+	for z, bytes := range in {
+		if bytes > in[most] || (bytes == in[most] && z < most) {
+			most = z
+		}
+	}
+	switch {
+	case len(inputs) > 0 && in[most] > out:
+		return most, in[most]
+	case len(followers) > 0:
+		return "", out
+	}
+	return f.job.Zone, out
+}
+
 // holds reports whether the inputs of a stage take up much of the room of the
 // endpoints where they lie.
 func (f *flow) holds(cfg *fleet.Config, s fleet.Stage) bool {
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -143,7 +143,7 @@
 	if f.over {
 		return
 	}
-	cfg := r.View().Config
+	v := r.View()
 	left := 0
 	for i, s := range f.job.Route.Stages {
 		left += f.left[i]
@@ -151,13 +151,27 @@
 			continue
 		}
 		f.begun[i] = true
-		r.place(f, s.Service, f.items(cfg, i, r.Clock.Now()), fx)
+		r.place(f, s.Service, f.items(v.Config, i, r.Clock.Now(), zones(v)), fx)
 	}
 	if left == 0 {
 		f.finish(nil)
 	}
 }
 
+// zones returns what finds the zone in which a result lies.
+func zones(v *fleet.View) func(ref string) string {
+	var byAddr map[string]string
+	return func(ref string) string {
+		if byAddr == nil {
+			byAddr = make(map[string]string)
+			for _, e := range v.All() {
+				byAddr[e.Addr] = e.Zone
+			}
+		}
+		return byAddr[plat.RefAddr(ref)]
+	}
+}
+
 // place chooses the pool for items of one stage.
 func (r *Runner) place(f *flow, service string, items []*batch.Item, fx *effects) {
 	v := r.View()
@@ -166,11 +180,7 @@
 		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
 		return
 	}
-	bytes := int64(0)
-	for _, it := range items {
-		bytes += it.Bytes
-	}
-	zone, ok := batch.Place(svc.Batch, r.choices(v, service), f.job.Zone, len(items), bytes)
+	zone, ok := batch.Place(svc.Batch, r.choices(v, service), items[0].Zone, len(items), items[0].Cross)
 	if !ok {
 		f.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
 		return
