core/batch: under load, full calls go before zones; near items go first

Ruled out: admission. Change: patience for a zone shrinks with what waits, to none at half of what all servers take at once; of equal rank, a server takes items of its zone first.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,7 +19,8 @@
 	bytesPerMB     = 1_000_000
 	leastPerZone   = 3 // endpoints of a service; with fewer in a zone, all zones are one pool
 	ranks          = 3
-	patientCalls   = 2 // an item waits for its zone while it has time for so many calls
+	busyShare      = 0.5 // of what all endpoints take at once: when so much waits, zones don't count
+	patientCalls   = 2   // an item waits for its zone while it has time for so many calls
 )
 
 // Pool is endpoints of one service, for which items wait together: those of one
@@ -204,9 +205,10 @@
 		}
 	}
 	slices.SortStableFunc(idle, func(a, b *fleet.Endpoint) int { return wanted[b.Zone] - wanted[a.Zone] })
+	calm := calmness(len(q), len(usable)*svc.Batch.Size)
 	for _, e := range idle {
 		v := s.server(e.ID)
-		items := s.take(now, svc.Batch, p, e.Zone, v.room(now, svc.Batch.MemoryBytes), served)
+		items := s.take(now, svc.Batch, p, e.Zone, v.room(now, svc.Batch.MemoryBytes), served, calm)
 		if len(items) == 0 {
 			continue
 		}
@@ -248,11 +250,19 @@
 	return 2
 }
 
+// calmness returns how much of their patience items keep when so many wait for
+// endpoints that take so many at once: from 1 to 0. Under load calls have to be
+// full, wherever their items belong.
+func calmness(waiting, size int) float64 {
+	return max(0, 1-float64(waiting)/(busyShare*float64(max(1, size))))
+}
+
 // mayGo reports whether an item may go to an endpoint of a zone: of its own, or
 // of any once it has waited as long as crossing is worth, or has no more time to
 // wait.
-func (it *Item) mayGo(now time.Time, b *fleet.Batch, zone string, served map[string]bool) bool {
-	if it.Zone == "" || it.Zone == zone || !served[it.Zone] || now.Sub(it.Added) >= crossing(it.Cross) {
+func (it *Item) mayGo(now time.Time, b *fleet.Batch, zone string, served map[string]bool, calm float64) bool {
+	patience := time.Duration(calm * float64(crossing(it.Cross)))
+	if it.Zone == "" || it.Zone == zone || !served[it.Zone] || now.Sub(it.Added) >= patience {
 		return true
 	}
 	return now.Add(patientCalls * fullCall(b)).After(it.Due)
@@ -267,17 +277,18 @@
 
 // take takes the items of the next call to an endpoint of a zone, by rank and
 // then by due time, as far as there is room for their results.
-func (s *Scheduler) take(now time.Time, b *fleet.Batch, p Pool, zone string, room int64, served map[string]bool) []*Item {
+func (s *Scheduler) take(now time.Time, b *fleet.Batch, p Pool, zone string, room int64, served map[string]bool, calm float64) []*Item {
 	q := s.queues[p]
 	soonest := now.Add(b.Call + b.Item)
 	var out []*Item
 	taken := make(map[*Item]bool)
-	for rank := range ranks {
+	pick := func(rank int, near bool) {
 		for _, it := range q {
 			if len(out) >= b.Size {
-				break
+				return
 			}
-			if it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) || !it.mayGo(now, b, zone, served) {
+			if taken[it] || it.rank(soonest) != rank || (b.MemoryBytes > 0 && it.Bytes > room) ||
+				(near && it.Zone != zone) || !it.mayGo(now, b, zone, served, calm) {
 				continue
 			}
 			room -= it.Bytes
@@ -285,6 +296,10 @@
 			taken[it] = true
 		}
 	}
+	for rank := range ranks {
+		pick(rank, true)
+		pick(rank, false)
+	}
 	q = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
 	together(out, q, zone)
 	s.queues[p] = q
