proof: demo and soak of relays over the stand-in of the platform

Change: make demo PLATFORM=1 runs three relays before eight endpoints while a zone is drained, the store goes down, an endpoint crashes and a relay restarts; make soak SEEDS=N overlaps crashes, false answers, outages, kills, freezes, configurations and drained zones as a seed decides. Both compare what callers got with what endpoints ran: whole answers, at most once, true refusals; the soak also waits until every kind of request is served again. Not in it yet: a proxy that delays or cuts links, clocks.

--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,23 @@
 
 SEEDS ?= 10
 
-.PHONY: build demo test chaos mutants docs fuzz bench slopes
+.PHONY: build demo test soak chaos mutants docs fuzz bench slopes
 
 build:
 	@mkdir -p $(BIN)
 	@for m in entry relay agent fakes wpctl proof; do (cd $$m && go build -o $(BIN)/$$m .) || exit 1; done
 
+# PLATFORM=1: relays over a stand-in of the users' platform.
 demo: build
+ifdef PLATFORM
+	@$(BIN)/proof platform
+else
 	@$(BIN)/proof demo --bin $(BIN) --deployment $(DEPLOYMENT)
+endif
+
+# Relays under overlapping faults, by seed. FROM=N plays the seeds from N on.
+soak: build
+	@$(BIN)/proof soak --seeds $(SEEDS) $(if $(FROM),--from $(FROM))
 
 test:
 	@bash .ci/test
--- a/fakes/site/standard.go
+++ b/fakes/site/standard.go
@@ -11,8 +11,9 @@
 	StandardKey  = "key-1"
 	StandardTeam = "team-1"
 
+	StandardEvents = 8 // of a stream
+
 	workTime      = 5 * time.Millisecond // short, so that a demo has many requests
-	streamEvents  = 8
 	stageBatch    = 4
 	deadlineMs    = 20_000 // of routes; no test waits so long
 	objectiveMs   = 2_000
@@ -36,7 +37,7 @@
 	for i, zone := range StandardZones() {
 		for _, spec := range []Spec{
 			{ID: "p", Service: "desk", Kind: KindPlain, Slots: 8},
-			{ID: "g", Service: "engines", Kind: KindEngine, Slots: 16, Events: streamEvents},
+			{ID: "g", Service: "engines", Kind: KindEngine, Slots: 16, Events: StandardEvents},
 			{ID: "e", Service: "encode", Kind: KindStage, Slots: 1, Batch: stageBatch},
 			{ID: "r", Service: "retrieve", Kind: KindStage, Slots: 1, Batch: stageBatch},
 		} {
--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -20,6 +20,8 @@
 		{"slopes", "measure what a process costs as its surroundings grow", &Slopes{}},
 		{"latency", "measure what entry and agent add to a call", &Latency{}},
 		{"docs", "write the generated reference pages", &Docs{}},
+		{"platform", "run relays over a stand-in of the users' platform, with operators and accidents, and judge it", &Platform{}},
+		{"soak", "run relays under overlapping faults that seeds decide, and judge each run", &Soak{}},
 		{"demo", "run a deployment, take a zone out and back under load, and judge it", &Demo{}},
 	}
 	for _, c := range commands {
--- a/proof/fleet/procs.go
+++ b/proof/fleet/procs.go
@@ -88,19 +88,21 @@
 func (p *Proc) ID() int { return p.cmd.Process.Pid }
 
 // Build builds the programs into dir. root is the top of the repository.
-func Build(root, dir string) error { return build(root, dir, programs()) }
+// It builds only the programs that are named, if any are.
+func Build(root, dir string, names ...string) error { return build(root, dir, chosen(names)) }
 
-// BuildRace is Build with the race detector. It builds only the programs that
-// are named, if any are.
+// BuildRace is Build with the race detector.
 func BuildRace(root, dir string, names ...string) error {
+	return build(root, dir, chosen(names), "-race")
+}
+
+func chosen(names []string) []string {
 	if len(names) == 0 {
-		names = programs()
+		return []string{"entry", "agent", "fakes", "wpctl"}
 	}
-	return build(root, dir, names, "-race")
+	return names
 }
 
-func programs() []string { return []string{"entry", "agent", "fakes", "wpctl"} }
-
 func build(root, dir string, names []string, flags ...string) error {
 	for _, name := range names {
 		args := append([]string{"build"}, flags...)
