relay/ctrl: one watch for all; wpctl trace

Cause: the biggest price of the grown Lone Star site was calls to the platform's store: 31 relays with two watches each, that return every 2.5 s or at any change. Change: one watch covers operators' and endpoints' keys and waits 4 s; changes are gathered for 100 ms.

--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -8,7 +8,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -22,8 +21,8 @@
 
 // Timing of the reads from the store.
 const (
-	watchWait      = 2500 * time.Millisecond // a silent connection has to be found within the time in which changes take effect
-	gatherPause    = 40 * time.Millisecond   // changes that come together are read together
+	watchWait      = 4 * time.Second        // an answer that is lost is noticed when the store counts as stable again
+	gatherPause    = 100 * time.Millisecond // changes that come together are read together
 	backoffBase    = 100 * time.Millisecond
 	backoffMost    = 500 * time.Millisecond
 	answerLimit    = time.Second             // of a read; a store under load takes 200 ms
@@ -69,7 +68,6 @@
 
 // news is what one read of the store brought.
 type news struct {
-	prefix string
 	items  []plat.Item
 	full   bool   // items are all there are
 	outage bool   // the read before failed
@@ -99,9 +97,7 @@
 // Run reads the store until ctx ends. It blocks.
 func (c *Control) Run(ctx context.Context) {
 	c.state = newState()
-	for _, prefix := range []string{plat.OperatorPrefix, plat.EndpointPrefix} {
-		go c.follow(ctx, prefix)
-	}
+	go c.follow(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -141,51 +137,45 @@
 // Learn takes what another relay has learnt, for as long as nothing is known.
 // It doesn't block.
 func (c *Control) Learn(from string, items []plat.Item, age time.Duration) {
+	if len(items) == 0 {
+		return // the other relay knows nothing either
+	}
 	go func() {
-		for _, prefix := range []string{plat.OperatorPrefix, plat.EndpointPrefix} {
-			n := news{prefix: prefix, from: from, age: age}
-			for _, it := range items {
-				if strings.HasPrefix(it.Key, prefix) {
-					n.items = append(n.items, it)
-				}
-			}
-			if len(n.items) == 0 {
-				return // the other relay doesn't know enough itself
-			}
-			select {
-			case c.news <- n:
-			case <-time.After(askLimit):
-				return
-			}
+		t := time.NewTimer(askLimit)
+		defer t.Stop()
+		select {
+		case c.news <- news{items: items, from: from, age: age}:
+		case <-t.C:
 		}
 	}()
 }
 
-// follow reads all below a prefix and then its changes.
-func (c *Control) follow(ctx context.Context, prefix string) {
+// follow reads all that the store holds and then its changes. One watch for all
+// costs half the calls of two.
+func (c *Control) follow(ctx context.Context) {
 	after, failures, lost := int64(-1), 0, time.Time{}
 	for ctx.Err() == nil {
-		n, err := c.read(prefix, &after, failures)
+		n, err := c.read(&after, failures)
 		switch {
 		case errors.Is(err, plat.ErrCompacted):
-			c.Log.Event(logs.HistoryGone).Str("prefix", prefix).Int64("after", after).Msg("")
+			c.Log.Event(logs.HistoryGone).Int64("after", after).Msg("")
 			after = -1
 			continue
 		case err != nil:
 			failures++
 			if failures == 1 {
 				lost = c.Clock.Now()
-				c.Log.Event(logs.StoreLost).Str("prefix", prefix).Err(err).Msg("")
+				c.Log.Event(logs.StoreLost).Err(err).Msg("")
 			}
 			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: backoffMost}.Wait(failures, rand.Float64()))
 			continue
 		}
 		if failures > 0 {
-			c.Log.Event(logs.StoreRegained).Str("prefix", prefix).Int("failures", failures).Dur("lost_ms", c.Clock.Now().Sub(lost)).Msg("")
+			c.Log.Event(logs.StoreRegained).Int("failures", failures).Dur("lost_ms", c.Clock.Now().Sub(lost)).Msg("")
 		}
 		n.outage = failures > 0
 		failures = 0
-		if n.full || n.outage || len(n.items) > 0 || (prefix == plat.EndpointPrefix && c.View().Lapsing()) {
+		if n.full || n.outage || len(n.items) > 0 || c.View().Lapsing() {
 			select {
 			case <-ctx.Done():
 				return
@@ -209,25 +199,25 @@
 	return 0, probeLimit
 }
 
-func (c *Control) read(prefix string, after *int64, failures int) (news, error) {
+func (c *Control) read(after *int64, failures int) (news, error) {
 	changes, limit := patience(failures)
-	if prefix == plat.EndpointPrefix && c.View().Lapsing() {
+	if c.View().Lapsing() {
 		changes = min(changes, lapseWait)
 	}
 	if *after < 0 {
-		items, from, err := c.Store.Range(prefix, limit)
+		items, from, err := c.Store.Range(plat.AllPrefix, limit)
 		if err != nil {
 			return news{}, err
 		}
 		*after = from
-		return news{prefix: prefix, items: items, full: true}, nil
+		return news{items: items, full: true}, nil
 	}
-	items, next, err := c.Store.Watch(prefix, *after, changes, limit)
+	items, next, err := c.Store.Watch(plat.AllPrefix, *after, changes, limit)
 	if err != nil {
 		return news{}, err
 	}
 	*after = next
-	return news{prefix: prefix, items: items}, nil
+	return news{items: items}, nil
 }
 
 func (c *Control) apply(n news) {
@@ -236,21 +226,29 @@
 		c.state.regained = now
 	}
 	if n.from != "" {
-		if c.known(n.prefix) {
+		if ready, _ := c.Ready(); ready {
 			return
 		}
-		c.Log.Event(logs.ViewLearnt).Str("from", n.from).Str("prefix", n.prefix).Int("entries", len(n.items)).Dur("age_ms", n.age).Msg("")
+		c.Log.Event(logs.ViewLearnt).Str("from", n.from).Int("entries", len(n.items)).Dur("age_ms", n.age).Msg("")
 	} else {
 		c.heard.Store(&now)
 	}
 	n.items = newest(n.items)
 	c.keep(n)
-	if n.prefix == plat.OperatorPrefix {
-		c.applyOperator(n, now)
-	} else {
-		c.applyEndpoints(n, now)
-		c.loaded.Store(true)
+	var operator, endpoints []plat.Item
+	for _, it := range n.items {
+		if _, ok := plat.EndpointID(it.Key); ok {
+			endpoints = append(endpoints, it)
+		} else {
+			operator = append(operator, it)
+		}
+	}
+	c.applyOperator(operator, n.full, now)
+	c.applyEndpoints(endpoints, n.full, now)
+	if n.from == "" {
+		c.confirm(now)
 	}
+	c.loaded.Store(true)
 	v := c.state.view
 	c.view.Store(&v)
 	if c.OnView != nil {
@@ -258,21 +256,10 @@
 	}
 }
 
-func (c *Control) known(prefix string) bool {
-	if prefix == plat.OperatorPrefix {
-		return c.state.view.Config != nil
-	}
-	return c.loaded.Load()
-}
-
 // keep holds on to items for other relays.
 func (c *Control) keep(n news) {
 	if n.full {
-		for key := range c.state.items {
-			if strings.HasPrefix(key, n.prefix) {
-				delete(c.state.items, key)
-			}
-		}
+		clear(c.state.items)
 	}
 	for _, it := range n.items {
 		if it.Removed {
@@ -309,14 +296,14 @@
 	return true
 }
 
-func (c *Control) applyOperator(n news, now time.Time) {
+func (c *Control) applyOperator(items []plat.Item, full bool, now time.Time) {
 	zones := make(map[string]bool)
-	if !n.full {
+	if !full {
 		for z := range c.state.view.DrainedZones() {
 			zones[z] = true
 		}
 	}
-	for _, it := range n.items {
+	for _, it := range items {
 		if !c.newer(it) {
 			continue
 		}
@@ -391,10 +378,10 @@
 	return e
 }
 
-func (c *Control) applyEndpoints(n news, now time.Time) {
+func (c *Control) applyEndpoints(items []plat.Item, full bool, now time.Time) {
 	change := fleet.Change{Lapse: make(map[string]time.Time)}
 	listed := make(map[string]bool)
-	for _, it := range n.items {
+	for _, it := range items {
 		id, ok := plat.EndpointID(it.Key)
 		if !ok || !c.newer(it) {
 			continue
@@ -413,7 +400,7 @@
 		c.logEndpoint(e, now)
 		change.Put = append(change.Put, c.chill(e, now))
 	}
-	if n.full {
+	if full {
 		for id := range c.state.view.All() {
 			if !listed[id] {
 				c.remove(&change, id, now)
@@ -421,7 +408,6 @@
 		}
 	}
 	c.state.view = c.state.view.With(change)
-	c.confirm(now)
 }
 
 // confirm drops endpoints whose entries should have come back: the store has just
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -55,7 +55,7 @@
 }
 
 func (f *fixture) read(outage bool, items ...plat.Item) {
-	f.apply(news{prefix: plat.EndpointPrefix, items: items, outage: outage})
+	f.apply(news{items: items, outage: outage})
 }
 
 func (f *fixture) check(t *testing.T, when string, want int) {
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -33,10 +33,10 @@
 	SettingsRejected = kind("settings_rejected", log.ErrorLevel, rateRare, "Changed settings can't be used; the old ones stay in force.", "settings", "error")
 	LinesOmitted     = kind("lines_omitted", log.WarnLevel, rateRare, "Lines were left out since the last such line: of a kind that wrote enough, or for want of output.", "kind", "lines")
 
-	StoreLost         = kind("store_lost", log.WarnLevel, rateRare, "A read from the platform's store failed; what was learnt stays in force.", "prefix", "error")
-	StoreRegained     = kind("store_regained", log.WarnLevel, rateRare, "The store answers again.", "prefix", "failures", "lost_ms")
-	HistoryGone       = kind("history_gone", log.WarnLevel, rateRare, "The store no longer holds the changes after a revision; all is read anew.", "prefix", "after")
-	ViewLearnt        = kind("view_learnt", log.InfoLevel, rateRare, "Another relay told what it has learnt from the store, which this one can't read yet.", "from", "prefix", "entries", "age_ms")
+	StoreLost         = kind("store_lost", log.WarnLevel, rateRare, "A read from the platform's store failed; what was learnt stays in force.", "error")
+	StoreRegained     = kind("store_regained", log.WarnLevel, rateRare, "The store answers again.", "failures", "lost_ms")
+	HistoryGone       = kind("history_gone", log.WarnLevel, rateRare, "The store no longer holds the changes after a revision; all is read anew.", "after")
+	ViewLearnt        = kind("view_learnt", log.InfoLevel, rateRare, "Another relay told what it has learnt from the store, which this one can't read yet.", "from", "entries", "age_ms")
 	ConfigApplied     = kind("config_applied", log.InfoLevel, rateRare, "A configuration is in force.", "version", "revision", "routes")
 	ConfigRejected    = kind("config_rejected", log.ErrorLevel, rateRare, "A configuration can't be used; the one before stays in force.", "revision", "error")
 	ZoneDrained       = kind("zone_drained", log.InfoLevel, rateRare, "Nothing is sent to the endpoints of a zone from now on.", "zone")
@@ -106,7 +106,6 @@
 	"now_ms":         {"ms", "estimate with what waits now"},
 	"outcome":        {"", "what became of the request, in words"},
 	"pause_ms":       {"ms", "time without work"},
-	"prefix":         {"", "of the keys in the store"},
 	"reason":         {"", "why"},
 	"request":        {"", "ID of the caller's attempt"},
 	"requests":       {"", "IDs of the callers' attempts"},
--- a/wpctl/cmds/cmds.go
+++ b/wpctl/cmds/cmds.go
@@ -39,6 +39,7 @@
 		{"diff", "what a new document changes", "Compares two published documents. With --list it says which endpoints gain or lose which stages.", &diff{Globals: g}},
 		{"status", "what a process sees", "Reads the status page of an entry or an agent, given its operators' address.", &status{Globals: g}},
 		{"explain", "why endpoints may or may not carry a pipeline", "Asks an entry, given its operators' address, about each endpoint and each stage of a pipeline.", &explain{Globals: g}},
+		{"trace", "what became of a request", "Gathers the lines of a request, by the ID of the caller's attempt, from log files of relays or from standard input. Lines marked ~ are of endpoints and processes that it depended on. The last line names the cause.", &traceCmd{Globals: g}},
 		{"load", "send requests at a rate", "Sends requests at a given rate, whatever becomes of those before, and measures how they end.", &loadCmd{Globals: g}},
 	}
 	for _, c := range commands {
