relay/gauge: counters and histograms by route and team

Change: requests by status, attempts by end, stage calls and items by result; time in all, to the first event, of stages and of pauses by route; by team. Names are bounded (64 routes, 64 services, 128 teams, then other). Metrics have a port of their own in the deploy file.

--- a/relay/carry/attempt.go
+++ b/relay/carry/attempt.go
@@ -226,6 +226,7 @@
 
 func (k *walk) ended(e *fleet.Endpoint, r pick.Result, came end, why string) {
 	k.Nodes.End(e, r)
+	k.Meters.Attempt(k.service, string(came))
 	ev := k.Log.Event
 	if came != endDone {
 		ev = k.Log.Failure
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -17,6 +17,7 @@
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/gauge"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 	"wigeonplank.example/relay/sets"
@@ -44,6 +45,7 @@
 	Stages *stage.Runner
 	Clock  clock.Clock
 	Log    *logs.Logger
+	Meters *gauge.Meters
 	// NewBudget returns the retry budget of a service.
 	NewBudget func() *retry.Budget
 	// Policy returns the policy in force.
@@ -67,9 +69,10 @@
 	attempts int       // endpoints that may have run it
 	tried    map[string]bool
 	inputs   []string
-	freed    bool // inputs were given up
-	restaged int  // times that the stages ran again
-	ran      bool // some endpoint may have run it
+	freed    bool      // inputs were given up
+	passed   time.Time // when the last event was passed on
+	restaged int       // times that the stages ran again
+	ran      bool      // some endpoint may have run it
 	outcome  string
 	version  int64         // of the configuration that decides
 	after    time.Duration // when the caller may come back; 0: not said
@@ -103,6 +106,11 @@
 		line.Dur("retry_after_ms", k.after)
 	}
 	line.Msg("")
+	if k.route != nil {
+		k.Meters.Ended(k.route.Name, k.teamName(), k.x.Status(), now.Sub(k.began))
+	} else {
+		k.Meters.Ended("", "", k.x.Status(), now.Sub(k.began))
+	}
 }
 
 // refuse answers for the system itself. A status that promises "not run" is
@@ -219,6 +227,7 @@
 	}
 	inputs, err := k.Stages.Run(ctx, job)
 	k.logStages(inputs, err)
+	k.Meters.Record(gauge.PartStages, k.route.Name, k.Clock.Now().Sub(k.began))
 	if err == nil {
 		k.inputs = inputs
 		return true
--- a/relay/carry/stream.go
+++ b/relay/carry/stream.go
@@ -13,6 +13,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/gauge"
 	"wigeonplank.example/relay/pool"
 )
 
@@ -119,9 +120,14 @@
 }
 
 func (k *walk) pass(call *pool.Call, raw []byte) error {
+	now := k.Clock.Now()
+	before := k.passed
+	k.passed = now
 	if k.x.Begun() {
+		k.Meters.Record(gauge.PartPause, k.route.Name, now.Sub(before))
 		return k.x.Send(raw)
 	}
+	k.Meters.Record(gauge.PartFirst, k.route.Name, now.Sub(k.began))
 	var h fasthttp.ResponseHeader
 	plat.CopyAnswer(&h, &call.Head)
 	// The model has read its inputs once its first event is there.
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -27,6 +27,7 @@
 	"wigeonplank.example/relay/carry"
 	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/gauge"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/peers"
 	"wigeonplank.example/relay/pool"
@@ -66,6 +67,7 @@
 	provide := []any{
 		func() (*sets.Live, error) { return sets.Open(opts.Settings) },
 		newLogger,
+		func() *gauge.Meters { return &gauge.Meters{Registry: metrics.NewRegistry()} },
 		newControl,
 		newNodes,
 		newMesh,
@@ -137,15 +139,15 @@
 	return n
 }
 
-func newStages(l *logs.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, m *peers.Mesh) *stage.Runner {
-	st := &stage.Runner{View: c.View, Health: n, Peers: m, Pool: p, Clock: clock.System{}, Log: l}
+func newStages(l *logs.Logger, g *gauge.Meters, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, m *peers.Mesh) *stage.Runner {
+	st := &stage.Runner{View: c.View, Health: n, Peers: m, Pool: p, Clock: clock.System{}, Log: l, Meters: g}
 	m.Handler, m.Source = st, c
 	return st
 }
 
-func newWalker(live *sets.Live, l *logs.Logger, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, st *stage.Runner, m *peers.Mesh) *carry.Walker {
+func newWalker(live *sets.Live, l *logs.Logger, g *gauge.Meters, c *ctrl.Control, n *carry.Nodes, p *pool.Pool, st *stage.Runner, m *peers.Mesh) *carry.Walker {
 	return &carry.Walker{
-		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Nodes: n, Pool: p, Stages: st, Clock: clock.System{}, Log: l,
+		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Nodes: n, Pool: p, Stages: st, Clock: clock.System{}, Log: l, Meters: g,
 		Policy: policy(live),
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
@@ -171,8 +173,8 @@
 	}
 }
 
-func newAdmin(c *ctrl.Control, f *front.Server, p *pool.Pool) *admin.Server {
-	reg := metrics.NewRegistry()
+func newAdmin(c *ctrl.Control, f *front.Server, p *pool.Pool, g *gauge.Meters) *admin.Server {
+	reg := g.Registry
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_active", reg, f.Active)
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_dials", reg, p.Dials)
 	ready := func() (bool, string) {
@@ -205,7 +207,15 @@
 	if err != nil {
 		return fmt.Errorf("listen for relays: %w", err)
 	}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
+	if s.Metrics != nil {
+		ln, err := net.Listen("tcp", s.Metrics.Listen)
+		if err != nil {
+			return fmt.Errorf("listen for metrics: %w", err)
+		}
+		page := *adm
+		go func() { failed <- page.Serve(ln) }()
+	}
 	go func() { failed <- m.Serve(peerLn) }()
 	go m.Run(ctx)
 	go func() { failed <- f.Serve(ln) }()
--- /dev/null
+++ b/relay/gauge/gauge_test.go
@@ -0,0 +1,31 @@
+package gauge_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wigeonplank.example/base/admin"
+	"wigeonplank.example/relay/gauge"
+)
+
+// TestNamesAreBounded: a configuration with very many routes doesn't fill the
+// memory with histograms.
+func TestNamesAreBounded(t *testing.T) {
+	m := &gauge.Meters{Registry: metrics.NewRegistry()}
+	for i := range 1000 {
+		m.Ended(fmt.Sprint("r", i), fmt.Sprint("t", i), 200, time.Millisecond)
+	}
+	var out bytes.Buffer
+	admin.WriteMetrics(&out, m.Registry)
+	if n := strings.Count(out.String(), "wigeonplank_relay_total_us_count{"); n != 65 {
+		t.Errorf("%d routes have a histogram, want 64 and one for the rest", n)
+	}
+	if want := `wigeonplank_relay_requests_total{route="other",status="200"} 936`; !strings.Contains(out.String(), want) {
+		t.Errorf("no %s", want)
+	}
+}
--- a/relay/sets/live.go
+++ b/relay/sets/live.go
@@ -91,6 +91,8 @@
 		return "http"
 	case a.Admin != b.Admin:
 		return "admin"
+	case !reflect.DeepEqual(a.Metrics, b.Metrics):
+		return "metrics"
 	case a.Peers.Listen != b.Peers.Listen:
 		return "peers.listen"
 	case a.Store != b.Store:
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -9,17 +9,18 @@
 
 // Settings is what a relay reads at its start and whenever they change.
 type Settings struct {
-	Instance    string      `yaml:"instance" validate:"required"` // ID of the instance
-	Zone        string      `yaml:"zone" validate:"required"`     // availability zone of the instance
-	HTTP        sets.Listen `yaml:"http"`                         // callers
-	Admin       sets.Listen `yaml:"admin"`                        // readiness, metrics and status
-	Peers       Peers       `yaml:"peers"`
-	Store       string      `yaml:"store" validate:"required,ip_port"` // the platform's store, IP:port
-	MemoryBytes int64       `yaml:"memory_bytes,omitempty" validate:"min=0"`
-	Stop        Stop        `yaml:"stop,omitempty"`
-	Retry       Retry       `yaml:"retry,omitempty"`
-	Cold        Cold        `yaml:"cold,omitempty"`
-	Policy      Policy      `yaml:"policy,omitempty"`
+	Instance    string       `yaml:"instance" validate:"required"` // ID of the instance
+	Zone        string       `yaml:"zone" validate:"required"`     // availability zone of the instance
+	HTTP        sets.Listen  `yaml:"http"`                         // callers
+	Admin       sets.Listen  `yaml:"admin"`                        // readiness, metrics and status
+	Metrics     *sets.Listen `yaml:"metrics,omitempty"`            // metrics alone, for scrapers; none: only on the port of admin
+	Peers       Peers        `yaml:"peers"`
+	Store       string       `yaml:"store" validate:"required,ip_port"` // the platform's store, IP:port
+	MemoryBytes int64        `yaml:"memory_bytes,omitempty" validate:"min=0"`
+	Stop        Stop         `yaml:"stop,omitempty"`
+	Retry       Retry        `yaml:"retry,omitempty"`
+	Cold        Cold         `yaml:"cold,omitempty"`
+	Policy      Policy       `yaml:"policy,omitempty"`
 }
 
 // Peers says how the relays of a deployment find each other.
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -31,6 +31,7 @@
 		r.Health.Unreachable(c.Endpoint)
 	}
 	r.Health.End(c.Endpoint, result)
+	r.Meters.StageCall(c.Service.Name, string(result), len(c.Items))
 	ev := r.Log.Event
 	if err != nil {
 		ev = r.Log.Failure
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -14,6 +14,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/gauge"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 )
@@ -59,6 +60,7 @@
 	Pool   *pool.Pool
 	Clock  clock.Clock
 	Log    *logs.Logger
+	Meters *gauge.Meters
 
 	mu       sync.Mutex
 	sched    batch.Scheduler
