--- a/proof/deploy/stage_test.go
+++ b/proof/deploy/stage_test.go
@@ -86,6 +86,7 @@
 		"held":    checkHeld,
 		"log":     awaitLog,
 		"ready":   awaitReady,
+		"count":   countLog,
 		"set":     changeSettings,
 		"trace":   trace,
 	} {
@@ -205,9 +206,14 @@
 	return l.s.d.Site.Register(l.word(0), l.word(1))
 }
 
-// entry KEY FILE: write raw bytes into the store.
+// entry KEY FILE [address=ENDPOINT]: write raw bytes into the store; ADDRESS in
+// them becomes that of an endpoint.
 func putEntry(l *line) error {
-	l.s.d.Site.Store.Put(l.word(0), []byte(l.ts.ReadFile(l.word(1))))
+	text := l.ts.ReadFile(l.word(1))
+	if id := l.opts["address"]; id != "" {
+		text = strings.ReplaceAll(text, "ADDRESS", l.server(id).Addr)
+	}
+	l.s.d.Site.Store.Put(l.word(0), []byte(text))
 	return nil
 }
 
@@ -325,18 +331,34 @@
 	for _, w := range l.words[1:] {
 		patterns = append(patterns, regexp.MustCompile(w))
 	}
-	return await(fmt.Sprint("a log line of ", l.words), func() bool {
-		raw, err := os.ReadFile(l.relay(l.word(0)).Log)
-		l.ts.Check(err)
-	lines:
-		for row := range bytes.SplitSeq(raw, []byte{'\n'}) {
-			for _, p := range patterns {
-				if !p.Match(row) {
-					continue lines
-				}
+	return await(fmt.Sprint("a log line of ", l.words), func() bool { return l.matches(l.word(0), patterns) > 0 })
+}
+
+// count NAME N PATTERN...: so many lines of a relay's log match all patterns.
+func countLog(l *line) error {
+	patterns := make([]*regexp.Regexp, 0, len(l.words))
+	for _, w := range l.words[2:] {
+		patterns = append(patterns, regexp.MustCompile(w))
+	}
+	if n := l.matches(l.word(0), patterns); n != l.number(1) {
+		return fmt.Errorf("%d lines", n)
+	}
+	return nil
+}
+
+// matches returns how many lines of a relay's log match all patterns.
+func (l *line) matches(relay string, patterns []*regexp.Regexp) int {
+	raw, err := os.ReadFile(l.relay(relay).Log)
+	l.ts.Check(err)
+	n := 0
+lines:
+	for row := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		for _, p := range patterns {
+			if !p.Match(row) {
+				continue lines
 			}
-			return true
 		}
-		return false
-	})
+		n++
+	}
+	return n
 }
--- a/relay/carry/attempt.go
+++ b/relay/carry/attempt.go
@@ -147,6 +147,11 @@
 		k.attempts--
 		k.ended(e, pick.ResultNone, endInputs, "results of stages are gone")
 		return endInputs, "results of stages are gone"
+	case a.Other:
+		k.attempts--
+		k.Nodes.Unreachable(e)
+		k.ended(e, pick.ResultNone, endNotRun, "another endpoint has its address")
+		return endNotRun, "another endpoint has its address"
 	case a.NotRun:
 		k.attempts--
 		k.ended(e, pick.ResultFull, endNotRun, "endpoint did not run it")
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -84,6 +84,7 @@
 // Serve answers a request. It blocks until the answer is written.
 func (w *Walker) Serve(x *front.Exchange) {
 	k := &walk{Walker: w, x: x, began: x.Began, tried: make(map[string]bool)}
+	k.req.ID = plat.AttemptID(&x.Head)
 	k.serve()
 	k.logDone()
 }
--- a/wpctl/trace/trace.go
+++ b/wpctl/trace/trace.go
@@ -19,6 +19,7 @@
 	lineBytes   = 1 << 20
 	before      = 2 * time.Second // what befell endpoints and processes so long before a request may matter to it
 	after       = time.Second     // and so long after its last line
+	restart     = time.Minute     // a process that started again within this had ended before
 	answered    = "answered"
 	eventDone   = "request_done"
 	eventBegun  = "attempt_begun"
@@ -140,7 +141,11 @@
 	}
 	from, to := t.Lines[0].Time.Add(-before), t.Lines[len(t.Lines)-1].Time.Add(after)
 	for _, l := range context {
-		if about := l.about(); used[about] && l.Time.After(from) && l.Time.Before(to) {
+		end := to
+		if l.Event == eventStart {
+			end = to.Add(restart)
+		}
+		if about := l.about(); used[about] && l.Time.After(from) && l.Time.Before(end) {
 			l.About = about
 			t.Lines = append(t.Lines, l)
 		}
@@ -214,7 +219,7 @@
 func (t *Trace) unended() string {
 	last := t.Lines[0]
 	for _, l := range t.Lines {
-		if l.About == "" {
+		if l.Fields["request"] == t.Request { // not of a relay that ran its stages only
 			last = l
 		}
 	}
