--- a/proof/cmds/docs.go
+++ b/proof/cmds/docs.go
@@ -6,9 +6,11 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
@@ -17,6 +19,8 @@
 	"wigeonplank.example/base/start"
 	entrycmds "wigeonplank.example/entry/cmds"
 	fakescmds "wigeonplank.example/fakes/cmds"
+	relaycmds "wigeonplank.example/relay/cmds"
+	"wigeonplank.example/relay/logs"
 	wpctlcmds "wigeonplank.example/wpctl/cmds"
 )
 
@@ -47,6 +51,7 @@
 	}
 	return map[string]string{
 		"docs/COMMANDS.md": commandsPage(),
+		"docs/LOGS.md":     logsPage(),
 		"docs/SETTINGS.md": settings,
 	}, nil
 }
@@ -60,6 +65,7 @@
 		wpctlcmds.Parser(&bytes.Buffer{}),
 		entrycmds.Parser(&start.Options{}),
 		agentcmds.Parser(&start.Options{}),
+		relaycmds.Parser(&start.Options{}),
 		fakescmds.Parser(),
 		Parser(),
 	} {
@@ -106,6 +112,23 @@
 	}
 }
 
+// logsPage lists the lines of a relay from their catalogue.
+func logsPage() string {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s\n# Lines of a relay\n\n", generated)
+	fmt.Fprintf(&b, "Each line is JSON on standard output, with `time`, `level`, `program`, `instance` and `event`. A kind writes as many lines a second as\n")
+	fmt.Fprintf(&b, "the table says, four times as many at once, and failures as many again; more are left out and counted in `%s`.\n", logs.LinesOmitted.Name)
+	fmt.Fprintf(&b, "\n| event | level | lines/s | meaning | fields |\n| --- | --- | --- | --- | --- |\n")
+	for _, k := range logs.All() {
+		fmt.Fprintf(&b, "| `%s` | %s | %d | %s | `%s` |\n", k.Name, k.Level, k.PerSecond, k.Text, strings.Join(k.Fields, "`, `"))
+	}
+	fmt.Fprintf(&b, "\n## Fields\n\n| field | unit | meaning |\n| --- | --- | --- |\n")
+	for _, name := range slices.Sorted(maps.Keys(logs.Fields)) {
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", name, logs.Fields[name].Unit, logs.Fields[name].Text)
+	}
+	return b.String()
+}
+
 // settingsPage reads the keys, rules and comments from the definitions.
 func settingsPage(root string) (string, error) {
 	var b bytes.Buffer
@@ -114,7 +137,8 @@
 		{"Published configuration", "core/conf/document.go"},
 		{"Settings of an entry", "entry/sets/sets.go"},
 		{"Settings of an agent", "agent/sets/sets.go"},
-		{"Sections of both", "base/sets/shared.go"},
+		{"Settings of a relay", "relay/sets/sets.go"},
+		{"Sections of several", "base/sets/shared.go"},
 	} {
 		f, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, src.file), nil, parser.ParseComments)
 		if err != nil {
--- a/relay/carry/attempt.go
+++ b/relay/carry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -69,7 +70,7 @@
 func (k *walk) logBegin(c pick.Choice, lastEvent int64) {
 	k.Log.Event(logs.AttemptBegun).Str("request", k.req.ID).Str("endpoint", c.Endpoint.ID).Str("zone", c.Endpoint.Zone).
 		Int("attempt", len(k.tried)).Str("choice", string(c.Why)).Int("candidates", c.Candidates).Float64("load", c.Load).
-		Uint64("affinity", k.affinity()).Int64("event_id", lastEvent).Dur("left_ms", k.deadline.Sub(k.Clock.Now())).Msg("")
+		Str("affinity", strconv.FormatUint(k.affinity(), 16)).Int64("event_id", lastEvent).Dur("left_ms", k.deadline.Sub(k.Clock.Now())).Msg("")
 }
 
 // giveUp answers after the last attempt.
--- a/relay/carry/carry.go
+++ b/relay/carry/carry.go
@@ -333,7 +333,7 @@
 // affinity hashes the longest beginning of the prompt that other requests may
 // share: all but the last part, which mostly is the request's own.
 func (k *walk) affinity() uint64 {
-	if !k.route.Sticky || len(k.req.Prompt) == 0 {
+	if !k.route.Sticky || len(k.req.Prompt) == 0 || k.Policy().NoAffinity {
 		return 0
 	}
 	return xxhash.Sum64String(k.req.Prompt[max(0, len(k.req.Prompt)-2)].ID)
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -76,7 +76,7 @@
 	"active":         {"", "requests under way"},
 	"addr":           {"", "IP:port"},
 	"admitted":       {"", "false: refused at once"},
-	"affinity":       {"", "hash of the part of the prompt that should meet its cache; 0: none"},
+	"affinity":       {"", "hash of the part of the prompt that should meet its cache, hexadecimal; 0: none"},
 	"after":          {"revision", "the last one that was known"},
 	"age_ms":         {"ms", "time since the other relay heard from the store"},
 	"entries":        {"", "entries of the store"},
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -53,5 +53,6 @@
 // baselines to measure against.
 type Policy struct {
 	NoAdmission bool `yaml:"no_admission,omitempty"` // requests that can't be in time are begun all the same
+	NoAffinity  bool `yaml:"no_affinity,omitempty"`  // engines are chosen by load alone
 	BatchAlone  bool `yaml:"batch_alone,omitempty"`  // each relay fills calls from its own requests only
 }
--- a/wpctl/trace/trace.go
+++ b/wpctl/trace/trace.go
@@ -142,7 +142,7 @@
 	from, to := t.Lines[0].Time.Add(-before), t.Lines[len(t.Lines)-1].Time.Add(after)
 	for _, l := range context {
 		end := to
-		if l.Event == eventStart {
+		if l.Event == eventStart && t.last(eventDone, nil) == nil {
 			end = to.Add(restart)
 		}
 		if about := l.about(); used[about] && l.Time.After(from) && l.Time.Before(end) {
