fakes/site: callers' requests and operators' words, in one place

Cause: the scenes, the soak and a test of answers spelled the platform's headers and keys themselves, so the check that keeps these names in platform/ left out proof/.

--- a/proof/cmds/platform.go
+++ b/proof/cmds/platform.go
@@ -89,15 +89,14 @@
 // operate does what operators, and accidents, do.
 func (p *Platform) operate(d *deploy.Deploy, zone string) error {
 	step := p.Duration / demoSteps
-	key := "op/evacuate/" + zone
 	last := d.Relay("relay-3")
 	for _, s := range []struct {
 		what string
 		do   func() error
 	}{
-		{"zone " + zone + " is drained", func() error { d.Site.Store.Put(key, []byte("{}")); return nil }},
+		{"zone " + zone + " is drained", func() error { d.Site.Drain(zone); return nil }},
 		{"zone " + zone + " is back; the store goes down", func() error {
-			d.Site.Store.Delete(key)
+			d.Site.Return(zone)
 			d.Site.Store.Fail(site.OutageDown)
 			return nil
 		}},
--- a/proof/deploy/calls_test.go
+++ b/proof/deploy/calls_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,7 +18,10 @@
 	"wigeonplank.example/fakes/site"
 )
 
-const callLimit = 30 * time.Second
+const (
+	callLimit    = 30 * time.Second
+	callDeadline = 20 * time.Second // of calls that name none
+)
 
 var statusLine = regexp.MustCompile(`HTTP/1\.1 (\d+)`)
 
@@ -29,7 +33,7 @@
 	done   chan struct{}
 	status int
 	answer string
-	header string
+	signed bool
 	err    error
 }
 
@@ -39,47 +43,42 @@
 	c := &call{name: l.word(0), uri: l.word(2), body: l.opts["body"], done: make(chan struct{})}
 	l.s.calls[c.name] = c
 	addr := l.relay(l.word(1)).Settings.HTTP.Listen
-	head := map[string]string{
-		"X-Attempt-Id": c.name, "X-Deadline-Ms": "20000", "Authorization": "Bearer " + site.StandardKey,
+	call := site.Call{
+		ID: c.name, Key: site.StandardKey, Deadline: callDeadline, Last: l.opts["last"], Items: l.opts["items"], ItemKey: "0a1b",
 	}
 	if v, ok := l.opts["key"]; ok {
-		head["Authorization"] = "Bearer " + v
+		call.Key = v
 	}
 	if v := l.opts["deadline"]; v != "" {
-		head["X-Deadline-Ms"] = v
-	}
-	if v := l.opts["last"]; v != "" {
-		head["Last-Event-Id"] = v
+		ms, err := strconv.Atoi(v)
+		l.ts.Check(err)
+		call.Deadline = time.Duration(ms) * time.Millisecond
 	}
 	if strings.HasPrefix(c.uri, "/review/") || strings.HasPrefix(c.uri, "/note/") {
-		head["X-Model"], head["X-Token-Count"], head["X-Prefix-Hash"] = "m", "100,8", "ab12:60,cd34:40"
-	}
-	if v := l.opts["items"]; v != "" {
-		head["X-Segments"], head["X-Segment-Key"] = v, "0a1b"
-	}
-	if k, v, ok := strings.Cut(l.opts["set"], ":"); ok {
-		head[k] = v
+		call.Prompt = []string{"ab12:60", "cd34:40"}
 	}
+	name, value, _ := strings.Cut(l.opts["set"], ":")
 	host := site.StandardHost
 	if v := l.opts["host"]; v != "" {
 		host = v
 	}
 	go func() {
 		defer close(c.done)
-		c.make(addr, host, head)
+		c.make(addr, host, call, name, value)
 	}()
 	return nil
 }
 
-func (c *call) make(addr, host string, head map[string]string) {
+func (c *call) make(addr, host string, call site.Call, name, value string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr + c.uri)
 	req.UseHostHeader = true
 	req.Header.SetHost(host)
-	for k, v := range head {
-		req.Header.Set(k, v)
+	call.Fill(&req.Header)
+	if name != "" {
+		req.Header.Set(name, value)
 	}
 	if c.body != "" {
 		req.Header.SetMethod(fasthttp.MethodPost)
@@ -89,7 +88,7 @@
 	if c.err = client.DoTimeout(req, resp, callLimit); c.err != nil {
 		return
 	}
-	c.status, c.answer, c.header = resp.StatusCode(), string(resp.Body()), resp.Header.String()
+	c.status, c.answer, c.signed = resp.StatusCode(), string(resp.Body()), site.Signed(&resp.Header)
 }
 
 // end NAME STATUS|broken [answer=whole|events] [from=N]: wait for the answer of
@@ -126,8 +125,8 @@
 	default:
 		return nil
 	}
-	if c.answer != want || !strings.Contains(c.header, "X-Server-Stamp") {
-		return fmt.Errorf("header %q, answer %q, want %q", c.header, c.answer, want)
+	if c.answer != want || !c.signed {
+		return fmt.Errorf("signed %v, answer %q, want %q", c.signed, c.answer, want)
 	}
 	return nil
 }
--- a/proof/deploy/drive.go
+++ b/proof/deploy/drive.go
@@ -92,18 +92,15 @@
 
 func (r *Reply) request(rng *rand.Rand) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
-	req.Header.Set("X-Attempt-Id", r.ID)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callerDeadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+site.StandardKey)
+	c := site.Call{ID: r.ID, Key: site.StandardKey, Deadline: callerDeadline}
 	if r.Route.Stream {
-		req.Header.Set("X-Model", "m")
-		req.Header.Set("X-Token-Count", "100,8")
-		req.Header.Set("X-Prefix-Hash", fmt.Sprintf("%x:60,%x:40", rng.IntN(promptParts), rng.Uint32()))
+		c.Prompt = []string{fmt.Sprintf("%x:60", rng.IntN(promptParts)), fmt.Sprintf("%x:40", rng.Uint32())}
 	}
 	if r.Route.Staged {
-		req.Header.Set("X-Segments", fmt.Sprintf("%d,%d", 1+rng.IntN(mostItems), 1+rng.IntN(mostItems)))
-		req.Header.Set("X-Segment-Key", fmt.Sprintf("%x", rng.Uint32()))
+		c.Items = fmt.Sprintf("%d,%d", 1+rng.IntN(mostItems), 1+rng.IntN(mostItems))
+		c.ItemKey = fmt.Sprintf("%x", rng.Uint32())
 	}
+	c.Fill(&req.Header)
 	if r.Body != "" {
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyString(r.Body)
@@ -124,7 +121,7 @@
 		return
 	}
 	r.Status, r.Answer = resp.StatusCode(), string(resp.Body())
-	r.Signed = len(resp.Header.Peek("X-Server-Stamp")) > 0
+	r.Signed = site.Signed(&resp.Header)
 }
 
 // Verdict is what is wrong with replies.
--- a/proof/deploy/soak.go
+++ b/proof/deploy/soak.go
@@ -175,7 +175,7 @@
 	k.Say("%s crashes", e.ID)
 	err := k.d.Site.Crash(e.ID)
 	k.later(entryLag, func() error {
-		k.d.Site.Store.Delete("servers/" + e.ID)
+		k.d.Site.Remove(e.ID)
 		return k.replace(e)
 	})
 	return err
@@ -198,7 +198,7 @@
 	}
 	err := k.d.Site.Register(e.ID, "draining")
 	k.later(longestFault, func() error {
-		k.d.Site.Store.Delete("servers/" + e.ID)
+		k.d.Site.Remove(e.ID)
 		return nil
 	})
 	return err
@@ -273,10 +273,9 @@
 	zones := site.StandardZones()
 	z, d := zones[k.rng.IntN(len(zones))], k.length()
 	k.Say("zone %s is drained for %s", z, d)
-	key := "op/evacuate/" + z
-	k.d.Site.Store.Put(key, []byte("{}"))
+	k.d.Site.Drain(z)
 	k.later(d, func() error {
-		k.d.Site.Store.Delete(key)
+		k.d.Site.Return(z)
 		return nil
 	})
 	return nil
--- a/proof/deploy/stage_test.go
+++ b/proof/deploy/stage_test.go
@@ -200,7 +200,7 @@
 // state ENDPOINT ready|draining|gone.
 func register(l *line) error {
 	if l.word(1) == "gone" {
-		l.s.d.Site.Store.Delete("servers/" + l.word(0))
+		l.s.d.Site.Remove(l.word(0))
 		return nil
 	}
 	return l.s.d.Site.Register(l.word(0), l.word(1))
@@ -219,12 +219,11 @@
 
 // drain ZONE [back].
 func drain(l *line) error {
-	key := "op/evacuate/" + l.word(0)
 	if len(l.words) > 1 {
-		l.s.d.Site.Store.Delete(key)
-		return nil
+		l.s.d.Site.Return(l.word(0))
+	} else {
+		l.s.d.Site.Drain(l.word(0))
 	}
-	l.s.d.Site.Store.Put(key, []byte(`{}`))
 	return nil
 }
 
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -36,8 +36,7 @@
 	defaultColdFor = 3 * time.Second         // for zones that come back, where the service doesn't say
 )
 
-// Control reads the store and publishes views. Set the exported fields before
-// Run.
+// Control reads the store and publishes views. Make it with New.
 type Control struct {
 	Store *plat.Store
 	Clock clock.Clock
@@ -110,7 +109,7 @@
 	}
 }
 
-// New returns a Control that reads from store.
+// New returns a Control that reads from store. Set OnView before Run.
 func New(store *plat.Store, clk clock.Clock, l *logs.Logger) *Control {
 	return &Control{Store: store, Clock: clk, Log: l, news: make(chan news), asks: make(chan chan<- []plat.Item)}
 }
--- a/relay/pool/call_test.go
+++ b/relay/pool/call_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/relay/pool"
 )
 
@@ -29,7 +30,7 @@
 
 // TestAnswers: only a whole answer to the attempt counts.
 func TestAnswers(t *testing.T) {
-	const ok = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Server-Stamp: s\r\n"
+	ok, other := site.AnswerHead("r1"), site.AnswerHead("r2")
 	for name, c := range map[string]struct {
 		raw, body string
 		whole     bool
@@ -40,14 +41,14 @@
 		"until the end":      {ok + "\r\nhello", "hello", true},
 		"empty":              {ok + "Content-Length: 0\r\n\r\n", "", true},
 		"interim answer":     {"HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
-		"late answer before": {strings.Replace(ok, "r1", "r0", 1) + "Content-Length: 3\r\n\r\nold" + ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
+		"late answer before": {other + "Content-Length: 3\r\n\r\nold" + ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
 		"cut head":           {ok[:20], "", false},
 		"cut length":         {ok + "Content-Length: 5\r\n\r\nhel", "", false},
 		"cut chunks":         {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "", false},
 		"cut last chunk":     {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", "", false},
 		"wrong chunk":        {ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", "", false},
 		"no id":              {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", "", false},
-		"of another":         {strings.Replace(ok, "r1", "r2", 1) + "Content-Length: 5\r\n\r\nhello", "", false},
+		"of another":         {other + "Content-Length: 5\r\n\r\nhello", "", false},
 		"no answer":          {"hello", "", false},
 		"nothing":            {"", "", false},
 	} {
@@ -61,8 +62,8 @@
 // FuzzAnswers: whatever an endpoint sends, an answer counts as whole only if its
 // bytes are there.
 func FuzzAnswers(f *testing.F) {
-	f.Add("HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 5\r\n\r\nhello")
-	f.Add("HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	f.Add(site.AnswerHead("r1") + "Content-Length: 5\r\n\r\nhello")
+	f.Add(site.AnswerHead("r1") + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
 	f.Fuzz(func(t *testing.T, raw string) {
 		body, err := answer(raw)
 		if err == nil && body != "" && !strings.Contains(raw, body[:1]) {
