--- /dev/null
+++ b/core/pick/pick_test.go
@@ -0,0 +1,30 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/pick"
+)
+
+// BenchmarkPick is the choice among as many endpoints as the design aims at.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{50, 1000, 12_000} {
+		list := make([]*fleet.Endpoint, n)
+		for i := range list {
+			list[i] = &fleet.Endpoint{ID: fmt.Sprint("i-", i), Zone: fmt.Sprint("z", i%36), Slots: 64, State: fleet.StateReady}
+		}
+		svc := &fleet.Service{Name: "s"}
+		for name, affinity := range map[string]uint64{"load": 0, "affinity": 7} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				var p pick.Picker
+				now := time.Unix(0, 0)
+				for range b.N {
+					p.Pick(now, svc, list, pick.Want{Zone: "z1", Affinity: affinity})
+				}
+			})
+		}
+	}
+}
