--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -96,6 +97,9 @@
 // stop ends the listener and all connections.
 func (s *Server) stop() error {
 	err := s.ln.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil // it had ended before
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
