proof/deploy: the soak doesn't freeze a relay that is ending

Ruled out: a stop that hangs. The process was found in state T (stopped by a signal), its last lines after stopping being stopped and a failed release. Change: a relay that was told to end is left alone.

--- a/proof/deploy/soak.go
+++ b/proof/deploy/soak.go
@@ -255,7 +255,8 @@
 
 func (k *soaking) freezeRelay() error {
 	r, d := k.relay(), k.length()
-	if !r.proc.Running() {
+	// One that is ending would not end in its time.
+	if k.ending[r.Name] || !r.proc.Running() {
 		return nil
 	}
 	k.Say("%s stands still for %s", r.Name, d)
