core: events at the buffer's edge, serials out of their window, cycles of stages, restarted endpoints

Faults found by readers, each shown by a script that failed first: - event: a line that fills the reader's buffer exactly counted its newline as the end of the event, and text in the middle of a long line could be taken as an ID. Lines are now read whole. - ticket: MarkNotRun of a serial that left the window while it ran changed the bits of the serial that took its place, which then counted as voided though it ran, or as fresh. It now leaves the bits alone. - fleet: a configuration whose stages depend on each other in a cycle was accepted, and the estimate of its stages did not end. It is rejected. - pick: the end of a request to an endpoint's incarnation before a restart dropped the state of the new one. It is ignored.

Measured: scripts relay_events, ticket_window, relay_routes and relay_suspect_endpoints fail without and pass with the change; go test ./... of core passes.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,20 +42,10 @@
 	r.buf = r.buf[:0]
 	id := int64(-1)
 	for {
-		line, err := r.R.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
-		if len(r.buf) > MaxBytes {
-			return nil, 0, ErrTooLarge
-		}
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(r.buf) > 0:
-			return nil, 0, io.ErrUnexpectedEOF
-		case err != nil:
+		line, err := r.readLine()
+		if err != nil {
 			return nil, 0, err
 		}
-		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			return r.finish(id)
 		}
@@ -69,6 +59,27 @@
 	}
 }
 
+// readLine appends the next line to r.buf and returns it without its line end.
+// The line may be longer than the buffer of r.R.
+func (r *Reader) readLine() ([]byte, error) {
+	start := len(r.buf)
+	for {
+		part, err := r.R.ReadSlice('\n')
+		r.buf = append(r.buf, part...)
+		switch {
+		case len(r.buf) > MaxBytes:
+			return nil, ErrTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case errors.Is(err, io.EOF) && len(r.buf) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		return bytes.TrimRight(r.buf[start:], "\r\n"), nil
+	}
+}
+
 // finish checks the ID of a complete event and returns the event.
 func (r *Reader) finish(id int64) ([]byte, int64, error) {
 	if id >= 0 {
--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -82,9 +82,24 @@
 			}
 		}
 	}
+	if i := findCycle(r.Stages); i >= 0 {
+		return fmt.Sprintf("route %q, stage %d: depends on itself through other stages", r.Name, i)
+	}
 	return ""
 }
 
+// findCycle returns the index of a stage that can never start, because its
+// dependencies form a cycle, or -1. All dependencies must be valid indexes.
+func findCycle(stages []Stage) int {
+	done := make([]bool, len(stages))
+	for range stages {
+		for i, s := range stages {
+			done[i] = !slices.ContainsFunc(s.DependsOn, func(dep int) bool { return !done[dep] })
+		}
+	}
+	return slices.Index(done, false)
+}
+
 // Match returns the route with the longest prefix that matches a request, or
 // nil. path is the path as the caller sent it, without the query.
 func (c *Config) Match(host, path string) *Route {
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -90,6 +90,15 @@
 	return st
 }
 
+// current returns the state of the incarnation of an endpoint that a request was
+// sent to, or nil if another incarnation is tracked by now.
+func (p *Picker) current(e *fleet.Endpoint) *endpointState {
+	if st := p.endpoints[e.ID]; st != nil && st.incarnation != e.StartUnixMs {
+		return nil
+	}
+	return p.state(e)
+}
+
 // load estimates the share of an endpoint's slots in use. It counts the requests
 // of this process exactly. Those of other processes are the reported requests less
 // those that this process had in flight at the report; their weight falls linearly
@@ -245,9 +254,13 @@
 	}
 }
 
-// End records the result of a request that was recorded by Begin.
+// End records the result of a request that was recorded by Begin. It has no effect
+// if the endpoint was restarted since.
 func (p *Picker) End(now time.Time, e *fleet.Endpoint, r Result) {
-	st := p.state(e)
+	st := p.current(e)
+	if st == nil {
+		return
+	}
 	st.inFlight = max(0, st.inFlight-1)
 	switch r {
 	case ResultGood:
@@ -292,14 +305,20 @@
 }
 
 // MarkUnreachable records that no connection to an endpoint could be established. The
-// endpoint becomes suspect at once.
+// endpoint becomes suspect at once, unless it was restarted since.
 func (p *Picker) MarkUnreachable(now time.Time, e *fleet.Endpoint) {
-	p.markSuspect(now, e, "unreachable")
+	if p.current(e) != nil {
+		p.markSuspect(now, e, "unreachable")
+	}
 }
 
-// RecordLoad records the load that an endpoint reported.
+// RecordLoad records the load that an endpoint reported, unless it was restarted
+// since.
 func (p *Picker) RecordLoad(now time.Time, e *fleet.Endpoint, l Load) {
-	st := p.state(e)
+	st := p.current(e)
+	if st == nil {
+		return
+	}
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
 }
 
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -151,7 +151,7 @@
 //	pick choose ID|none|any zone=Z not=ID,... prompt=TEXT begin=no
 //	                                     checks the choice, unless it may be any, and starts a request there
 //	pick begin ID                        starts a request at an endpoint
-//	pick end ID good|full|failed|none    ends a request with a result
+//	pick end ID good|full|failed|none    ends a request with a result; born=MS: of that incarnation
 //	pick unreachable ID                  records that no connection could be made
 //	pick report ID running=N waiting=N   applies a load report
 //	pick suspect ID yes|no               checks whether an endpoint is suspect
@@ -185,7 +185,9 @@
 	case "begin":
 		relay.picker.Begin(now, svc, relay.view.Endpoint(a.arg(1)))
 	case "end":
-		relay.picker.End(now, relay.view.Endpoint(a.arg(1)), pick.Result(a.arg(2)))
+		e := *relay.view.Endpoint(a.arg(1))
+		e.StartUnixMs = int64(a.intOption("born", int(e.StartUnixMs)))
+		relay.picker.End(now, &e, pick.Result(a.arg(2)))
 	case "unreachable":
 		relay.picker.MarkUnreachable(now, relay.view.Endpoint(a.arg(1)))
 	case "report":
--- a/core/ticket/serials.go
+++ b/core/ticket/serials.go
@@ -123,7 +123,7 @@
 		return r.state
 	}
 	switch {
-	case num+t.window < t.next:
+	case t.expired(num):
 		return StateUnknown
 	case t.begun.has(num):
 		return StateRan
@@ -134,6 +134,9 @@
 	}
 }
 
+// expired reports whether a number has left the window.
+func (t *SerialTable) expired(num uint64) bool { return num+t.window < t.next }
+
 // Begin marks a fresh serial as running for the request with the given digest
 // and returns StateFresh. On any other result the request must not run: the
 // result is the state of the serial, or StateConflict if the serial was used
@@ -181,13 +184,17 @@
 }
 
 // MarkNotRun marks a running serial as voided, after the endpoint reported that it
-// did not run the request.
+// did not run the request. A serial that has left the window only becomes unknown,
+// as its bits belong to a newer one.
 func (t *SerialTable) MarkNotRun(s *wire.Serial) {
 	r, ok := t.records[s.GetNumber()]
 	if !ok || r.state != StateRunning {
 		return
 	}
 	delete(t.records, r.number)
+	if t.expired(r.number) {
+		return
+	}
 	t.begun.clear(r.number)
 	t.voided.set(r.number)
 }
