--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -215,7 +215,7 @@
 		}
 	}
 	slices.SortStableFunc(available, func(a, b *fleet.Endpoint) int { return preferred[b.Zone] - preferred[a.Zone] })
-	waitFactor := zoneWaitFactor(len(q), len(usable)*svc.Batch.MaxItems)
+	waitFactor := zoneWaitFactor(len(q), len(usable)*max(1, svc.Batch.Slots)*svc.Batch.MaxItems)
 	for _, e := range available {
 		st := s.endpoint(e.ID)
 		items := s.dequeue(now, svc.Batch, p, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
--- /dev/null
+++ b/core/repl/contact.go
@@ -0,0 +1,85 @@
+package repl
+
+import "time"
+
+const (
+	// startPatience is how long a process that has just started waits for another
+	// one's replica before it reads the store.
+	startPatience = 500 * time.Millisecond
+	// patience is the age of the last known contact with the store at which a process
+	// reads the store itself.
+	patience = 2500 * time.Millisecond
+	// maxJitter spreads the reads of processes that lost contact together.
+	maxJitter = 500 * time.Millisecond
+	// probesPerSecond bounds the reads of all processes together that are no readers,
+	// while the store doesn't respond.
+	probesPerSecond = 8
+)
+
+// Contact is the last known contact of any process with the store.
+type Contact struct {
+	At     time.Time // by the clock of this process
+	Origin string    // instance that read the store
+}
+
+// Position tells how much of the store a process has read.
+type Position struct {
+	Revision  int64     // up to which it has all changes; -1: none
+	Contact   Contact   // last known contact of any process with the store; zero: none
+	OutageEnd time.Time // end of the last known outage of the store; zero: none
+}
+
+// Follower decides when a process reads the store itself. Set the exported fields
+// before use. It is not safe for concurrent use.
+type Follower struct {
+	Self    string // instance ID of this process
+	Started time.Time
+	Jitter  float64 // of this process, from 0 to 1
+
+	own    Contact // last contact of this process
+	others Contact // last contact of another process
+	probed time.Time
+}
+
+// RecordOwn records that this process read the store.
+func (f *Follower) RecordOwn(now time.Time) { f.own = Contact{At: now, Origin: f.Self} }
+
+// RecordOther records the last contact that another process knows of.
+func (f *Follower) RecordOther(c Contact) {
+	if c.Origin != f.Self && c.At.After(f.others.At) {
+		f.others = c
+	}
+}
+
+// Last returns the last known contact.
+func (f *Follower) Last() Contact {
+	if f.others.At.After(f.own.At) {
+		return f.others
+	}
+	return f.own
+}
+
+// ShouldRead reports whether this process should read the store now. reader tells
+// whether it is one of those that read for the others, size is the number of
+// processes, and failures the number of its own reads that failed in a row.
+func (f *Follower) ShouldRead(now time.Time, reader bool, size, failures int) bool {
+	jitter := time.Duration(f.Jitter * float64(maxJitter))
+	if f.Last().At.IsZero() && now.Sub(f.Started) < startPatience+jitter {
+		return false
+	}
+	if reader {
+		return true
+	}
+	if now.Sub(f.others.At) < patience+jitter {
+		return false
+	}
+	if failures == 0 {
+		return true
+	}
+	interval := time.Duration(float64(size) / probesPerSecond * (0.5 + f.Jitter) * float64(time.Second))
+	if now.Sub(f.probed) < interval {
+		return false
+	}
+	f.probed = now
+	return true
+}
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -343,6 +343,7 @@
 		id, zone, _ := strings.Cut(a.arg(i), "@")
 		return peer.Member{Instance: id, Zone: zone, Addr: "10.0.0.1:" + id}
 	}
+	key := peer.Key{Name: a.stringOption("key", "s"), Zone: a.options["zone"]}
 	switch a.arg(0) {
 	case "new":
 		id, zone, _ := strings.Cut(name, "@")
@@ -352,9 +353,9 @@
 			g.MarkUp(now, parseMember(i), a.options["leaving"] == "yes")
 		}
 	case "heard":
-		g.Observe(now, parseMember(2))
+		g.Observe(now, parseMember(2), "another")
 	case "down":
-		g.MarkDown(a.arg(2))
+		g.MarkDown(now, a.arg(2))
 	case "leave":
 		g.Leave()
 	case "expire":
@@ -362,12 +363,12 @@
 	case "size":
 		return checkEqual("size", g.Size(now), a.intOption("is", 0))
 	case "owner":
-		return checkEqual("owner", g.Owner(a.stringOption("key", "s"), a.options["zone"]).Instance, a.arg(2))
+		return checkEqual("owner", g.Owner(now, key).Instance, a.arg(2))
 	case "agree":
-		first := g.Owner(a.stringOption("key", "s"), a.options["zone"]).Instance
+		first := g.Owner(now, key).Instance
 		for _, other := range a.positional[2:] {
 			if err := checkEqual("owner at "+other,
-				relay.groups[other].Owner(a.stringOption("key", "s"), a.options["zone"]).Instance, first); err != nil {
+				relay.groups[other].Owner(now, key).Instance, first); err != nil {
 				return err
 			}
 		}
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -36,19 +37,19 @@
 )
 
 const (
-	tickInterval             = 25 * time.Millisecond // interval at which delayed stage calls are started and results are released
-	memoryLimitRatio         = 0.7                   // soft memory limit of the process as a ratio of the instance's memory
-	gcPercent                = 200
-	defaultExpectedPeers     = 8 // relays
-	defaultHeartbeatInterval = 250 * time.Millisecond
-	defaultRetryRatio        = 0.2 // retries per request
-	defaultStopTimeout       = 8 * time.Second
-	acceptPeriod             = 2500 * time.Millisecond // the load balancer needs two readiness checks, 1 s apart, to notice a stop
-	stopMargin               = 500 * time.Millisecond  // time between the end of the process and the time at which it would be killed
-	usableRetryShare         = 0.75                    // share of the allowed retries that is used; the rest is a margin
-	usableColdShare          = 0.8                     // share of the rate allowed at a cold endpoint that is used; the rest is a margin
-	reloadInterval           = time.Second
-	flushTimeout             = 200 * time.Millisecond // bounds the write of the last log lines if standard output is slow
+	tickInterval         = 25 * time.Millisecond // interval at which delayed stage calls are started and results are released
+	memoryLimitRatio     = 0.7                   // soft memory limit of the process as a ratio of the instance's memory
+	gcPercent            = 200
+	defaultExpectedPeers = 8 // relays
+	defaultLinkMbps      = 1000
+	defaultRetryRatio    = 0.2 // retries per request
+	defaultStopTimeout   = 8 * time.Second
+	acceptPeriod         = 2500 * time.Millisecond // the load balancer needs two readiness checks, 1 s apart, to notice a stop
+	stopMargin           = 500 * time.Millisecond  // time between the end of the process and the time at which it would be killed
+	usableRetryShare     = 0.75                    // share of the allowed retries that is used; the rest is a margin
+	usableColdShare      = 0.8                     // share of the rate allowed at a cold endpoint that is used; the rest is a margin
+	reloadInterval       = time.Second
+	flushTimeout         = 200 * time.Millisecond // bounds the write of the last log lines if standard output is slow
 )
 
 // Parser returns the parser of the command line, which sets opts.
@@ -94,11 +95,26 @@
 }
 
 func newControl(live *sets.Live, l *logs.Logger, b *proxy.Balancer) *ctrl.Control {
-	c := ctrl.New(plat.NewStore(live.Get().Store), clock.System{}, l)
+	c := ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
 	c.OnViewChange = b.Prune
 	return c
 }
 
+// weight returns the weight of this relay among those that own shared work.
+func weight(c sets.Capacity) float64 {
+	cores, share, link := c.Cores, c.CPUShare, c.LinkMbps
+	if cores == 0 {
+		cores = 1
+	}
+	if share == 0 {
+		share = 1
+	}
+	if link == 0 {
+		link = defaultLinkMbps
+	}
+	return peer.Weight(cores*share, link)
+}
+
 // policyFunc returns a function that returns the current policy.
 func policyFunc(live *sets.Live) func() sets.Policy {
 	return func() sets.Policy { return live.Get().Policy }
@@ -114,16 +130,12 @@
 
 func newPeerMesh(live *sets.Live, l *logs.Logger, inc start.Incarnation) *peers.Mesh {
 	s := live.Get()
-	heartbeatInterval := s.Peers.HeartbeatInterval
-	if heartbeatInterval == 0 {
-		heartbeatInterval = defaultHeartbeatInterval
-	}
 	return &peers.Mesh{
 		Group: &peer.Group{
-			Self:         peer.Member{Instance: s.Instance, Incarnation: inc.ID, Addr: s.Peers.Listen, Zone: s.Zone},
+			Self:         peer.Member{Instance: s.Instance, Incarnation: inc.ID, Addr: s.Peers.Listen, Zone: s.Zone, Weight: weight(s.Capacity)},
 			ExpectedSize: expectedPeers(s), Started: time.Now(),
 		},
-		Seeds: func() []string { return live.Get().Peers.Seeds }, HeartbeatInterval: heartbeatInterval,
+		Seeds: func() []string { return live.Get().Peers.Seeds }, Timing: peers.Timing{Active: s.Peers.HeartbeatInterval},
 		Clock: clock.System{}, Log: l, Policy: policyFunc(live),
 	}
 }
@@ -145,6 +157,7 @@
 func newStages(l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, p *pool.Pool, m *peers.Mesh) *stage.Runner {
 	r := &stage.Runner{View: c.View, Health: b, Peers: m, Pool: p, Clock: clock.System{}, Log: l, Meters: meters}
 	m.Handler, m.Source = r, c
+	c.Reads, c.Size, c.OnRevision = m.Reads, m.Size, m.Announce
 	return r
 }
 
@@ -248,9 +261,11 @@
 }
 
 func setMemoryLimit(s *sets.Settings) {
+	limit := int64(math.MaxInt64) // none
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitRatio))
+		limit = int64(float64(s.MemoryBytes) * memoryLimitRatio)
 	}
+	debug.SetMemoryLimit(limit)
 }
 
 // reload applies the settings file if it has changed.
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -5,76 +5,78 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
 	"math/rand/v2"
-	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
-	"wigeonplank.example/core/retry"
+	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 )
 
-// Timing of reads from the store and of missing endpoints.
+// Timing of missing endpoints.
 const (
-	watchWait         = 4 * time.Second        // a watch whose response is lost fails after this and readTimeout, by the time the store counts as stable again
-	coalesceDelay     = 250 * time.Millisecond // before the next read, so that one read returns several changes
-	backoffBase       = 100 * time.Millisecond
-	maxBackoff        = 500 * time.Millisecond
-	readTimeout       = time.Second             // a store under load takes 200 ms to respond
-	probeTimeout      = 700 * time.Millisecond  // for reads after a failed one: requests sent during an outage may never be answered
-	longProbeTimeout  = 1500 * time.Millisecond // instead of probeTimeout after every longProbeEvery-th failed read, in case the store is slower than that
-	longProbeEvery    = 4
 	recoveryWindow    = 4 * time.Second         // after an outage; the store may lack entries of healthy endpoints during this period
 	missingGrace      = 1500 * time.Millisecond // a live endpoint is listed again by then; one that shuts down still serves for 2 s
 	controlTimeout    = time.Second             // to hand a query or an update to the control goroutine
-	missingWatchWait  = 250 * time.Millisecond  // instead of watchWait while endpoints are missing
 	defaultColdPeriod = 3 * time.Second         // for endpoints of a returned zone whose service isn't configured
 )
 
-// Control reads the platform's store and publishes a view of it. Create it with
-// New. Its exported methods, except Run, are safe for concurrent use.
+// Control maintains a replica of the platform's store and publishes a view of it.
+// Create it with New and set the fields before Run. Its exported methods, except
+// Run, are safe for concurrent use.
 type Control struct {
 	Store *plat.Store
 	Clock clock.Clock
 	Log   *logs.Logger
 	// OnViewChange is called from the control goroutine with each new view.
 	OnViewChange func(v *fleet.View)
+	// OnRevision is called from the control goroutine after the replica reached a
+	// higher revision of the store.
+	OnRevision func()
+	// Reads reports whether this relay reads the store for others, and whether no
+	// relay depends on others for that.
+	Reads func() (reads, alone bool)
+	// Size returns the number of relays.
+	Size func() int
 
-	view        atomic.Pointer[fleet.View]
-	loaded      atomic.Bool               // the first update was applied
-	lastContact atomic.Pointer[time.Time] // last update read from the store; nil if there was none
-	updates     chan update
-	queries     chan chan<- []plat.Entry // requests for the values of state.entries
-	state       state
+	view     atomic.Pointer[fleet.View]
+	loaded   atomic.Bool  // the first update was applied
+	revision atomic.Int64 // of the replica; -1: none
+	updates  chan update
+	queries  chan query
+	state    state
+
+	mu        sync.Mutex // guards the fields below
+	follower  repl.Follower
+	outageEnd time.Time // end of the last known outage of the store; zero if there was none
 }
 
 // state is owned by the control goroutine.
 type state struct {
 	view       fleet.View
-	returnedAt map[string]time.Time  // end of the last drain, by zone
-	outageEnd  time.Time             // end of the last outage of the store; zero if there was none
-	revisions  map[string]int64      // newest revision seen, by key
-	entries    map[string]plat.Entry // current store entries, by key, for snapshots
+	returnedAt map[string]time.Time // end of the last drain, by zone
+	table      repl.Table
 }
 
-func newState() state {
-	return state{returnedAt: make(map[string]time.Time), revisions: make(map[string]int64), entries: make(map[string]plat.Entry)}
-}
+func newState() state { return state{returnedAt: make(map[string]time.Time)} }
 
-// update is the result of one read from the store, or a snapshot from another
-// relay.
+// update is the result of one read from the store, or changes from another relay.
 type update struct {
-	entries []plat.Entry
-	full    bool          // entries are the whole content of the store
-	outage  bool          // the previous read failed
-	from    string        // relay that sent the snapshot; empty if read from the store
-	age     time.Duration // time since that relay's last contact with the store
+	repl.Update
+	outage   bool          // the previous read failed
+	from     string        // relay that sent the changes; empty if read from the store
+	position repl.Position // of that relay
+	recheck  bool          // there are no changes; only drop the endpoints that are overdue
+}
+
+// query asks the control goroutine for the changes after a revision.
+type query struct {
+	after int64
+	reply chan<- repl.Update
 }
 
 // View returns the current view, which is empty before the first update. It
@@ -108,161 +110,150 @@
 			return
 		case u := <-c.updates:
 			c.apply(u)
-		case reply := <-c.queries:
-			reply <- slices.Collect(maps.Values(c.state.entries))
+		case q := <-c.queries:
+			q.reply <- c.state.table.Since(q.after)
 		}
 	}
 }
 
-// New returns a Control that reads from store. Set OnViewChange before Run.
-func New(store *plat.Store, clk clock.Clock, l *logs.Logger) *Control {
-	return &Control{Store: store, Clock: clk, Log: l, updates: make(chan update), queries: make(chan chan<- []plat.Entry)}
+// New returns the Control of the relay with an instance ID, which reads from store.
+func New(instance string, store *plat.Store, clk clock.Clock, l *logs.Logger) *Control {
+	c := &Control{
+		Store: store, Clock: clk, Log: l, updates: make(chan update), queries: make(chan query),
+		follower: repl.Follower{Self: instance, Started: clk.Now(), Jitter: rand.Float64()},
+	}
+	c.revision.Store(-1)
+	return c
+}
+
+// Position returns how much of the store this relay has read.
+func (c *Control) Position() repl.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return repl.Position{Revision: c.revision.Load(), Contact: c.follower.Last(), OutageEnd: c.outageEnd}
 }
 
-// Snapshot returns the current store entries and the time since the last contact
-// with the store, which is 0 if there was none. It blocks until the control
-// goroutine responds, and returns no entries if that takes longer than a second.
-func (c *Control) Snapshot() ([]plat.Entry, time.Duration) {
-	reply := make(chan []plat.Entry, 1)
+// Announced records the position of another relay, and reports whether it has
+// changes that this relay lacks. Its contact with the store counts once this
+// relay has these changes.
+func (c *Control) Announced(p repl.Position) bool {
+	if p.Revision > c.revision.Load() {
+		return true
+	}
+	c.recordPosition(p)
+	return false
+}
+
+// recordPosition records the contact with the store and the end of an outage that
+// another relay reported.
+func (c *Control) recordPosition(p repl.Position) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordPositionLocked(p)
+}
+
+// recordPositionLocked is recordPosition for callers that hold c.mu.
+func (c *Control) recordPositionLocked(p repl.Position) {
+	c.follower.RecordOther(p.Contact)
+	if p.OutageEnd.After(c.outageEnd) {
+		c.outageEnd = p.OutageEnd
+	}
+}
+
+// recordContact records that this relay read the store now, without changes.
+func (c *Control) recordContact() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follower.RecordOwn(c.Clock.Now())
+}
+
+// recordUpdate records the contact with the store that an applied update stands
+// for, and the revision that the replica has reached. It reports whether that is a
+// higher one. Others must never see the contact without the revision.
+func (c *Control) recordUpdate(u update, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case u.from != "":
+		c.recordPositionLocked(u.position)
+	case u.outage:
+		c.outageEnd = now
+		fallthrough
+	default:
+		c.follower.RecordOwn(now)
+	}
+	revision := c.state.table.Revision()
+	return c.revision.Swap(revision) < revision
+}
+
+// Changes returns the changes after a revision, or all entries if it is negative,
+// and the position that they lead to. It blocks until the control goroutine
+// responds; the revision of the position is -1 if that takes longer than a second.
+func (c *Control) Changes(after int64) (repl.Update, repl.Position) {
+	reply := make(chan repl.Update, 1)
 	t := time.NewTimer(controlTimeout)
 	defer t.Stop()
+	// The position is read first: its contact may be older than the changes, but
+	// must not be newer.
+	p := c.Position()
 	select {
-	case c.queries <- reply:
+	case c.queries <- query{after: after, reply: reply}:
+		return <-reply, p
 	case <-t.C:
-		return nil, 0
-	}
-	at := c.lastContact.Load()
-	if at == nil {
-		return <-reply, 0
+		return repl.Update{}, repl.Position{Revision: -1}
 	}
-	return <-reply, c.Clock.Now().Sub(*at)
 }
 
-// ApplySnapshot applies a store snapshot from another relay, unless this one is
-// ready by then. age is the time since the other relay's last contact with the
-// store. ApplySnapshot doesn't block; the snapshot is dropped if the control
-// goroutine doesn't take it within a second.
-func (c *Control) ApplySnapshot(from string, entries []plat.Entry, age time.Duration) {
-	if len(entries) == 0 {
-		return // the other relay hasn't read the store either
-	}
+// Apply applies changes that another relay sent, and its position. It doesn't
+// block; the changes are dropped if the control goroutine doesn't take them within
+// a second.
+func (c *Control) Apply(from string, u repl.Update, p repl.Position) {
 	go func() {
 		t := time.NewTimer(controlTimeout)
 		defer t.Stop()
 		select {
-		case c.updates <- update{entries: entries, from: from, age: age}:
+		case c.updates <- update{Update: u, from: from, position: p}:
 		case <-t.C:
 		}
 	}()
 }
 
-// followStore reads the whole store, then watches it for changes, and sends both
-// to the control goroutine. A single watch covers all keys, as one for operators'
-// keys and one for endpoints would double the calls to the store.
-func (c *Control) followStore(ctx context.Context) {
-	after, failures, lostAt := int64(-1), 0, time.Time{}
-	for ctx.Err() == nil {
-		u, err := c.readStore(&after, failures)
-		switch {
-		case errors.Is(err, plat.ErrCompacted):
-			c.Log.Event(logs.HistoryCompacted).Int64("after", after).Msg("")
-			after = -1
-			continue
-		case err != nil:
-			failures++
-			if failures == 1 {
-				lostAt = c.Clock.Now()
-				c.Log.Event(logs.StoreLost).Err(err).Msg("")
-			}
-			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: maxBackoff}.Delay(failures, rand.Float64()))
-			continue
-		}
-		if failures > 0 {
-			c.Log.Event(logs.StoreRegained).Int("failures", failures).Dur("lost_ms", c.Clock.Now().Sub(lostAt)).Msg("")
-		}
-		u.outage = failures > 0
-		failures = 0
-		// While endpoints are missing, an update without changes still lets the
-		// control goroutine drop those whose grace period is over.
-		if u.full || u.outage || len(u.entries) > 0 || c.View().HasMissing() {
-			select {
-			case <-ctx.Done():
-				return
-			case c.updates <- u:
-			}
-			wait.For(ctx, coalesceDelay)
-		}
-	}
-}
-
-// readTiming returns how long the next read may wait for changes, and the timeout
-// for the response beyond that wait, given the number of failed reads in a row.
-// After a failure, reads don't wait for changes, so that the end of an outage is
-// noticed soon.
-func readTiming(failures int) (maxWait, timeout time.Duration) {
-	switch {
-	case failures == 0:
-		return watchWait, readTimeout
-	case failures%longProbeEvery == 0:
-		return 0, longProbeTimeout
-	}
-	return 0, probeTimeout
-}
-
-// readStore returns the changes after revision *after, or the whole store if
-// *after is negative. It sets *after to the revision to continue from.
-func (c *Control) readStore(after *int64, failures int) (update, error) {
-	maxWait, timeout := readTiming(failures)
-	if c.View().HasMissing() {
-		maxWait = min(maxWait, missingWatchWait)
-	}
-	if *after < 0 {
-		entries, revision, err := c.Store.Range(plat.AllPrefix, timeout)
-		if err != nil {
-			return update{}, err
-		}
-		*after = revision
-		return update{entries: entries, full: true}, nil
-	}
-	entries, revision, err := c.Store.Watch(plat.AllPrefix, *after, maxWait, timeout)
-	if err != nil {
-		return update{}, err
-	}
-	*after = revision
-	return update{entries: entries}, nil
-}
-
-// apply applies an update to the state and publishes the resulting view. A
-// snapshot from another relay is ignored once this relay is ready.
+// apply applies an update to the state and publishes the resulting view.
 func (c *Control) apply(u update) {
+	if u.recheck {
+		c.dropOverdue()
+		c.publish()
+		return
+	}
 	now := c.Clock.Now()
-	if u.outage {
-		c.state.outageEnd = now
+	changes, err := c.state.table.Apply(u.Update)
+	if err != nil {
+		return // changes in between are missing; they are requested with the next heartbeat
 	}
+	advanced := c.recordUpdate(u, now)
 	if u.from != "" {
-		if ready, _ := c.Ready(); ready {
-			return
-		}
-		c.Log.Event(logs.ViewReceived).Str("from", u.from).Int("entries", len(u.entries)).Dur("age_ms", u.age).Msg("")
-	} else {
-		c.lastContact.Store(&now)
+		c.Log.Event(logs.ViewReceived).Str("from", u.from).Int("entries", len(u.Entries)).Dur("age_ms", now.Sub(u.position.Contact.At)).Msg("")
 	}
-	u.entries = latestByKey(u.entries)
-	c.storeEntries(u)
 	var operator, endpoints []plat.Entry
-	for _, entry := range u.entries {
+	for _, entry := range changes {
 		if _, ok := plat.EndpointID(entry.Key); ok {
 			endpoints = append(endpoints, entry)
 		} else {
 			operator = append(operator, entry)
 		}
 	}
-	c.applyOperatorEntries(operator, u.full, now)
-	c.applyEndpoints(endpoints, u.full, now)
-	if u.from == "" {
-		c.dropOverdue(now)
-	}
+	c.applyOperatorEntries(operator, now)
+	c.applyEndpoints(endpoints, now)
+	c.dropOverdue()
 	c.loaded.Store(true)
+	c.publish()
+	if advanced && c.OnRevision != nil {
+		c.OnRevision()
+	}
+}
+
+// publish makes the view of the state the current one.
+func (c *Control) publish() {
 	v := c.state.view
 	c.view.Store(&v)
 	if c.OnViewChange != nil {
@@ -270,61 +261,17 @@
 	}
 }
 
-// storeEntries updates the store entries that Snapshot returns.
-func (c *Control) storeEntries(u update) {
-	if u.full {
-		clear(c.state.entries)
-	}
-	for _, entry := range u.entries {
-		if entry.Removed {
-			delete(c.state.entries, entry.Key)
-		} else {
-			c.state.entries[entry.Key] = entry
-		}
-	}
-}
-
-// latestByKey returns the entry with the highest revision of each key. Of entries
-// with equal revisions it returns the last.
-func latestByKey(entries []plat.Entry) []plat.Entry {
-	latest := make(map[string]int, len(entries)) // index by key
-	for i, entry := range entries {
-		if at, ok := latest[entry.Key]; !ok || entry.Revision >= entries[at].Revision {
-			latest[entry.Key] = i
-		}
-	}
-	out := make([]plat.Entry, 0, len(latest))
-	for i, entry := range entries {
-		if latest[entry.Key] == i {
-			out = append(out, entry)
-		}
-	}
-	return out
-}
-
-// recordRevision records the revision of an entry. It reports false if a higher
-// revision of the key was recorded before; the entry must then be ignored.
-func (c *Control) recordRevision(entry plat.Entry) bool {
-	if entry.Revision < c.state.revisions[entry.Key] {
-		return false
-	}
-	c.state.revisions[entry.Key] = entry.Revision
-	return true
-}
-
 // applyOperatorEntries applies the entries that operators write: the configuration
 // and the drained zones.
-func (c *Control) applyOperatorEntries(entries []plat.Entry, full bool, now time.Time) {
+func (c *Control) applyOperatorEntries(entries []plat.Entry, now time.Time) {
+	if len(entries) == 0 {
+		return
+	}
 	zones := make(map[string]bool)
-	if !full {
-		for z := range c.state.view.DrainedZones() {
-			zones[z] = true
-		}
+	for z := range c.state.view.DrainedZones() {
+		zones[z] = true
 	}
 	for _, entry := range entries {
-		if !c.recordRevision(entry) {
-			continue
-		}
 		if plat.IsConfig(entry.Key) && !entry.Removed {
 			c.applyConfig(entry)
 			continue
@@ -400,14 +347,15 @@
 	return e
 }
 
-// applyEndpoints applies the entries of endpoints. If full is true, endpoints
-// without an entry are removed.
-func (c *Control) applyEndpoints(entries []plat.Entry, full bool, now time.Time) {
+// applyEndpoints applies changed entries of endpoints.
+func (c *Control) applyEndpoints(entries []plat.Entry, now time.Time) {
+	if len(entries) == 0 {
+		return
+	}
 	change := fleet.Change{Missing: make(map[string]time.Time)}
-	listed := make(map[string]bool)
 	for _, entry := range entries {
 		id, ok := plat.EndpointID(entry.Key)
-		if !ok || !c.recordRevision(entry) {
+		if !ok {
 			continue
 		}
 		if entry.Removed {
@@ -420,25 +368,20 @@
 			change.Remove = append(change.Remove, id)
 			continue
 		}
-		listed[id] = true
 		c.logEndpoint(e, now)
 		change.Put = append(change.Put, c.withZoneColdPeriod(e, now))
 	}
-	if full {
-		for id := range c.state.view.All() {
-			if !listed[id] {
-				c.removeEndpoint(&change, id, now)
-			}
-		}
-	}
 	c.state.view = c.state.view.WithChange(change)
 }
 
-// dropOverdue drops missing endpoints whose grace period is over. It must only be
-// called after a successful read from the store: while the store is unreachable,
-// nothing shows that missing endpoints have stopped, so they are kept.
-func (c *Control) dropOverdue(now time.Time) {
-	overdue := c.state.view.Overdue(now)
+// dropOverdue drops the missing endpoints whose grace period was over at the last
+// known contact with the store. While the store is unreachable, nothing shows that
+// missing endpoints have stopped, so they are kept.
+func (c *Control) dropOverdue() {
+	if !c.state.view.HasMissing() {
+		return
+	}
+	overdue := c.state.view.Overdue(c.Position().Contact.At)
 	for _, id := range overdue {
 		c.Log.Event(logs.EndpointRemoved).Str("endpoint", id).Msg("")
 	}
@@ -454,7 +397,7 @@
 	if c.state.view.Endpoint(id) == nil {
 		return
 	}
-	if !c.state.outageEnd.IsZero() && now.Sub(c.state.outageEnd) < recoveryWindow {
+	if end := c.Position().OutageEnd; !end.IsZero() && now.Sub(end) < recoveryWindow {
 		change.Missing[id] = now.Add(missingGrace)
 		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", missingGrace).Msg("")
 		return
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 )
@@ -20,7 +21,7 @@
 // never answered, so a change can arrive only with the read after it.
 func TestSilentOutageEnds(t *testing.T) {
 	for failures := 1; failures < 20; failures++ {
-		maxWait, timeout := readTiming(failures)
+		maxWait, timeout := readTiming(aloneWatchWait, failures)
 		worst := maxWait + timeout + maxBackoff
 		if worst > maxApplyDelay {
 			t.Errorf("after %d failures a change may be delayed by %s, want at most %s", failures, worst, maxApplyDelay)
@@ -37,7 +38,7 @@
 
 func newFixture() *fixture {
 	clk := clock.NewFake(time.Unix(0, 0))
-	c := New(nil, clk, logs.New(io.Discard, clk, "a"))
+	c := New("a", nil, clk, logs.New(io.Discard, clk, "a"))
 	c.state = newState()
 	return &fixture{Control: c, clock: clk, revision: 1}
 }
@@ -57,10 +58,12 @@
 	return plat.Entry{Key: plat.EndpointPrefix + id, Revision: f.revision, Removed: true}
 }
 
-// read applies entries as one read from the store. outage means that the previous
-// read failed.
+// read applies entries as one read from the store. The first one is of the whole
+// store. outage means that the previous read failed.
 func (f *fixture) read(outage bool, entries ...plat.Entry) {
-	f.apply(update{entries: entries, outage: outage})
+	f.apply(update{outage: outage, Update: repl.Update{
+		Entries: entries, Full: f.Position().Revision < 0, After: f.Position().Revision, To: f.revision,
+	}})
 }
 
 // check expects a number of usable endpoints of service s.
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -5,45 +5,29 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/base/wait"
-	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/retry"
-	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 )
 
 const (
+	dialTimeout    = 500 * time.Millisecond
 	minRedialDelay = 200 * time.Millisecond
 	maxRedialDelay = 2 * time.Second
 )
 
-// itemKey identifies a pending item on a link.
-type itemKey struct {
-	request      string
-	stage, index int
-}
-
-// outboundLink is a link that this relay dials. It carries this relay's items to
-// the other one, and their results back. It redials after each failure.
+// outboundLink is a link that this relay dials. It redials after each failure.
 type outboundLink struct {
-	mesh   *Mesh
-	addr   string
-	cancel context.CancelFunc // ends run
-
-	mu        sync.Mutex
-	queue     chan *Work              // messages to send; nil while the link is down
-	pending   map[itemKey]*batch.Item // submitted items without a result
-	loads     map[batch.Pool]int      // loads of the other relay's pools in its last heartbeat
-	submitted map[batch.Pool]int      // items submitted since that heartbeat
-
-	snapshot []plat.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
+	mesh     *Mesh
+	addr     string
+	cancel   context.CancelFunc // ends run
+	neededAt time.Time          // when it was last needed; guarded by Mesh.mu
 }
 
 // run keeps the link open until ctx ends, with a delay after each failure that
@@ -60,6 +44,7 @@
 			failures = 0
 		}
 		failures++
+		l.mesh.markUnreachable(l.addr)
 		if failures == 1 {
 			l.mesh.Log.Event(logs.LinkDown).Str("addr", l.addr).Err(err).Msg("")
 		}
@@ -91,223 +76,97 @@
 	if err != nil {
 		return fmt.Errorf("open work stream: %w", err)
 	}
-	return l.exchangeHeartbeats(ctx, link.NewStream(control), link.NewStream(work))
+	return l.mesh.newSession(s, link.NewStream(control), link.NewStream(work), true).run()
 }
 
-// exchangeHeartbeats sends a heartbeat in each interval and waits for the answer.
-// The first answer brings the link up. It returns when an answer doesn't arrive
-// within heartbeatTimeout, a stream fails or ctx ends.
-func (l *outboundLink) exchangeHeartbeats(ctx context.Context, control, work *link.Stream) error {
-	var remote peer.Member
-	var done chan struct{} // closed when the link fails; nil until it is up
-	var state heartbeatState
-	defer func() {
-		if done != nil {
-			close(done)
-			l.down(remote)
-		}
-	}()
-	for {
-		if err := control.Send(l.mesh.nextHeartbeat(&state)); err != nil {
-			return err
-		}
-		var hb Heartbeat
-		if err := control.ReceiveWithin(&hb, heartbeatTimeout); err != nil {
-			return err
-		}
-		l.mesh.observeMembers(&hb)
-		if done == nil {
-			remote = fromWire(hb.GetSelf())
-			done = make(chan struct{})
-			l.up(remote, work, done)
-		}
-		l.recordHeartbeat(remote, &hb)
-		if ready, _ := l.mesh.Source.Ready(); !ready {
-			l.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{}}})
-		}
-		if !wait.For(ctx, l.mesh.HeartbeatInterval) {
-			return ctx.Err()
-		}
+// serveLink serves a link that another relay dialed, until it fails.
+func (m *Mesh) serveLink(conn net.Conn) {
+	s, err := yamux.Server(conn, link.SessionConfig())
+	if err != nil {
+		_ = conn.Close() // the dialing relay retries
+		return
 	}
-}
-
-// up starts the goroutines that write and read the work stream, and makes the
-// link available for items.
-func (l *outboundLink) up(remote peer.Member, work *link.Stream, done chan struct{}) {
-	queue := make(chan *Work, maxQueuedMessages)
-	l.mu.Lock()
-	l.queue, l.pending, l.loads, l.submitted = queue, make(map[itemKey]*batch.Item), nil, nil
-	l.mu.Unlock()
-	go write(work, queue, done)
-	go l.read(remote, work)
-	m := l.mesh
-	m.mu.Lock()
-	m.byID[remote.Instance] = l
-	m.mu.Unlock()
-	m.Log.Event(logs.LinkUp).Str("member", remote.Instance).Str("addr", l.addr).Msg("")
-}
-
-// write sends the queued messages until done is closed or sending fails.
-func write(st *link.Stream, queue <-chan *Work, done <-chan struct{}) {
-	for {
-		select {
-		case <-done:
-			return
-		case w := <-queue:
-			if st.Send(w) != nil {
-				st.Close() // the exchange of heartbeats detects that the link has failed
-				return
-			}
-		}
+	defer func() { _ = s.Close() }()
+	control, err := s.Accept()
+	if err != nil {
+		return
+	}
+	work, err := s.Accept()
+	if err != nil {
+		return
 	}
+	// The dialing relay logs why the link failed.
+	_ = m.newSession(s, link.NewStream(control), link.NewStream(work), false).run()
 }
 
-// down takes the link out of use and returns its pending items to the handler.
-func (l *outboundLink) down(remote peer.Member) {
-	m := l.mesh
+// register makes an established session with another relay available. A newer link
+// to the same relay replaces an older one.
+func (m *Mesh) register(s *session, remote peer.Member) {
 	m.mu.Lock()
-	// Another link to the same relay, at another address, may have replaced this one.
-	if m.byID[remote.Instance] == l {
-		delete(m.byID, remote.Instance)
-		m.Group.MarkDown(remote.Instance)
+	s.remote = remote
+	m.sessions[s] = true
+	if s.dialer {
+		m.byID[s.remote.Instance] = s
 	}
 	m.mu.Unlock()
-	l.mu.Lock()
-	l.queue = nil
-	pending := make([]*batch.Item, 0, len(l.pending))
-	for _, it := range l.pending {
-		pending = append(pending, it)
+	if s.dialer {
+		m.Log.Event(logs.LinkUp).Str("member", s.remote.Instance).Str("addr", s.remote.Addr).Msg("")
 	}
-	l.pending = nil
-	l.mu.Unlock()
-	m.Log.Event(logs.LinkLost).Str("member", remote.Instance).Int("items", len(pending)).Msg("")
-	m.Handler.Resubmit(pending)
 }
 
-// recordHeartbeat marks the other relay as reachable and stores the loads that it
-// reports.
-func (l *outboundLink) recordHeartbeat(remote peer.Member, hb *Heartbeat) {
-	m := l.mesh
+// unregister takes a failed session out of use and returns its pending items to the
+// handler.
+func (m *Mesh) unregister(s *session) {
+	s.fail()
 	m.mu.Lock()
-	m.Group.MarkUp(m.Clock.Now(), remote, hb.GetLeaving())
-	m.mu.Unlock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.loads = make(map[batch.Pool]int, len(hb.GetLoads()))
-	l.submitted = make(map[batch.Pool]int)
-	for _, p := range hb.GetLoads() {
-		l.loads[batch.Pool{Service: p.GetService(), Zone: p.GetZone()}] = int(p.GetItems())
-	}
-}
-
-// read handles snapshot parts and results until the stream ends. It releases a
-// result whose item is no longer pending.
-func (l *outboundLink) read(remote peer.Member, st *link.Stream) {
-	for {
-		var w Work
-		if st.Receive(&w) != nil {
-			return
-		}
-		if part := w.GetLearnt(); part != nil {
-			l.addSnapshotPart(remote, part)
+	delete(m.sessions, s)
+	if m.byID[s.remote.Instance] == s {
+		delete(m.byID, s.remote.Instance)
+	}
+	if !m.isLinked(s.remote.Instance) {
+		// The relay that dials a link closes it once it isn't needed. The loss of such a
+		// link says nothing of its other end.
+		if s.dialer && m.links[s.remote.Addr] != nil {
+			m.Group.MarkDown(m.Clock.Now(), s.remote.Instance)
+		} else {
+			m.Group.MarkClosed(s.remote.Instance)
 		}
-		d := w.GetDone()
-		for _, r := range d.GetResults() {
-			k := itemKey{request: d.GetRequest(), stage: int(d.GetStage()), index: int(r.GetIndex())}
-			l.mu.Lock()
-			it := l.pending[k]
-			delete(l.pending, k)
-			l.mu.Unlock()
-			if it != nil {
-				l.mesh.Handler.HandleResult(it, plat.StageResult{Ref: r.GetRef(), Reason: plat.Reason(r.GetReason())})
-			} else if r.GetRef() != "" {
-				l.mesh.Handler.ReleaseDirectly([]string{r.GetRef()})
-			}
-		}
-	}
-}
-
-// addSnapshotPart collects the parts of the other relay's store snapshot, and
-// applies the snapshot once the last part has arrived. Only the reading goroutine
-// calls it.
-func (l *outboundLink) addSnapshotPart(remote peer.Member, part *Snapshot) {
-	for _, e := range part.GetEntries() {
-		l.snapshot = append(l.snapshot, plat.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision()})
 	}
-	if part.GetMore() {
-		return
+	m.forgetOwners()
+	m.mu.Unlock()
+	m.requestRelink()
+	pending := s.takePending()
+	if s.dialer {
+		m.Log.Event(logs.LinkLost).Str("member", s.remote.Instance).Int("items", len(pending)).Msg("")
 	}
-	l.mesh.Source.ApplySnapshot(remote.Instance, l.snapshot, time.Duration(part.GetAgeMs())*time.Millisecond)
-	l.snapshot = nil
-}
-
-// send queues a message. It reports false if the link is down or its queue is
-// full. It doesn't block.
-func (l *outboundLink) send(w *Work) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.sendLocked(w)
+	m.Handler.Resubmit(pending)
 }
 
-// sendLocked is send for callers that hold l.mu.
-func (l *outboundLink) sendLocked(w *Work) bool {
-	if l.queue == nil {
-		return false
-	}
-	select {
-	case l.queue <- w:
-		return true
-	default:
-		return false
+// isLinked reports whether any session with a relay is up. The caller holds m.mu.
+func (m *Mesh) isLinked(instance string) bool {
+	for s := range m.sessions {
+		if s.remote.Instance == instance {
+			return true
+		}
 	}
+	return false
 }
 
-// submit sends items to the other relay and tracks them as pending. It reports
-// false, and tracks nothing, if the link is down or its queue is full.
-func (l *outboundLink) submit(p batch.Pool, items []*batch.Item) bool {
-	now := l.mesh.Clock.Now()
-	s := &Submit{Service: p.Service, Zone: p.Zone}
-	for _, it := range items {
-		s.Items = append(s.Items, &Item{
-			Request: it.Request, Stage: uint32(it.Stage), Index: uint32(it.Index), Key: it.Key, Inputs: it.Inputs,
-			Chain: it.Chain, Bytes: it.ResultBytes, Cross: it.CrossZoneBytes, Holds: it.FreesMemory, Zone: it.Zone, GiveUpUs: it.StartBy.Sub(now).Microseconds(),
-			DueUs: it.Due.Sub(now).Microseconds(), DeadlineUs: it.Deadline.Sub(now).Microseconds(),
-		})
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.sendLocked(&Work{Kind: &Work_Submit{Submit: s}}) {
-		return false
-	}
-	for _, it := range items {
-		l.pending[itemKey{request: it.Request, stage: it.Stage, index: it.Index}] = it
+// markUnreachable records that the relay at an address could not be linked.
+func (m *Mesh) markUnreachable(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.Group.MemberAt(addr); ok && !m.isLinked(p.Instance) {
+		m.Group.MarkDown(m.Clock.Now(), p.Instance)
+		m.forgetOwners()
+		m.requestRelink()
 	}
-	l.submitted[p] += len(items)
-	return true
 }
 
-// cancelRequest stops tracking the pending items of a request and asks the other
-// relay to remove them from its queue. Results that still arrive are released by
-// read.
-func (l *outboundLink) cancelRequest(request string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	found := false
-	for k := range l.pending {
-		if k.request == request {
-			delete(l.pending, k)
-			found = true
-		}
+// forgetOwners makes the owners of all pools be chosen again. The caller holds m.mu.
+func (m *Mesh) forgetOwners() {
+	for p, o := range m.owners {
+		o.chosenAt = time.Time{}
+		m.owners[p] = o
 	}
-	if found {
-		l.sendLocked(&Work{Kind: &Work_Cancel{Cancel: &Cancel{Request: request}}})
-	}
-}
-
-// itemCount returns the load that the other relay last reported for a pool, plus
-// the items submitted since.
-func (l *outboundLink) itemCount(p batch.Pool) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.loads[p] + l.submitted[p]
 }
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -12,35 +12,29 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
-	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/sets"
 )
 
 const (
-	// heartbeatTimeout is how long a link may be silent beyond the expected time
-	// of a heartbeat. The latency objective of a request is about one second, so
-	// a broken link has to be detected in less.
-	heartbeatTimeout = 800 * time.Millisecond
-	dialTimeout      = 500 * time.Millisecond
-
-	maxQueuedMessages       = 1024     // waiting to be sent on one link
-	heartbeatsPerMemberList = 16       // an unchanged member list is sent again after this number of heartbeats
-	snapshotPartBytes       = 64 << 10 // a part of a store snapshot is sent once it has this size
+	linkLinger     = 5 * time.Second        // a link that is no longer needed is kept for this long
+	poolLinger     = 10 * time.Second       // the owner of a pool counts as needed for this long after the pool's last use
+	ownersLifetime = 250 * time.Millisecond // for which the owners of a pool are cached
+	pullTimeout    = 700 * time.Millisecond // a request for changes may be repeated, at another relay, after this time
+	seedPeriod     = 5 * time.Second        // links to all seeds are kept for this long after the start
 )
 
 // Handler runs the stage items that other relays submit, and receives the
 // outcome of this relay's own items. Its methods are called concurrently.
 type Handler interface {
 	// Accept queues items that another relay submitted to pool p. It calls reply
-	// with the outcome of each item.
-	Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult))
+	// with the outcome of each item, and the number of items left in the pool.
+	Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, left int))
 	// RemoveQueued removes the queued items of a request that another relay
 	// cancelled.
 	RemoveQueued(request string)
@@ -56,115 +50,195 @@
 	Loads() map[batch.Pool]int
 }
 
-// Source holds what this relay has read from the platform's store. Relays send
-// each other snapshots of it, so that one that starts while the store is
-// unavailable can serve.
+// Source is this relay's replica of the platform's store.
 type Source interface {
 	// Ready reports whether enough has been read to serve requests, and what is
 	// missing if not.
 	Ready() (bool, string)
-	// Snapshot returns all entries read so far, and the time since the last contact
-	// with the store.
-	Snapshot() ([]plat.Entry, time.Duration)
-	// ApplySnapshot applies a snapshot sent by the relay whose instance ID is from, unless
-	// this relay is ready already. age is the time since the sender's last contact
-	// with the store.
-	ApplySnapshot(from string, entries []plat.Entry, age time.Duration)
+	// Position returns how much this relay has read. It doesn't block.
+	Position() repl.Position
+	// Announced records the position of another relay, and reports whether it has
+	// changes that this relay lacks.
+	Announced(p repl.Position) bool
+	// Changes returns the changes after a revision, or all entries if it is negative,
+	// and the position that they lead to.
+	Changes(after int64) (repl.Update, repl.Position)
+	// Apply applies changes that the relay named from sent, and its position.
+	Apply(from string, u repl.Update, p repl.Position)
 }
 
-// Mesh manages the links of one relay to all others. Set the exported fields
-// before calling Serve and Run. It is safe for concurrent use.
+// Mesh manages the links of one relay to others. Set the exported fields before
+// calling Serve and Run. It is safe for concurrent use.
 type Mesh struct {
-	Group             *peer.Group     // guarded by mu once Run or Serve is called
-	Seeds             func() []string // addresses (IP:port) to link to from the start; may change between calls
-	HeartbeatInterval time.Duration   // time between two heartbeats on a link
-	Handler           Handler
-	Clock             clock.Clock
-	Log               *logs.Logger
-	Source            Source
-	Policy            func() sets.Policy // returns the current policy
-
-	mu      sync.Mutex
-	links   map[string]*outboundLink // by address
-	byID    map[string]*outboundLink // links that are up, by instance ID
-	version int                      // version of the member list, incremented on each change
-	leaving bool                     // this relay is shutting down
-	ln      net.Listener
-}
-
-// Run maintains links to all members until ctx ends. It blocks.
+	Group   *peer.Group     // guarded by mu once Run or Serve is called
+	Seeds   func() []string // addresses (IP:port) to link to from the start; may change between calls
+	Timing  Timing
+	Handler Handler
+	Clock   clock.Clock
+	Log     *logs.Logger
+	Source  Source
+	Policy  func() sets.Policy // returns the current policy
+
+	mu        sync.Mutex
+	links     map[string]*outboundLink // by address
+	byID      map[string]*session      // sessions of links of this relay that are up, by instance ID
+	sessions  map[*session]bool        // all sessions that are up, in both directions
+	owners    map[batch.Pool]ownership
+	reads     bool      // this relay reads the store for others
+	alone     bool      // all known relays read the store
+	leaving   bool      // this relay is shutting down
+	pullUntil time.Time // no changes are requested before this
+	relink    chan struct{}
+	ln        net.Listener
+}
+
+// ownership is a cached owner of a pool.
+type ownership struct {
+	member   peer.Member
+	chosenAt time.Time
+	usedAt   time.Time
+}
+
+// Run maintains the links of this relay until ctx ends. It blocks.
 func (m *Mesh) Run(ctx context.Context) {
-	m.mu.Lock()
-	m.links = make(map[string]*outboundLink)
-	m.byID = make(map[string]*outboundLink)
-	m.mu.Unlock()
-	m.updateLinks(ctx)
-	t := time.NewTicker(m.HeartbeatInterval)
+	m.init()
+	t := time.NewTicker(m.Timing.active())
 	defer t.Stop()
 	for {
+		m.updateLinks(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			m.updateLinks(ctx)
+		case <-m.relink:
 		}
 	}
 }
 
-// updateLinks removes members that have expired, closes their links unless they
-// are seeds, and opens links to all seeds and members that have none.
+// init makes the maps, unless that was done before.
+func (m *Mesh) init() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links != nil {
+		return
+	}
+	m.links = make(map[string]*outboundLink)
+	m.byID = make(map[string]*session)
+	m.sessions = make(map[*session]bool)
+	m.owners = make(map[batch.Pool]ownership)
+	m.relink = make(chan struct{}, 1)
+}
+
+// requestRelink makes Run update the links now.
+func (m *Mesh) requestRelink() {
+	select {
+	case m.relink <- struct{}{}:
+	default:
+	}
+}
+
+// updateLinks removes members that have expired, opens the links that are needed
+// and closes those that have not been needed for linkLinger.
 func (m *Mesh) updateLinks(ctx context.Context) {
+	now := m.Clock.Now()
+	seeds := m.Seeds()
 	m.mu.Lock()
-	expired := m.Group.Expire(m.Clock.Now())
-	m.version += len(expired)
-	members := m.Group.Members()
-	for _, p := range expired {
-		if l := m.links[p.Addr]; l != nil && !m.isSeed(p.Addr) {
+	m.Group.Tick(now)
+	expired := m.Group.Expire(now)
+	m.updateReaders(now)
+	for _, addr := range m.needed(now, seeds) {
+		m.connect(ctx, addr, now)
+	}
+	for addr, l := range m.links {
+		if now.Sub(l.neededAt) > linkLinger {
 			l.cancel()
-			delete(m.links, p.Addr)
+			delete(m.links, addr)
 		}
 	}
 	m.mu.Unlock()
 	for _, p := range expired {
 		m.Log.Event(logs.MemberExpired).Str("member", p.Instance).Msg("")
 	}
-	for _, addr := range m.Seeds() {
-		m.connect(ctx, addr)
-	}
-	for _, p := range members {
-		m.connect(ctx, p.Addr)
-	}
 }
 
-func (m *Mesh) isSeed(addr string) bool {
-	for _, s := range m.Seeds() {
-		if s == addr {
-			return true
+// updateReaders records whether this relay reads the store. The caller holds m.mu.
+func (m *Mesh) updateReaders(now time.Time) {
+	m.reads = m.Group.Reads(now)
+	m.alone = len(m.Group.Readers(now)) >= m.Group.Size(now)
+}
+
+// needed returns the addresses of the relays to link to: those that spread the
+// membership, those that read the store, the owners of pools in use, and seeds. All
+// seeds are needed after the start and while there is no other link, and one at any
+// time, so that two parts of a partitioned fleet find each other again. The caller
+// holds m.mu.
+func (m *Mesh) needed(now time.Time, seeds []string) []string {
+	var out []string
+	for _, p := range m.Group.Neighbors(now) {
+		out = append(out, p.Addr)
+	}
+	for _, p := range m.Group.Followed(now) {
+		out = append(out, p.Addr)
+	}
+	for pool, o := range m.owners {
+		if now.Sub(o.usedAt) > poolLinger {
+			delete(m.owners, pool)
+			continue
 		}
+		out = append(out, m.owner(now, pool).Addr)
+	}
+	if len(m.byID) == 0 || now.Sub(m.Group.Started) < seedPeriod {
+		return append(out, seeds...)
 	}
-	return false
+	if len(seeds) > 0 {
+		out = append(out, seeds[m.Group.Rank("seed")%len(seeds)])
+	}
+	return out
 }
 
-// connect starts a link to addr, unless there is one or addr is this relay's own.
-func (m *Mesh) connect(ctx context.Context, addr string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if addr == m.Group.Self.Addr || m.links[addr] != nil {
+// connect starts a link to addr, unless there is one or addr is this relay's own,
+// and marks it as needed. The caller holds m.mu.
+func (m *Mesh) connect(ctx context.Context, addr string, now time.Time) {
+	if addr == m.Group.Self.Addr {
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	l := &outboundLink{mesh: m, addr: addr, cancel: cancel}
-	m.links[addr] = l
-	go l.run(ctx)
+	l := m.links[addr]
+	if l == nil {
+		ctx, cancel := context.WithCancel(ctx)
+		l = &outboundLink{mesh: m, addr: addr, cancel: cancel}
+		m.links[addr] = l
+		go l.run(ctx)
+	}
+	l.neededAt = now
 }
 
-// Leave marks this relay as shutting down. The next heartbeat on each link
-// reports it, and other relays stop choosing it as the owner of pools.
+// Leave marks this relay as shutting down and tells the linked relays, which stop
+// choosing it as the owner of pools.
 func (m *Mesh) Leave() {
 	m.mu.Lock()
 	m.leaving = true
 	m.Group.Leave()
+	m.reads = false
 	m.mu.Unlock()
+	m.Announce()
+}
+
+// Announce sends a heartbeat on all links now, with the revision of the store that
+// this relay has.
+func (m *Mesh) Announce() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for s := range m.sessions {
+		s.requestHeartbeat()
+	}
+}
+
+// Reads reports whether this relay reads the platform's store for others, and
+// whether no relay depends on others for that.
+func (m *Mesh) Reads() (reads, alone bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reads, m.alone
 }
 
 // Size returns the number of relays to assume when a limit is shared among all
@@ -183,15 +257,35 @@
 	return m.Group.Rank(key)
 }
 
-// owner returns the link to the owner of a pool, or nil if this relay schedules
-// the pool's items itself.
-func (m *Mesh) owner(p batch.Pool) *outboundLink {
+// owner returns the owner of a pool, which may be this relay. The caller holds m.mu.
+func (m *Mesh) owner(now time.Time, p batch.Pool) peer.Member {
+	o, ok := m.owners[p]
+	if ok && now.Sub(o.chosenAt) < ownersLifetime {
+		return o.member
+	}
+	o.member, o.chosenAt = m.Group.Owner(now, peer.Key{Name: p.Service, Zone: p.Zone}), now
+	m.owners[p] = o
+	return o.member
+}
+
+// ownerSession returns the link to the owner of a pool, or nil if this relay
+// schedules the pool's items itself: it is the owner, or the link is not up.
+func (m *Mesh) ownerSession(p batch.Pool) *session {
 	if m.Policy().LocalBatching {
 		return nil
 	}
+	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	o := m.Group.Owner(p.Service, p.Zone)
+	if m.owners == nil {
+		return nil
+	}
+	o := m.owner(now, p)
+	unused := now.Sub(m.owners[p].usedAt) > poolLinger
+	m.owners[p] = ownership{member: o, chosenAt: m.owners[p].chosenAt, usedAt: now}
+	if unused {
+		m.requestRelink()
+	}
 	return m.byID[o.Instance]
 }
 
@@ -199,94 +293,158 @@
 // to schedule them itself: it is the owner, the link to the owner is down or its
 // queue is full, or the policy is LocalBatching. It doesn't block.
 func (m *Mesh) Submit(p batch.Pool, items []*batch.Item) bool {
-	l := m.owner(p)
-	return l != nil && l.submit(p, items)
+	s := m.ownerSession(p)
+	return s != nil && s.submit(p, items)
 }
 
 // ItemCount returns the number of items that are queued or in flight at the owner
 // of a pool, or -1 if this relay schedules the pool's items itself.
 func (m *Mesh) ItemCount(p batch.Pool) int {
-	l := m.owner(p)
-	if l == nil {
+	s := m.ownerSession(p)
+	if s == nil {
 		return -1
 	}
-	return l.itemCount(p)
+	return s.itemCount(p)
 }
 
 // Cancel cancels the items of a request that are pending at other relays.
 func (m *Mesh) Cancel(request string) {
 	m.mu.Lock()
-	links := make([]*outboundLink, 0, len(m.byID))
-	for _, l := range m.byID {
-		links = append(links, l)
+	sessions := make([]*session, 0, len(m.byID))
+	for _, s := range m.byID {
+		sessions = append(sessions, s)
 	}
 	m.mu.Unlock()
-	for _, l := range links {
-		l.cancelRequest(request)
+	for _, s := range sessions {
+		s.cancelRequest(request)
 	}
 }
 
 // Release asks the owner of a pool to release results. It reports false if this
 // relay has to release them itself.
 func (m *Mesh) Release(p batch.Pool, refs []string) bool {
-	l := m.owner(p)
-	return l != nil && l.send(&Work{Kind: &Work_Release{Release: &Release{Refs: refs}}})
+	s := m.ownerSession(p)
+	return s != nil && s.send(&Work{Kind: &Work_Release{Release: &Release{Refs: refs}}})
 }
 
 // heartbeatState tracks the heartbeats that one side of a link has sent.
 type heartbeatState struct {
-	sent    int // number of heartbeats
-	version int // version of the member list that was sent last
+	version int // version of the membership that was sent last
 }
 
-// nextHeartbeat returns the next heartbeat of a link. The member list is sent
-// if it has changed since the link's previous heartbeat, and otherwise only in
-// every heartbeatsPerMemberList-th: n relays have on the order of n² links, so
-// all n members in each heartbeat would add up to n³ entries per interval.
-func (m *Mesh) nextHeartbeat(s *heartbeatState) *Heartbeat {
-	loads := m.Handler.Loads()
+// nextHeartbeat returns the next heartbeat of a link to the relay named to. It
+// reports what has changed since the previous one.
+func (m *Mesh) nextHeartbeat(st *heartbeatState, to string, withLoads bool) *Heartbeat {
+	hb := &Heartbeat{Position: positionToWire(m.Source.Position(), m.Clock.Now())}
+	if withLoads {
+		for p, n := range m.Handler.Loads() {
+			hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	hb := &Heartbeat{Self: toWire(m.Group.Self), Leaving: m.leaving}
-	if s.version != m.version || s.sent%heartbeatsPerMemberList == 0 {
-		for _, p := range m.Group.Members() {
-			hb.Members = append(hb.Members, toWire(p))
-		}
+	hb.Self, hb.Leaving = toWire(m.Group.Self), m.leaving
+	changed, advanced := m.Group.News(st.version, to)
+	st.version = m.Group.Version()
+	for _, p := range changed {
+		hb.Members = append(hb.Members, toWire(p))
 	}
-	s.version = m.version
-	s.sent++
-	for p, n := range loads {
-		hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
+	for _, p := range advanced {
+		hb.Beats = append(hb.Beats, &Beat{Instance: p.Instance, Incarnation: p.Incarnation, Beat: p.Beat})
 	}
 	return hb
 }
 
-// observeMembers adds the sender of a heartbeat and the members that it lists to
+// observeMembers adds the sender of a heartbeat and what it reports of others to
 // the group.
 func (m *Mesh) observeMembers(hb *Heartbeat) {
-	now := m.Clock.Now()
+	now, from := m.Clock.Now(), hb.GetSelf().GetInstance()
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	discovered := false
 	for _, p := range append(hb.GetMembers(), hb.GetSelf()) {
-		if m.Group.Observe(now, fromWire(p)) {
-			m.version++
+		if m.Group.Observe(now, fromWire(p), from) {
+			discovered = true
 			m.Log.Event(logs.MemberDiscovered).Str("member", p.GetInstance()).Str("addr", p.GetAddr()).
-				Str("zone", p.GetZone()).Str("from", hb.GetSelf().GetInstance()).Msg("")
+				Str("zone", p.GetZone()).Str("from", from).Msg("")
 		}
 	}
+	for _, b := range hb.GetBeats() {
+		m.Group.Advance(now, b.GetInstance(), b.GetIncarnation(), b.GetBeat(), from)
+	}
+	m.mu.Unlock()
+	if discovered {
+		m.requestRelink()
+	}
+}
+
+// pull requests the changes that the relay at the other end of s has announced, if
+// this relay lacks them and no other request is in flight.
+func (m *Mesh) pull(s *session, p repl.Position) {
+	if !m.Source.Announced(p) {
+		return
+	}
+	now := m.Clock.Now()
+	m.mu.Lock()
+	pending := now.Before(m.pullUntil)
+	if !pending {
+		m.pullUntil = now.Add(pullTimeout)
+	}
+	m.mu.Unlock()
+	if pending {
+		return
+	}
+	after := m.Source.Position().Revision
+	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: max(0, after), Changes: after >= 0}}})
+}
+
+// pulled allows the next request for changes.
+func (m *Mesh) pulled() {
+	m.mu.Lock()
+	m.pullUntil = time.Time{}
+	m.mu.Unlock()
 }
 
 func toWire(p peer.Member) *Member {
-	return &Member{Instance: p.Instance, Incarnation: p.Incarnation, Addr: p.Addr, Zone: p.Zone}
+	return &Member{Instance: p.Instance, Incarnation: p.Incarnation, Addr: p.Addr, Zone: p.Zone, Beat: p.Beat, Weight: p.Weight}
 }
 
 func fromWire(p *Member) peer.Member {
-	return peer.Member{Instance: p.GetInstance(), Incarnation: p.GetIncarnation(), Addr: p.GetAddr(), Zone: p.GetZone()}
+	return peer.Member{
+		Instance: p.GetInstance(), Incarnation: p.GetIncarnation(), Addr: p.GetAddr(), Zone: p.GetZone(), Beat: p.GetBeat(), Weight: p.GetWeight(),
+	}
+}
+
+// positionToWire converts a position. Its times are sent as durations, since the
+// clocks of two relays may differ.
+func positionToWire(p repl.Position, now time.Time) *StorePosition {
+	w := &StorePosition{Revision: p.Revision, Origin: p.Contact.Origin}
+	if !p.Contact.At.IsZero() {
+		w.ContactMs = now.Sub(p.Contact.At).Milliseconds()
+	}
+	if !p.OutageEnd.IsZero() {
+		w.Outage, w.OutageMs = true, now.Sub(p.OutageEnd).Milliseconds()
+	}
+	return w
+}
+
+func positionFromWire(w *StorePosition, now time.Time) repl.Position {
+	p := repl.Position{Revision: w.GetRevision()}
+	if w == nil {
+		p.Revision = -1
+	}
+	if w.GetOrigin() != "" {
+		p.Contact = repl.Contact{At: now.Add(-time.Duration(w.GetContactMs()) * time.Millisecond), Origin: w.GetOrigin()}
+	}
+	if w.GetOutage() {
+		p.OutageEnd = now.Add(-time.Duration(w.GetOutageMs()) * time.Millisecond)
+	}
+	return p
 }
 
 // Serve accepts links from other relays until Close is called, then returns nil.
 // It blocks.
 func (m *Mesh) Serve(ln net.Listener) error {
+	m.init()
 	m.mu.Lock()
 	m.ln = ln
 	m.mu.Unlock()
@@ -310,148 +468,3 @@
 		_ = m.ln.Close() // an error doesn't matter: the listener isn't used again
 	}
 }
-
-// serveLink serves a link that another relay dialed, until it fails.
-func (m *Mesh) serveLink(conn net.Conn) {
-	s, err := yamux.Server(conn, link.SessionConfig())
-	if err != nil {
-		_ = conn.Close() // the dialing relay retries
-		return
-	}
-	defer func() { _ = s.Close() }()
-	control, err := s.Accept()
-	if err != nil {
-		return
-	}
-	work, err := s.Accept()
-	if err != nil {
-		return
-	}
-	l := &inboundLink{mesh: m, queue: make(chan *Work, maxQueuedMessages), done: make(chan struct{})}
-	defer close(l.done)
-	st := link.NewStream(work)
-	go l.write(st)
-	go l.read(st)
-	m.answerHeartbeats(link.NewStream(control))
-}
-
-// answerHeartbeats answers each heartbeat on st with one of its own. It returns
-// when the next heartbeat doesn't arrive in time or the stream fails.
-func (m *Mesh) answerHeartbeats(st *link.Stream) {
-	var state heartbeatState
-	for {
-		var hb Heartbeat
-		if err := st.ReceiveWithin(&hb, m.inboundTimeout()); err != nil {
-			return
-		}
-		m.observeMembers(&hb)
-		if err := st.Send(m.nextHeartbeat(&state)); err != nil {
-			return
-		}
-	}
-}
-
-// inboundTimeout returns how long an inbound link may be silent. The dialing
-// relay waits for one interval between its heartbeats.
-func (m *Mesh) inboundTimeout() time.Duration { return m.HeartbeatInterval + heartbeatTimeout }
-
-// inboundLink is a link that another relay dialed. It carries that relay's items
-// to this one, and their results back.
-type inboundLink struct {
-	mesh  *Mesh
-	queue chan *Work    // messages to send
-	done  chan struct{} // closed when the link ends
-}
-
-// write sends the queued messages until the link ends or sending fails.
-func (l *inboundLink) write(st *link.Stream) {
-	for {
-		select {
-		case <-l.done:
-			return
-		case w := <-l.queue:
-			if st.Send(w) != nil {
-				st.Close()
-				return
-			}
-		}
-	}
-}
-
-// read handles the messages of the dialing relay until the stream ends.
-func (l *inboundLink) read(st *link.Stream) {
-	for {
-		var w Work
-		if st.Receive(&w) != nil {
-			return
-		}
-		switch k := w.GetKind().(type) {
-		case *Work_Submit:
-			l.accept(k.Submit)
-		case *Work_Cancel:
-			l.mesh.Handler.RemoveQueued(k.Cancel.GetRequest())
-		case *Work_Release:
-			l.mesh.Handler.ReleaseDirectly(k.Release.GetRefs())
-		case *Work_Fetch:
-			l.sendSnapshot()
-		}
-	}
-}
-
-// sendSnapshot sends this relay's snapshot of the platform's store, in parts of
-// about snapshotPartBytes. It sends nothing if the snapshot is empty, and blocks
-// while the link's queue is full.
-func (l *inboundLink) sendSnapshot() {
-	entries, age := l.mesh.Source.Snapshot()
-	part, size := &Snapshot{AgeMs: age.Milliseconds()}, 0
-	for i, entry := range entries {
-		part.Entries = append(part.Entries, &StoreEntry{Key: entry.Key, Value: entry.Value, Revision: entry.Revision})
-		size += len(entry.Key) + len(entry.Value)
-		if size < snapshotPartBytes && i < len(entries)-1 {
-			continue
-		}
-		part.More = i < len(entries)-1
-		select {
-		case <-l.done:
-			return
-		case l.queue <- &Work{Kind: &Work_Learnt{Learnt: part}}:
-		}
-		part, size = &Snapshot{AgeMs: age.Milliseconds()}, 0
-	}
-}
-
-// accept hands submitted items to the handler. Their times arrive as durations
-// from now, since the clocks of two relays may differ.
-func (l *inboundLink) accept(s *Submit) {
-	now := l.mesh.Clock.Now()
-	items := make([]*batch.Item, 0, len(s.GetItems()))
-	for _, it := range s.GetItems() {
-		items = append(items, &batch.Item{
-			Request: it.GetRequest(), Stage: int(it.GetStage()), Index: int(it.GetIndex()), Key: it.GetKey(),
-			Inputs: it.GetInputs(), Chain: it.GetChain(), ResultBytes: it.GetBytes(), CrossZoneBytes: it.GetCross(), FreesMemory: it.GetHolds(),
-			Zone: it.GetZone(), EnqueuedAt: now,
-			StartBy:  now.Add(time.Duration(it.GetGiveUpUs()) * time.Microsecond),
-			Due:      now.Add(time.Duration(it.GetDueUs()) * time.Microsecond),
-			Deadline: now.Add(time.Duration(it.GetDeadlineUs()) * time.Microsecond),
-		})
-	}
-	l.mesh.Handler.Accept(batch.Pool{Service: s.GetService(), Zone: s.GetZone()}, items, l.reply)
-}
-
-// reply sends the outcome of an item to the relay that submitted it. If the link
-// has ended or its queue is full, reply releases the result instead. When a link
-// ends, the submitting relay runs its pending items elsewhere.
-func (l *inboundLink) reply(it *batch.Item, res plat.StageResult) {
-	w := &Work{Kind: &Work_Done{Done: &Done{Request: it.Request, Stage: uint32(it.Stage), Results: []*Result{
-		{Index: uint32(it.Index), Ref: res.Ref, Reason: string(res.Reason)},
-	}}}}
-	select {
-	case <-l.done:
-	case l.queue <- w:
-		return
-	default:
-	}
-	if res.Ref != "" {
-		l.mesh.Handler.ReleaseDirectly([]string{res.Ref})
-	}
-}
--- /dev/null
+++ b/relay/peers/session.go
@@ -0,0 +1,477 @@
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"wigeonplank.example/base/link"
+	"wigeonplank.example/core/batch"
+	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/repl"
+	plat "wigeonplank.example/platform"
+)
+
+const (
+	// heartbeatTimeout is how long an answer to a heartbeat may take. The latency
+	// objective of a request is about one second, so a broken link has to be
+	// detected in less.
+	heartbeatTimeout = 800 * time.Millisecond
+	// defaultActiveInterval is the time between two heartbeats while items are
+	// pending on a link.
+	defaultActiveInterval = 500 * time.Millisecond
+	// idleFactor is the time between two heartbeats of a link without pending items,
+	// in multiples of the interval while there are some.
+	idleFactor = 3
+
+	maxQueuedMessages = 1024     // waiting to be sent on one link
+	snapshotPartBytes = 64 << 10 // a part of a store snapshot is sent once it has this size
+)
+
+// errSilent reports that a heartbeat was not answered in time.
+var errSilent = errors.New("no answer to a heartbeat")
+
+// Timing sets the intervals of heartbeats. The zero value selects the defaults.
+type Timing struct {
+	Active time.Duration // between two heartbeats while items are pending on a link; 0: 500 ms
+}
+
+func (t Timing) active() time.Duration {
+	if t.Active > 0 {
+		return t.Active
+	}
+	return defaultActiveInterval
+}
+
+func (t Timing) idle() time.Duration { return idleFactor * t.active() }
+
+// itemKey identifies a pending item on a link.
+type itemKey struct {
+	request      string
+	stage, index int
+}
+
+// session is an established link to another relay. The relay that dialed it
+// submits items, the other one runs them.
+type session struct {
+	mesh    *Mesh
+	dialer  bool // this relay dialed the link
+	yamux   *yamux.Session
+	control *link.Stream
+	work    *link.Stream
+	queue   chan *Work    // messages to send on the work stream
+	beat    chan struct{} // requests a heartbeat now
+	done    chan struct{} // closed when the session has failed
+
+	failOnce sync.Once
+	remote   peer.Member // guarded by Mesh.mu until the session is registered, then constant
+
+	mu        sync.Mutex
+	closed    bool
+	waiting   time.Time               // when the oldest unanswered heartbeat was sent; zero: none; for the dialer
+	pending   map[itemKey]*batch.Item // submitted items without a result
+	loads     map[batch.Pool]int      // loads of the other relay's pools, as last reported
+	submitted map[batch.Pool]int      // items submitted since that report
+
+	parts     []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
+	partsFrom int64        // revision after which the parts begin
+}
+
+// newSession returns a session over a yamux session and its two streams.
+func (m *Mesh) newSession(s *yamux.Session, control, work *link.Stream, dialer bool) *session {
+	return &session{
+		mesh: m, dialer: dialer, yamux: s, control: control, work: work,
+		queue: make(chan *Work, maxQueuedMessages), beat: make(chan struct{}, 1), done: make(chan struct{}),
+		pending: make(map[itemKey]*batch.Item),
+	}
+}
+
+// run serves the session until it fails, and returns the reason.
+func (s *session) run() error {
+	defer s.fail()
+	sent := make(chan error, 1)
+	go func() { sent <- s.sendHeartbeats() }()
+	err := s.receiveHeartbeats()
+	s.fail()
+	if sendErr := <-sent; errors.Is(sendErr, errSilent) {
+		return sendErr
+	}
+	return err
+}
+
+// fail closes the session. Both ends notice it.
+func (s *session) fail() {
+	s.failOnce.Do(func() {
+		close(s.done)
+		_ = s.yamux.Close() // it isn't used again
+	})
+}
+
+// receiveHeartbeats handles heartbeats until none arrives in time or the stream
+// fails. The first one registers the session with the mesh.
+func (s *session) receiveHeartbeats() error {
+	for first := true; ; first = false {
+		var hb Heartbeat
+		if err := s.control.ReceiveWithin(&hb, s.mesh.Timing.idle()+heartbeatTimeout); err != nil {
+			return err
+		}
+		s.mesh.observeMembers(&hb)
+		if first {
+			s.mesh.register(s, fromWire(hb.GetSelf()))
+			defer s.mesh.unregister(s)
+			go s.writeWork()
+			go s.readWork()
+		}
+		s.recordHeartbeat(&hb)
+		if !s.dialer {
+			s.requestHeartbeat()
+		}
+	}
+}
+
+// recordHeartbeat marks the other relay as reachable, stores the loads that it
+// reports, and requests the changes to the store that it has announced.
+func (s *session) recordHeartbeat(hb *Heartbeat) {
+	now := s.mesh.Clock.Now()
+	s.mesh.mu.Lock()
+	s.mesh.Group.MarkUp(now, s.remote, hb.GetLeaving())
+	s.mesh.mu.Unlock()
+	s.mu.Lock()
+	s.waiting = time.Time{}
+	if s.dialer {
+		s.loads = make(map[batch.Pool]int, len(hb.GetLoads()))
+		s.submitted = make(map[batch.Pool]int)
+		for _, p := range hb.GetLoads() {
+			s.loads[batch.Pool{Service: p.GetService(), Zone: p.GetZone()}] = int(p.GetItems())
+		}
+	}
+	s.mu.Unlock()
+	s.mesh.pull(s, positionFromWire(hb.GetPosition(), now))
+}
+
+// requestHeartbeat makes the session send a heartbeat now. It doesn't block.
+func (s *session) requestHeartbeat() {
+	select {
+	case s.beat <- struct{}{}:
+	default:
+	}
+}
+
+// sendHeartbeats sends heartbeats until the session fails. The dialer sends them
+// periodically, the other relay only when one is requested.
+func (s *session) sendHeartbeats() error {
+	defer s.fail()
+	var state heartbeatState
+	var tick <-chan time.Time
+	if s.dialer {
+		t := time.NewTicker(s.mesh.Timing.active() / 2)
+		defer t.Stop()
+		tick = t.C
+		s.requestHeartbeat()
+	}
+	var lastSent time.Time
+	for {
+		select {
+		case <-s.done:
+			return nil
+		case <-tick:
+			due, err := s.heartbeatDue(s.mesh.Clock.Now(), lastSent)
+			if err != nil {
+				return err
+			}
+			if !due {
+				continue
+			}
+		case <-s.beat:
+		}
+		lastSent = s.mesh.Clock.Now()
+		s.awaitAnswer(lastSent)
+		if err := s.control.Send(s.mesh.nextHeartbeat(&state, s.remoteInstance(), !s.dialer)); err != nil {
+			return fmt.Errorf("send heartbeat: %w", err)
+		}
+	}
+}
+
+// awaitAnswer records that a heartbeat is sent at now.
+func (s *session) awaitAnswer(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting.IsZero() {
+		s.waiting = now
+	}
+}
+
+// remoteInstance returns the instance ID of the other relay, or "" before its first
+// heartbeat.
+func (s *session) remoteInstance() string {
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	return s.remote.Instance
+}
+
+// heartbeatDue reports whether the dialer should send the next heartbeat, or
+// errSilent if the other relay didn't answer one in time.
+func (s *session) heartbeatDue(now, lastSent time.Time) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.waiting.IsZero() && now.Sub(s.waiting) > heartbeatTimeout {
+		return false, errSilent
+	}
+	interval := s.mesh.Timing.idle()
+	if len(s.pending) > 0 {
+		interval = s.mesh.Timing.active()
+	}
+	return now.Sub(lastSent) >= interval, nil
+}
+
+// writeWork sends the queued messages until the session fails.
+func (s *session) writeWork() {
+	for {
+		select {
+		case <-s.done:
+			return
+		case w := <-s.queue:
+			if s.work.Send(w) != nil {
+				s.fail()
+				return
+			}
+		}
+	}
+}
+
+// readWork handles the messages of the other relay until the stream ends.
+func (s *session) readWork() {
+	defer s.fail()
+	for {
+		var w Work
+		if s.work.Receive(&w) != nil {
+			return
+		}
+		switch k := w.GetKind().(type) {
+		case *Work_Submit:
+			s.accept(k.Submit)
+		case *Work_Cancel:
+			s.mesh.Handler.RemoveQueued(k.Cancel.GetRequest())
+		case *Work_Release:
+			s.mesh.Handler.ReleaseDirectly(k.Release.GetRefs())
+		case *Work_Done:
+			s.handleDone(k.Done)
+		case *Work_Fetch:
+			go s.sendSnapshot(k.Fetch)
+		case *Work_Learnt:
+			s.addSnapshotPart(k.Learnt)
+		}
+	}
+}
+
+// send queues a message. It reports false if the queue is full or the session has
+// failed. It doesn't block.
+func (s *session) send(w *Work) bool {
+	select {
+	case <-s.done:
+		return false
+	default:
+	}
+	select {
+	case s.queue <- w:
+		return true
+	default:
+		return false
+	}
+}
+
+// sendSnapshot sends the changes after a revision, or all entries of this relay's
+// replica, in parts of about snapshotPartBytes. It sends nothing if the replica is
+// empty, and blocks while the queue is full.
+func (s *session) sendSnapshot(r *SnapshotRequest) {
+	after := int64(-1)
+	if r.GetChanges() {
+		after = r.GetAfter()
+	}
+	u, position := s.mesh.Source.Changes(after)
+	if position.Revision < 0 {
+		return
+	}
+	now := s.mesh.Clock.Now()
+	newPart := func() *Snapshot {
+		return &Snapshot{Changes: !u.Full, After: u.After, To: u.To, Position: positionToWire(position, now), AgeMs: now.Sub(position.Contact.At).Milliseconds()}
+	}
+	part, size := newPart(), 0
+	part.First = true
+	for i, e := range u.Entries {
+		part.Entries = append(part.Entries, &StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed})
+		size += len(e.Key) + len(e.Value)
+		if size < snapshotPartBytes || i == len(u.Entries)-1 {
+			continue
+		}
+		part.More = true
+		if !s.sendPart(part) {
+			return
+		}
+		part, size = newPart(), 0
+	}
+	s.sendPart(part)
+}
+
+// sendPart queues a part of a snapshot. It blocks while the queue is full, and
+// reports false if the session has failed.
+func (s *session) sendPart(part *Snapshot) bool {
+	select {
+	case <-s.done:
+		return false
+	case s.queue <- &Work{Kind: &Work_Learnt{Learnt: part}}:
+		return true
+	}
+}
+
+// addSnapshotPart collects the parts of a snapshot of the other relay's replica,
+// and applies the snapshot once the last part has arrived. Only the reading
+// goroutine calls it.
+func (s *session) addSnapshotPart(part *Snapshot) {
+	if part.GetFirst() {
+		s.parts = nil
+	}
+	for _, e := range part.GetEntries() {
+		s.parts = append(s.parts, repl.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved()})
+	}
+	if part.GetMore() {
+		return
+	}
+	u := repl.Update{Entries: s.parts, Full: !part.GetChanges(), After: part.GetAfter(), To: part.GetTo()}
+	s.parts = nil
+	s.mesh.Source.Apply(s.remote.Instance, u, positionFromWire(part.GetPosition(), s.mesh.Clock.Now()))
+	s.mesh.pulled()
+}
+
+// submit sends items to the other relay and tracks them as pending. It reports
+// false, and tracks nothing, if the session has failed or its queue is full.
+func (s *session) submit(p batch.Pool, items []*batch.Item) bool {
+	now := s.mesh.Clock.Now()
+	msg := &Submit{Service: p.Service, Zone: p.Zone}
+	for _, it := range items {
+		msg.Items = append(msg.Items, &Item{
+			Request: it.Request, Stage: uint32(it.Stage), Index: uint32(it.Index), Key: it.Key, Inputs: it.Inputs,
+			Chain: it.Chain, Bytes: it.ResultBytes, Cross: it.CrossZoneBytes, Holds: it.FreesMemory, Zone: it.Zone, GiveUpUs: it.StartBy.Sub(now).Microseconds(),
+			DueUs: it.Due.Sub(now).Microseconds(), DeadlineUs: it.Deadline.Sub(now).Microseconds(),
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || !s.send(&Work{Kind: &Work_Submit{Submit: msg}}) {
+		return false
+	}
+	for _, it := range items {
+		s.pending[itemKey{request: it.Request, stage: it.Stage, index: it.Index}] = it
+	}
+	if s.submitted == nil {
+		s.submitted = make(map[batch.Pool]int)
+	}
+	s.submitted[p] += len(items)
+	return true
+}
+
+// accept hands submitted items to the handler. Their times arrive as durations
+// from now, since the clocks of two relays may differ.
+func (s *session) accept(msg *Submit) {
+	now := s.mesh.Clock.Now()
+	items := make([]*batch.Item, 0, len(msg.GetItems()))
+	for _, it := range msg.GetItems() {
+		items = append(items, &batch.Item{
+			Request: it.GetRequest(), Stage: int(it.GetStage()), Index: int(it.GetIndex()), Key: it.GetKey(),
+			Inputs: it.GetInputs(), Chain: it.GetChain(), ResultBytes: it.GetBytes(), CrossZoneBytes: it.GetCross(), FreesMemory: it.GetHolds(),
+			Zone: it.GetZone(), EnqueuedAt: now,
+			StartBy:  now.Add(time.Duration(it.GetGiveUpUs()) * time.Microsecond),
+			Due:      now.Add(time.Duration(it.GetDueUs()) * time.Microsecond),
+			Deadline: now.Add(time.Duration(it.GetDeadlineUs()) * time.Microsecond),
+		})
+	}
+	pool := batch.Pool{Service: msg.GetService(), Zone: msg.GetZone()}
+	s.mesh.Handler.Accept(pool, items, func(it *batch.Item, res plat.StageResult, queued int) { s.reply(pool, it, res, queued) })
+}
+
+// reply sends the outcome of an item to the relay that submitted it, with the
+// number of items that the pool has left. If that isn't possible, it releases the
+// result and closes the link, so that the other relay submits the item again.
+func (s *session) reply(p batch.Pool, it *batch.Item, res plat.StageResult, queued int) {
+	sent := s.send(&Work{Kind: &Work_Done{Done: &Done{
+		Request: it.Request, Stage: uint32(it.Stage),
+		Results: []*Result{{Index: uint32(it.Index), Ref: res.Ref, Reason: string(res.Reason)}},
+		Load:    &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(queued)},
+	}}})
+	if sent {
+		return
+	}
+	s.fail()
+	if res.Ref != "" {
+		s.mesh.Handler.ReleaseDirectly([]string{res.Ref})
+	}
+}
+
+// handleDone records the results of submitted items. It releases a result whose
+// item is no longer pending.
+func (s *session) handleDone(d *Done) {
+	if l := d.GetLoad(); l != nil {
+		p := batch.Pool{Service: l.GetService(), Zone: l.GetZone()}
+		s.mu.Lock()
+		if s.loads == nil {
+			s.loads = make(map[batch.Pool]int)
+		}
+		s.loads[p] = int(l.GetItems())
+		delete(s.submitted, p)
+		s.mu.Unlock()
+	}
+	for _, r := range d.GetResults() {
+		k := itemKey{request: d.GetRequest(), stage: int(d.GetStage()), index: int(r.GetIndex())}
+		s.mu.Lock()
+		it := s.pending[k]
+		delete(s.pending, k)
+		s.mu.Unlock()
+		if it != nil {
+			s.mesh.Handler.HandleResult(it, plat.StageResult{Ref: r.GetRef(), Reason: plat.Reason(r.GetReason())})
+		} else if r.GetRef() != "" {
+			s.mesh.Handler.ReleaseDirectly([]string{r.GetRef()})
+		}
+	}
+}
+
+// cancelRequest stops tracking the pending items of a request and asks the other
+// relay to remove them from its queue. Results that still arrive are released by
+// handleDone.
+func (s *session) cancelRequest(request string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := false
+	for k := range s.pending {
+		if k.request == request {
+			delete(s.pending, k)
+			found = true
+		}
+	}
+	if found {
+		s.send(&Work{Kind: &Work_Cancel{Cancel: &Cancel{Request: request}}})
+	}
+}
+
+// itemCount returns the load that the other relay last reported for a pool, plus
+// the items submitted since.
+func (s *session) itemCount(p batch.Pool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads[p] + s.submitted[p]
+}
+
+// takePending closes the session for submissions and returns the pending items.
+func (s *session) takePending() []*batch.Item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	out := make([]*batch.Item, 0, len(s.pending))
+	for _, it := range s.pending {
+		out = append(out, it)
+	}
+	s.pending = nil
+	return out
+}
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -239,11 +239,12 @@
 		return attemptCallerGone, "caller gone"
 	}
 	result := pick.ResultFailed
-	if !req.Clock.Now().Before(req.deadline) {
+	switch {
+	case !req.Clock.Now().Before(req.deadline):
 		result = pick.ResultNone // the request's deadline says nothing about the endpoint's health
-	}
-	if errors.Is(err, pool.ErrUnreachable) {
+	case errors.Is(err, pool.ErrUnreachable):
 		req.Balancer.MarkUnreachable(e)
+		result = pick.ResultNone // it is suspect already
 	}
 	req.recordEnd(e, result, end, err.Error())
 	return end, err.Error()
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -159,7 +159,15 @@
 	} else {
 		req.forwardUnary(ctx)
 	}
-	req.Stages.ReleaseResults(req.inputs)
+	req.releaseInputs()
+}
+
+// releaseInputs releases the results of the stages, unless that was done before.
+func (req *request) releaseInputs() {
+	if !req.inputsReleased {
+		req.inputsReleased = true
+		req.Stages.ReleaseResults(req.inputs)
+	}
 }
 
 // resolve finds the route, team and service of the request. If there is no
@@ -268,7 +276,7 @@
 		return false
 	}
 	req.stageReruns++
-	req.Stages.ReleaseResults(req.inputs)
+	req.releaseInputs()
 	req.inputs = nil
 	// In both reasons, "they" and "them" refer to the results of the stages.
 	reason := "they were given up when the stream began"
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -137,8 +137,7 @@
 	var h fasthttp.ResponseHeader
 	plat.CopyResponseHeaders(&h, &call.Header)
 	// An engine that has sent its first event has read all of its inputs.
-	req.Stages.ReleaseResults(req.inputs)
-	req.inputsReleased = true
+	req.releaseInputs()
 	return req.exchange.BeginStream(&h, raw)
 }
 
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -18,6 +18,7 @@
 	Peers       Peers        `yaml:"peers"`
 	Store       string       `yaml:"store" validate:"required,ip_port"`       // address of the platform's store, IP:port
 	MemoryBytes int64        `yaml:"memory_bytes,omitempty" validate:"min=0"` // memory of the instance in bytes; the soft memory limit of the process is 70% of it; 0: no limit
+	Capacity    Capacity     `yaml:"capacity,omitempty"`
 	Stop        Stop         `yaml:"stop,omitempty"`
 	Retry       Retry        `yaml:"retry,omitempty"`
 	Cold        Cold         `yaml:"cold,omitempty"`
@@ -28,10 +29,18 @@
 type Peers struct {
 	Listen            string        `yaml:"listen" validate:"required,ip_port"`          // address for other relays, IP:port
 	Seeds             []string      `yaml:"seeds,omitempty" validate:"dive,ip_port"`     // addresses of some relays, IP:port; they need not be reachable
-	HeartbeatInterval time.Duration `yaml:"beat,omitempty" validate:"min=0"`             // interval between heartbeats; 0: 250ms
+	HeartbeatInterval time.Duration `yaml:"beat,omitempty" validate:"min=0"`             // interval between heartbeats of a link with pending items; three times this without; 0: 500ms
 	ExpectedSize      int           `yaml:"expect,omitempty" validate:"min=0,max=10000"` // minimum number of relays to assume while the others are being discovered; 0: 8
 }
 
+// Capacity describes the machine of the instance. Relays with more of it own more of
+// the work that all relays share.
+type Capacity struct {
+	Cores    float64 `yaml:"cores,omitempty" validate:"min=0"`     // processor cores; 0: 1
+	CPUShare float64 `yaml:"cpu_share,omitempty" validate:"min=0"` // share of the cores that the process may use; 0: 1
+	LinkMbps float64 `yaml:"link_mbps,omitempty" validate:"min=0"` // bandwidth of the network link in megabits per second; 0: 1000
+}
+
 // Stop configures a graceful shutdown.
 type Stop struct {
 	Timeout time.Duration `yaml:"longest,omitempty" validate:"min=0"` // maximum time from the signal until the process exits; 0: 8s
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -29,6 +29,7 @@
 	now := r.Clock.Now()
 	if errors.Is(err, pool.ErrUnreachable) {
 		r.Health.MarkUnreachable(c.Endpoint)
+		health = pick.ResultNone // it is suspect already
 	}
 	r.Health.End(c.Endpoint, health)
 	r.Meters.RecordStageCall(c.Service.Name, string(health), len(c.Items))
--- a/relay/stage/job.go
+++ b/relay/stage/job.go
@@ -209,7 +209,7 @@
 	for _, a := range s.DependsOn {
 		source := j.job.Route.Stages[a]
 		svc := cfg.Service(source.Service)
-		if svc == nil || svc.Batch == nil {
+		if svc == nil || svc.Batch == nil || svc.Batch.MemoryBytes == 0 {
 			continue
 		}
 		if float64(source.ResultBytes)*float64(len(j.refs[a])) > minMemoryShare*float64(svc.Batch.MemoryBytes) {
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -77,7 +77,8 @@
 
 // remoteOrigin is the Data of an item that another relay submitted.
 type remoteOrigin struct {
-	reply func(it *batch.Item, res plat.StageResult)
+	pool  batch.Pool
+	reply func(it *batch.Item, res plat.StageResult, left int)
 }
 
 // effects collects the actions that follow from a change of the runner's state.
@@ -96,9 +97,10 @@
 
 // reply is the result of an item for the relay that submitted it.
 type reply struct {
-	to  *remoteOrigin
-	it  *batch.Item
-	res plat.StageResult
+	to   *remoteOrigin
+	it   *batch.Item
+	res  plat.StageResult
+	left int // items left in the pool
 }
 
 // Run runs the stages of a job and returns references to the results that its
@@ -146,7 +148,7 @@
 		}
 	}
 	for _, rep := range fx.replies {
-		rep.to.reply(rep.it, rep.res)
+		rep.to.reply(rep.it, rep.res, rep.left)
 	}
 	r.ReleaseResults(fx.releases)
 	r.dispatch()
@@ -348,7 +350,7 @@
 // times, in which case its job fails. mu must be held.
 func (r *Runner) recordResult(it *batch.Item, res plat.StageResult, fx *effects) {
 	if origin, ok := it.Data.(*remoteOrigin); ok {
-		fx.replies = append(fx.replies, reply{to: origin, it: it, res: res})
+		fx.replies = append(fx.replies, reply{to: origin, it: it, res: res, left: r.sched.ItemCount(origin.pool)})
 		return
 	}
 	j, ok := it.Data.(*jobRun)
@@ -381,9 +383,9 @@
 }
 
 // Accept queues items that another relay submitted. reply is called with the
-// result of each item.
-func (r *Runner) Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult)) {
-	o := &remoteOrigin{reply: reply}
+// result of each item and the number of items left in the pool.
+func (r *Runner) Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, left int)) {
+	o := &remoteOrigin{pool: p, reply: reply}
 	for _, it := range items {
 		it.Data = o
 	}
