core/prompt, relay/assign: engines chosen by the relay that owns their pool, by prompts

Cause: each relay saw only its own 1/23 or 1/68 of an engine's work, and an engine's reports arrive with first events. Change: the engines of a zone form a pool with an owner, as stage pools do. A relay asks it for an engine (80 ms at most, else as before); the owner knows the prompt tokens yet to be read and the parts likely cached at each engine, learns how fast each reads, and picks the earliest first event, counting the reading of shared parts twice. Prompts keep their zone unless its engines have 10,000 tokens each more to read. Predicted against actual times are metrics (first_early, first_late by route). policy.place_alone is the baseline.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -132,6 +132,7 @@
 	ReasonAffinity Reason = "affinity" // first for the prompt, so it has the prompt cached or will have
 	ReasonCold     Reason = "cold"     // cold, and below ColdShare
 	ReasonSuspect  Reason = "suspect"  // suspect, and no other endpoint was usable
+	ReasonPrompt   Reason = "prompt"   // earliest first event, by the prompts that all relays have sent
 )
 
 // Choice is the endpoint that was chosen for a request.
@@ -187,7 +188,7 @@
 		}
 	}
 	switch {
-	case len(warm) > 0 && 2*(len(warm)+len(suspect)) >= len(cold):
+	case enoughWarm(len(warm), len(suspect), len(cold)):
 		return warm
 	case len(warm)+len(cold) > 0:
 		return append(warm, cold...)
@@ -195,6 +196,29 @@
 	return suspect
 }
 
+// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
+// reports false if they are so few that cold ones are used as well.
+func (p *Picker) Warm(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool) {
+	warm := make([]*fleet.Endpoint, 0, len(endpoints))
+	cold, suspect := 0, 0
+	for _, e := range endpoints {
+		switch {
+		case exclude[e.ID]:
+		case p.isCold(now, svc, e):
+			cold++
+		case p.IsSuspect(e, now):
+			suspect++
+		default:
+			warm = append(warm, e)
+		}
+	}
+	return warm, enoughWarm(len(warm), suspect, cold)
+}
+
+// enoughWarm reports whether no cold endpoints are needed: there are warm ones, and
+// cold ones don't outnumber warm and suspect ones together by more than two to one.
+func enoughWarm(warm, suspect, cold int) bool { return warm > 0 && 2*(warm+suspect) >= cold }
+
 // isCold reports whether the limit for cold endpoints applies to an endpoint.
 func (p *Picker) isCold(now time.Time, svc *fleet.Service, e *fleet.Endpoint) bool {
 	return svc.ColdRate > 0 && e.ColdAt(now)
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -17,6 +17,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/pick"
+	"wigeonplank.example/core/prompt"
 	"wigeonplank.example/core/quota"
 )
 
@@ -26,6 +27,7 @@
 	config   *fleet.Config
 	picker   pick.Picker
 	sched    batch.Scheduler
+	board    prompt.Board
 	calls    map[string]*batch.Call // newest call, by endpoint ID
 	groups   map[string]*peer.Group // by instance
 	refCount int                    // result references given out so far
@@ -378,6 +380,67 @@
 	return nil
 }
 
+// runPrompt implements the command prompt, which places requests on model engines
+// with memory for 10,000 tokens and 4 slots. A part of a prompt is written as
+// NAME:TOKENS; the last one is the request's own:
+//
+//	prompt place REQUEST ENGINE|any|none PART... on=ENGINE,... out=TOKENS
+//	                                     checks the choice, unless it may be any, and starts the request there
+//	prompt cached REQUEST ENGINE PART... on=ENGINE,... is=TOKENS
+//	                                     as place, and checks how much of the prompt counts as cached
+//	prompt start REQUEST                 records the first event
+//	prompt end REQUEST                   records the end
+//	prompt backlog N                     checks the tokens yet to be read
+//	prompt expire                        ends requests whose reports are missing
+//	prompt new                           starts with an empty board, as another owner of the pool does
+func runPrompt(st *scriptState, a *args) error {
+	relay, now := &st.relay, st.clock.Now()
+	switch a.arg(0) {
+	case "place", "cached":
+		r := prompt.Request{ID: a.arg(1), OutputTokens: a.intOption("out", 10)}
+		for _, def := range a.positional[3:] {
+			name, tokens, _ := strings.Cut(def, ":")
+			n, err := strconv.Atoi(tokens)
+			if err != nil {
+				return err
+			}
+			r.Parts = append(r.Parts, prompt.Part{ID: xxhash.Sum64String(name), Tokens: n})
+			r.PromptTokens += n
+		}
+		var engines []prompt.Engine
+		for _, id := range strings.FieldsFunc(a.options["on"], func(r rune) bool { return r == ',' }) {
+			engines = append(engines, prompt.Engine{ID: id, Slots: 4, CacheTokens: 10_000, Incarnation: int64(a.intOption("born", 1))})
+		}
+		c, ok := relay.board.Place(now, engines, r)
+		got := c.Engine.ID
+		if !ok {
+			got = "none"
+		}
+		if a.arg(0) == "cached" {
+			if err := checkEqual("cached tokens", c.Cached, a.intOption("is", 0)); err != nil {
+				return err
+			}
+		}
+		if a.arg(2) == "any" {
+			return nil
+		}
+		return checkEqual("engine", got, a.arg(2))
+	case "start":
+		relay.board.Start(now, a.arg(1))
+	case "end":
+		relay.board.End(now, a.arg(1))
+	case "backlog":
+		return checkEqual("backlog", fmt.Sprint(relay.board.Backlog(now)), a.arg(1))
+	case "expire":
+		relay.board.Expire(now)
+	case "new":
+		relay.board = prompt.Board{}
+	default:
+		return fmt.Errorf("prompt: unknown subcommand %q", a.arg(0))
+	}
+	return nil
+}
+
 // runShare implements the command share, which checks the sum of the shares that
 // all members have of a limit:
 //
--- a/core/scen/scen_test.go
+++ b/core/scen/scen_test.go
@@ -73,6 +73,7 @@
 			"pick":   adaptCommand(runPick),
 			"batch":  adaptCommand(runBatch),
 			"group":  adaptCommand(runGroup),
+			"prompt": adaptCommand(runPrompt),
 			"share":  adaptCommand(runShare),
 			"events": adaptCommand(runEvents),
 		},
--- /dev/null
+++ b/relay/assign/assign.go
@@ -0,0 +1,293 @@
+// Package assign chooses the model engine of a request. The engines of a service in
+// one availability zone form a pool; the relay that owns the pool chooses among
+// them, as it alone knows the prompts that all relays have sent there.
+package assign
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wigeonplank.example/core/batch"
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/prompt"
+	"wigeonplank.example/relay/peers"
+)
+
+const (
+	// answerTimeout bounds the wait for the owner of a pool. The answer takes some
+	// milliseconds; without it, the request is placed by what this relay knows.
+	answerTimeout = 80 * time.Millisecond
+	// zoneMargin is the backlog of a zone's engines, in prompt tokens for each, above
+	// that of the least loaded zone up to which requests stay with their prompt's
+	// zone.
+	zoneMargin = 10000
+)
+
+// Health tells which endpoints are fit for requests.
+type Health interface {
+	// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
+	// reports false if cold ones are needed as well.
+	Warm(svc *fleet.Service, list []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool)
+}
+
+// Peers are the other relays.
+type Peers interface {
+	// Placer returns the link to the owner of a pool, or false if this relay chooses
+	// the engines itself.
+	Placer(p batch.Pool) (peers.Placer, bool)
+	// ItemCount returns the backlog that the owner of a pool last reported, or -1 if
+	// this relay is the owner.
+	ItemCount(p batch.Pool) int
+}
+
+// Assigner chooses engines. Set the exported fields before use. It is safe for
+// concurrent use.
+type Assigner struct {
+	View   func() *fleet.View // returns the current view of the deployment
+	Health Health
+	Peers  Peers
+	Clock  clock.Clock
+
+	mu     sync.Mutex
+	boards map[batch.Pool]*prompt.Board
+}
+
+// Assignment is an engine that was chosen for a request. Its methods report the
+// progress of the request there.
+type Assignment struct {
+	Endpoint   *fleet.Endpoint
+	Candidates int           // number of usable engines in the pool
+	FirstEvent time.Duration // predicted time to the first event
+
+	report func(ended bool)
+}
+
+// Started records that the first event has arrived.
+func (a *Assignment) Started() { a.report(false) }
+
+// Ended records that the request has ended at the engine.
+func (a *Assignment) Ended() { a.report(true) }
+
+// Assign chooses an engine of a service for a request, which is not in exclude. It
+// reports false if none can be chosen this way: all are cold, suspect or gone, or
+// the owner of the pool doesn't answer.
+func (a *Assigner) Assign(ctx context.Context, svc *fleet.Service, r prompt.Request, exclude map[string]bool) (Assignment, bool) {
+	pool, warm, unfit := a.choosePool(svc, r, exclude)
+	if len(warm) == 0 {
+		return Assignment{}, false
+	}
+	out := Assignment{Candidates: len(warm)}
+	placer, remote := a.Peers.Placer(pool)
+	var placement peers.Placement
+	if remote {
+		var ok bool
+		if placement, ok = a.ask(ctx, placer, r, unfit); !ok {
+			return Assignment{}, false
+		}
+		out.report = func(ended bool) { placer.Progress(r.ID, ended) }
+	} else {
+		placement = a.Place(pool, r, unfit)
+		out.report = func(ended bool) { a.Progress(pool, r.ID, ended) }
+	}
+	out.FirstEvent = placement.FirstEvent
+	for _, e := range warm {
+		if e.ID == placement.Endpoint {
+			out.Endpoint = e
+			return out, true
+		}
+	}
+	out.Ended() // the views of the two relays differ
+	return Assignment{}, false
+}
+
+// ask asks the owner of a pool for an engine. It reports false if there is no answer
+// in time.
+func (a *Assigner) ask(ctx context.Context, placer peers.Placer, r prompt.Request, unfit []string) (peers.Placement, bool) {
+	reply, ok := placer.Place(r, unfit)
+	if !ok {
+		return peers.Placement{}, false
+	}
+	t := time.NewTimer(answerTimeout)
+	defer t.Stop()
+	select {
+	case p, ok := <-reply:
+		return p, ok
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	placer.Abandon(r.ID)
+	return peers.Placement{}, false
+}
+
+// Zone returns the zone whose engines will most likely get a request, or "" if
+// that is unknown.
+func (a *Assigner) Zone(svc *fleet.Service, r prompt.Request) string {
+	pool, _, _ := a.choosePool(svc, r, nil)
+	return pool.Zone
+}
+
+// choosePool returns the pool for a request, its warm engines that are not in
+// exclude, and the IDs of its other engines. No engines are returned if cold ones
+// are needed. Requests that share a prompt go to the same zone, unless its engines
+// have much more to read than those of another one.
+func (a *Assigner) choosePool(svc *fleet.Service, r prompt.Request, exclude map[string]bool) (batch.Pool, []*fleet.Endpoint, []string) {
+	all := a.View().Endpoints(svc.Name)
+	warm, ok := a.Health.Warm(svc, all, exclude)
+	if !ok || len(warm) == 0 {
+		return batch.Pool{Service: svc.Name}, nil, nil
+	}
+	byZone := make(map[string]int)
+	for _, e := range warm {
+		byZone[e.Zone]++
+	}
+	pool := batch.Pool{Service: svc.Name}
+	if batch.HasZonePools(len(warm), len(byZone)) {
+		pool.Zone = a.chooseZone(svc.Name, byZone, r)
+	}
+	inPool := make([]*fleet.Endpoint, 0, len(warm))
+	fit := make(map[string]bool, len(warm))
+	for _, e := range warm {
+		if pool.Contains(e) {
+			inPool = append(inPool, e)
+			fit[e.ID] = true
+		}
+	}
+	var unfit []string
+	for _, e := range all {
+		if pool.Contains(e) && !fit[e.ID] {
+			unfit = append(unfit, e.ID)
+		}
+	}
+	return pool, inPool, unfit
+}
+
+// chooseZone returns the zone that a request's prompt hashes to among those whose
+// engines have not much more to read than others. Zones are weighted by their number
+// of engines.
+func (a *Assigner) chooseZone(service string, engines map[string]int, r prompt.Request) string {
+	backlogs := make(map[string]int, len(engines)) // for each engine, by zone
+	lowest := -1
+	for zone, n := range engines {
+		backlog := a.backlog(batch.Pool{Service: service, Zone: zone}) / n
+		backlogs[zone] = backlog
+		if lowest < 0 || backlog < lowest {
+			lowest = backlog
+		}
+	}
+	best, bestScore := "", -1.0
+	for zone, n := range engines {
+		if backlogs[zone] > lowest+zoneMargin {
+			continue
+		}
+		if s := prompt.WeightedScore(r.Affinity(), zone, float64(n)); s > bestScore || (s == bestScore && zone < best) {
+			best, bestScore = zone, s
+		}
+	}
+	return best
+}
+
+// backlog returns the prompt tokens yet to be read by the engines of a pool.
+func (a *Assigner) backlog(p batch.Pool) int {
+	if n := a.Peers.ItemCount(p); n >= 0 {
+		return n
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if b := a.boards[p]; b != nil {
+		return b.Backlog(a.Clock.Now())
+	}
+	return 0
+}
+
+// Place chooses an engine of a pool that this relay owns.
+func (a *Assigner) Place(p batch.Pool, r prompt.Request, exclude []string) peers.Placement {
+	v := a.View()
+	if v.Config == nil || v.Config.Service(p.Service) == nil {
+		return peers.Placement{}
+	}
+	svc := v.Config.Service(p.Service)
+	excluded := make(map[string]bool, len(exclude))
+	for _, id := range exclude {
+		excluded[id] = true
+	}
+	warm, _ := a.Health.Warm(svc, v.Endpoints(p.Service), excluded)
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.board(p)
+	b.Expire(now)
+	var engines []prompt.Engine
+	for _, e := range warm {
+		if p.Contains(e) {
+			engines = append(engines, newEngine(svc, e))
+		}
+	}
+	c, ok := b.Place(now, engines, r)
+	if !ok {
+		return peers.Placement{Backlog: b.Backlog(now)}
+	}
+	return peers.Placement{Endpoint: c.Engine.ID, Cached: c.Cached, FirstEvent: c.FirstEvent, Backlog: b.Backlog(now)}
+}
+
+func newEngine(svc *fleet.Service, e *fleet.Endpoint) prompt.Engine {
+	out := prompt.Engine{ID: e.ID, Incarnation: e.StartUnixMs, Slots: e.Slots}
+	if svc.Engine != nil {
+		out.CacheTokens = svc.Engine.CacheTokens
+	}
+	return out
+}
+
+// board returns the board of a pool. The caller holds a.mu.
+func (a *Assigner) board(p batch.Pool) *prompt.Board {
+	if a.boards == nil {
+		a.boards = make(map[batch.Pool]*prompt.Board)
+	}
+	b := a.boards[p]
+	if b == nil {
+		b = &prompt.Board{}
+		a.boards[p] = b
+	}
+	return b
+}
+
+// Progress records that a request of a pool that this relay owns has its first
+// event, or has ended.
+func (a *Assigner) Progress(p batch.Pool, request string, ended bool) {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b := a.boards[p]
+	switch {
+	case b == nil:
+	case ended:
+		b.End(now, request)
+	default:
+		b.Start(now, request)
+	}
+}
+
+// Backlogs returns the prompt tokens yet to be read in the pools that this relay
+// owns.
+func (a *Assigner) Backlogs() map[batch.Pool]int {
+	now := a.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make(map[batch.Pool]int, len(a.boards))
+	for p, b := range a.boards {
+		if n := b.Backlog(now); n > 0 {
+			out[p] = n
+		}
+	}
+	return out
+}
+
+// Prune drops what is known of engines that v no longer lists.
+func (a *Assigner) Prune(v *fleet.View) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, b := range a.boards {
+		b.Prune(func(id string) bool { return v.Endpoint(id) != nil })
+	}
+}
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -25,6 +25,7 @@
 	"wigeonplank.example/core/quota"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/assign"
 	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/logs"
@@ -72,6 +73,7 @@
 		newControl,
 		newBalancer,
 		newPeerMesh,
+		newAssigner,
 		newStages,
 		start.NewIncarnation,
 		newForwarder,
@@ -94,10 +96,8 @@
 	return logs.New(os.Stdout, clock.System{}, live.Get().Instance)
 }
 
-func newControl(live *sets.Live, l *logs.Logger, b *proxy.Balancer) *ctrl.Control {
-	c := ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
-	c.OnViewChange = b.Prune
-	return c
+func newControl(live *sets.Live, l *logs.Logger) *ctrl.Control {
+	return ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
 }
 
 // weight returns the weight of this relay among those that own shared work.
@@ -154,18 +154,30 @@
 	return b
 }
 
-func newStages(l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, p *pool.Pool, m *peers.Mesh) *stage.Runner {
+func newAssigner(c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
+	a := &assign.Assigner{View: c.View, Health: b, Peers: m, Clock: clock.System{}}
+	c.OnViewChange = func(v *fleet.View) {
+		b.Prune(v)
+		a.Prune(v)
+	}
+	return a
+}
+
+func newStages(
+	l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, a *assign.Assigner, p *pool.Pool, m *peers.Mesh,
+) *stage.Runner {
 	r := &stage.Runner{View: c.View, Health: b, Peers: m, Pool: p, Clock: clock.System{}, Log: l, Meters: meters}
-	m.Handler, m.Source = r, c
+	m.Handler, m.Source, m.Engines = r, c, a
 	c.Reads, c.Size, c.OnRevision = m.Reads, m.Size, m.Announce
 	return r
 }
 
 func newForwarder(
-	live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, p *pool.Pool, r *stage.Runner, m *peers.Mesh,
+	live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, a *assign.Assigner, p *pool.Pool, r *stage.Runner,
+	m *peers.Mesh,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
-		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Balancer: b, Pool: p, Stages: r, Clock: clock.System{}, Log: l, Meters: meters,
+		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Balancer: b, Pool: p, Stages: r, Engines: a, Clock: clock.System{}, Log: l, Meters: meters,
 		Policy: policyFunc(live),
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -74,6 +74,7 @@
 	Seeds   func() []string // addresses (IP:port) to link to from the start; may change between calls
 	Timing  Timing
 	Handler Handler
+	Engines Engines
 	Clock   clock.Clock
 	Log     *logs.Logger
 	Source  Source
@@ -340,6 +341,9 @@
 		for p, n := range m.Handler.Loads() {
 			hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
 		}
+		for p, n := range m.Engines.Backlogs() {
+			hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
+		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -71,10 +71,11 @@
 
 	mu        sync.Mutex
 	closed    bool
-	waiting   time.Time               // when the oldest unanswered heartbeat was sent; zero: none; for the dialer
-	pending   map[itemKey]*batch.Item // submitted items without a result
-	loads     map[batch.Pool]int      // loads of the other relay's pools, as last reported
-	submitted map[batch.Pool]int      // items submitted since that report
+	waiting   time.Time                 // when the oldest unanswered heartbeat was sent; zero: none; for the dialer
+	pending   map[itemKey]*batch.Item   // submitted items without a result
+	loads     map[batch.Pool]int        // loads of the other relay's pools, as last reported
+	submitted map[batch.Pool]int        // items submitted since that report
+	placing   map[string]chan Placement // requests that wait for an engine, by ID
 
 	parts     []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
 	partsFrom int64        // revision after which the parts begin
@@ -221,7 +222,7 @@
 		return false, errSilent
 	}
 	interval := s.mesh.Timing.idle()
-	if len(s.pending) > 0 {
+	if len(s.pending)+len(s.placing) > 0 {
 		interval = s.mesh.Timing.active()
 	}
 	return now.Sub(lastSent) >= interval, nil
@@ -263,6 +264,12 @@
 			go s.sendSnapshot(k.Fetch)
 		case *Work_Learnt:
 			s.addSnapshotPart(k.Learnt)
+		case *Work_Place:
+			s.handlePlace(k.Place)
+		case *Work_Placed:
+			s.handlePlaced(k.Placed)
+		case *Work_Progress:
+			s.mesh.Engines.Progress(batch.Pool{Service: k.Progress.GetService(), Zone: k.Progress.GetZone()}, k.Progress.GetRequest(), k.Progress.GetEnded())
 		}
 	}
 }
@@ -413,16 +420,7 @@
 // handleDone records the results of submitted items. It releases a result whose
 // item is no longer pending.
 func (s *session) handleDone(d *Done) {
-	if l := d.GetLoad(); l != nil {
-		p := batch.Pool{Service: l.GetService(), Zone: l.GetZone()}
-		s.mu.Lock()
-		if s.loads == nil {
-			s.loads = make(map[batch.Pool]int)
-		}
-		s.loads[p] = int(l.GetItems())
-		delete(s.submitted, p)
-		s.mu.Unlock()
-	}
+	s.recordLoad(d.GetLoad())
 	for _, r := range d.GetResults() {
 		k := itemKey{request: d.GetRequest(), stage: int(d.GetStage()), index: int(r.GetIndex())}
 		s.mu.Lock()
@@ -437,6 +435,21 @@
 	}
 }
 
+// recordLoad stores a load that the other relay reported for one of its pools.
+func (s *session) recordLoad(l *PoolLoad) {
+	if l == nil {
+		return
+	}
+	p := batch.Pool{Service: l.GetService(), Zone: l.GetZone()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loads == nil {
+		s.loads = make(map[batch.Pool]int)
+	}
+	s.loads[p] = int(l.GetItems())
+	delete(s.submitted, p)
+}
+
 // cancelRequest stops tracking the pending items of a request and asks the other
 // relay to remove them from its queue. Results that still arrive are released by
 // handleDone.
@@ -473,5 +486,9 @@
 		out = append(out, it)
 	}
 	s.pending = nil
+	for id, reply := range s.placing {
+		delete(s.placing, id)
+		close(reply)
+	}
 	return out
 }
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -6,10 +6,12 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
+	"wigeonplank.example/core/prompt"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
@@ -44,6 +46,55 @@
 	return svc, req.Balancer.Pick(svc, v.Endpoints(req.service), want)
 }
 
+// selectEndpoint chooses the endpoint for the next attempt as pickEndpoint does, but
+// for a model engine by the prompts that all relays have sent, if possible. The
+// caller must call endAssignment once the attempt has ended.
+func (req *request) selectEndpoint(ctx context.Context) (*fleet.Service, pick.Choice) {
+	svc := req.View().Config.Service(req.service)
+	if svc == nil || !req.assignable(svc) {
+		return req.pickEndpoint()
+	}
+	a, ok := req.Engines.Assign(ctx, svc, req.promptRequest(), req.tried)
+	if !ok {
+		return req.pickEndpoint()
+	}
+	req.assignment = &a
+	return svc, pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint)}
+}
+
+// assignable reports whether an engine of a service is chosen by prompts.
+func (req *request) assignable(svc *fleet.Service) bool {
+	p := req.Policy()
+	return svc.Engine != nil && req.route.Sticky && len(req.headers.Prompt) > 0 && !p.NoAffinity && !p.LocalPlacement
+}
+
+// promptRequest describes the request's prompt. A resumed stream has the rest of its
+// output to generate.
+func (req *request) promptRequest() prompt.Request {
+	r := prompt.Request{ID: req.headers.ID, PromptTokens: req.headers.PromptTokens, OutputTokens: req.headers.OutputTokens}
+	for _, p := range req.headers.Prompt {
+		r.Parts = append(r.Parts, prompt.Part{ID: xxhash.Sum64String(p.ID), Tokens: p.Tokens})
+	}
+	return r
+}
+
+// startAssignment reports the first event of an attempt to the owner of its pool,
+// and records how far off the prediction of its time was.
+func (req *request) startAssignment() {
+	if a := req.assignment; a != nil {
+		a.Started()
+		req.Meters.RecordPrediction(req.route.Name, a.FirstEvent, req.Clock.Now().Sub(req.attemptAt))
+	}
+}
+
+// endAssignment reports the end of an attempt to the owner of its pool.
+func (req *request) endAssignment() {
+	if req.assignment != nil {
+		req.assignment.Ended()
+		req.assignment = nil
+	}
+}
+
 // allowRetry reports whether another attempt may follow one that ended with end,
 // and withdraws it from the retry budget if so. lastEvent is the ID of the last
 // event that the caller has; -1: none.
@@ -74,6 +125,7 @@
 
 // logAttemptStarted logs the choice of an endpoint and the reason for it.
 func (req *request) logAttemptStarted(c pick.Choice, lastEvent int64) {
+	req.attemptAt = req.Clock.Now()
 	req.Log.Event(logs.AttemptStarted).Str("request", req.headers.ID).Str("endpoint", c.Endpoint.ID).Str("zone", c.Endpoint.Zone).
 		Int("attempt", len(req.tried)).Str("choice", string(c.Reason)).Int("candidates", c.Candidates).Float64("load", c.Load).
 		Str("affinity", strconv.FormatUint(req.promptAffinity(), 16)).Int64("event_id", lastEvent).
@@ -99,7 +151,7 @@
 func (req *request) forwardUnary(ctx context.Context) {
 	req.budget(req.service).Deposit()
 	for {
-		svc, c := req.pickEndpoint()
+		svc, c := req.selectEndpoint(ctx)
 		e := c.Endpoint
 		if e == nil {
 			req.rejectFinal("no endpoint") // none can take the request
@@ -108,6 +160,7 @@
 		req.tried[e.ID] = true
 		req.logAttemptStarted(c, -1)
 		end, reason := req.attemptUnary(ctx, svc, e)
+		req.endAssignment()
 		if end == attemptDone || end == attemptCallerGone {
 			return
 		}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -26,6 +26,21 @@
 	return b.Picker.Pick(b.Clock.Now(), svc, list, criteria)
 }
 
+// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
+// reports false if they are so few that cold ones are used as well.
+func (b *Balancer) Warm(svc *fleet.Service, list []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.Warm(b.Clock.Now(), svc, list, exclude)
+}
+
+// Load returns the estimated share of an endpoint's slots that are in use.
+func (b *Balancer) Load(e *fleet.Endpoint) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.Load(e, b.Clock.Now())
+}
+
 // IsSuspect reports whether an endpoint is suspect now, so that requests should
 // go to other endpoints.
 func (b *Balancer) IsSuspect(e *fleet.Endpoint) bool {
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/assign"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
@@ -45,6 +46,7 @@
 	Balancer *Balancer
 	Pool     *pool.Pool
 	Stages   *stage.Runner
+	Engines  *assign.Assigner
 	Clock    clock.Clock
 	Log      *logs.Logger
 	Meters   *stats.Meters
@@ -66,15 +68,17 @@
 	team           *fleet.Team // nil for public routes and where no keys are configured
 	service        string
 	startedAt      time.Time
-	deadline       time.Time       // for the final response
-	due            time.Time       // when the response, or its first event, must be sent to meet the route's objective
-	attempts       int             // number of attempts in which an endpoint may have run the request
-	tried          map[string]bool // IDs of endpoints that are not tried again
-	inputs         []string        // references to the stage results that the request needs
-	inputsReleased bool            // the results in inputs were released
-	lastEventAt    time.Time       // when the last event was forwarded
-	stageReruns    int             // number of times that the stages were run again
-	mayHaveRun     bool            // some endpoint may have run the request
+	deadline       time.Time          // for the final response
+	due            time.Time          // when the response, or its first event, must be sent to meet the route's objective
+	attempts       int                // number of attempts in which an endpoint may have run the request
+	tried          map[string]bool    // IDs of endpoints that are not tried again
+	attemptAt      time.Time          // start of the current attempt
+	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
+	inputs         []string           // references to the stage results that the request needs
+	inputsReleased bool               // the results in inputs were released
+	lastEventAt    time.Time          // when the last event was forwarded
+	stageReruns    int                // number of times that the stages were run again
+	mayHaveRun     bool               // some endpoint may have run the request
 	outcome        string
 	configVersion  int64         // version of the configuration that the request is served with
 	retryAfter     time.Duration // retry delay sent to the caller; 0: none
@@ -243,8 +247,8 @@
 	}
 	// The results should lie in the zone of the endpoint that the request will
 	// most likely be sent to.
-	if _, c := req.pickEndpoint(); c.Endpoint != nil {
-		job.Zone = c.Endpoint.Zone
+	if zone := req.likelyZone(); zone != "" {
+		job.Zone = zone
 	}
 	inputs, err := req.Stages.Run(ctx, job)
 	req.logStages(inputs, err)
@@ -265,6 +269,20 @@
 	return false
 }
 
+// likelyZone returns the zone of the endpoint that the request will most likely be
+// sent to, or "".
+func (req *request) likelyZone() string {
+	if svc := req.View().Config.Service(req.service); svc != nil && req.assignable(svc) {
+		if zone := req.Engines.Zone(svc, req.promptRequest()); zone != "" {
+			return zone
+		}
+	}
+	if _, c := req.pickEndpoint(); c.Endpoint != nil {
+		return c.Endpoint.Zone
+	}
+	return ""
+}
+
 // rerunStages runs the stages again if their results are no longer available to
 // the next attempt. It reports whether the next attempt can be made. end is how
 // the last attempt ended.
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -28,7 +28,7 @@
 	req.budget(req.service).Deposit()
 	lastEvent := req.headers.LastEventID
 	for {
-		svc, c := req.pickEndpoint()
+		svc, c := req.selectEndpoint(ctx)
 		e := c.Endpoint
 		if e == nil {
 			req.abortStream("no endpoint") // none can take the request
@@ -37,6 +37,7 @@
 		req.tried[e.ID] = true
 		req.logAttemptStarted(c, lastEvent)
 		end, reason := req.attemptStream(ctx, svc, e, &lastEvent)
+		req.endAssignment()
 		if end == attemptDone || end == attemptCallerGone {
 			return
 		}
@@ -100,12 +101,17 @@
 	if maxGap == 0 {
 		maxGap = defaultMaxEventGap
 	}
+	first := true
 	events := event.Reader{R: bufio.NewReaderSize(call, eventBufferBytes), LastID: *lastEvent}
 	for {
 		if t := req.Clock.Now().Add(eventGapTimeoutFactor * maxGap); req.route.Resumable && req.exchange.ResponseStarted() && t.Before(req.deadline) {
 			_ = call.Conn.SetReadDeadline(t) // fails only on a closed connection
 		}
 		raw, id, err := events.Next()
+		if first && err == nil {
+			req.startAssignment()
+			first = false
+		}
 		if errors.Is(err, io.EOF) {
 			return req.endStream(e, call)
 		}
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -63,7 +63,8 @@
 // Policy selects how requests and stage items are placed. The defaults are meant
 // for production; the other policies are baselines for measurements.
 type Policy struct {
-	NoAdmission   bool `yaml:"no_admission,omitempty"` // start requests even if they can't meet their objective
-	NoAffinity    bool `yaml:"no_affinity,omitempty"`  // select engines by load only
-	LocalBatching bool `yaml:"batch_alone,omitempty"`  // fill the calls of a relay with items of its own requests only
+	NoAdmission    bool `yaml:"no_admission,omitempty"` // start requests even if they can't meet their objective
+	NoAffinity     bool `yaml:"no_affinity,omitempty"`  // select engines by load only
+	LocalPlacement bool `yaml:"place_alone,omitempty"`  // select engines by what this relay knows of their load
+	LocalBatching  bool `yaml:"batch_alone,omitempty"`  // fill the calls of a relay with items of its own requests only
 }
--- a/relay/stats/stats.go
+++ b/relay/stats/stats.go
@@ -57,6 +57,18 @@
 	m.record(string(PhaseTotal)+unitSuffix, "route", route, d)
 }
 
+// RecordPrediction records how far the predicted time from sending a request to its
+// first event was from the actual one. Times that were predicted too short and too
+// long are counted apart.
+func (m *Meters) RecordPrediction(route string, predicted, actual time.Duration) {
+	route = m.routeLabel(route)
+	if actual > predicted {
+		m.record("first_late"+unitSuffix, "route", route, actual-predicted)
+	} else {
+		m.record("first_early"+unitSuffix, "route", route, predicted-actual)
+	}
+}
+
 // RecordPhase records the duration of a phase of a request.
 func (m *Meters) RecordPhase(p Phase, route string, d time.Duration) {
 	m.record(string(p)+unitSuffix, "route", m.routeLabel(route), d)
