--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -36,7 +36,7 @@
 	StoreLost         = newEventType("store_lost", log.WarnLevel, changeRate, "A read from the platform's store failed; the last snapshot stays active.", "error")
 	StoreRegained     = newEventType("store_regained", log.WarnLevel, changeRate, "The store responds again.", "failures", "lost_ms")
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
-	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "A store snapshot was received from another relay, because this relay has not been able to read the store yet.", "from", "entries", "age_ms")
+	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms")
 	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes")
 	ConfigRejected    = newEventType("config_rejected", log.ErrorLevel, changeRate, "A configuration is invalid; the previous one stays active.", "revision", "error")
 	ZoneDrained       = newEventType("zone_drained", log.InfoLevel, changeRate, "An availability zone was drained; its endpoints get no new requests.", "zone")
@@ -78,13 +78,13 @@
 	"admitted":       {"", "whether the request was admitted; false: rejected immediately"},
 	"affinity":       {"", "hash, in hexadecimal, of the part of the prompt that an endpoint may have cached; 0: none"},
 	"after":          {"revision", "last revision that was read"},
-	"age_ms":         {"ms", "time since the other relay last read from the store"},
+	"age_ms":         {"ms", "time since any relay last read from the store"},
 	"entries":        {"", "number of entries of the store"},
 	"attempt":        {"", "number of the attempt at an endpoint, from 1"},
 	"attempts":       {"", "number of endpoints that may have run the request"},
 	"caller":         {"", "IP:port"},
 	"candidates":     {"", "number of usable endpoints"},
-	"choice":         {"", "why the endpoint was selected: affinity, load, cold (within its share), or suspect (none better)"},
+	"choice":         {"", "why the endpoint was selected: prompt (earliest first event, by the prompts that all relays sent), affinity, load, cold (within its share), or suspect (none better)"},
 	"cold":           {"", "whether the endpoint is in cold start, in which it sustains a lower rate"},
 	"end":            {"", "done, not_run, inputs (not run, results of stages are missing), failed (may have run) or gone (the caller disconnected)"},
 	"endpoint":       {"", "ID of the endpoint"},
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -77,8 +77,7 @@
 	submitted map[batch.Pool]int        // items submitted since that report
 	placing   map[string]chan Placement // requests that wait for an engine, by ID
 
-	parts     []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
-	partsFrom int64        // revision after which the parts begin
+	parts []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
 }
 
 // newSession returns a session over a yamux session and its two streams.
