relay/peers: pools keep a linked owner while the next one is not linked

Cause: with links to owners only, each of the other relays scheduled a pool on its own whenever the owner stopped, until the link to the next owner was up: calls to endpoints carried few items each. Change: relays link to the owner and to the one that takes over; without either link they use the former owner while that link is up.

--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -34,6 +34,9 @@
 	followedReaders = 2
 	// mbpsPerCore is the bandwidth that the owner of pools needs for each core.
 	mbpsPerCore = 100
+	// ownerCandidates is the number of members that a relay links to for a key that it
+	// uses, so that the loss of the owner finds the next one linked.
+	ownerCandidates = 2
 	// minReaders is the minimum number of relays that read the store.
 	minReaders = 4
 	// readerKey is the key whose owner in each zone reads the store.
@@ -308,6 +311,10 @@
 // the same members choose the same owner without coordination.
 func (g *Group) Owner(now time.Time, k Key) Member { return g.ranked(now, k, 1)[0] }
 
+// Owners returns the owner of a key, and the member that takes over from it, if there
+// is one.
+func (g *Group) Owners(now time.Time, k Key) []Member { return g.ranked(now, k, ownerCandidates) }
+
 // candidate is a member with its score for a key.
 type candidate struct {
 	Member
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -93,11 +93,12 @@
 	ln        net.Listener
 }
 
-// ownership is a cached owner of a pool.
+// ownership caches the owner of a pool and the one that takes over from it.
 type ownership struct {
-	member   peer.Member
-	chosenAt time.Time
-	usedAt   time.Time
+	candidates []peer.Member
+	chosenAt   time.Time
+	usedAt     time.Time
+	last       *session // the link that was used last; nil: this relay scheduled the pool
 }
 
 // Run maintains the links of this relay until ctx ends. It blocks.
@@ -186,7 +187,9 @@
 			delete(m.owners, pool)
 			continue
 		}
-		out = append(out, m.owner(now, pool).Addr)
+		for _, p := range m.candidates(now, pool) {
+			out = append(out, p.Addr)
+		}
 	}
 	if len(m.byID) == 0 || now.Sub(m.Group.Started) < seedPeriod {
 		return append(out, seeds...)
@@ -258,19 +261,21 @@
 	return m.Group.Rank(key)
 }
 
-// owner returns the owner of a pool, which may be this relay. The caller holds m.mu.
-func (m *Mesh) owner(now time.Time, p batch.Pool) peer.Member {
-	o, ok := m.owners[p]
-	if ok && now.Sub(o.chosenAt) < ownersLifetime {
-		return o.member
+// candidates returns the owner of a pool and the one that takes over from it, one of
+// which may be this relay. The caller holds m.mu.
+func (m *Mesh) candidates(now time.Time, p batch.Pool) []peer.Member {
+	o := m.owners[p]
+	if o.candidates == nil || now.Sub(o.chosenAt) >= ownersLifetime {
+		o.candidates, o.chosenAt = m.Group.Owners(now, peer.Key{Name: p.Service, Zone: p.Zone}), now
+		m.owners[p] = o
 	}
-	o.member, o.chosenAt = m.Group.Owner(now, peer.Key{Name: p.Service, Zone: p.Zone}), now
-	m.owners[p] = o
-	return o.member
+	return o.candidates
 }
 
 // ownerSession returns the link to the owner of a pool, or nil if this relay
-// schedules the pool's items itself: it is the owner, or the link is not up.
+// schedules the pool's items itself. While the link to the owner is not up, the
+// relay that would take over from it is used, or else the former owner, which may be
+// leaving: items are run together only if most relays use the same owner.
 func (m *Mesh) ownerSession(p batch.Pool) *session {
 	if m.Policy().LocalBatching {
 		return nil
@@ -281,13 +286,33 @@
 	if m.owners == nil {
 		return nil
 	}
-	o := m.owner(now, p)
-	unused := now.Sub(m.owners[p].usedAt) > poolLinger
-	m.owners[p] = ownership{member: o, chosenAt: m.owners[p].chosenAt, usedAt: now}
-	if unused {
+	candidates := m.candidates(now, p)
+	o := m.owners[p]
+	if now.Sub(o.usedAt) > poolLinger {
 		m.requestRelink()
 	}
-	return m.byID[o.Instance]
+	o.usedAt = now
+	o.last = m.linkedOwner(candidates, o.last)
+	m.owners[p] = o
+	return o.last
+}
+
+// linkedOwner returns the link to the first of the candidates for a pool that is
+// linked, or nil if this relay comes first. Without such a candidate it returns last
+// if that link is still up. The caller holds m.mu.
+func (m *Mesh) linkedOwner(candidates []peer.Member, last *session) *session {
+	for _, p := range candidates {
+		if p.Instance == m.Group.Self.Instance {
+			return nil
+		}
+		if s := m.byID[p.Instance]; s != nil {
+			return s
+		}
+	}
+	if last != nil && m.sessions[last] {
+		return last
+	}
+	return nil
 }
 
 // Submit sends items to the owner of a pool. It reports false if this relay has
