core/gate: an endpoint that is slow, but warm by its own report, keeps half of its limit

Change: if the endpoint's report, measured after the suspicion, says that it is warm, the limit returns to half of what it was. A cold start that the endpoint reported, or a newly loaded model, still grows from the limit of a cold one. Measured: script slow_but_warm fails without the change.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -298,7 +298,10 @@
 // RecordModelLoad records that the endpoint loaded another model at now. The
 // endpoint counts as cold until a load report measured after now shows that it is
 // warm.
-func (g *Gate) RecordModelLoad(now time.Time) { g.limiter.markCold(now) }
+func (g *Gate) RecordModelLoad(now time.Time) {
+	g.limiter.suspected = false
+	g.limiter.markCold(now)
+}
 
 // Tick lowers the limit if running work has stalled, and refuses queued work
 // whose latest start time has passed. Call it periodically.
@@ -306,7 +309,7 @@
 	if !g.sampled && now.Sub(g.createdAt) >= firstReportTimeout {
 		g.sampled = true
 	}
-	lowered := g.hasStalledWork(now) && g.limiter.markCold(now)
+	lowered := g.hasStalledWork(now) && g.limiter.suspectCold(now)
 	fx := g.updateQueue(now, lowered)
 	pending := g.queue[:0]
 	for _, w := range g.queue {
--- a/core/gate/limiter.go
+++ b/core/gate/limiter.go
@@ -11,6 +11,7 @@
 	maxLimit           float64
 	minLimit           float64 // limit of a cold endpoint
 	cold               bool
+	suspected          bool          // cold by the endpoint's pace only; it has not reported that it is cold
 	lastWarmAt         time.Time     // when the latest warm report was measured
 	lastColdAt         time.Time     // time of the latest evidence that the endpoint is cold
 	baselineUnitTime   time.Duration // lowest recentUnitTime since the endpoint was last cold, raised by baselineGrowth; 0: none
@@ -31,15 +32,30 @@
 func (l *limiter) observeReport(r LoadReport) bool {
 	if r.Cold {
 		l.cold = true
+		l.suspected = false
 		return l.markCold(r.At)
 	}
 	if r.At.After(l.lastColdAt) {
-		l.cold = false
+		if l.suspected {
+			// The endpoint is slow, but not cold: half of the former limit instead of
+			// growth from the limit of a cold endpoint.
+			l.limit = max(l.limit, l.slowStartThreshold)
+		}
+		l.cold, l.suspected = false, false
 		l.lastWarmAt = r.At
 	}
 	return false
 }
 
+// suspectCold is markCold for evidence other than the endpoint's own report. A later
+// report of a warm endpoint refutes it.
+func (l *limiter) suspectCold(now time.Time) bool {
+	wasCold := l.cold
+	lowered := l.markCold(now)
+	l.suspected = l.suspected || (lowered && !wasCold)
+	return lowered
+}
+
 // markCold sets the limit to that of a cold endpoint and reports whether this
 // lowered it. The limit grows again only after a warm report measured after now.
 func (l *limiter) markCold(now time.Time) bool {
@@ -72,7 +88,7 @@
 		l.baselineUnitTime = time.Duration(float64(l.baselineUnitTime) * baselineGrowth)
 	}
 	if l.isSlow(c.ServiceTime, max(c.Units, 1)) {
-		return l.markCold(now)
+		return l.suspectCold(now)
 	}
 	if saturated && l.canGrow(now) {
 		l.grow()
