relay/front, relay/proxy: a request whose caller has left is not sent

A busy relay accepts a connection after the caller has given up on it; the goroutine that notices the end runs beside the request, which may be sent first. Change: before each send the connection itself is looked at. Measured: TestCallerLeftBeforeItsRequestWasRead fails with the former check.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -13,9 +13,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/relay/logs"
@@ -269,6 +271,30 @@
 // CallerGone reports whether the caller has disconnected.
 func (x *Exchange) CallerGone() bool { return x.Context != nil && x.Context.Err() != nil }
 
+// CallerLeft reports whether the caller has disconnected, also if that was not
+// noticed yet: the connection may have been closed before the request was read.
+func (x *Exchange) CallerLeft() bool {
+	if x.CallerGone() {
+		return true
+	}
+	sc, ok := x.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	// Control doesn't wait for the goroutine that reads the next request.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = (e == nil && n == 0) || errors.Is(e, unix.ECONNRESET)
+	})
+	return err != nil || closed
+}
+
 // ResponseStarted reports whether writing of a response has started.
 func (x *Exchange) ResponseStarted() bool { return x.started }
 
--- a/relay/front/front_test.go
+++ b/relay/front/front_test.go
@@ -237,3 +237,37 @@
 		}
 	})
 }
+
+// TestCallerLeftBeforeItsRequestWasRead guards against requests that are sent on
+// although their callers have left: a busy relay may accept a connection only after
+// the caller has given up on it and closed it.
+func TestCallerLeftBeforeItsRequestWasRead(t *testing.T) {
+	const callers = 50
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range callers {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close() // the test checks that the server notices it
+	}
+	left := make(chan bool, callers)
+	s := newServer(func(x *front.Exchange) { left <- x.CallerLeft() })
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	for range callers {
+		if !<-left {
+			t.Error("the caller counts as connected, but has left")
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.Stop(ctx, ctx)
+	<-served
+}
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -241,6 +241,9 @@
 // caller.
 var errInvalidResponse = errors.New("not an endpoint's whole answer")
 
+// errCallerLeft reports that a request was not sent because its caller had left.
+var errCallerLeft = errors.New("caller gone before the request was sent")
+
 // impliesNotRun reports whether a status tells a caller that its request did not
 // run. An endpoint that did not run a request reports it in a header of its
 // response; without that header, these statuses can't be trusted.
@@ -258,6 +261,9 @@
 // attemptFailed if it may have.
 func (req *request) send(ctx context.Context, svc *fleet.Service, e *fleet.Endpoint, lastEvent int64, deadline time.Time) (*pool.Call, attemptEnd, error) {
 	req.Balancer.Begin(svc, e)
+	if req.exchange.CallerLeft() {
+		return nil, attemptCallerGone, errCallerLeft
+	}
 	conn, err := req.Pool.Get(ctx, e.ID, e.Addr, false)
 	if err != nil {
 		return nil, attemptNotRun, err
@@ -286,7 +292,7 @@
 	if end == attemptFailed {
 		req.mayHaveRun = true
 	}
-	if req.exchange.CallerGone() {
+	if end == attemptCallerGone || req.exchange.CallerGone() {
 		req.recordEnd(e, pick.ResultNone, attemptCallerGone, "caller gone")
 		req.outcome = "caller gone"
 		return attemptCallerGone, "caller gone"
