proof: the slopes tool goes; proof/delay keeps the latency of the path

Change: proof/slope, its command, page and target are removed; what the latency command needs moves to proof/delay; code that only slopes used goes with it.

--- a/proof/cmds/latency.go
+++ b/proof/cmds/latency.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"os"
 
+	"wigeonplank.example/proof/delay"
 	"wigeonplank.example/proof/fleet"
-	"wigeonplank.example/proof/slope"
 )
 
 // Latency implements the latency command, which measures the latency that entry
@@ -25,7 +25,7 @@
 	if err := fleet.Build(l.Root, dir); err != nil {
 		return err
 	}
-	res, err := (&slope.Runner{Bin: dir, Dir: dir}).MeasureLatency()
+	res, err := (&delay.Runner{Bin: dir, Dir: dir}).MeasureLatency()
 	if err != nil {
 		return err
 	}
--- a/proof/slope/latency.go
+++ b/proof/delay/delay.go
@@ -1,4 +1,5 @@
-package slope
+// Package delay measures the latency that an entry and an agent add to a call.
+package delay
 
 import (
 	"context"
@@ -21,6 +22,12 @@
 	latencyDigits      = 3 // significant digits of the histograms
 )
 
+// Runner starts the deployment that is measured.
+type Runner struct {
+	Bin string // directory with the built programs
+	Dir string // directory for the settings and logs of the deployment
+}
+
 // PathLatency holds the latencies of calls to a back end, directly and through
 // entry and agent. One run alternates between the two kinds of call.
 type PathLatency struct {
@@ -31,10 +38,10 @@
 // MeasureLatency measures the latency that entry and agent add to a pipeline of
 // one stage.
 func (r *Runner) MeasureLatency() (l PathLatency, err error) {
-	p := newPlan(10, 1)
-	p.Document = []byte(singleStageDocument)
-	p.Groups = []fleet.Group{{Name: "pool", Service: "pool", Kind: "pool", Count: 1, Slots: 8, ServiceUS: 1000, Labels: map[string]string{"role": "any"}}}
-	f, err := r.newFleet("latency", p)
+	f, err := fleet.New(fleet.Plan{
+		Entries: []string{"z0"}, Zones: []string{"z0"}, Document: []byte(singleStageDocument),
+		Groups: []fleet.Group{{Name: "pool", Service: "pool", Kind: "pool", Count: 1, Slots: 8, ServiceUS: 1000, Labels: map[string]string{"role": "any"}}},
+	}, r.Dir, r.Bin)
 	if err != nil {
 		return l, err
 	}
