base/link: readers of a link end before its session shuts down

Found by the stack of the relay that ran without an end. Change: the connection and Close tell the readers first, by a read deadline that has passed.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 10
 
-.PHONY: build demo test soak chaos mutants docs fuzz bench
+.PHONY: build demo test soak chaos mutants docs fuzz bench regress
 
 build:
 	@mkdir -p $(BIN)
@@ -41,6 +41,12 @@
 bench: build
 	@$(BIN)/proof bench
 
+# Plays the days of deploy/regress.yaml with the users' bench, whose path is BENCH,
+# on the site files in the directory SITES, and says what fell. DAYS selects some by
+# a regular expression.
+regress: build
+	@$(BIN)/proof regress --bench "$(BENCH)" --sites "$(SITES)" $(if $(DAYS),--only '$(DAYS)')
+
 docs: build
 	@$(BIN)/proof docs
 
--- a/base/link/link.go
+++ b/base/link/link.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -53,9 +54,10 @@
 	// the stream was opened by a Peer.
 	Silent <-chan struct{}
 
-	conn net.Conn
-	r    *bufio.Reader
-	mu   sync.Mutex // serializes writes
+	conn    net.Conn
+	r       *bufio.Reader
+	mu      sync.Mutex  // serializes writes
+	aborted atomic.Bool // the session has ended; set for streams of a Session only
 }
 
 // NewStream returns a Stream over a connection or a yamux stream.
@@ -74,7 +76,12 @@
 
 // Receive reads the next message into m. It blocks until one arrives or the
 // stream ends.
-func (s *Stream) Receive(m proto.Message) error { return wire.Read(s.r, m) }
+func (s *Stream) Receive(m proto.Message) error {
+	if s.aborted.Load() {
+		return ErrAborted
+	}
+	return wire.Read(s.r, m)
+}
 
 // ReceiveWithin is like Receive, but returns a timeout error if no message
 // arrives within d.
@@ -82,6 +89,9 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(d)); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
+	if s.aborted.Load() {
+		return ErrAborted
+	}
 	err := wire.Read(s.r, m)
 	if clearErr := s.conn.SetReadDeadline(time.Time{}); err == nil && clearErr != nil {
 		return fmt.Errorf("clear read deadline: %w", clearErr)
--- /dev/null
+++ b/base/link/session_test.go
@@ -0,0 +1,71 @@
+package link_test
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"wigeonplank.example/base/link"
+	"wigeonplank.example/core/wire"
+)
+
+// slowConn is a connection whose Close takes until release is closed.
+type slowConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c *slowConn) Close() error {
+	<-c.release
+	return c.Conn.Close()
+}
+
+// TestReaderEndsBeforeItsSession guards against readers in a busy loop while their
+// session shuts down. On a small instance such loops of a few links kept everything
+// else from running for up to nine seconds: configurations were not applied, and
+// requests were served by old ones.
+func TestReaderEndsBeforeItsSession(t *testing.T) {
+	tests := map[string]func(s *link.Session, peer net.Conn){
+		"closed by this side":  func(s *link.Session, _ net.Conn) { s.Close() },
+		"closed by other side": func(_ *link.Session, peer net.Conn) { _ = peer.Close() },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			a, b := net.Pipe()
+			slow := &slowConn{Conn: a, release: make(chan struct{})}
+			defer close(slow.release)
+			s, err := link.NewClient(slow)
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { // the other side takes what is sent
+				buf := make([]byte, 1024)
+				for {
+					if _, err := b.Read(buf); err != nil {
+						return
+					}
+				}
+			}()
+			st, err := s.OpenStream()
+			if err != nil {
+				t.Fatal(err)
+			}
+			received := make(chan error, 1)
+			go func() { received <- st.Receive(&wire.Ping{}) }()
+			time.Sleep(20 * time.Millisecond) // most likely the reader waits by then; it must end in any case
+			go end(s, b)
+			select {
+			case err := <-received:
+				if err == nil {
+					t.Error("a message was received, want an error")
+				}
+			case <-time.After(2 * time.Second):
+				t.Fatal("the reader still runs while its session shuts down")
+			}
+			if err := st.ReceiveWithin(&wire.Ping{}, time.Minute); !errors.Is(err, link.ErrAborted) {
+				t.Errorf("a later receive: got %v, want ErrAborted", err)
+			}
+		})
+	}
+}
--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -17,6 +17,7 @@
 		{"chaos", "run a small fleet under pairs of faults", &Chaos{}},
 		{"mutants", "remove each mechanism in a copy of the repository and verify that its test fails", &Mutants{}},
 		{"bench", "measure the serving policy under load and faults, compared with baselines", &Bench{}},
+		{"regress", "play a fixed set of days with the users' bench and compare them with committed figures", &Regress{}},
 		{"latency", "measure the latency that entry and agent add to a call", &Latency{}},
 		{"docs", "generate the reference pages", &Docs{}},
 		{"platform", "run relays on a stand-in of the platform with planned changes and failures, and verify the replies", &Platform{}},
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -177,7 +177,7 @@
 	m *peers.Mesh,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
-		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Balancer: b, Pool: p, Stages: r, Engines: a, Clock: clock.System{}, Log: l, Meters: meters,
+		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Confirmed: c.Confirmed, Balancer: b, Pool: p, Stages: r, Engines: a, Clock: clock.System{}, Log: l, Meters: meters,
 		Policy: policyFunc(live),
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -23,6 +23,7 @@
 	missingGrace      = 1500 * time.Millisecond // a live endpoint is listed again by then; one that shuts down still serves for 2 s
 	controlTimeout    = time.Second             // to hand a query or an update to the control goroutine
 	defaultColdPeriod = 3 * time.Second         // for endpoints of a returned zone whose service isn't configured
+	maxViewAge        = 5 * time.Second         // since the last known contact with the store; a watch without changes takes up to 4 s
 )
 
 // Control maintains a replica of the platform's store and publishes a view of it.
@@ -99,6 +100,15 @@
 	return true, "ok"
 }
 
+// Confirmed reports whether the view is recent enough to tell callers that a route or
+// key doesn't exist. After a long outage of the store, or a stall of this process,
+// operators may have added it.
+func (c *Control) Confirmed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Sub(c.follower.Last().At) <= maxViewAge
+}
+
 // Run follows the store and applies updates until ctx is done. It blocks, and
 // must be called once.
 func (c *Control) Run(ctx context.Context) {
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -120,3 +120,25 @@
 	f.read(false, old)
 	f.check(t, "after the older entry", 0)
 }
+
+// TestOldViewDeniesNothing guards against a relay that tells callers that a route or
+// key doesn't exist by a view from before a stall of the process or an outage of the
+// store.
+func TestOldViewDeniesNothing(t *testing.T) {
+	f := newFixture()
+	check := func(when string, want bool) {
+		t.Helper()
+		if got := f.Confirmed(); got != want {
+			t.Errorf("%s: confirmed is %v, want %v", when, got, want)
+		}
+	}
+	check("before the first read", false)
+	f.read(false, f.entry("a"))
+	check("after a read", true)
+	f.clock.Advance(4 * time.Second)
+	check("within a watch", true)
+	f.clock.Advance(2 * time.Second)
+	check("6 s after the last contact", false)
+	f.Announced(repl.Position{Revision: f.Position().Revision, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}})
+	check("after another relay's contact", true)
+}
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -7,8 +7,6 @@
 	"net"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/peer"
@@ -60,43 +58,41 @@
 	if err != nil {
 		return fmt.Errorf("dial relay: %w", err)
 	}
-	s, err := yamux.Client(conn, link.SessionConfig())
+	s, err := link.NewClient(conn)
 	if err != nil {
-		_ = conn.Close() // nothing was sent on it
-		return fmt.Errorf("open session: %w", err)
+		return err
 	}
-	defer func() { _ = s.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer s.Close()
+	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
-	control, err := s.Open()
+	control, err := s.OpenStream()
 	if err != nil {
-		return fmt.Errorf("open heartbeat stream: %w", err)
+		return fmt.Errorf("heartbeats: %w", err)
 	}
-	work, err := s.Open()
+	work, err := s.OpenStream()
 	if err != nil {
-		return fmt.Errorf("open work stream: %w", err)
+		return fmt.Errorf("work: %w", err)
 	}
-	return l.mesh.newSession(s, link.NewStream(control), link.NewStream(work), true).run()
+	return l.mesh.newSession(s, control, work, true).run()
 }
 
 // serveLink serves a link that another relay dialed, until it fails.
 func (m *Mesh) serveLink(conn net.Conn) {
-	s, err := yamux.Server(conn, link.SessionConfig())
+	s, err := link.NewServer(conn)
 	if err != nil {
-		_ = conn.Close() // the dialing relay retries
-		return
+		return // the dialing relay retries
 	}
-	defer func() { _ = s.Close() }()
-	control, err := s.Accept()
+	defer s.Close()
+	control, err := s.AcceptStream()
 	if err != nil {
 		return
 	}
-	work, err := s.Accept()
+	work, err := s.AcceptStream()
 	if err != nil {
 		return
 	}
 	// The dialing relay logs why the link failed.
-	_ = m.newSession(s, link.NewStream(control), link.NewStream(work), false).run()
+	_ = m.newSession(s, control, work, false).run()
 }
 
 // register makes an established session with another relay available. A newer link
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/peer"
@@ -59,7 +57,7 @@
 type session struct {
 	mesh    *Mesh
 	dialer  bool // this relay dialed the link
-	yamux   *yamux.Session
+	link    *link.Session
 	control *link.Stream
 	work    *link.Stream
 	queue   chan *Work    // messages to send on the work stream
@@ -80,10 +78,10 @@
 	parts []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
 }
 
-// newSession returns a session over a yamux session and its two streams.
-func (m *Mesh) newSession(s *yamux.Session, control, work *link.Stream, dialer bool) *session {
+// newSession returns a session over a link and its two streams.
+func (m *Mesh) newSession(s *link.Session, control, work *link.Stream, dialer bool) *session {
 	return &session{
-		mesh: m, dialer: dialer, yamux: s, control: control, work: work,
+		mesh: m, dialer: dialer, link: s, control: control, work: work,
 		queue: make(chan *Work, maxQueuedMessages), beat: make(chan struct{}, 1), done: make(chan struct{}),
 		pending: make(map[itemKey]*batch.Item),
 	}
@@ -106,7 +104,7 @@
 func (s *session) fail() {
 	s.failOnce.Do(func() {
 		close(s.done)
-		_ = s.yamux.Close() // it isn't used again
+		s.link.Close()
 	})
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -40,16 +40,19 @@
 // Forwarder forwards requests to endpoints. Set the exported fields before use. It
 // is safe for concurrent use.
 type Forwarder struct {
-	Zone     string                // availability zone of this relay
-	View     func() *fleet.View    // returns the current view of the deployment
-	Ready    func() (bool, string) // reports whether View can be served from, and the reason if not
-	Balancer *Balancer
-	Pool     *pool.Pool
-	Stages   *stage.Runner
-	Engines  *assign.Assigner
-	Clock    clock.Clock
-	Log      *logs.Logger
-	Meters   *stats.Meters
+	Zone  string                // availability zone of this relay
+	View  func() *fleet.View    // returns the current view of the deployment
+	Ready func() (bool, string) // reports whether View can be served from, and the reason if not
+	// Confirmed reports whether View is recent enough to tell callers that a route or
+	// key doesn't exist.
+	Confirmed func() bool
+	Balancer  *Balancer
+	Pool      *pool.Pool
+	Stages    *stage.Runner
+	Engines   *assign.Assigner
+	Clock     clock.Clock
+	Log       *logs.Logger
+	Meters    *stats.Meters
 	// NewBudget returns a new retry budget for one service.
 	NewBudget func() *retry.Budget
 	// Policy returns the active policy.
@@ -186,13 +189,13 @@
 	}
 	req.route = cfg.Match(string(req.exchange.Header.Host()), string(path))
 	if req.route == nil {
-		req.reject(fasthttp.StatusNotFound, 0, "no route")
+		req.deny(fasthttp.StatusNotFound, "no route")
 		return false
 	}
 	if cfg.RequiresKey() && !req.route.Public {
 		team, ok := cfg.TeamByKey(req.headers.APIKey)
 		if !ok {
-			req.reject(fasthttp.StatusUnauthorized, 0, "unknown key")
+			req.deny(fasthttp.StatusUnauthorized, "unknown key")
 			return false
 		}
 		req.team = team
@@ -201,6 +204,16 @@
 	return true
 }
 
+// deny rejects a request that the configuration doesn't allow. If the view is so old
+// that a newer configuration may allow it, the caller is asked to retry instead.
+func (req *request) deny(status int, reason string) {
+	if !req.Confirmed() {
+		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "view is too old: "+reason)
+		return
+	}
+	req.reject(status, 0, reason)
+}
+
 // pickService picks one of the services of a route at random, by their weights.
 func pickService(r *fleet.Route) string {
 	if len(r.Targets) == 1 {
