--- a/base/link/link.go
+++ b/base/link/link.go
@@ -76,24 +76,16 @@
 
 // Receive reads the next message into m. It blocks until one arrives or the
 // stream ends.
-func (s *Stream) Receive(m proto.Message) error {
-	if s.aborted.Load() {
-		return ErrAborted
-	}
-	return wire.Read(s.r, m)
-}
+func (s *Stream) Receive(m proto.Message) error { return wire.Read(s.r, m) }
 
 // ReceiveWithin is like Receive, but returns a timeout error if no message
 // arrives within d.
 func (s *Stream) ReceiveWithin(m proto.Message, d time.Duration) error {
-	if err := s.conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+	if err := s.setReadDeadline(time.Now().Add(d)); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
-	if s.aborted.Load() {
-		return ErrAborted
-	}
 	err := wire.Read(s.r, m)
-	if clearErr := s.conn.SetReadDeadline(time.Time{}); err == nil && clearErr != nil {
+	if clearErr := s.setReadDeadline(time.Time{}); err == nil && clearErr != nil {
 		return fmt.Errorf("clear read deadline: %w", clearErr)
 	}
 	return err
--- a/base/link/session.go
+++ b/base/link/session.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,14 +10,11 @@
 	"github.com/hashicorp/yamux"
 )
 
-// ErrAborted reports that a stream can't be read any more because its session has
-// failed or was closed.
-var ErrAborted = errors.New("session of the stream has ended")
-
 // Session is a yamux session whose streams stop reading before it shuts down. A
 // reader of yamux's own streams runs in a busy loop from the shutdown of their session
 // until its connection is closed and all its goroutines have ended, which takes
-// seconds on an instance with a small share of a core.
+// seconds on an instance with a small share of a core. Messages that have arrived by
+// then can still be received.
 type Session struct {
 	yamux *yamux.Session
 
@@ -118,10 +114,20 @@
 	_ = s.yamux.Close() // the session isn't used again
 }
 
-// abort makes pending and later receives fail.
+// longAgo is a read deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// abort makes pending and later receives return what has arrived, and then fail.
 func (s *Stream) abort() {
 	s.aborted.Store(true)
-	// A receive that begins at this moment sets its deadline first and then looks at
-	// aborted. This fails only on a stream that is closed.
-	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+	_ = s.conn.SetReadDeadline(longAgo) // fails only on a stream that is closed
+}
+
+// setReadDeadline sets the read deadline, unless the session has ended.
+func (s *Stream) setReadDeadline(t time.Time) error {
+	err := s.conn.SetReadDeadline(t)
+	if s.aborted.Load() {
+		return s.conn.SetReadDeadline(longAgo)
+	}
+	return err
 }
