--- a/relay/front/front_test.go
+++ b/relay/front/front_test.go
@@ -269,5 +269,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	s.Stop(ctx, ctx)
-	<-served
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
 }
