--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -72,7 +72,7 @@
 // Load is the load of a pool.
 type Load struct {
 	Endpoints int // endpoints that accept calls
-	Items     int // items that new ones wait for; see Scheduler.Backlog
+	Items     int // queued and in flight
 }
 
 // retainedResult is a result that an endpoint retains until it is released or
@@ -85,7 +85,6 @@
 // endpointState is what the scheduler tracks of one endpoint.
 type endpointState struct {
 	calls        int                       // in flight
-	freeAt       time.Time                 // when the call that ends first is expected to end; for one slot
 	pendingBytes int64                     // size of the results of calls in flight
 	backoffUntil time.Time                 // it gets no calls before this
 	results      map[string]retainedResult // by reference
@@ -175,21 +174,8 @@
 	return 1
 }
 
-// Active returns the pools that have items queued or in flight.
-func (s *Scheduler) Active() []Pool {
-	var out []Pool
-	for p, q := range s.queues {
-		if len(q) > 0 {
-			out = append(out, p)
-		}
-	}
-	for p, n := range s.inFlight {
-		if n > 0 && len(s.queues[p]) == 0 {
-			out = append(out, p)
-		}
-	}
-	return out
-}
+// ItemCount returns the number of a pool's items that are queued or in flight.
+func (s *Scheduler) ItemCount(p Pool) int { return len(s.queues[p]) + s.inFlight[p] }
 
 // RemoveExpired removes and returns the queued items that have expired: those
 // past their Deadline, and those past StartBy unless FreesMemory is set.
@@ -236,7 +222,7 @@
 		if len(items) == 0 {
 			continue
 		}
-		st.recordCall(now, svc.Batch, len(items))
+		st.calls++
 		for _, it := range items {
 			st.pendingBytes += it.ResultBytes
 		}
@@ -246,50 +232,6 @@
 	return nil
 }
 
-// recordCall records that a call with n items starts.
-func (st *endpointState) recordCall(now time.Time, b *fleet.Batch, n int) {
-	end := now.Add(b.CallOverhead + time.Duration(n)*b.ItemTime)
-	if st.calls == 0 || end.Before(st.freeAt) {
-		st.freeAt = end
-	}
-	st.calls++
-}
-
-// freeIn returns when an endpoint is expected to take its next call, from now.
-func (st *endpointState) freeIn(now time.Time, b *fleet.Batch) time.Duration {
-	wait := max(0, st.backoffUntil.Sub(now))
-	if st.calls >= max(1, b.Slots) {
-		wait = max(wait, st.freeAt.Sub(now))
-	}
-	return wait
-}
-
-// Backlog returns the load of a pool as a number of items that new ones wait for:
-// those in the queue, and as many as its endpoints run until the first of them is
-// free. Items in calls don't count otherwise, as other endpoints may be free.
-func (s *Scheduler) Backlog(now time.Time, svc *fleet.Service, p Pool, usable []*fleet.Endpoint) int {
-	n := len(s.queues[p])
-	if len(usable) == 0 || svc == nil || svc.Batch == nil {
-		return n
-	}
-	b := svc.Batch
-	first := fullCallTime(b)
-	for _, e := range usable {
-		st := s.endpoints[e.ID]
-		if st == nil {
-			return n
-		}
-		first = min(first, st.freeIn(now, b))
-	}
-	return n + int(float64(first)/float64(itemInterval(b, len(usable))))
-}
-
-// itemInterval returns the time in which the endpoints of a pool together run one
-// item, in full calls on all slots.
-func itemInterval(b *fleet.Batch, endpoints int) time.Duration {
-	return max(1, fullCallTime(b)/time.Duration(b.MaxItems*max(1, endpoints*max(1, b.Slots))))
-}
-
 // freeMemory returns the free memory for results in bytes, given the configured
 // memory of the endpoint. It forgets results that have expired.
 func (st *endpointState) freeMemory(now time.Time, memory int64) int64 {
@@ -506,6 +448,24 @@
 // of its endpoints, plus that of one call with the new items, or with MaxItems of
 // them if there are more.
 func EstimateLatency(b *fleet.Batch, l Load, n int) time.Duration {
+	full := fullCallTime(b)
+	perItem := full / time.Duration(b.MaxItems)
 	lastCall := b.CallOverhead + time.Duration(min(n, b.MaxItems))*b.ItemTime
-	return lastCall + time.Duration(l.Items)*itemInterval(b, l.Endpoints)
+	return lastCall + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots)))
+}
+
+// ItemCounts returns the number of items that are queued or in flight, by pool.
+func (s *Scheduler) ItemCounts() map[Pool]int {
+	out := make(map[Pool]int)
+	for p := range s.queues {
+		if n := s.ItemCount(p); n > 0 {
+			out[p] = n
+		}
+	}
+	for p := range s.inFlight {
+		if n := s.ItemCount(p); n > 0 {
+			out[p] = n
+		}
+	}
+	return out
 }
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -23,6 +23,10 @@
 	// that of the least loaded zone up to which requests stay with their prompt's
 	// zone.
 	zoneMargin = 10000
+	// minPoolEngines is the number of warm engines in a zone, on average, from which on
+	// they are chosen by their owner. In smaller pools the prompts of a zone spread
+	// less evenly than by hash over all engines.
+	minPoolEngines = 6
 )
 
 // Health tells which endpoints are fit for requests.
@@ -130,7 +134,7 @@
 
 // choosePool returns the pool for a request, its warm engines that are not in
 // exclude, and the IDs of its other engines. No engines are returned if cold ones
-// are needed. Requests that share a prompt go to the same zone, unless its engines
+// are needed, or if the zones have few engines. Requests that share a prompt go to the same zone, unless its engines
 // have much more to read than those of another one.
 func (a *Assigner) choosePool(svc *fleet.Service, r prompt.Request, exclude map[string]bool) (batch.Pool, []*fleet.Endpoint, []string) {
 	all := a.View().Endpoints(svc.Name)
@@ -142,10 +146,10 @@
 	for _, e := range warm {
 		byZone[e.Zone]++
 	}
-	pool := batch.Pool{Service: svc.Name}
-	if batch.HasZonePools(len(warm), len(byZone)) {
-		pool.Zone = a.chooseZone(svc.Name, byZone, r)
+	if len(warm) < minPoolEngines*len(byZone) {
+		return batch.Pool{Service: svc.Name}, nil, nil
 	}
+	pool := batch.Pool{Service: svc.Name, Zone: a.chooseZone(svc.Name, byZone, r)}
 	inPool := make([]*fleet.Endpoint, 0, len(warm))
 	fit := make(map[string]bool, len(warm))
 	for _, e := range warm {
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -45,8 +45,8 @@
 	HandleResult(it *batch.Item, res plat.StageResult)
 	// Resubmit submits own items again that were pending on a link that failed.
 	Resubmit(items []*batch.Item)
-	// Loads returns the number of items that new ones wait for, by pool that this
-	// relay schedules.
+	// Loads returns the number of queued and in-flight items of each pool that
+	// this relay schedules.
 	Loads() map[batch.Pool]int
 }
 
@@ -323,8 +323,8 @@
 	return s != nil && s.submit(p, items)
 }
 
-// ItemCount returns the load that the owner of a pool last reported, with the items
-// submitted since, or -1 if this relay schedules the pool's items itself.
+// ItemCount returns the number of items that are queued or in flight at the owner
+// of a pool, or -1 if this relay schedules the pool's items itself.
 func (m *Mesh) ItemCount(p batch.Pool) int {
 	s := m.ownerSession(p)
 	if s == nil {
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -78,14 +78,12 @@
 	return r
 }
 
-// recordStart records the first event of an attempt, reports it to the owner of the
-// engine's pool, and records how far off the prediction of its time was.
-func (req *request) recordStart() {
-	took := req.Clock.Now().Sub(req.attemptAt)
-	req.recordFirstEvent(took)
+// startAssignment reports the first event of an attempt to the owner of its pool,
+// and records how far off the prediction of its time was.
+func (req *request) startAssignment() {
 	if a := req.assignment; a != nil {
 		a.Started()
-		req.Meters.RecordPrediction(req.route.Name, a.FirstEvent, took)
+		req.Meters.RecordPrediction(req.route.Name, a.FirstEvent, req.Clock.Now().Sub(req.attemptAt))
 	}
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -15,7 +15,6 @@
 
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
-	"wigeonplank.example/core/meter"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/assign"
@@ -35,8 +34,6 @@
 	minRejectQueueDelay = 100 * time.Millisecond // requests that queued items delay by less are always admitted
 	emptyPromptLatency  = 60 * time.Millisecond  // from sending a request with an empty prompt to its first event
 	maxStageReruns      = 2                      // per request
-	maxRouteAverages    = 256                    // routes whose first events are averaged
-	maxEngineShare      = 0.4                    // of the latency objective, for the engine when a request is admitted
 	promptTokenTime     = 30 * time.Microsecond  // approximate time that an engine takes to read one prompt token
 )
 
@@ -61,9 +58,8 @@
 	// Policy returns the active policy.
 	Policy func() sets.Policy
 
-	mu          sync.Mutex
-	budgets     map[string]*retry.Budget   // by service; guarded by mu
-	firstEvents map[string]*meter.Smoothed // time from sending a request to its first event, by route; guarded by mu
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget // by service; guarded by mu
 }
 
 // request is the state of one request in flight. One goroutine owns it.
@@ -347,10 +343,10 @@
 // the caller may retry.
 func (req *request) admitToStages(job stage.Job) (time.Duration, bool) {
 	estimate, idle := req.Stages.Estimate(job)
-	// The time at the engine is that of the route's recent requests. With the time for
-	// reading this request's prompt, large requests would be more likely to be
-	// rejected than small ones, although they load the stages no more.
-	left := req.due.Add(-req.recentFirstEvent()).Sub(req.Clock.Now())
+	// The time for reading the prompt is left out: it would make large requests
+	// more likely to be rejected than small ones, although they load the stages
+	// no more.
+	left := req.due.Add(-emptyPromptLatency).Sub(req.Clock.Now())
 	admitted := req.Policy().NoAdmission || estimate <= left || estimate-idle < minRejectQueueDelay
 	ev := req.Log.Event
 	if !admitted {
@@ -364,38 +360,6 @@
 	return max(minRetryAfter, estimate-max(left, idle)), false
 }
 
-// recentFirstEvent returns the time from sending a request to its first event that
-// most recent requests of the route took, within bounds.
-func (req *request) recentFirstEvent() time.Duration {
-	req.mu.Lock()
-	defer req.mu.Unlock()
-	recent := time.Duration(0)
-	if s := req.firstEvents[req.route.Name]; s != nil {
-		recent = s.Upper()
-	}
-	// Without an upper bound, late requests could keep all others from being admitted,
-	// and nothing would show that the engines have time again.
-	return min(max(recent, emptyPromptLatency), time.Duration(maxEngineShare*float64(req.route.LatencyObjective)))
-}
-
-// recordFirstEvent records the time from sending the request to its first event.
-func (req *request) recordFirstEvent(d time.Duration) {
-	req.mu.Lock()
-	defer req.mu.Unlock()
-	if req.firstEvents == nil {
-		req.firstEvents = make(map[string]*meter.Smoothed)
-	}
-	s := req.firstEvents[req.route.Name]
-	if s == nil {
-		if len(req.firstEvents) >= maxRouteAverages {
-			clear(req.firstEvents) // mostly routes of former configurations
-		}
-		s = &meter.Smoothed{}
-		req.firstEvents[req.route.Name] = s
-	}
-	s.Add(d)
-}
-
 // firstEventLatency estimates the time from sending the request to an engine to
 // its first event.
 func (req *request) firstEventLatency() time.Duration {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -109,7 +109,7 @@
 		}
 		raw, id, err := events.Next()
 		if first && err == nil {
-			req.recordStart()
+			req.startAssignment()
 			first = false
 		}
 		if errors.Is(err, io.EOF) {
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -49,8 +49,8 @@
 	// Submit sends items to the relay that owns a pool. It returns false if this
 	// relay has to queue them.
 	Submit(p batch.Pool, items []*batch.Item) bool
-	// ItemCount returns the number of items that new ones of a pool wait for at the
-	// relay that owns it, or -1 if this relay schedules the pool's items itself.
+	// ItemCount returns the number of items that are queued or in flight at the
+	// relay that owns a pool, or -1 if this relay schedules the pool's items itself.
 	ItemCount(p batch.Pool) int
 	// Cancel cancels the items of a request that are pending at other relays.
 	Cancel(request string)
@@ -100,7 +100,7 @@
 	to   *remoteOrigin
 	it   *batch.Item
 	res  plat.StageResult
-	left int // backlog of the pool, in items
+	left int // items left in the pool
 }
 
 // Run runs the stages of a job and returns references to the results that its
@@ -139,7 +139,6 @@
 	var fx effects
 	r.mu.Lock()
 	change(&fx)
-	r.setBacklogs(fx.replies)
 	r.mu.Unlock()
 	for _, s := range fx.submissions {
 		if !r.Peers.Submit(s.pool, s.items) {
@@ -155,24 +154,6 @@
 	r.dispatch()
 }
 
-// setBacklogs sets the backlogs that replies report. mu must be held.
-func (r *Runner) setBacklogs(replies []reply) {
-	if len(replies) == 0 {
-		return
-	}
-	v := r.View()
-	backlogs := make(map[batch.Pool]int)
-	for i := range replies {
-		p := replies[i].to.pool
-		n, ok := backlogs[p]
-		if !ok {
-			n = r.backlog(v, p)
-			backlogs[p] = n
-		}
-		replies[i].left = n
-	}
-}
-
 // startStages submits the items of all stages that have their inputs and were
 // not started. It finishes the job if all items have results. mu must be held.
 func (r *Runner) startStages(j *jobRun, fx *effects) {
@@ -243,7 +224,7 @@
 		p := batch.Pool{Service: service, Zone: zone}
 		items := r.Peers.ItemCount(p)
 		if items < 0 {
-			items = r.backlog(v, p)
+			items = r.sched.ItemCount(p)
 		}
 		out = append(out, batch.Candidate{Zone: zone, Load: batch.Load{Endpoints: n, Items: items}})
 	}
@@ -327,7 +308,11 @@
 	svc := v.Config.Service(p.Service)
 	var usable []*fleet.Endpoint
 	if svc != nil && svc.Batch != nil {
-		usable = r.poolEndpoints(v, p)
+		for _, e := range r.usableEndpoints(v, p.Service) {
+			if p.Contains(e) {
+				usable = append(usable, e)
+			}
+		}
 	}
 	if len(usable) == 0 {
 		for _, it := range r.sched.RemovePool(p) {
@@ -365,7 +350,7 @@
 // times, in which case its job fails. mu must be held.
 func (r *Runner) recordResult(it *batch.Item, res plat.StageResult, fx *effects) {
 	if origin, ok := it.Data.(*remoteOrigin); ok {
-		fx.replies = append(fx.replies, reply{to: origin, it: it, res: res})
+		fx.replies = append(fx.replies, reply{to: origin, it: it, res: res, left: r.sched.ItemCount(origin.pool)})
 		return
 	}
 	j, ok := it.Data.(*jobRun)
@@ -398,7 +383,7 @@
 }
 
 // Accept queues items that another relay submitted. reply is called with the
-// result of each item and the backlog of the pool.
+// result of each item and the number of items left in the pool.
 func (r *Runner) Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, left int)) {
 	o := &remoteOrigin{pool: p, reply: reply}
 	for _, it := range items {
@@ -436,38 +421,12 @@
 	})
 }
 
-// Loads returns the backlog of each pool that this relay schedules, in items.
+// Loads returns the number of items that are queued or in flight at this relay,
+// by pool.
 func (r *Runner) Loads() map[batch.Pool]int {
-	v := r.View()
-	out := make(map[batch.Pool]int)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, p := range r.sched.Active() {
-		if n := r.backlog(v, p); n > 0 {
-			out[p] = n
-		}
-	}
-	return out
-}
-
-// backlog returns the number of items that new ones of a pool wait for at this
-// relay. mu must be held.
-func (r *Runner) backlog(v *fleet.View, p batch.Pool) int {
-	if v.Config == nil {
-		return 0
-	}
-	return r.sched.Backlog(r.Clock.Now(), v.Config.Service(p.Service), p, r.poolEndpoints(v, p))
-}
-
-// poolEndpoints returns the usable endpoints of a pool.
-func (r *Runner) poolEndpoints(v *fleet.View, p batch.Pool) []*fleet.Endpoint {
-	var out []*fleet.Endpoint
-	for _, e := range r.usableEndpoints(v, p.Service) {
-		if p.Contains(e) {
-			out = append(out, e)
-		}
-	}
-	return out
+	return r.sched.ItemCounts()
 }
 
 // Tick fails expired items and starts calls that had to wait. Call it every few
