core/pick: an unreachable endpoint is suspect for 1 s, then 4 s, again

Cause: since an unreachable endpoint is marked once for a failed attempt and no longer twice, its first pauses were 0.5, 1 and 2 s in place of 1 and 4 s; each further try costs a request the 0.5 s of a dial.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -329,9 +329,12 @@
 }
 
 // MarkUnreachable records that no connection to an endpoint could be established. The
-// endpoint becomes suspect at once, unless it was restarted since.
+// endpoint becomes suspect at once, unless it was restarted since. It is suspect for
+// longer than one that fails, as each further try costs a request the timeout of a
+// dial.
 func (p *Picker) MarkUnreachable(now time.Time, e *fleet.Endpoint) {
-	if p.current(e) != nil {
+	if st := p.current(e); st != nil {
+		st.suspicions++
 		p.markSuspect(now, e, "unreachable")
 	}
 }
