core/notice, relay: the limit that an endpoint names is read and logged

Cause: the logs could not tell whether a relay knows the limit that an endpoint names, holds to it alone, or places requests before it knows. Change: platform reads the header; core/notice keeps what an endpoint announces, by incarnation, so that an older response doesn't end a later limit; each change is logged as endpoint_limited or limit_ended. No choice depends on it yet.

--- /dev/null
+++ b/core/notice/notice_test.go
@@ -0,0 +1,117 @@
+package notice_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wigeonplank.example/core/notice"
+)
+
+func at(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+
+func response(rate float64, sent, received int) notice.Notice {
+	if rate < 0 {
+		return notice.FromResponse(nil, at(sent), at(received))
+	}
+	return notice.FromResponse(&rate, at(sent), at(received))
+}
+
+// TestTable checks which of several responses is in force.
+func TestTable(t *testing.T) {
+	type resp struct {
+		incarnation    int64
+		rate           float64 // negative: the response names no limit
+		sent, received int
+	}
+	for name, c := range map[string]struct {
+		responses []resp
+		want      float64 // negative: none
+		changes   int
+	}{
+		"no limit":                       {[]resp{{1, -1, 0, 10}}, -1, 0},
+		"limit":                          {[]resp{{1, 2, 0, 10}}, 2, 1},
+		"limit of zero":                  {[]resp{{1, 0, 0, 10}}, 0, 1},
+		"renewed":                        {[]resp{{1, 2, 0, 10}, {1, 2, 20, 30}}, 2, 1},
+		"changed":                        {[]resp{{1, 2, 0, 10}, {1, 3, 20, 30}}, 3, 2},
+		"ended":                          {[]resp{{1, 2, 0, 10}, {1, -1, 20, 30}}, -1, 2},
+		"made before the limit":          {[]resp{{1, 2, 0, 10}, {1, -1, 5, 30}}, 2, 1},
+		"limit named while one ended":    {[]resp{{1, 2, 0, 10}, {1, -1, 20, 30}, {1, 4, 15, 25}}, 4, 3},
+		"next incarnation":               {[]resp{{1, 2, 0, 10}, {2, -1, 5, 30}}, -1, 1},
+		"response of former incarnation": {[]resp{{2, 3, 0, 10}, {1, 2, 20, 30}}, 3, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var table notice.Table
+			changes, latest := 0, int64(0)
+			for _, r := range c.responses {
+				latest = max(latest, r.incarnation)
+				if table.Put(notice.Entry{Endpoint: "e", Incarnation: r.incarnation, Notice: response(r.rate, r.sent, r.received)}) {
+					changes++
+				}
+			}
+			rate, limited := table.Get("e", latest).RateLimit()
+			if !limited {
+				rate = -1
+			}
+			if rate != c.want || changes != c.changes {
+				t.Errorf("limit %v after %d changes, want %v after %d", rate, changes, c.want, c.changes)
+			}
+		})
+	}
+}
+
+// TestTablesConverge checks that relays which tell one another their news agree in
+// the end, whatever the order of responses and messages.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		tables := make([]notice.Table, len(names))
+		sent := make(map[[2]int]int) // version sent, by sender and receiver
+		tell := func(from, to int) {
+			entries, version := tables[from].News(sent[[2]int{from, to}], names[to])
+			sent[[2]int{from, to}] = version
+			for _, e := range entries {
+				e.Notice = e.Notice.WithSource(names[from])
+				tables[to].Put(e)
+			}
+		}
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			relay := rapid.IntRange(0, len(names)-1).Draw(t, "relay")
+			if rapid.Bool().Draw(t, "response") {
+				rate := float64(rapid.IntRange(-1, 2).Draw(t, "rate"))
+				sentAt := 10*i - rapid.IntRange(0, 50).Draw(t, "duration")
+				n := response(rate, sentAt, 10*i)
+				tables[relay].Put(notice.Entry{Endpoint: "e", Incarnation: 1, Notice: n})
+				continue
+			}
+			tell(relay, (relay+1)%len(names))
+		}
+		for range names {
+			for i := range names {
+				tell(i, (i+1)%len(names))
+			}
+		}
+		for i := range names {
+			if a, b := tables[0].Get("e", 1), tables[i].Get("e", 1); !a.Says(b) {
+				t.Fatalf("relay %s: %+v, relay %s: %+v", names[0], a, names[i], b)
+			}
+		}
+	})
+}
+
+// TestNewsLeavesOutItsSource checks that a relay isn't told what it has told.
+func TestNewsLeavesOutItsSource(t *testing.T) {
+	var table notice.Table
+	table.Put(notice.Entry{Endpoint: "e", Incarnation: 1, Notice: response(2, 0, 10).WithSource("a")})
+	if got, _ := table.News(0, "a"); len(got) != 0 {
+		t.Errorf("news for the source: %v", got)
+	}
+	got, version := table.News(0, "b")
+	if len(got) != 1 {
+		t.Errorf("news for another relay: %v", got)
+	}
+	if again, _ := table.News(version, "b"); len(again) != 0 {
+		t.Errorf("news after all was sent: %v", again)
+	}
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/notice"
 )
 
 const (
@@ -69,11 +70,15 @@
 	// OnSuspect is called when an endpoint becomes suspect, with the reason and the
 	// time for which it gets no requests. It may be nil.
 	OnSuspect func(e *fleet.Endpoint, reason string, failures int, period time.Duration)
+	// OnNotice is called when an endpoint announces something else than before. It
+	// may be nil.
+	OnNotice func(endpoint string, n notice.Notice)
 	// OnClear is called at the first good result of an endpoint after it was
 	// suspect. It may be nil.
 	OnClear func(e *fleet.Endpoint)
 
 	endpoints map[string]*endpointState // by ID
+	notices   notice.Table
 }
 
 // state returns the state of an endpoint. A new incarnation of an endpoint
@@ -349,6 +354,13 @@
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
 }
 
+// RecordNotice records what an endpoint announced.
+func (p *Picker) RecordNotice(e notice.Entry) {
+	if p.notices.Put(e) && p.OnNotice != nil {
+		p.OnNotice(e.Endpoint, e.Notice)
+	}
+}
+
 // Prune drops the state of endpoints that are not in keep and have no request of
 // this process in flight.
 func (p *Picker) Prune(keep map[string]*fleet.Endpoint) {
@@ -357,6 +369,7 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.notices.Prune(func(id string) bool { return keep[id] != nil })
 }
 
 // window counts the events of the last second.
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -21,6 +21,7 @@
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/quota"
 	"wigeonplank.example/core/retry"
@@ -146,6 +147,13 @@
 		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", reason).Int("failures", failures).Dur("pause_ms", pause).Msg("")
 	}
 	b.Picker.OnClear = func(e *fleet.Endpoint) { l.Event(logs.EndpointCleared).Str("endpoint", e.ID).Msg("") }
+	b.Picker.OnNotice = func(endpoint string, n notice.Notice) {
+		if rate, ok := n.RateLimit(); ok {
+			l.Event(logs.EndpointLimited).Str("endpoint", endpoint).Float64("rate_limit", rate).Str("source", n.Source()).Msg("")
+		} else {
+			l.Event(logs.LimitEnded).Str("endpoint", endpoint).Str("source", n.Source()).Msg("")
+		}
+	}
 	b.Picker.ColdShare = func(svc *fleet.Service, e *fleet.Endpoint) int {
 		cold := live.Get().Cold
 		rate := svc.ColdRate*max(1, cold.RateFactor) + cold.Slack // requests per second, of all relays together
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -47,6 +47,8 @@
 	EndpointRejected  = newEventType("endpoint_rejected", log.WarnLevel, changeRate, "A store entry can't be decoded to an endpoint and is ignored.", "endpoint", "revision", "error")
 	EndpointSuspected = newEventType("endpoint_suspected", log.WarnLevel, changeRate, "An endpoint became suspect; it gets no requests for a period if other endpoints can take them.", "endpoint", "reason", "failures", "pause_ms")
 	EndpointCleared   = newEventType("endpoint_cleared", log.InfoLevel, changeRate, "A suspect endpoint responded successfully and is no longer suspect.", "endpoint")
+	EndpointLimited   = newEventType("endpoint_limited", log.WarnLevel, changeRate, "An endpoint named a limit for the requests of all relays together, or another one.", "endpoint", "rate_limit", "source")
+	LimitEnded        = newEventType("limit_ended", log.InfoLevel, changeRate, "An endpoint no longer names a limit.", "endpoint", "source")
 
 	MemberDiscovered = newEventType("member_heard", log.InfoLevel, changeRate, "Another relay was discovered or has restarted.", "member", "addr", "zone", "from")
 	MemberExpired    = newEventType("member_forgotten", log.InfoLevel, changeRate, "A relay was removed from the members because its last contact is too long ago.", "member")
@@ -106,6 +108,7 @@
 	"now_ms":         {"ms", "estimate with the current queues"},
 	"outcome":        {"", "how the request ended, as text"},
 	"pause_ms":       {"ms", "time for which the endpoint gets no requests"},
+	"rate_limit":     {"requests/s", "requests that the endpoint takes from all relays together"},
 	"reason":         {"", "reason, as text"},
 	"request":        {"", "ID of the caller's attempt"},
 	"requests":       {"", "IDs of the callers' attempts"},
@@ -121,6 +124,7 @@
 	"settings":       {"", "path of the settings file"},
 	"since_ms":       {"ms", "time since the request began"},
 	"slack_ms":       {"ms", "time until the stages must be done to meet the objective"},
+	"source":         {"", "relay that learned it from a response; empty: this one"},
 	"state":          {"", "ready or draining"},
 	"status":         {"", "HTTP status of the response; 0: the connection was closed"},
 	"store":          {"", "IP:port"},
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -193,11 +193,11 @@
 	if err := call.Receive(req.headers.ID, deadline); err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
+	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
 	body, err := call.ReadAll()
 	if err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
-	req.recordLoad(e, call.Response)
 	return req.handleResponse(e, call, body)
 }
 
@@ -321,9 +321,3 @@
 	ev(logs.AttemptDone).Str("request", req.headers.ID).Str("endpoint", e.ID).Int("attempt", len(req.tried)).
 		Str("result", string(r)).Str("end", string(end)).Str("reason", reason).Dur("since_ms", req.Clock.Now().Sub(req.startedAt)).Msg("")
 }
-
-func (req *request) recordLoad(e *fleet.Endpoint, a plat.Response) {
-	if a.Load != nil {
-		req.Balancer.RecordLoad(e, pick.Load(*a.Load))
-	}
-}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -2,10 +2,13 @@
 
 import (
 	"sync"
+	"time"
 
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/pick"
+	plat "wigeonplank.example/platform"
 )
 
 // Balancer lets concurrent requests share one pick.Picker, and thus one estimate
@@ -72,11 +75,21 @@
 	b.Picker.MarkUnreachable(b.Clock.Now(), e)
 }
 
-// RecordLoad records the load that an endpoint reported with a response.
-func (b *Balancer) RecordLoad(e *fleet.Endpoint, l pick.Load) {
+// RecordResponse records what an endpoint says of itself in the header of a
+// response: its load, and what it announces. sentAt is when the request was sent.
+func (b *Balancer) RecordResponse(e *fleet.Endpoint, resp plat.Response, sentAt time.Time) {
+	if resp.Misdirected {
+		return // another endpoint has responded
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Picker.RecordLoad(b.Clock.Now(), e, l)
+	now := b.Clock.Now()
+	if resp.Load != nil {
+		b.Picker.RecordLoad(now, e, pick.Load(*resp.Load))
+	}
+	b.Picker.RecordNotice(notice.Entry{
+		Endpoint: e.ID, Incarnation: e.StartUnixMs, Notice: notice.FromResponse(resp.RateLimit, sentAt, now),
+	})
 }
 
 // Prune drops the load and health of endpoints that v no longer lists.
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -76,7 +76,7 @@
 	if err := call.Receive(req.headers.ID, req.deadline); err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
-	req.recordLoad(e, call.Response)
+	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
 	if a := call.Response; a.NotRun || a.Status != fasthttp.StatusOK {
 		body, err := call.ReadAll()
 		if err != nil {
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -89,9 +89,6 @@
 	if err != nil {
 		return nil, pick.ResultFailed, false, err
 	}
-	if l := call.Response.Load; l != nil {
-		r.Health.RecordLoad(c.Endpoint, pick.Load(*l))
-	}
 	if call.Response.Status != fasthttp.StatusOK {
 		health = pick.ResultFailed
 		if call.Response.NotRun {
@@ -115,12 +112,14 @@
 	}
 	call := &pool.Call{Conn: conn}
 	defer call.Finish(r.Pool)
+	sentAt := r.Clock.Now()
 	if _, err := call.Send(msg, nil, deadline); err != nil {
 		return nil, nil, err
 	}
 	if err := call.Receive("", deadline); err != nil {
 		return nil, nil, err
 	}
+	r.Health.RecordResponse(e, call.Response, sentAt)
 	body, err := call.ReadAll()
 	return call, body, err
 }
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -40,8 +40,9 @@
 	End(e *fleet.Endpoint, r pick.Result)
 	// MarkUnreachable records that no connection to an endpoint could be made.
 	MarkUnreachable(e *fleet.Endpoint)
-	// RecordLoad records the load that an endpoint reported.
-	RecordLoad(e *fleet.Endpoint, l pick.Load)
+	// RecordResponse records what an endpoint says of itself in a response to a
+	// request that was sent at sentAt.
+	RecordResponse(e *fleet.Endpoint, resp plat.Response, sentAt time.Time)
 }
 
 // Peers are the other relays. None of its methods blocks.
