--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -76,6 +76,9 @@
 	resultsMade    int
 	stageCallSizes []int
 	conns          []net.Conn
+	rateLimit      string      // value of the rate limit header of responses; empty: none
+	limitedAt      time.Time   // when rateLimit was first set
+	arrivals       []time.Time // of all requests for this endpoint
 }
 
 // trackingListener records the accepted connections of an endpoint, so that
@@ -119,6 +122,39 @@
 	e.fault, e.faultsLeft = f, n
 }
 
+// LimitRate makes the endpoint name a limit of requests per second in all
+// responses. An empty rate ends the limit.
+func (e *Endpoint) LimitRate(rate string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rateLimit = rate
+	if e.limitedAt.IsZero() {
+		e.limitedAt = time.Now()
+	}
+}
+
+// recordArrival records a request and returns the limit to name in its response.
+func (e *Endpoint) recordArrival() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arrivals = append(e.arrivals, time.Now())
+	return e.rateLimit
+}
+
+// Arrivals returns the arrival times of the requests that the endpoint got after
+// grace had passed since it first named a rate limit.
+func (e *Endpoint) Arrivals(grace time.Duration) []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var out []time.Time
+	for _, t := range e.arrivals {
+		if t.After(e.limitedAt.Add(grace)) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // takeFault returns the fault of the next response, or "".
 func (e *Endpoint) takeFault() Fault {
 	e.mu.Lock()
@@ -160,6 +196,12 @@
 	}
 	e.addInFlight(1)
 	defer e.addInFlight(-1)
+	limit := e.recordArrival()
+	defer func() {
+		if limit != "" {
+			ctx.Response.Header.Set("Server-Limit", limit)
+		}
+	}()
 	ctx.Response.Header.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", e.addInFlight(0), e.Slots))
 	switch {
 	case e.Kind == KindStage && string(ctx.Path()) == "/stage-run":
--- a/proof/deploy/calls_test.go
+++ b/proof/deploy/calls_test.go
@@ -157,6 +157,42 @@
 	return finishCall(cmd)
 }
 
+// makeLoad implements the command
+//
+//	load NAME COUNT GAP PATH RELAY... [else=STATUS] [OPTION...]
+//
+// It sends COUNT requests, one every GAP (a duration), to the relays in turn, and
+// waits for their responses. Each must have the status 200 or STATUS.
+// Requests are named NAME-0, NAME-1 and so on. The other options are
+// those of begin.
+func makeLoad(cmd *command) error {
+	gap, err := time.ParseDuration(cmd.arg(2))
+	cmd.ts.Check(err)
+	relays := cmd.args[4:]
+	var calls []*call
+	start := time.Now()
+	for i := range cmd.intArg(1) {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * gap)))
+		one := *cmd
+		one.args = []string{fmt.Sprintf("%s-%d", cmd.arg(0), i), relays[i%len(relays)], cmd.arg(3)}
+		if err := startCall(&one); err != nil {
+			return err
+		}
+		calls = append(calls, cmd.state.calls[one.args[0]])
+	}
+	other := cmd.opts["else"]
+	for _, c := range calls {
+		<-c.done
+		if c.err != nil {
+			return fmt.Errorf("%s: %w", c.name, c.err)
+		}
+		if c.status != fasthttp.StatusOK && strconv.Itoa(c.status) != other {
+			return fmt.Errorf("%s: got status %d, body %q", c.name, c.status, c.responseBody)
+		}
+	}
+	return nil
+}
+
 // sendRaw implements the command
 //
 //	raw RELAY FILE STATUS... [closed]
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -80,6 +80,9 @@
 		"end":     finishCall,
 		"raw":     sendRaw,
 		"fault":   setFault,
+		"limit":   limitRate,
+		"load":    makeLoad,
+		"most":    checkMostArrivals,
 		"crash":   crashEndpoint,
 		"state":   setState,
 		"entry":   putStoreEntry,
@@ -230,6 +233,46 @@
 	return nil
 }
 
+// limitRate implements the command
+//
+//	limit ENDPOINT RATE|none
+//
+// It makes an endpoint name a limit of RATE requests per second, or none.
+func limitRate(cmd *command) error {
+	rate := cmd.arg(1)
+	if rate == "none" {
+		rate = ""
+	}
+	cmd.endpoint(cmd.arg(0)).LimitRate(rate)
+	return nil
+}
+
+const (
+	arrivalWindow = 4 * time.Second
+	limitGrace    = 3 * time.Second // after a limit is first named, before arrivals count
+)
+
+// checkMostArrivals implements the command
+//
+//	most ENDPOINT MIN MAX
+//
+// It checks the highest number of requests that an endpoint got in any
+// arrivalWindow, from limitGrace after it first named a limit.
+func checkMostArrivals(cmd *command) error {
+	times := cmd.endpoint(cmd.arg(0)).Arrivals(limitGrace)
+	most, first := 0, 0
+	for i, t := range times {
+		for t.Sub(times[first]) > arrivalWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	if most < cmd.intArg(1) || most > cmd.intArg(2) {
+		return fmt.Errorf("%s got %d requests in %s, want %s to %s", cmd.arg(0), most, arrivalWindow, cmd.arg(1), cmd.arg(2))
+	}
+	return nil
+}
+
 // crashEndpoint implements the command
 //
 //	crash ENDPOINT
