core/notice, core/pick, relay: relays share the limit that an endpoint names

Callers saw: an endpoint in need, which had named a limit of 1 request a second, got 12 and 14 in 4 s (11 allowed). Class: a word of an endpoint that only some answers carry is dropped by whoever parses the answer. Relays tell one another with their heartbeats. The owner of a pool of stages sends alone, three quarters of the limit, so that a former owner doesn't exceed it; limited endpoints get no releases. If nothing but limits stands against a request, it is refused at once with the time at which the first opens.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -280,10 +280,12 @@
 	if it.Zone == "" || it.Zone == zone || !usableZones[it.Zone] || now.Sub(it.EnqueuedAt) >= zoneWait {
 		return true
 	}
-	return now.Add(minZoneWaitCalls * fullCallTime(b)).After(it.Due)
+	return now.Add(minZoneWaitCalls * FullCallTime(b)).After(it.Due)
 }
 
-func fullCallTime(b *fleet.Batch) time.Duration {
+// FullCallTime returns the processing time of a call with as many items as it can
+// have.
+func FullCallTime(b *fleet.Batch) time.Duration {
 	return b.CallOverhead + time.Duration(b.MaxItems)*b.ItemTime
 }
 
@@ -448,7 +450,7 @@
 // of its endpoints, plus that of one call with the new items, or with MaxItems of
 // them if there are more.
 func EstimateLatency(b *fleet.Batch, l Load, n int) time.Duration {
-	full := fullCallTime(b)
+	full := FullCallTime(b)
 	perItem := full / time.Duration(b.MaxItems)
 	lastCall := b.CallOverhead + time.Duration(min(n, b.MaxItems))*b.ItemTime
 	return lastCall + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots)))
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -21,6 +21,7 @@
 	failureRateWeight      = 0.1  // of the newest result in the moving average
 	maxFailureRate         = 0.35 // an endpoint becomes suspect above this rate
 	minFailureSamples      = 8    // results before the failure rate is used
+	soleSenderShare        = 0.75 // of the requests that an endpoint takes; the rest is for a former sender that doesn't know its successor yet
 )
 
 // Result describes how a request to an endpoint ended.
@@ -56,9 +57,10 @@
 	failureRate      float64   // exponentially weighted moving average
 	samples          int       // results in failureRate
 	suspectUntil     time.Time
-	suspicions       int    // times it became suspect since the last good result
-	incarnation      int64  // start of the endpoint's incarnation, ms since 1970
-	coldSends        window // requests sent while the endpoint was cold
+	suspicions       int          // times it became suspect since the last good result
+	incarnation      int64        // start of the endpoint's incarnation, ms since 1970
+	coldSends        window       // requests sent while the endpoint was cold
+	limitedSends     notice.Sends // requests sent while the endpoint named a limit
 }
 
 // Picker tracks the load and the health of endpoints as seen by this process.
@@ -67,6 +69,10 @@
 	// ColdShare returns the maximum number of requests that this process may send
 	// to a cold endpoint of a service in any one second.
 	ColdShare func(svc *fleet.Service, e *fleet.Endpoint) int
+	// LimitShare returns the part of the requests that an endpoint takes from all
+	// relays together which this process may send. If it is nil, this process may send
+	// all of them.
+	LimitShare func(e *fleet.Endpoint, requests int) int
 	// OnSuspect is called when an endpoint becomes suspect, with the reason and the
 	// time for which it gets no requests. It may be nil.
 	OnSuspect func(e *fleet.Endpoint, reason string, failures int, period time.Duration)
@@ -144,16 +150,18 @@
 type Choice struct {
 	Endpoint   *fleet.Endpoint // nil: no endpoint can take the request
 	Reason     Reason
-	Candidates int     // number of usable endpoints
-	Load       float64 // estimated share of the endpoint's slots in use
+	Candidates int       // number of usable endpoints
+	Load       float64   // estimated share of the endpoint's slots in use
+	OpensAt    time.Time // without an Endpoint: when the limit of one that could have taken the request allows the next; zero: unknown
 }
 
 // Pick chooses the endpoint for a request among the endpoints of a service that
 // may get new requests.
 func (p *Picker) Pick(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, c Criteria) Choice {
-	usable := p.usable(now, svc, endpoints, c)
+	admitting, opensAt := p.admitting(now, endpoints, c)
+	usable := p.usable(now, svc, admitting, c)
 	if len(usable) == 0 {
-		return Choice{}
+		return Choice{OpensAt: opensAt}
 	}
 	choice := Choice{Reason: ReasonLoad, Candidates: len(usable)}
 	if c.Affinity != 0 {
@@ -172,6 +180,53 @@
 	return choice
 }
 
+// admitting returns the endpoints whose limits allow the request, and the first
+// time at which another one's does.
+func (p *Picker) admitting(now time.Time, endpoints []*fleet.Endpoint, c Criteria) ([]*fleet.Endpoint, time.Time) {
+	var first time.Time
+	out := make([]*fleet.Endpoint, 0, len(endpoints))
+	for _, e := range endpoints {
+		opens, ok := p.opensAt(e, false)
+		switch {
+		case ok && !now.Before(opens):
+			out = append(out, e)
+		case ok && !c.Exclude[e.ID] && (first.IsZero() || opens.Before(first)):
+			first = opens
+		}
+	}
+	return out, first
+}
+
+// opensAt returns the time from which the limit that an endpoint names, if any,
+// allows this process the next request. It reports false if the process may send
+// none. sole tells that no other process sends requests to the endpoint.
+func (p *Picker) opensAt(e *fleet.Endpoint, sole bool) (time.Time, bool) {
+	a, limited := p.notices.Get(e.ID, e.StartUnixMs).Allowance()
+	switch {
+	case !limited:
+		return time.Time{}, true
+	case sole:
+		a.Requests = max(1, int(soleSenderShare*float64(a.Requests)))
+	case p.LimitShare != nil:
+		a.Requests = p.LimitShare(e, a.Requests)
+	}
+	return p.state(e).limitedSends.OpensAt(a)
+}
+
+// Admits reports whether the limit that an endpoint names, if any, allows this
+// process a request now. sole tells that no other process sends requests to the
+// endpoint.
+func (p *Picker) Admits(now time.Time, e *fleet.Endpoint, sole bool) bool {
+	opens, ok := p.opensAt(e, sole)
+	return ok && !now.Before(opens)
+}
+
+// RateLimit returns the requests per second that an endpoint takes from all relays
+// together, and false if it names no limit.
+func (p *Picker) RateLimit(e *fleet.Endpoint) (float64, bool) {
+	return p.notices.Get(e.ID, e.StartUnixMs).RateLimit()
+}
+
 // usable returns the endpoints that may get the request. It leaves out those
 // that were tried, and cold ones that have reached ColdShare. Cold ones are used
 // only if no warm one is usable, or if they outnumber warm and suspect ones
@@ -273,14 +328,23 @@
 	return h.Sum64()
 }
 
-// Begin records that a request is sent to an endpoint. Each call is paired with
-// one of End.
-func (p *Picker) Begin(now time.Time, svc *fleet.Service, e *fleet.Endpoint) {
+// Begin records that a request is sent to an endpoint, unless the endpoint's limit
+// doesn't allow it, in which case it returns false. Each call that returns true is
+// paired with one of End. sole tells that no other process sends requests to the
+// endpoint.
+func (p *Picker) Begin(now time.Time, svc *fleet.Service, e *fleet.Endpoint, sole bool) bool {
+	if !p.Admits(now, e, sole) {
+		return false
+	}
 	st := p.state(e)
 	st.inFlight++
 	if p.isCold(now, svc, e) {
 		st.coldSends.add(now)
 	}
+	if _, limited := p.RateLimit(e); limited {
+		st.limitedSends.Add(now)
+	}
+	return true
 }
 
 // End records the result of a request that was recorded by Begin. It has no effect
@@ -354,6 +418,12 @@
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
 }
 
+// Notices returns what endpoints have announced since a version, except what was
+// learned from the relay named to, and the current version.
+func (p *Picker) Notices(after int, to string) ([]notice.Entry, int) {
+	return p.notices.News(after, to)
+}
+
 // RecordNotice records what an endpoint announced.
 func (p *Picker) RecordNotice(e notice.Entry) {
 	if p.notices.Put(e) && p.OnNotice != nil {
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -15,6 +15,7 @@
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/event"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/pick"
 	"wigeonplank.example/core/prompt"
@@ -157,14 +158,44 @@
 //	pick unreachable ID                  records that no connection could be made
 //	pick report ID running=N waiting=N   applies a load report
 //	pick suspect ID yes|no               checks whether an endpoint is suspect
+//	pick limit ID RATE|none sent=D       records that an endpoint named a limit, or none, in its response to a
+//	                                     request that was sent D ago
+//	pick opens D|never                   checks when the limit of an endpoint allows the next request
+//	pick sole ID yes|no                  starts a request as the only sender, and checks whether it is admitted
 //
 // The option cold_share of any of them is how many requests in a second this
-// relay may send to a cold endpoint.
+// relay may send to a cold endpoint; of is the number of relays that share limits,
+// and rank the position of this one.
 func runPick(st *scriptState, a *args) error {
 	relay, now := &st.relay, st.clock.Now()
 	svc := newTestService("s")
 	relay.picker.ColdShare = func(*fleet.Service, *fleet.Endpoint) int { return a.intOption("cold_share", 2) }
+	relay.picker.LimitShare = func(_ *fleet.Endpoint, requests int) int {
+		return quota.Share(float64(requests), a.intOption("of", 1), a.intOption("rank", 0))
+	}
 	switch a.arg(0) {
+	case "limit":
+		var rate *float64
+		if a.arg(2) != "none" {
+			r, err := strconv.ParseFloat(a.arg(2), 64)
+			if err != nil {
+				return err
+			}
+			rate = &r
+		}
+		e := relay.view.Endpoint(a.arg(1))
+		relay.picker.RecordNotice(notice.Entry{
+			Endpoint: e.ID, Incarnation: int64(a.intOption("born", int(e.StartUnixMs))),
+			Notice: notice.FromResponse(rate, now.Add(-a.durationOption("sent", 0)), now),
+		})
+	case "opens":
+		got := "never"
+		if c := relay.picker.Pick(now, svc, relay.view.Endpoints("s"), pick.Criteria{}); !c.OpensAt.IsZero() {
+			got = c.OpensAt.Sub(now).String()
+		}
+		return checkEqual("opens", got, a.arg(1))
+	case "sole":
+		return checkEqual("admitted", relay.picker.Begin(now, svc, relay.view.Endpoint(a.arg(1)), true), a.arg(2) == "yes")
 	case "choose":
 		criteria := pick.Criteria{Zone: a.stringOption("zone", "z1"), Exclude: make(map[string]bool)}
 		for _, id := range strings.Split(a.options["not"], ",") {
@@ -177,7 +208,7 @@
 		if e := relay.picker.Pick(now, svc, relay.view.Endpoints("s"), criteria).Endpoint; e != nil {
 			got = e.ID
 			if a.options["begin"] != "no" {
-				relay.picker.Begin(now, svc, e)
+				relay.picker.Begin(now, svc, e, false)
 			}
 		}
 		if a.arg(1) == "any" {
@@ -185,7 +216,7 @@
 		}
 		return checkEqual("choice", got, a.arg(1))
 	case "begin":
-		relay.picker.Begin(now, svc, relay.view.Endpoint(a.arg(1)))
+		relay.picker.Begin(now, svc, relay.view.Endpoint(a.arg(1)), false)
 	case "end":
 		e := *relay.view.Endpoint(a.arg(1))
 		e.StartUnixMs = int64(a.intOption("born", int(e.StartUnixMs)))
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +35,9 @@
 	// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
 	// reports false if cold ones are needed as well.
 	Warm(svc *fleet.Service, list []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool)
+	// Admits reports whether the limit that an endpoint names, if any, allows this
+	// relay a request now.
+	Admits(e *fleet.Endpoint, sole bool) bool
 }
 
 // Peers are the other relays.
@@ -139,6 +143,7 @@
 func (a *Assigner) choosePool(svc *fleet.Service, r prompt.Request, exclude map[string]bool) (batch.Pool, []*fleet.Endpoint, []string) {
 	all := a.View().Endpoints(svc.Name)
 	warm, ok := a.Health.Warm(svc, all, exclude)
+	warm = slices.DeleteFunc(warm, func(e *fleet.Endpoint) bool { return !a.Health.Admits(e, false) })
 	if !ok || len(warm) == 0 {
 		return batch.Pool{Service: svc.Name}, nil, nil
 	}
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -153,7 +153,12 @@
 		} else {
 			l.Event(logs.LimitEnded).Str("endpoint", endpoint).Str("source", n.Source()).Msg("")
 		}
+		m.Announce()
 	}
+	b.Picker.LimitShare = func(e *fleet.Endpoint, requests int) int {
+		return quota.Share(float64(requests), m.Size(), m.Rank(e.ID))
+	}
+	m.Notices = b
 	b.Picker.ColdShare = func(svc *fleet.Service, e *fleet.Endpoint) int {
 		cold := live.Get().Cold
 		rate := svc.ColdRate*max(1, cold.RateFactor) + cold.Slack // requests per second, of all relays together
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -14,6 +14,7 @@
 
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
@@ -67,6 +68,16 @@
 	Apply(from string, u repl.Update, p repl.Position)
 }
 
+// Notices keeps what endpoints announce in their responses. Its methods are called
+// concurrently, and without locks of this package.
+type Notices interface {
+	// Notices returns what has changed since a version, except what was learned from
+	// the relay named to, and the current version.
+	Notices(after int, to string) ([]notice.Entry, int)
+	// RecordNotices records what another relay has learned.
+	RecordNotices(list []notice.Entry)
+}
+
 // Mesh manages the links of one relay to others. Set the exported fields before
 // calling Serve and Run. It is safe for concurrent use.
 type Mesh struct {
@@ -78,6 +89,7 @@
 	Clock   clock.Clock
 	Log     *logs.Logger
 	Source  Source
+	Notices Notices
 	Policy  func() sets.Policy // returns the current policy
 
 	mu        sync.Mutex
@@ -315,6 +327,18 @@
 	return nil
 }
 
+// Owns reports whether this relay is the owner of a pool, so that no other relay
+// schedules the pool's items unless its view of the members differs.
+func (m *Mesh) Owns(p batch.Pool) bool {
+	if m.Policy().LocalBatching {
+		return false
+	}
+	now := m.Clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owners != nil && m.candidates(now, p)[0].Instance == m.Group.Self.Instance
+}
+
 // Submit sends items to the owner of a pool. It reports false if this relay has
 // to schedule them itself: it is the owner, the link to the owner is down or its
 // queue is full, or the policy is LocalBatching. It doesn't block.
@@ -356,6 +380,7 @@
 // heartbeatState tracks the heartbeats that one side of a link has sent.
 type heartbeatState struct {
 	version int // version of the membership that was sent last
+	notices int // version of the endpoints' notices that was sent last
 }
 
 // nextHeartbeat returns the next heartbeat of a link to the relay named to. It
@@ -370,6 +395,11 @@
 			hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
 		}
 	}
+	var notices []notice.Entry
+	notices, st.notices = m.Notices.Notices(st.notices, to)
+	for _, e := range notices {
+		hb.Notices = append(hb.Notices, noticeToWire(e, m.Clock.Now()))
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	hb.Self, hb.Leaving = toWire(m.Group.Self), m.leaving
@@ -443,6 +473,23 @@
 	}
 }
 
+// noticeToWire converts a notice. Its time is sent as a duration, since the clocks of
+// two relays may differ.
+func noticeToWire(e notice.Entry, now time.Time) *EndpointNotice {
+	rate, limited := e.Notice.RateLimit()
+	return &EndpointNotice{
+		Endpoint: e.Endpoint, Incarnation: e.Incarnation, Limited: limited, RateLimit: rate, AgeUs: now.Sub(e.Notice.Time()).Microseconds(),
+	}
+}
+
+func noticeFromWire(w *EndpointNotice, from string, now time.Time) notice.Entry {
+	n := notice.Notice{}.WithSource(from).WithTime(now.Add(-time.Duration(w.GetAgeUs()) * time.Microsecond))
+	if w.GetLimited() {
+		n = n.WithRateLimit(w.GetRateLimit())
+	}
+	return notice.Entry{Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), Notice: n}
+}
+
 // positionToWire converts a position. Its times are sent as durations, since the
 // clocks of two relays may differ.
 func positionToWire(p repl.Position, now time.Time) *StorePosition {
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -8,6 +8,7 @@
 
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/batch"
+	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
@@ -131,7 +132,8 @@
 }
 
 // recordHeartbeat marks the other relay as reachable, stores the loads that it
-// reports, and requests the changes to the store that it has announced.
+// reports, requests the changes to the store that it has announced, and records what
+// it has learned of endpoints.
 func (s *session) recordHeartbeat(hb *Heartbeat) {
 	now := s.mesh.Clock.Now()
 	s.mesh.mu.Lock()
@@ -148,6 +150,13 @@
 	}
 	s.mu.Unlock()
 	s.mesh.pull(s, positionFromWire(hb.GetPosition(), now))
+	if len(hb.GetNotices()) > 0 {
+		notices := make([]notice.Entry, 0, len(hb.GetNotices()))
+		for _, w := range hb.GetNotices() {
+			notices = append(notices, noticeFromWire(w, s.remote.Instance, now))
+		}
+		s.mesh.Notices.RecordNotices(notices)
+	}
 }
 
 // requestHeartbeat makes the session send a heartbeat now. It doesn't block.
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -33,33 +33,35 @@
 	attemptCallerGone attemptEnd = "gone"    // the caller disconnected
 )
 
-// pickEndpoint chooses the endpoint for the next attempt. The service is nil if
-// the configuration no longer has it, and the endpoint of the choice is nil if
-// none can take the request.
-func (req *request) pickEndpoint() (*fleet.Service, pick.Choice) {
+// criteria describes the endpoint for the next attempt.
+func (req *request) criteria() pick.Criteria {
+	return pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.tried}
+}
+
+// acquireEndpoint chooses the endpoint for the next attempt and records that the
+// request is about to be sent there. A model engine is chosen by the prompts that all
+// relays have sent, if possible. The endpoint of the choice is nil if none can take
+// the request; otherwise the caller must end the attempt with recordEnd and
+// endAssignment.
+func (req *request) acquireEndpoint(ctx context.Context) pick.Choice {
 	v := req.View()
 	svc := v.Config.Service(req.service)
 	if svc == nil {
-		return nil, pick.Choice{}
+		return pick.Choice{}
 	}
-	want := pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.tried}
-	return svc, req.Balancer.Pick(svc, v.Endpoints(req.service), want)
-}
-
-// selectEndpoint chooses the endpoint for the next attempt as pickEndpoint does, but
-// for a model engine by the prompts that all relays have sent, if possible. The
-// caller must call endAssignment once the attempt has ended.
-func (req *request) selectEndpoint(ctx context.Context) (*fleet.Service, pick.Choice) {
-	svc := req.View().Config.Service(req.service)
-	if svc == nil || !req.assignable(svc) {
-		return req.pickEndpoint()
+	if !req.assignable(svc) {
+		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
 	}
 	a, ok := req.Engines.Assign(ctx, svc, req.promptRequest(), req.tried)
 	if !ok {
-		return req.pickEndpoint()
+		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
 	}
 	req.assignment = &a
-	return svc, pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint)}
+	if !req.Balancer.Begin(svc, a.Endpoint, false) { // another request has used up the limit
+		req.endAssignment()
+		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
+	}
+	return pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint)}
 }
 
 // assignable reports whether an engine of a service is chosen by prompts.
@@ -132,6 +134,18 @@
 		Dur("left_ms", req.deadline.Sub(req.Clock.Now())).Msg("")
 }
 
+// rejectUnplaced rejects the request if no endpoint can take it. If only limits that
+// endpoints have named stand against it, the caller is asked to retry once the first
+// of them allows a request.
+func (req *request) rejectUnplaced(c pick.Choice) {
+	if c.OpensAt.IsZero() || req.mayHaveRun || req.exchange.CallerGone() {
+		req.rejectFinal("no endpoint")
+		return
+	}
+	retryAfter := max(minRetryAfter, c.OpensAt.Sub(req.Clock.Now()))
+	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "not run: limits of endpoints are used up")
+}
+
 // rejectFinal rejects the request when no further attempt is made. The status
 // tells the caller whether the request may have run.
 func (req *request) rejectFinal(reason string) {
@@ -151,15 +165,15 @@
 func (req *request) forwardUnary(ctx context.Context) {
 	req.budget(req.service).Deposit()
 	for {
-		svc, c := req.selectEndpoint(ctx)
+		c := req.acquireEndpoint(ctx)
 		e := c.Endpoint
 		if e == nil {
-			req.rejectFinal("no endpoint") // none can take the request
+			req.rejectUnplaced(c)
 			return
 		}
 		req.tried[e.ID] = true
 		req.logAttemptStarted(c, -1)
-		end, reason := req.attemptUnary(ctx, svc, e)
+		end, reason := req.attemptUnary(ctx, e)
 		req.endAssignment()
 		if end == attemptDone || end == attemptCallerGone {
 			return
@@ -176,14 +190,14 @@
 
 // attemptUnary sends the request to an endpoint and passes its response to the
 // caller. It returns how the attempt ended, and the reason unless it is done.
-func (req *request) attemptUnary(ctx context.Context, svc *fleet.Service, e *fleet.Endpoint) (attemptEnd, string) {
+func (req *request) attemptUnary(ctx context.Context, e *fleet.Endpoint) (attemptEnd, string) {
 	deadline := req.deadline
 	if req.route.Repeatable() && req.attempts+1 < req.route.MaxAttempts {
 		if t := req.Clock.Now().Add(attemptTimeoutFactor * req.route.LatencyObjective); t.Before(deadline) {
 			deadline = t
 		}
 	}
-	call, end, err := req.send(ctx, svc, e, -1, deadline)
+	call, end, err := req.send(ctx, e, -1, deadline)
 	if err != nil {
 		return req.recordFailure(e, end, err)
 	}
@@ -259,8 +273,7 @@
 // the event after which a stream resumes; -1: from its start. On an error, it
 // returns attemptNotRun if the endpoint can't have run the request, and
 // attemptFailed if it may have.
-func (req *request) send(ctx context.Context, svc *fleet.Service, e *fleet.Endpoint, lastEvent int64, deadline time.Time) (*pool.Call, attemptEnd, error) {
-	req.Balancer.Begin(svc, e)
+func (req *request) send(ctx context.Context, e *fleet.Endpoint, lastEvent int64, deadline time.Time) (*pool.Call, attemptEnd, error) {
 	if req.exchange.CallerLeft() {
 		return nil, attemptCallerGone, errCallerLeft
 	}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -29,6 +29,35 @@
 	return b.Picker.Pick(b.Clock.Now(), svc, list, criteria)
 }
 
+// Acquire chooses an endpoint as Pick does and records that the request is about to
+// be sent there. If there is an endpoint, the call must be followed by one of End.
+func (b *Balancer) Acquire(svc *fleet.Service, list []*fleet.Endpoint, criteria pick.Criteria) pick.Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	c := b.Picker.Pick(now, svc, list, criteria)
+	if c.Endpoint != nil {
+		b.Picker.Begin(now, svc, c.Endpoint, false) // Pick returns only endpoints that admit the request
+	}
+	return c
+}
+
+// Admits reports whether the limit that an endpoint names, if any, allows this relay
+// a request now. sole tells that no other relay sends requests to the endpoint.
+func (b *Balancer) Admits(e *fleet.Endpoint, sole bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.Admits(b.Clock.Now(), e, sole)
+}
+
+// RateLimit returns the requests per second that an endpoint takes from all relays
+// together, and false if it names no limit.
+func (b *Balancer) RateLimit(e *fleet.Endpoint) (float64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.RateLimit(e)
+}
+
 // Warm returns the endpoints that are neither cold, suspect nor in exclude. It
 // reports false if they are so few that cold ones are used as well.
 func (b *Balancer) Warm(svc *fleet.Service, list []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool) {
@@ -52,12 +81,14 @@
 	return b.Picker.IsSuspect(e, b.Clock.Now())
 }
 
-// Begin records that a request is about to be sent to an endpoint. Each Begin
-// must be followed by one End.
-func (b *Balancer) Begin(svc *fleet.Service, e *fleet.Endpoint) {
+// Begin records that a request is about to be sent to an endpoint, unless the
+// endpoint's limit doesn't allow it, in which case it returns false. Each call that
+// returns true must be followed by one of End. sole tells that no other relay sends
+// requests to the endpoint.
+func (b *Balancer) Begin(svc *fleet.Service, e *fleet.Endpoint, sole bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.Picker.Begin(b.Clock.Now(), svc, e)
+	return b.Picker.Begin(b.Clock.Now(), svc, e, sole)
 }
 
 // End records the result of a request that Begin recorded.
@@ -92,6 +123,23 @@
 	})
 }
 
+// Notices returns what endpoints have announced since a version, except what was
+// learned from the relay named to, and the current version.
+func (b *Balancer) Notices(after int, to string) ([]notice.Entry, int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.Notices(after, to)
+}
+
+// RecordNotices records what another relay has learned of endpoints.
+func (b *Balancer) RecordNotices(list []notice.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range list {
+		b.Picker.RecordNotice(e)
+	}
+}
+
 // Prune drops the load and health of endpoints that v no longer lists.
 func (b *Balancer) Prune(v *fleet.View) {
 	b.mu.Lock()
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -285,12 +285,17 @@
 // likelyZone returns the zone of the endpoint that the request will most likely be
 // sent to, or "".
 func (req *request) likelyZone() string {
-	if svc := req.View().Config.Service(req.service); svc != nil && req.assignable(svc) {
+	v := req.View()
+	svc := v.Config.Service(req.service)
+	if svc == nil {
+		return ""
+	}
+	if req.assignable(svc) {
 		if zone := req.Engines.Zone(svc, req.promptRequest()); zone != "" {
 			return zone
 		}
 	}
-	if _, c := req.pickEndpoint(); c.Endpoint != nil {
+	if c := req.Balancer.Pick(svc, v.Endpoints(req.service), req.criteria()); c.Endpoint != nil {
 		return c.Endpoint.Zone
 	}
 	return ""
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -28,15 +28,19 @@
 	req.budget(req.service).Deposit()
 	lastEvent := req.headers.LastEventID
 	for {
-		svc, c := req.selectEndpoint(ctx)
+		c := req.acquireEndpoint(ctx)
 		e := c.Endpoint
 		if e == nil {
-			req.abortStream("no endpoint") // none can take the request
+			if req.exchange.ResponseStarted() {
+				req.abortStream("no endpoint")
+			} else {
+				req.rejectUnplaced(c)
+			}
 			return
 		}
 		req.tried[e.ID] = true
 		req.logAttemptStarted(c, lastEvent)
-		end, reason := req.attemptStream(ctx, svc, e, &lastEvent)
+		end, reason := req.attemptStream(ctx, e, &lastEvent)
 		req.endAssignment()
 		if end == attemptDone || end == attemptCallerGone {
 			return
@@ -65,8 +69,8 @@
 // attemptStream sends the request to an endpoint and forwards the events after
 // *lastEvent, the ID of the last event that the caller has. It advances
 // *lastEvent with each event that it forwards.
-func (req *request) attemptStream(ctx context.Context, svc *fleet.Service, e *fleet.Endpoint, lastEvent *int64) (attemptEnd, string) {
-	call, end, err := req.send(ctx, svc, e, *lastEvent, req.deadline)
+func (req *request) attemptStream(ctx context.Context, e *fleet.Endpoint, lastEvent *int64) (attemptEnd, string) {
+	call, end, err := req.send(ctx, e, *lastEvent, req.deadline)
 	if err != nil {
 		return req.recordFailure(e, end, err)
 	}
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -22,9 +22,8 @@
 	releaseDelay      = 15 * time.Millisecond // releases at one endpoint are collected for this long and sent in one call
 )
 
-// runCall sends a call to its endpoint and records the results of its items.
+// runCall sends a call, which Health.Begin has admitted, to its endpoint and records the results of its items.
 func (r *Runner) runCall(c *batch.Call) {
-	r.Health.Begin(c.Service, c.Endpoint)
 	results, health, rejected, err := r.sendCall(c)
 	now := r.Clock.Now()
 	if errors.Is(err, pool.ErrUnreachable) {
@@ -192,8 +191,12 @@
 }
 
 // queueRelease adds references to the next release call to an endpoint, which is
-// sent releaseDelay after the first of them is added.
+// sent releaseDelay after the first of them is added. An endpoint that limits its
+// requests gets none: it drops results by itself when their retention time ends.
 func (r *Runner) queueRelease(e *fleet.Endpoint, refs []string) {
+	if _, limited := r.Health.RateLimit(e); limited {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.pendingReleases == nil {
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,8 +36,15 @@
 type Health interface {
 	// IsSuspect reports whether an endpoint should get no work now.
 	IsSuspect(e *fleet.Endpoint) bool
-	// Begin records that a call is about to be sent to an endpoint.
-	Begin(svc *fleet.Service, e *fleet.Endpoint)
+	// Admits reports whether the limit that an endpoint names, if any, allows this
+	// relay a call now. sole tells that no other relay sends calls to the endpoint.
+	Admits(e *fleet.Endpoint, sole bool) bool
+	// RateLimit returns the calls per second that an endpoint takes from all relays
+	// together, and false if it names no limit.
+	RateLimit(e *fleet.Endpoint) (float64, bool)
+	// Begin records that a call is about to be sent to an endpoint, unless its limit
+	// doesn't allow it, in which case it returns false.
+	Begin(svc *fleet.Service, e *fleet.Endpoint, sole bool) bool
 	// End records the result of a call that Begin recorded.
 	End(e *fleet.Endpoint, r pick.Result)
 	// MarkUnreachable records that no connection to an endpoint could be made.
@@ -53,6 +62,8 @@
 	// ItemCount returns the number of items that are queued or in flight at the
 	// relay that owns a pool, or -1 if this relay schedules the pool's items itself.
 	ItemCount(p batch.Pool) int
+	// Owns reports whether this relay alone schedules the items of a pool.
+	Owns(p batch.Pool) bool
 	// Cancel cancels the items of a request that are pending at other relays.
 	Cancel(request string)
 	// Release asks the relay that owns a pool to release results. It returns
@@ -213,25 +224,39 @@
 // be held.
 func (r *Runner) poolChoices(v *fleet.View, service string) []batch.Candidate {
 	usable := r.usableEndpoints(v, service)
-	endpoints := make(map[string]int) // by zone
+	capacity := make(map[string]float64) // in endpoints without a limit, by zone
 	for _, e := range usable {
-		endpoints[e.Zone]++
+		capacity[e.Zone] += r.relativeCapacity(v.Config.Service(service), e)
 	}
-	if !batch.HasZonePools(len(usable), len(endpoints)) {
-		endpoints = map[string]int{"": len(usable)}
+	if !batch.HasZonePools(len(usable), len(capacity)) {
+		sum := 0.0
+		for _, c := range capacity {
+			sum += c
+		}
+		capacity = map[string]float64{"": sum}
 	}
-	out := make([]batch.Candidate, 0, len(endpoints))
-	for zone, n := range endpoints {
+	out := make([]batch.Candidate, 0, len(capacity))
+	for zone, c := range capacity {
 		p := batch.Pool{Service: service, Zone: zone}
 		items := r.Peers.ItemCount(p)
 		if items < 0 {
 			items = r.sched.ItemCount(p)
 		}
-		out = append(out, batch.Candidate{Zone: zone, Load: batch.Load{Endpoints: n, Items: items}})
+		out = append(out, batch.Candidate{Zone: zone, Load: batch.Load{Endpoints: max(1, int(math.Round(c))), Items: items}})
 	}
 	return out
 }
 
+// relativeCapacity returns the calls that an endpoint takes in some time, as a share
+// of those that it could run without the limit that it names.
+func (r *Runner) relativeCapacity(svc *fleet.Service, e *fleet.Endpoint) float64 {
+	rate, limited := r.Health.RateLimit(e)
+	if !limited || svc == nil || svc.Batch == nil {
+		return 1
+	}
+	return min(1, rate*batch.FullCallTime(svc.Batch).Seconds()/float64(max(1, svc.Batch.Slots)))
+}
+
 // Estimate returns how long the stages of a job would take now, and how long
 // they would take with nothing queued before them.
 func (r *Runner) Estimate(job Job) (now, idle time.Duration) {
@@ -321,11 +346,19 @@
 		}
 		return
 	}
+	sole := r.Peers.Owns(p)
 	for {
+		usable = slices.DeleteFunc(usable, func(e *fleet.Endpoint) bool { return !r.Health.Admits(e, sole) })
 		c := r.sched.Next(now, svc, p, usable)
 		if c == nil {
 			return
 		}
+		if !r.Health.Begin(svc, c.Endpoint, sole) {
+			// A response that arrived since has named a limit.
+			r.sched.Finish(now, c, batch.Outcome{})
+			r.sched.Add(p, c.Items...)
+			continue
+		}
 		go r.runCall(c)
 	}
 }
