platform, relay: logs name the version of an endpoint and what a caller resumes

Cause: the logs could not tell at which version a stream began and went on, nor which attempt a caller takes up. Change: the version of an entry and the header Resumes are read; endpoint_seen and attempt_begun log them. No choice depends on them yet.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -109,6 +109,7 @@
 	Service     string
 	Addr        string // IP:port
 	Zone        string
+	Version     string // of its software; endpoints of several versions may serve side by side
 	Slots       int
 	State       State
 	ColdUntil   time.Time // end of the cold period; zero: not cold
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -420,9 +420,9 @@
 // coldness changed.
 func (c *Control) logEndpoint(e *fleet.Endpoint, now time.Time) {
 	old := c.state.view.Endpoint(e.ID)
-	if old != nil && old.State == e.State && old.StartUnixMs == e.StartUnixMs && old.ColdAt(now) == e.ColdAt(now) {
+	if old != nil && old.State == e.State && old.StartUnixMs == e.StartUnixMs && old.Version == e.Version && old.ColdAt(now) == e.ColdAt(now) {
 		return
 	}
-	c.Log.Event(logs.EndpointSeen).Str("endpoint", e.ID).Str("service", e.Service).Str("zone", e.Zone).
+	c.Log.Event(logs.EndpointSeen).Str("endpoint", e.ID).Str("service", e.Service).Str("zone", e.Zone).Str("endpoint_version", e.Version).
 		Str("addr", e.Addr).Str("state", string(e.State)).Bool("cold", e.ColdAt(now)).Int64("revision", e.Revision).Msg("")
 }
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -129,6 +129,7 @@
 func (req *request) logAttemptStarted(c pick.Choice, lastEvent int64) {
 	req.attemptAt = req.Clock.Now()
 	req.Log.Event(logs.AttemptStarted).Str("request", req.headers.ID).Str("endpoint", c.Endpoint.ID).Str("zone", c.Endpoint.Zone).
+		Str("endpoint_version", c.Endpoint.Version).Str("resumes", req.headers.Resumes).
 		Int("attempt", len(req.tried)).Str("choice", string(c.Reason)).Int("candidates", c.Candidates).Float64("load", c.Load).
 		Str("affinity", strconv.FormatUint(req.promptAffinity(), 16)).Int64("event_id", lastEvent).
 		Dur("left_ms", req.deadline.Sub(req.Clock.Now())).Msg("")
