--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -42,6 +42,7 @@
 	ID         string
 	Service    string
 	Zone       string
+	Version    string // of its software; empty: DefaultVersion
 	Kind       Kind
 	Slots      int
 	MaxItems   int           // per stage call
@@ -58,6 +59,9 @@
 	Headers   map[string]string // keys are lower-case names
 }
 
+// DefaultVersion is the software version of endpoints that don't specify one.
+const DefaultVersion = "v1"
+
 // Endpoint is one endpoint of the platform. Site.StartEndpoint returns a running
 // one.
 type Endpoint struct {
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -49,6 +49,9 @@
 
 // StartEndpoint starts an endpoint and registers it in the store as ready.
 func (s *Site) StartEndpoint(spec Spec) (*Endpoint, error) {
+	if spec.Version == "" {
+		spec.Version = DefaultVersion
+	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", spec.ID, err)
@@ -69,7 +72,7 @@
 		return fmt.Errorf("no endpoint %q", id)
 	}
 	raw, err := json.Marshal(map[string]any{
-		"service": e.Service, "address": e.Addr, "zone": e.Zone, "version": "v1", "slots": e.Slots,
+		"service": e.Service, "address": e.Addr, "zone": e.Zone, "version": e.Version, "slots": e.Slots,
 		"state": state, "coldLeftMs": 0, "seq": 1, "born": 1,
 	})
 	if err != nil {
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -84,6 +84,10 @@
 		"load":    makeLoad,
 		"most":    checkMostArrivals,
 		"crash":   crashEndpoint,
+		"engine":  startEngine,
+		"leave":   drainUsed,
+		"builds":  checkVersions,
+		"pause":   pause,
 		"state":   setState,
 		"entry":   putStoreEntry,
 		"drain":   drainZone,
@@ -273,6 +277,67 @@
 	return nil
 }
 
+// startEngine implements the command
+//
+//	engine ID ZONE VERSION WORK
+//
+// It starts an engine of a software version that needs WORK, a duration, for each
+// event.
+func startEngine(cmd *command) error {
+	work, err := time.ParseDuration(cmd.arg(3))
+	cmd.ts.Check(err)
+	_, err = cmd.state.dep.Site.StartEndpoint(site.Spec{
+		ID: cmd.arg(0), Zone: cmd.arg(1), Version: cmd.arg(2), Service: "engines", Kind: site.KindEngine, Slots: 16,
+		WorkTime: work, EventCount: site.StandardEventCount,
+	})
+	return err
+}
+
+// drainUsed implements the command
+//
+//	leave CALL
+//
+// It registers the endpoints that ran the request of a call as draining.
+func drainUsed(cmd *command) error {
+	for id := range cmd.runsOf(cmd.arg(0)) {
+		if err := cmd.state.dep.Site.Register(id, "draining"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkVersions implements the command
+//
+//	builds N CALL...
+//
+// It checks that the endpoints that ran the requests of the calls have N software
+// versions.
+func checkVersions(cmd *command) error {
+	versions := make(map[string]bool)
+	for _, name := range cmd.args[1:] {
+		for id := range cmd.runsOf(name) {
+			versions[cmd.endpoint(id).Version] = true
+		}
+	}
+	if len(versions) != cmd.intArg(0) {
+		return fmt.Errorf("ran at versions %v", versions)
+	}
+	return nil
+}
+
+// pause implements the command
+//
+//	pause D
+//
+// It waits for a duration.
+func pause(cmd *command) error {
+	d, err := time.ParseDuration(cmd.arg(0))
+	cmd.ts.Check(err)
+	time.Sleep(d)
+	return nil
+}
+
 // crashEndpoint implements the command
 //
 //	crash ENDPOINT
