core/pick, relay: a relay resumes a stream only at the version that began it

Callers saw: one answer that held events of engines of two software versions. Change: the choice of an endpoint takes a version; a stream is bound to that of the engine that sent its first event, in pools and elsewhere. If no engine of the version is left, the stream ends incomplete, as for any other that can't be resumed.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -45,6 +45,13 @@
 	Zone     string          // zone of this process, which is preferred
 	Affinity uint64          // hash of the prompt; requests with the same hash go to the same endpoint; 0: none
 	Exclude  map[string]bool // IDs of endpoints that were tried before
+	Version  *string         // of the endpoint's software; nil: any
+}
+
+// Allows reports whether an endpoint is none of the excluded ones and has the
+// version.
+func (c Criteria) Allows(e *fleet.Endpoint) bool {
+	return !c.Exclude[e.ID] && (c.Version == nil || *c.Version == e.Version)
 }
 
 // endpointState is what a Picker tracks of one endpoint.
@@ -190,7 +197,7 @@
 		switch {
 		case ok && !now.Before(opens):
 			out = append(out, e)
-		case ok && !c.Exclude[e.ID] && (first.IsZero() || opens.Before(first)):
+		case ok && c.Allows(e) && (first.IsZero() || opens.Before(first)):
 			first = opens
 		}
 	}
@@ -228,7 +235,7 @@
 }
 
 // usable returns the endpoints that may get the request. It leaves out those
-// that were tried, and cold ones that have reached ColdShare. Cold ones are used
+// that c doesn't allow, and cold ones that have reached ColdShare. Cold ones are used
 // only if no warm one is usable, or if they outnumber warm and suspect ones
 // together by more than two to one; suspect ones only if nothing else is left.
 func (p *Picker) usable(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, c Criteria) []*fleet.Endpoint {
@@ -236,7 +243,7 @@
 	var cold, suspect []*fleet.Endpoint
 	for _, e := range endpoints {
 		switch {
-		case c.Exclude[e.ID]:
+		case !c.Allows(e):
 		case p.isCold(now, svc, e):
 			if p.state(e).coldSends.count(now) < p.ColdShare(svc, e) {
 				cold = append(cold, e)
@@ -256,14 +263,14 @@
 	return suspect
 }
 
-// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
+// Warm returns the endpoints that c allows and that are neither cold nor suspect. It
 // reports false if they are so few that cold ones are used as well.
-func (p *Picker) Warm(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool) {
+func (p *Picker) Warm(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, c Criteria) ([]*fleet.Endpoint, bool) {
 	warm := make([]*fleet.Endpoint, 0, len(endpoints))
 	cold, suspect := 0, 0
 	for _, e := range endpoints {
 		switch {
-		case exclude[e.ID]:
+		case !c.Allows(e):
 		case p.isCold(now, svc, e):
 			cold++
 		case p.IsSuspect(e, now):
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -47,7 +47,7 @@
 // runView implements the command view, which changes and checks the relay's view
 // of the endpoints:
 //
-//	view put ID service=S zone=Z slots=N state=STATE born=MS cold=DURATION
+//	view put ID service=S zone=Z slots=N state=STATE born=MS cold=DURATION version=V
 //	                               adds or replaces an endpoint
 //	view drop ID...                removes endpoints
 //	view lapse ID grace=DURATION   marks an endpoint as missing from the store
@@ -61,6 +61,7 @@
 		e := &fleet.Endpoint{
 			ID: a.arg(1), Service: a.stringOption("service", "s"), Zone: a.stringOption("zone", "z1"), Slots: a.intOption("slots", 4),
 			State: fleet.State(a.stringOption("state", "ready")), StartUnixMs: int64(a.intOption("born", 1)),
+			Version: a.options["version"],
 		}
 		if d := a.durationOption("cold", 0); d > 0 {
 			e.ColdUntil = now.Add(d)
@@ -151,7 +152,7 @@
 
 // runPick implements the command pick, which chooses endpoints of service s:
 //
-//	pick choose ID|none|any zone=Z not=ID,... prompt=TEXT begin=no
+//	pick choose ID|none|any zone=Z not=ID,... prompt=TEXT version=V begin=no
 //	                                     checks the choice, unless it may be any, and starts a request there
 //	pick begin ID                        starts a request at an endpoint
 //	pick end ID good|full|failed|none    ends a request with a result; born=MS: of that incarnation
@@ -201,6 +202,9 @@
 		for _, id := range strings.Split(a.options["not"], ",") {
 			criteria.Exclude[id] = true
 		}
+		if v, ok := a.options["version"]; ok {
+			criteria.Version = &v
+		}
 		if prompt := a.options["prompt"]; prompt != "" {
 			criteria.Affinity = xxhash.Sum64String(prompt)
 		}
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -12,6 +12,7 @@
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/pick"
 	"wigeonplank.example/core/prompt"
 	"wigeonplank.example/relay/peers"
 )
@@ -32,9 +33,9 @@
 
 // Health tells which endpoints are fit for requests.
 type Health interface {
-	// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
-	// reports false if cold ones are needed as well.
-	Warm(svc *fleet.Service, list []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool)
+	// Warm returns the endpoints that criteria allow and that are neither cold nor
+	// suspect. It reports false if cold ones are needed as well.
+	Warm(svc *fleet.Service, list []*fleet.Endpoint, criteria pick.Criteria) ([]*fleet.Endpoint, bool)
 	// Admits reports whether the limit that an endpoint names, if any, allows this
 	// relay a request now.
 	Admits(e *fleet.Endpoint, sole bool) bool
@@ -78,11 +79,11 @@
 // Ended records that the request has ended at the engine.
 func (a *Assignment) Ended() { a.report(true) }
 
-// Assign chooses an engine of a service for a request, which is not in exclude. It
+// Assign chooses an engine of a service for a request, which criteria allow. It
 // reports false if none can be chosen this way: all are cold, suspect or gone, or
 // the owner of the pool doesn't answer.
-func (a *Assigner) Assign(ctx context.Context, svc *fleet.Service, r prompt.Request, exclude map[string]bool) (Assignment, bool) {
-	pool, warm, unfit := a.choosePool(svc, r, exclude)
+func (a *Assigner) Assign(ctx context.Context, svc *fleet.Service, r prompt.Request, criteria pick.Criteria) (Assignment, bool) {
+	pool, warm, unfit := a.choosePool(svc, r, criteria)
 	if len(warm) == 0 {
 		return Assignment{}, false
 	}
@@ -131,18 +132,18 @@
 
 // Zone returns the zone whose engines will most likely get a request, or "" if
 // that is unknown.
-func (a *Assigner) Zone(svc *fleet.Service, r prompt.Request) string {
-	pool, _, _ := a.choosePool(svc, r, nil)
+func (a *Assigner) Zone(svc *fleet.Service, r prompt.Request, criteria pick.Criteria) string {
+	pool, _, _ := a.choosePool(svc, r, criteria)
 	return pool.Zone
 }
 
-// choosePool returns the pool for a request, its warm engines that are not in
-// exclude, and the IDs of its other engines. No engines are returned if cold ones
-// are needed, or if the zones have few engines. Requests that share a prompt go to the same zone, unless its engines
-// have much more to read than those of another one.
-func (a *Assigner) choosePool(svc *fleet.Service, r prompt.Request, exclude map[string]bool) (batch.Pool, []*fleet.Endpoint, []string) {
+// choosePool returns the pool for a request, its warm engines that criteria allow,
+// and the IDs of its other engines. No engines are returned if cold ones are needed,
+// or if the zones have few engines. Requests that share a prompt go to the same zone,
+// unless its engines have much more to read than those of another one.
+func (a *Assigner) choosePool(svc *fleet.Service, r prompt.Request, criteria pick.Criteria) (batch.Pool, []*fleet.Endpoint, []string) {
 	all := a.View().Endpoints(svc.Name)
-	warm, ok := a.Health.Warm(svc, all, exclude)
+	warm, ok := a.Health.Warm(svc, all, criteria)
 	warm = slices.DeleteFunc(warm, func(e *fleet.Endpoint) bool { return !a.Health.Admits(e, false) })
 	if !ok || len(warm) == 0 {
 		return batch.Pool{Service: svc.Name}, nil, nil
@@ -221,7 +222,7 @@
 	for _, id := range exclude {
 		excluded[id] = true
 	}
-	warm, _ := a.Health.Warm(svc, v.Endpoints(p.Service), excluded)
+	warm, _ := a.Health.Warm(svc, v.Endpoints(p.Service), pick.Criteria{Exclude: excluded})
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -35,7 +35,7 @@
 
 // criteria describes the endpoint for the next attempt.
 func (req *request) criteria() pick.Criteria {
-	return pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.tried}
+	return pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.tried, Version: req.version}
 }
 
 // acquireEndpoint chooses the endpoint for the next attempt and records that the
@@ -52,7 +52,7 @@
 	if !req.assignable(svc) {
 		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
 	}
-	a, ok := req.Engines.Assign(ctx, svc, req.promptRequest(), req.tried)
+	a, ok := req.Engines.Assign(ctx, svc, req.promptRequest(), req.criteria())
 	if !ok {
 		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
 	}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -58,12 +58,12 @@
 	return b.Picker.RateLimit(e)
 }
 
-// Warm returns the endpoints that are neither cold, suspect nor in exclude. It
-// reports false if they are so few that cold ones are used as well.
-func (b *Balancer) Warm(svc *fleet.Service, list []*fleet.Endpoint, exclude map[string]bool) ([]*fleet.Endpoint, bool) {
+// Warm returns the endpoints that criteria allow and that are neither cold nor
+// suspect. It reports false if they are so few that cold ones are used as well.
+func (b *Balancer) Warm(svc *fleet.Service, list []*fleet.Endpoint, criteria pick.Criteria) ([]*fleet.Endpoint, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Picker.Warm(b.Clock.Now(), svc, list, exclude)
+	return b.Picker.Warm(b.Clock.Now(), svc, list, criteria)
 }
 
 // Load returns the estimated share of an endpoint's slots that are in use.
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -80,6 +80,7 @@
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
 	lastEventAt    time.Time          // when the last event was forwarded
+	version        *string            // software version at which the stream began; nil: it has not begun
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
 	outcome        string
@@ -291,7 +292,7 @@
 		return ""
 	}
 	if req.assignable(svc) {
-		if zone := req.Engines.Zone(svc, req.promptRequest()); zone != "" {
+		if zone := req.Engines.Zone(svc, req.promptRequest(), req.criteria()); zone != "" {
 			return zone
 		}
 	}
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -114,6 +114,7 @@
 		raw, id, err := events.Next()
 		if first && err == nil {
 			req.startAssignment()
+			req.version = &e.Version
 			first = false
 		}
 		if errors.Is(err, io.EOF) {
