core/origin, relay/peers: callers' streams go on at the version that began them

Callers saw: a stream that began at an engine of version v1, whose relay was lost, went on at one of v1.2 when its caller took it up at another relay. Class: state that a request needs at its next relay was kept at the one that may be gone. Change: at its first event the service and version of a stream are remembered by its relay and by three others, by rendezvous hash of the caller's attempt over four groups; a relay at which it is taken up asks them. If none knows, the stream goes on only while the service has had one version for as long as streams are taken up; else it is refused at once, as not run.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -170,7 +170,7 @@
 func newAssigner(c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
 	a := &assign.Assigner{View: c.View, Health: b, Peers: m, Clock: clock.System{}}
 	c.OnViewChange = func(v *fleet.View) {
-		b.Prune(v)
+		b.Observe(v)
 		a.Prune(v)
 	}
 	return a
@@ -190,7 +190,7 @@
 	m *peers.Mesh,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
-		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Confirmed: c.Confirmed, Balancer: b, Pool: p, Stages: r, Engines: a, Clock: clock.System{}, Log: l, Meters: meters,
+		Zone: live.Get().Zone, View: c.View, Ready: c.Ready, Confirmed: c.Confirmed, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Clock: clock.System{}, Log: l, Meters: meters,
 		Policy: policyFunc(live),
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -15,6 +15,7 @@
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/notice"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
@@ -103,6 +104,9 @@
 	pullUntil time.Time // no changes are requested before this
 	relink    chan struct{}
 	ln        net.Listener
+
+	originMu sync.Mutex
+	origins  origin.Table // of the streams that this relay remembers; guarded by originMu
 }
 
 // ownership caches the owner of a pool and the one that takes over from it.
@@ -182,7 +186,8 @@
 }
 
 // needed returns the addresses of the relays to link to: those that spread the
-// membership, those that read the store, the owners of pools in use, and seeds. All
+// membership, those that read the store, those that remember streams, the owners of
+// pools in use, and seeds. All
 // seeds are needed after the start and while there is no other link, and one at any
 // time, so that two parts of a partitioned fleet find each other again. The caller
 // holds m.mu.
@@ -194,6 +199,11 @@
 	for _, p := range m.Group.Followed(now) {
 		out = append(out, p.Addr)
 	}
+	for n := range originShards {
+		for _, p := range m.Group.Keepers(now, originShard(n)) {
+			out = append(out, p.Addr)
+		}
+	}
 	for pool, o := range m.owners {
 		if now.Sub(o.usedAt) > poolLinger {
 			delete(m.owners, pool)
--- /dev/null
+++ b/relay/peers/origin.go
@@ -0,0 +1,137 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wigeonplank.example/core/origin"
+	"wigeonplank.example/core/peer"
+)
+
+const (
+	// originShards is the number of groups of relays that remember where streams
+	// began. Each relay keeps links to the members of all groups.
+	originShards = 4
+	// originTimeout bounds the wait for the members of a group. An answer takes some
+	// milliseconds.
+	originTimeout = 150 * time.Millisecond
+)
+
+// originKey returns the key of the relays that remember a stream.
+func originKey(stream string) peer.Key {
+	return originShard(int(xxhash.Sum64String(stream) % originShards))
+}
+
+func originShard(n int) peer.Key { return peer.Key{Name: fmt.Sprint("origin/", n)} }
+
+// RecordOrigin remembers where a stream began, here and at the relays that are asked
+// for it. It doesn't block. A lost message only means that fewer relays know it.
+func (m *Mesh) RecordOrigin(stream string, o origin.Origin) {
+	now := m.Clock.Now()
+	m.originMu.Lock()
+	m.origins.Put(now, stream, o)
+	m.originMu.Unlock()
+	for _, s := range m.originKeepers(now, stream) {
+		s.send(&Work{Kind: &Work_Origin{Origin: &StreamOrigin{Stream: stream, Service: o.Service, Version: o.Version}}})
+	}
+}
+
+// FindOrigin returns where a stream began, and false if no relay that could be asked
+// knows it. It blocks for a short time at most.
+func (m *Mesh) FindOrigin(ctx context.Context, stream string) (origin.Origin, bool) {
+	now := m.Clock.Now()
+	if o, ok := m.origin(now, stream); ok {
+		return o, true
+	}
+	keepers := m.originKeepers(now, stream)
+	replies := make(chan *OriginReply, len(keepers))
+	asked := 0
+	for _, s := range keepers {
+		if s.askOrigin(stream, replies) {
+			asked++
+		}
+	}
+	t := time.NewTimer(originTimeout)
+	defer t.Stop()
+	for range asked {
+		select {
+		case r := <-replies:
+			if r.GetKnown() {
+				return origin.Origin{Service: r.GetService(), Version: r.GetVersion()}, true
+			}
+		case <-t.C:
+			return origin.Origin{}, false
+		case <-ctx.Done():
+			return origin.Origin{}, false
+		}
+	}
+	return origin.Origin{}, false
+}
+
+// origin returns what this relay itself remembers of a stream.
+func (m *Mesh) origin(now time.Time, stream string) (origin.Origin, bool) {
+	m.originMu.Lock()
+	defer m.originMu.Unlock()
+	return m.origins.Get(now, stream)
+}
+
+// originKeepers returns the links to the relays that remember a stream, without this
+// relay.
+func (m *Mesh) originKeepers(now time.Time, stream string) []*session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []*session
+	for _, p := range m.Group.Keepers(now, originKey(stream)) {
+		if s := m.byID[p.Instance]; s != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// askOrigin asks the other relay where a stream began. It reports false if that isn't
+// possible. The reply is sent to replies, which must have room for it, unless the link
+// fails.
+func (s *session) askOrigin(stream string, replies chan<- *OriginReply) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.originRequests++
+	n := s.originRequests
+	if !s.send(&Work{Kind: &Work_FindOrigin{FindOrigin: &OriginRequest{Number: n, Stream: stream}}}) {
+		return false
+	}
+	if s.awaitingOrigin == nil {
+		s.awaitingOrigin = make(map[uint64]chan<- *OriginReply)
+	}
+	s.awaitingOrigin[n] = replies
+	return true
+}
+
+// recordOrigin remembers where a stream of the other relay began.
+func (s *session) recordOrigin(msg *StreamOrigin) {
+	s.mesh.originMu.Lock()
+	defer s.mesh.originMu.Unlock()
+	s.mesh.origins.Put(s.mesh.Clock.Now(), msg.GetStream(), origin.Origin{Service: msg.GetService(), Version: msg.GetVersion()})
+}
+
+// answerOrigin answers where a stream began, as far as this relay remembers.
+func (s *session) answerOrigin(msg *OriginRequest) {
+	o, known := s.mesh.origin(s.mesh.Clock.Now(), msg.GetStream())
+	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: &OriginReply{Number: msg.GetNumber(), Known: known, Service: o.Service, Version: o.Version}}})
+}
+
+// handleOriginReply hands a reply to the request that waits for it.
+func (s *session) handleOriginReply(msg *OriginReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if replies := s.awaitingOrigin[msg.GetNumber()]; replies != nil {
+		delete(s.awaitingOrigin, msg.GetNumber())
+		replies <- msg
+	}
+}
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -76,6 +76,9 @@
 	submitted map[batch.Pool]int        // items submitted since that report
 	placing   map[string]chan Placement // requests that wait for an engine, by ID
 
+	originRequests uint64                         // sent so far
+	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
+
 	parts []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
 }
 
@@ -274,6 +277,12 @@
 			s.handlePlace(k.Place)
 		case *Work_Placed:
 			s.handlePlaced(k.Placed)
+		case *Work_Origin:
+			s.recordOrigin(k.Origin)
+		case *Work_FindOrigin:
+			s.answerOrigin(k.FindOrigin)
+		case *Work_FoundOrigin:
+			s.handleOriginReply(k.FoundOrigin)
 		case *Work_Progress:
 			s.mesh.Engines.Progress(batch.Pool{Service: k.Progress.GetService(), Zone: k.Progress.GetZone()}, k.Progress.GetRequest(), k.Progress.GetEnded())
 		}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -7,6 +7,7 @@
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/notice"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
 )
@@ -18,7 +19,8 @@
 	Clock  clock.Clock
 	Picker pick.Picker
 
-	mu sync.Mutex // guards Picker
+	mu       sync.Mutex // guards Picker and versions
+	versions origin.Versions
 }
 
 // Pick chooses an endpoint of svc from list for a request with the given
@@ -140,9 +142,19 @@
 	}
 }
 
-// Prune drops the load and health of endpoints that v no longer lists.
-func (b *Balancer) Prune(v *fleet.View) {
+// HasSoleVersion reports whether all streams of a service that callers may still take
+// up began at the software version of its present endpoints.
+func (b *Balancer) HasSoleVersion(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.versions.Sole(b.Clock.Now(), service)
+}
+
+// Observe records the software versions of the endpoints that v lists, and drops the
+// load and health of those that it doesn't.
+func (b *Balancer) Observe(v *fleet.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.versions.Observe(b.Clock.Now(), v.All())
 	b.Picker.Prune(v.All())
 }
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -15,6 +15,7 @@
 
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/retry"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/assign"
@@ -37,6 +38,16 @@
 	promptTokenTime     = 30 * time.Microsecond  // approximate time that an engine takes to read one prompt token
 )
 
+// Origins remembers where streams began, by the ID of the caller's attempt that
+// brought the first event.
+type Origins interface {
+	// RecordOrigin remembers the origin of a stream. It doesn't block.
+	RecordOrigin(stream string, o origin.Origin)
+	// FindOrigin returns the origin of a stream, and false if it is not known. It
+	// blocks for a short time at most.
+	FindOrigin(ctx context.Context, stream string) (origin.Origin, bool)
+}
+
 // Forwarder forwards requests to endpoints. Set the exported fields before use. It
 // is safe for concurrent use.
 type Forwarder struct {
@@ -50,6 +61,7 @@
 	Pool      *pool.Pool
 	Stages    *stage.Runner
 	Engines   *assign.Assigner
+	Origins   Origins
 	Clock     clock.Clock
 	Log       *logs.Logger
 	Meters    *stats.Meters
@@ -159,6 +171,9 @@
 	req.setDeadline()
 	ctx, cancel := context.WithDeadline(req.exchange.Context, req.deadline)
 	defer cancel()
+	if req.takesUpStream() && !req.bindToOrigin(ctx) {
+		return
+	}
 	if len(req.route.Stages) > 0 && !req.runStages(ctx) {
 		return
 	}
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"wigeonplank.example/core/event"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/pool"
@@ -55,6 +57,51 @@
 	}
 }
 
+// takesUpStream reports whether the caller has events of an earlier attempt, after
+// which the stream goes on.
+func (req *request) takesUpStream() bool {
+	return req.route.Kind == fleet.KindStream && req.route.Resumable && req.headers.LastEventID >= 0
+}
+
+// bindToOrigin binds the request to the service and the software version at which the
+// stream that the caller takes up began. If they are unknown and the stream may have
+// begun at another version than the present endpoints have, it rejects the request
+// and returns false. A service that the route no longer has doesn't bind: its versions
+// mean nothing to another service.
+func (req *request) bindToOrigin(ctx context.Context) bool {
+	o, known := origin.Origin{}, false
+	if stream := req.headers.Resumes; stream != "" {
+		o, known = req.Origins.FindOrigin(ctx, stream)
+	}
+	switch {
+	case known:
+		if slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
+			req.service, req.version = o.Service, &o.Version
+		}
+		return true
+	case req.Balancer.HasSoleVersion(req.service):
+		return true
+	}
+	req.reject(fasthttp.StatusServiceUnavailable, 0, "version at which the stream began is unknown")
+	return false
+}
+
+// recordVersion binds the request to the software version of the endpoint that sent
+// its first event, and remembers it for callers that take the stream up.
+func (req *request) recordVersion(e *fleet.Endpoint) {
+	req.version = &e.Version
+	if !req.route.Resumable {
+		return
+	}
+	stream := req.headers.ID
+	if req.takesUpStream() {
+		stream = req.headers.Resumes
+	}
+	if stream != "" {
+		req.Origins.RecordOrigin(stream, origin.Origin{Service: e.Service, Version: e.Version})
+	}
+}
+
 // abortStream ends a stream that can't be resumed. If the response has started,
 // the connection closes without the terminating chunk, so that the caller sees
 // that the stream is incomplete.
@@ -114,7 +161,7 @@
 		raw, id, err := events.Next()
 		if first && err == nil {
 			req.startAssignment()
-			req.version = &e.Version
+			req.recordVersion(e)
 			first = false
 		}
 		if errors.Is(err, io.EOF) {
