--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -54,8 +54,8 @@
 	Zone  string                // availability zone of this relay
 	View  func() *fleet.View    // returns the current view of the deployment
 	Ready func() (bool, string) // reports whether View can be served from, and the reason if not
-	// Confirmed reports whether View is recent enough to tell callers that a route or
-	// key doesn't exist.
+	// Confirmed reports whether View is recent enough to conclude from what it doesn't
+	// list: that a route or key doesn't exist, or that a service has no other version.
 	Confirmed func() bool
 	Balancer  *Balancer
 	Pool      *pool.Pool
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -79,7 +79,7 @@
 			req.service, req.version = o.Service, &o.Version
 		}
 		return true
-	case req.Balancer.HasSoleVersion(req.service):
+	case req.Balancer.HasSoleVersion(req.service) && req.Confirmed():
 		return true
 	}
 	req.reject(fasthttp.StatusServiceUnavailable, 0, "version at which the stream began is unknown")
