core/notice, relay: an endpoint that says in a response that it leaves gets nothing new

Cause: the store is one source of an endpoint's leaving; the endpoint says so in all responses too, at once, and nothing read it. Change: leaving is part of an endpoint's notice, for good until its next incarnation. The relay that was told sends it no requests, stage calls or retries; relays that heard it from another pass it over like a suspect, so that no wrong report can empty a service. It leaves the capacity of its pool, and items of a pool that has nothing else are placed again.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -4,6 +4,16 @@
 
 import "time"
 
+// Leaving tells whether an endpoint is said to leave.
+type Leaving string
+
+// Values of Leaving.
+const (
+	LeavingNo    Leaving = ""      // it has not said so
+	LeavingHeard Leaving = "heard" // it has said so to another relay
+	LeavingTold  Leaving = "told"  // it has said so in a response to this relay
+)
+
 // Notice is what one incarnation of an endpoint has announced. It is immutable;
 // the zero value announces nothing. A restart of the endpoint ends it, and so does
 // a restart of this relay, which then learns it again from others or from the next
@@ -11,7 +21,8 @@
 type Notice struct {
 	rateLimit float64
 	limited   bool
-	at        time.Time
+	at        time.Time // of rateLimit and limited
+	leaving   Leaving
 	source    string
 }
 
@@ -22,6 +33,21 @@
 	return n
 }
 
+// WithTime returns a copy that orders the limit, or that there is none, among others
+// of the same endpoint: the later one is in force, and of two with the same time the
+// one that allows fewer requests.
+func (n Notice) WithTime(at time.Time) Notice {
+	n.at = at
+	return n
+}
+
+// WithLeaving returns a copy that says whether the endpoint leaves. An endpoint that
+// has said so once leaves for good.
+func (n Notice) WithLeaving(l Leaving) Notice {
+	n.leaving = l
+	return n
+}
+
 // WithSource returns a copy that was learned from the relay with the given instance
 // ID, or from a response to this relay if it is empty.
 func (n Notice) WithSource(instance string) Notice {
@@ -29,18 +55,13 @@
 	return n
 }
 
-// WithTime returns a copy that orders the notice among others of the same
-// endpoint: the later one is in force, and of two with the same time the one
-// that allows fewer requests.
-func (n Notice) WithTime(at time.Time) Notice {
-	n.at = at
-	return n
-}
-
 // RateLimit returns the requests per second that all relays together may send to
 // the endpoint. It reports false if the endpoint names no limit.
 func (n Notice) RateLimit() (float64, bool) { return n.rateLimit, n.limited }
 
+// Leaving tells whether the endpoint is said to leave.
+func (n Notice) Leaving() Leaving { return n.leaving }
+
 // Source returns the instance ID of the relay from which the notice was learned, or
 // "" if it was a response to this relay.
 func (n Notice) Source() string { return n.source }
@@ -48,9 +69,25 @@
 // Time returns the time set by WithTime.
 func (n Notice) Time() time.Time { return n.at }
 
+// SameLimit reports whether n and other name the same limit, or none.
+func (n Notice) SameLimit(other Notice) bool {
+	return n.limited == other.limited && n.rateLimit == other.rateLimit
+}
+
 // Says reports whether n and other announce the same.
 func (n Notice) Says(other Notice) bool {
-	return n.limited == other.limited && n.rateLimit == other.rateLimit
+	return n.SameLimit(other) && (n.leaving == LeavingNo) == (other.leaving == LeavingNo)
+}
+
+// after returns the notice in force once n is learned while old is in force.
+func (n Notice) after(old Notice) Notice {
+	if n.at.Before(old.at) || (n.at.Equal(old.at) && !n.stricterThan(old)) {
+		n.rateLimit, n.limited, n.at = old.rateLimit, old.limited, old.at
+	}
+	if n.leaving == LeavingNo || old.leaving == LeavingTold {
+		n.leaving = old.leaving
+	}
+	return n
 }
 
 // stricterThan reports whether n allows fewer requests than other.
@@ -58,14 +95,24 @@
 	return n.limited && (!other.limited || n.rateLimit < other.rateLimit)
 }
 
-// FromResponse returns the notice of a response that names rateLimit, or no limit
-// if it is nil. The request was sent at sentAt and the response received at
-// receivedAt. The endpoint made the response between the two. A limit counts from
-// receivedAt and its end from sentAt, so that a response which was made before a
-// limit was named doesn't end it.
-func FromResponse(rateLimit *float64, sentAt, receivedAt time.Time) Notice {
-	if rateLimit == nil {
-		return Notice{}.WithTime(sentAt)
+// Response is what a response to this relay says of its endpoint.
+type Response struct {
+	RateLimit  *float64 // requests per second; nil: none named
+	Leaving    bool
+	SentAt     time.Time // of the request
+	ReceivedAt time.Time
+}
+
+// Notice returns the notice of a response. The endpoint made the response between
+// SentAt and ReceivedAt. A limit counts from ReceivedAt and its end from SentAt, so
+// that a response which was made before a limit was named doesn't end it.
+func (r Response) Notice() Notice {
+	n := Notice{}.WithTime(r.SentAt)
+	if r.RateLimit != nil {
+		n = n.WithRateLimit(*r.RateLimit).WithTime(r.ReceivedAt)
+	}
+	if r.Leaving {
+		n = n.WithLeaving(LeavingTold)
 	}
-	return Notice{}.WithRateLimit(*rateLimit).WithTime(receivedAt)
+	return n
 }
--- a/core/notice/table.go
+++ b/core/notice/table.go
@@ -13,17 +13,6 @@
 	Notice      Notice
 }
 
-// supersededBy reports whether other is in force rather than e.
-func (e Entry) supersededBy(other Entry) bool {
-	if e.Incarnation != other.Incarnation {
-		return e.Incarnation < other.Incarnation
-	}
-	if !e.Notice.at.Equal(other.Notice.at) {
-		return e.Notice.at.Before(other.Notice.at)
-	}
-	return !e.Notice.stricterThan(other.Notice)
-}
-
 // Table holds the latest notice of each endpoint. The zero value is empty. It is
 // not safe for concurrent use.
 type Table struct {
@@ -37,47 +26,36 @@
 	passedOn time.Time // of the notice that became news
 }
 
-// Put records a notice, unless that of a later time or of a later incarnation is
-// known. It reports whether the endpoint announces something else than before.
-func (t *Table) Put(e Entry) bool {
+// Put records a notice, as far as no later one is known. It returns the notices in
+// force before and after. That of a former incarnation changes nothing.
+func (t *Table) Put(e Entry) (before, after Notice) {
 	cur, known := t.entries[e.Endpoint]
-	if known && e.supersededBy(cur.Entry) {
-		// The relay that sent e may not know the later notice, or others may not.
-		if e.Incarnation == cur.Incarnation && (!e.Notice.Says(cur.Notice) || cur.isNews(e)) {
-			t.passOn(cur)
-		}
-		return false
+	if known && e.Incarnation < cur.Incarnation {
+		return cur.Notice, cur.Notice
 	}
 	if !known || cur.Incarnation != e.Incarnation {
 		cur = tableEntry{}
 	}
-	changed, news := !e.Notice.Says(cur.Notice), cur.isNews(e)
+	before = cur.Notice
+	after = e.Notice.after(before)
+	changed := !after.Says(before)
+	// What another relay reports is passed on if it is later than what was passed on
+	// last, and the answer to it if that relay doesn't know the limit in force.
+	news := e.Notice.source != "" && (e.Notice.at.After(cur.passedOn) || !e.Notice.SameLimit(after))
 	if !known && !changed && !news {
-		return false // the endpoint has announced nothing yet
+		return before, after // the endpoint has announced nothing yet
 	}
+	e.Notice = after
 	cur.Entry = e
 	if changed || news {
-		t.passOn(cur)
-	} else {
-		t.entries[e.Endpoint] = cur
+		t.version++
+		cur.changed, cur.passedOn = t.version, after.at
 	}
-	return changed
-}
-
-// isNews reports whether another relay reported a notice that is later than the one
-// that was last passed on.
-func (cur tableEntry) isNews(e Entry) bool {
-	return e.Notice.source != "" && e.Notice.at.After(cur.passedOn)
-}
-
-// passOn stores an entry and adds it to the news.
-func (t *Table) passOn(e tableEntry) {
 	if t.entries == nil {
 		t.entries = make(map[string]tableEntry)
 	}
-	t.version++
-	e.changed, e.passedOn = t.version, e.Notice.at
-	t.entries[e.Endpoint] = e
+	t.entries[e.Endpoint] = cur
+	return before, after
 }
 
 // Get returns the notice of an incarnation of an endpoint.
@@ -89,12 +67,12 @@
 	return e.Notice
 }
 
-// News returns the entries that changed after a version, except those that were
-// learned from the relay named to, sorted by endpoint, and the current version.
-func (t *Table) News(after int, to string) ([]Entry, int) {
+// News returns the entries that changed after a version, sorted by endpoint, and the
+// current version.
+func (t *Table) News(after int) ([]Entry, int) {
 	var out []Entry
 	for _, e := range t.entries {
-		if e.changed > after && (e.Notice.Source() == "" || e.Notice.Source() != to) {
+		if e.changed > after {
 			out = append(out, e.Entry)
 		}
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -85,7 +85,7 @@
 	OnSuspect func(e *fleet.Endpoint, reason string, failures int, period time.Duration)
 	// OnNotice is called when an endpoint announces something else than before. It
 	// may be nil.
-	OnNotice func(endpoint string, n notice.Notice)
+	OnNotice func(endpoint string, before, after notice.Notice)
 	// OnClear is called at the first good result of an endpoint after it was
 	// suspect. It may be nil.
 	OnClear func(e *fleet.Endpoint)
@@ -130,10 +130,10 @@
 	return (float64(st.inFlight) + others) / float64(max(1, e.Slots))
 }
 
-// IsSuspect reports whether an endpoint is suspect, and should get no requests
-// while others can take them.
+// IsSuspect reports whether an endpoint is suspect, or has told another relay that it
+// leaves, and should get no requests while others can take them.
 func (p *Picker) IsSuspect(e *fleet.Endpoint, now time.Time) bool {
-	return now.Before(p.state(e).suspectUntil)
+	return now.Before(p.state(e).suspectUntil) || p.Leaving(e) == notice.LeavingHeard
 }
 
 // Load returns the estimated share of an endpoint's slots that are in use.
@@ -187,8 +187,8 @@
 	return choice
 }
 
-// admitting returns the endpoints whose limits allow the request, and the first
-// time at which another one's does.
+// admitting returns the endpoints whose announcements allow the request, and the first
+// time at which another one's do.
 func (p *Picker) admitting(now time.Time, endpoints []*fleet.Endpoint, c Criteria) ([]*fleet.Endpoint, time.Time) {
 	var first time.Time
 	out := make([]*fleet.Endpoint, 0, len(endpoints))
@@ -204,12 +204,15 @@
 	return out, first
 }
 
-// opensAt returns the time from which the limit that an endpoint names, if any,
-// allows this process the next request. It reports false if the process may send
-// none. sole tells that no other process sends requests to the endpoint.
+// opensAt returns the time from which what an endpoint has announced allows this
+// process the next request. It reports false if the process may send none. sole tells
+// that no other process sends requests to the endpoint.
 func (p *Picker) opensAt(e *fleet.Endpoint, sole bool) (time.Time, bool) {
-	a, limited := p.notices.Get(e.ID, e.StartUnixMs).Allowance()
+	n := p.notices.Get(e.ID, e.StartUnixMs)
+	a, limited := n.Allowance()
 	switch {
+	case n.Leaving() == notice.LeavingTold:
+		return time.Time{}, false
 	case !limited:
 		return time.Time{}, true
 	case sole:
@@ -220,8 +223,8 @@
 	return p.state(e).limitedSends.OpensAt(a)
 }
 
-// Admits reports whether the limit that an endpoint names, if any, allows this
-// process a request now. sole tells that no other process sends requests to the
+// Admits reports whether what an endpoint has announced allows this process a request
+// now. sole tells that no other process sends requests to the
 // endpoint.
 func (p *Picker) Admits(now time.Time, e *fleet.Endpoint, sole bool) bool {
 	opens, ok := p.opensAt(e, sole)
@@ -335,8 +338,8 @@
 	return h.Sum64()
 }
 
-// Begin records that a request is sent to an endpoint, unless the endpoint's limit
-// doesn't allow it, in which case it returns false. Each call that returns true is
+// Begin records that a request is sent to an endpoint, unless what the endpoint
+// has announced doesn't allow it, in which case it returns false. Each call that returns true is
 // paired with one of End. sole tells that no other process sends requests to the
 // endpoint.
 func (p *Picker) Begin(now time.Time, svc *fleet.Service, e *fleet.Endpoint, sole bool) bool {
@@ -425,16 +428,20 @@
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
 }
 
-// Notices returns what endpoints have announced since a version, except what was
-// learned from the relay named to, and the current version.
-func (p *Picker) Notices(after int, to string) ([]notice.Entry, int) {
-	return p.notices.News(after, to)
+// Notices returns what endpoints have announced since a version, and the current
+// version.
+func (p *Picker) Notices(after int) ([]notice.Entry, int) { return p.notices.News(after) }
+
+// Leaving tells whether an endpoint is said to leave.
+func (p *Picker) Leaving(e *fleet.Endpoint) notice.Leaving {
+	return p.notices.Get(e.ID, e.StartUnixMs).Leaving()
 }
 
 // RecordNotice records what an endpoint announced.
 func (p *Picker) RecordNotice(e notice.Entry) {
-	if p.notices.Put(e) && p.OnNotice != nil {
-		p.OnNotice(e.Endpoint, e.Notice)
+	before, after := p.notices.Put(e)
+	if !after.Says(before) && p.OnNotice != nil {
+		p.OnNotice(e.Endpoint, before, after)
 	}
 }
 
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -83,6 +83,10 @@
 		"limit":   limitRate,
 		"load":    makeLoad,
 		"most":    checkMostArrivals,
+		"leaving": sayLeaving,
+		"closed":  closeEndpoint,
+		"arrived": checkArrived,
+		"restart": restartEndpoint,
 		"crash":   crashEndpoint,
 		"engine":  startEngine,
 		"leave":   drainUsed,
@@ -251,6 +255,53 @@
 	return nil
 }
 
+// sayLeaving implements the command
+//
+//	leaving ENDPOINT
+//
+// It makes an endpoint say in all responses that it leaves.
+func sayLeaving(cmd *command) error {
+	cmd.endpoint(cmd.arg(0)).Leave()
+	return nil
+}
+
+// closeEndpoint implements the command
+//
+//	closed ENDPOINT SECONDS N
+//
+// It makes an endpoint reject the next N requests and name a retry delay.
+func closeEndpoint(cmd *command) error {
+	cmd.endpoint(cmd.arg(0)).CloseFor(cmd.arg(1), cmd.intArg(2))
+	return nil
+}
+
+// checkArrived implements the command
+//
+//	arrived ENDPOINT FROM TO MIN MAX
+//
+// It checks how many requests arrived at an endpoint between two times after it first
+// said that it leaves or named a retry delay.
+func checkArrived(cmd *command) error {
+	from, err := time.ParseDuration(cmd.arg(1))
+	cmd.ts.Check(err)
+	to, err := time.ParseDuration(cmd.arg(2))
+	cmd.ts.Check(err)
+	if n := cmd.endpoint(cmd.arg(0)).ArrivalsSinceMark(from, to); n < cmd.intArg(3) || n > cmd.intArg(4) {
+		return fmt.Errorf("%d requests arrived at %s", n, cmd.arg(0))
+	}
+	return nil
+}
+
+// restartEndpoint implements the command
+//
+//	restart ENDPOINT
+//
+// It makes an endpoint another incarnation of itself, and registers it.
+func restartEndpoint(cmd *command) error {
+	cmd.endpoint(cmd.arg(0)).Restart()
+	return cmd.state.dep.Site.Register(cmd.arg(0), "ready")
+}
+
 const (
 	arrivalWindow = 4 * time.Second
 	limitGrace    = 3 * time.Second // after a limit is first named, before arrivals count
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -36,8 +36,8 @@
 	// Warm returns the endpoints that criteria allow and that are neither cold nor
 	// suspect. It reports false if cold ones are needed as well.
 	Warm(svc *fleet.Service, list []*fleet.Endpoint, criteria pick.Criteria) ([]*fleet.Endpoint, bool)
-	// Admits reports whether the limit that an endpoint names, if any, allows this
-	// relay a request now.
+	// Admits reports whether what an endpoint has announced allows this relay a request
+	// now.
 	Admits(e *fleet.Endpoint, sole bool) bool
 }
 
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -147,12 +147,8 @@
 		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", reason).Int("failures", failures).Dur("pause_ms", pause).Msg("")
 	}
 	b.Picker.OnClear = func(e *fleet.Endpoint) { l.Event(logs.EndpointCleared).Str("endpoint", e.ID).Msg("") }
-	b.Picker.OnNotice = func(endpoint string, n notice.Notice) {
-		if rate, ok := n.RateLimit(); ok {
-			l.Event(logs.EndpointLimited).Str("endpoint", endpoint).Float64("rate_limit", rate).Str("source", n.Source()).Msg("")
-		} else {
-			l.Event(logs.LimitEnded).Str("endpoint", endpoint).Str("source", n.Source()).Msg("")
-		}
+	b.Picker.OnNotice = func(endpoint string, before, after notice.Notice) {
+		logNotice(l, endpoint, before, after)
 		m.Announce()
 	}
 	b.Picker.LimitShare = func(e *fleet.Endpoint, requests int) int {
@@ -167,6 +163,21 @@
 	return b
 }
 
+// logNotice logs what an endpoint announces that it didn't before.
+func logNotice(l *logs.Logger, endpoint string, before, after notice.Notice) {
+	if after.Leaving() != notice.LeavingNo && before.Leaving() == notice.LeavingNo {
+		l.Event(logs.EndpointLeaving).Str("endpoint", endpoint).Str("source", after.Source()).Msg("")
+	}
+	rate, limited := after.RateLimit()
+	switch {
+	case after.SameLimit(before):
+	case limited:
+		l.Event(logs.EndpointLimited).Str("endpoint", endpoint).Float64("rate_limit", rate).Str("source", after.Source()).Msg("")
+	default:
+		l.Event(logs.LimitEnded).Str("endpoint", endpoint).Str("source", after.Source()).Msg("")
+	}
+}
+
 func newAssigner(c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
 	a := &assign.Assigner{View: c.View, Health: b, Peers: m, Clock: clock.System{}}
 	c.OnViewChange = func(v *fleet.View) {
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -48,6 +48,7 @@
 	EndpointSuspected = newEventType("endpoint_suspected", log.WarnLevel, changeRate, "An endpoint became suspect; it gets no requests for a period if other endpoints can take them.", "endpoint", "reason", "failures", "pause_ms")
 	EndpointCleared   = newEventType("endpoint_cleared", log.InfoLevel, changeRate, "A suspect endpoint responded successfully and is no longer suspect.", "endpoint")
 	EndpointLimited   = newEventType("endpoint_limited", log.WarnLevel, changeRate, "An endpoint named a limit for the requests of all relays together, or another one.", "endpoint", "rate_limit", "source")
+	EndpointLeaving   = newEventType("endpoint_leaving", log.WarnLevel, changeRate, "An endpoint said in a response that it leaves; it gets no new requests.", "endpoint", "source")
 	LimitEnded        = newEventType("limit_ended", log.InfoLevel, changeRate, "An endpoint no longer names a limit.", "endpoint", "source")
 
 	MemberDiscovered = newEventType("member_heard", log.InfoLevel, changeRate, "Another relay was discovered or has restarted.", "member", "addr", "zone", "from")
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -72,9 +72,8 @@
 // Notices keeps what endpoints announce in their responses. Its methods are called
 // concurrently, and without locks of this package.
 type Notices interface {
-	// Notices returns what has changed since a version, except what was learned from
-	// the relay named to, and the current version.
-	Notices(after int, to string) ([]notice.Entry, int)
+	// Notices returns what has changed since a version, and the current version.
+	Notices(after int) ([]notice.Entry, int)
 	// RecordNotices records what another relay has learned.
 	RecordNotices(list []notice.Entry)
 }
@@ -406,7 +405,7 @@
 		}
 	}
 	var notices []notice.Entry
-	notices, st.notices = m.Notices.Notices(st.notices, to)
+	notices, st.notices = m.Notices.Notices(st.notices)
 	for _, e := range notices {
 		hb.Notices = append(hb.Notices, noticeToWire(e, m.Clock.Now()))
 	}
@@ -489,6 +488,7 @@
 	rate, limited := e.Notice.RateLimit()
 	return &EndpointNotice{
 		Endpoint: e.Endpoint, Incarnation: e.Incarnation, Limited: limited, RateLimit: rate, AgeUs: now.Sub(e.Notice.Time()).Microseconds(),
+		Leaving: e.Notice.Leaving() != notice.LeavingNo,
 	}
 }
 
@@ -497,6 +497,9 @@
 	if w.GetLimited() {
 		n = n.WithRateLimit(w.GetRateLimit())
 	}
+	if w.GetLeaving() {
+		n = n.WithLeaving(notice.LeavingHeard)
+	}
 	return notice.Entry{Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), Notice: n}
 }
 
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -44,14 +44,21 @@
 	return c
 }
 
-// Admits reports whether the limit that an endpoint names, if any, allows this relay
-// a request now. sole tells that no other relay sends requests to the endpoint.
+// Admits reports whether what an endpoint has announced allows this relay a request
+// now. sole tells that no other relay sends requests to the endpoint.
 func (b *Balancer) Admits(e *fleet.Endpoint, sole bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.Picker.Admits(b.Clock.Now(), e, sole)
 }
 
+// IsLeaving reports whether an endpoint has told this relay that it leaves.
+func (b *Balancer) IsLeaving(e *fleet.Endpoint) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.Leaving(e) == notice.LeavingTold
+}
+
 // RateLimit returns the requests per second that an endpoint takes from all relays
 // together, and false if it names no limit.
 func (b *Balancer) RateLimit(e *fleet.Endpoint) (float64, bool) {
@@ -83,8 +90,8 @@
 	return b.Picker.IsSuspect(e, b.Clock.Now())
 }
 
-// Begin records that a request is about to be sent to an endpoint, unless the
-// endpoint's limit doesn't allow it, in which case it returns false. Each call that
+// Begin records that a request is about to be sent to an endpoint, unless what
+// the endpoint has announced doesn't allow it, in which case it returns false. Each call that
 // returns true must be followed by one of End. sole tells that no other relay sends
 // requests to the endpoint.
 func (b *Balancer) Begin(svc *fleet.Service, e *fleet.Endpoint, sole bool) bool {
@@ -121,16 +128,17 @@
 		b.Picker.RecordLoad(now, e, pick.Load(*resp.Load))
 	}
 	b.Picker.RecordNotice(notice.Entry{
-		Endpoint: e.ID, Incarnation: e.StartUnixMs, Notice: notice.FromResponse(resp.RateLimit, sentAt, now),
+		Endpoint: e.ID, Incarnation: e.StartUnixMs,
+		Notice: notice.Response{RateLimit: resp.RateLimit, Leaving: resp.Leaving, SentAt: sentAt, ReceivedAt: now}.Notice(),
 	})
 }
 
-// Notices returns what endpoints have announced since a version, except what was
-// learned from the relay named to, and the current version.
-func (b *Balancer) Notices(after int, to string) ([]notice.Entry, int) {
+// Notices returns what endpoints have announced since a version, and the current
+// version.
+func (b *Balancer) Notices(after int) ([]notice.Entry, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.Picker.Notices(after, to)
+	return b.Picker.Notices(after)
 }
 
 // RecordNotices records what another relay has learned of endpoints.
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -36,14 +36,16 @@
 type Health interface {
 	// IsSuspect reports whether an endpoint should get no work now.
 	IsSuspect(e *fleet.Endpoint) bool
-	// Admits reports whether the limit that an endpoint names, if any, allows this
-	// relay a call now. sole tells that no other relay sends calls to the endpoint.
+	// IsLeaving reports whether an endpoint has told this relay that it leaves.
+	IsLeaving(e *fleet.Endpoint) bool
+	// Admits reports whether what an endpoint has announced allows this relay a call
+	// now. sole tells that no other relay sends calls to the endpoint.
 	Admits(e *fleet.Endpoint, sole bool) bool
 	// RateLimit returns the calls per second that an endpoint takes from all relays
 	// together, and false if it names no limit.
 	RateLimit(e *fleet.Endpoint) (float64, bool)
-	// Begin records that a call is about to be sent to an endpoint, unless its limit
-	// doesn't allow it, in which case it returns false.
+	// Begin records that a call is about to be sent to an endpoint, unless what it has
+	// announced doesn't allow it, in which case it returns false.
 	Begin(svc *fleet.Service, e *fleet.Endpoint, sole bool) bool
 	// End records the result of a call that Begin recorded.
 	End(e *fleet.Endpoint, r pick.Result)
@@ -242,14 +244,21 @@
 		if items < 0 {
 			items = r.sched.ItemCount(p)
 		}
-		out = append(out, batch.Candidate{Zone: zone, Load: batch.Load{Endpoints: max(1, int(math.Round(c))), Items: items}})
+		endpoints := int(math.Round(c))
+		if c > 0 {
+			endpoints = max(1, endpoints)
+		}
+		out = append(out, batch.Candidate{Zone: zone, Load: batch.Load{Endpoints: endpoints, Items: items}})
 	}
 	return out
 }
 
 // relativeCapacity returns the calls that an endpoint takes in some time, as a share
-// of those that it could run without the limit that it names.
+// of those that it could run if it had announced nothing.
 func (r *Runner) relativeCapacity(svc *fleet.Service, e *fleet.Endpoint) float64 {
+	if r.Health.IsLeaving(e) {
+		return 0
+	}
 	rate, limited := r.Health.RateLimit(e)
 	if !limited || svc == nil || svc.Batch == nil {
 		return 1
@@ -335,7 +344,7 @@
 	var usable []*fleet.Endpoint
 	if svc != nil && svc.Batch != nil {
 		for _, e := range r.usableEndpoints(v, p.Service) {
-			if p.Contains(e) {
+			if p.Contains(e) && !r.Health.IsLeaving(e) {
 				usable = append(usable, e)
 			}
 		}
