core/notice, relay: an endpoint that wants nothing for a while gets nothing

Cause: the retry delay of an endpoint's 503 was not read; it got the next request at once. Change: it closes the endpoint for this relay, for requests, retries, stage calls and releases; opening is spread at random. If all endpoints are closed, callers are refused with the time at which the first opens.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -19,11 +19,12 @@
 // a restart of this relay, which then learns it again from others or from the next
 // response.
 type Notice struct {
-	rateLimit float64
-	limited   bool
-	at        time.Time // of rateLimit and limited
-	leaving   Leaving
-	source    string
+	rateLimit   float64
+	limited     bool
+	at          time.Time // of rateLimit and limited
+	leaving     Leaving
+	closedUntil time.Time
+	source      string
 }
 
 // WithRateLimit returns a copy that limits the requests per second which all relays
@@ -48,6 +49,13 @@
 	return n
 }
 
+// WithClosedUntil returns a copy by which the endpoint wants no requests from this
+// relay until a time. It is not for other relays.
+func (n Notice) WithClosedUntil(t time.Time) Notice {
+	n.closedUntil = t
+	return n
+}
+
 // WithSource returns a copy that was learned from the relay with the given instance
 // ID, or from a response to this relay if it is empty.
 func (n Notice) WithSource(instance string) Notice {
@@ -62,6 +70,10 @@
 // Leaving tells whether the endpoint is said to leave.
 func (n Notice) Leaving() Leaving { return n.leaving }
 
+// ClosedUntil returns the time until which the endpoint wants no requests from this
+// relay. It is zero, or may have passed, if the endpoint is open.
+func (n Notice) ClosedUntil() time.Time { return n.closedUntil }
+
 // Source returns the instance ID of the relay from which the notice was learned, or
 // "" if it was a response to this relay.
 func (n Notice) Source() string { return n.source }
@@ -74,7 +86,7 @@
 	return n.limited == other.limited && n.rateLimit == other.rateLimit
 }
 
-// Says reports whether n and other announce the same.
+// Says reports whether n and other announce the same to all relays.
 func (n Notice) Says(other Notice) bool {
 	return n.SameLimit(other) && (n.leaving == LeavingNo) == (other.leaving == LeavingNo)
 }
@@ -87,6 +99,9 @@
 	if n.leaving == LeavingNo || old.leaving == LeavingTold {
 		n.leaving = old.leaving
 	}
+	if n.closedUntil.Before(old.closedUntil) {
+		n.closedUntil = old.closedUntil
+	}
 	return n
 }
 
@@ -99,7 +114,8 @@
 type Response struct {
 	RateLimit  *float64 // requests per second; nil: none named
 	Leaving    bool
-	SentAt     time.Time // of the request
+	ClosedFor  time.Duration // it wants no requests from this relay for this long after ReceivedAt; 0: not said
+	SentAt     time.Time     // of the request
 	ReceivedAt time.Time
 }
 
@@ -114,5 +130,8 @@
 	if r.Leaving {
 		n = n.WithLeaving(LeavingTold)
 	}
+	if r.ClosedFor > 0 {
+		n = n.WithClosedUntil(r.ReceivedAt.Add(r.ClosedFor))
+	}
 	return n
 }
--- a/core/notice/table.go
+++ b/core/notice/table.go
@@ -42,7 +42,7 @@
 	// What another relay reports is passed on if it is later than what was passed on
 	// last, and the answer to it if that relay doesn't know the limit in force.
 	news := e.Notice.source != "" && (e.Notice.at.After(cur.passedOn) || !e.Notice.SameLimit(after))
-	if !known && !changed && !news {
+	if !known && !changed && !news && after.closedUntil.IsZero() {
 		return before, after // the endpoint has announced nothing yet
 	}
 	e.Notice = after
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -214,13 +214,17 @@
 	case n.Leaving() == notice.LeavingTold:
 		return time.Time{}, false
 	case !limited:
-		return time.Time{}, true
+		return n.ClosedUntil(), true
 	case sole:
 		a.Requests = max(1, int(soleSenderShare*float64(a.Requests)))
 	case p.LimitShare != nil:
 		a.Requests = p.LimitShare(e, a.Requests)
 	}
-	return p.state(e).limitedSends.OpensAt(a)
+	opens, ok := p.state(e).limitedSends.OpensAt(a)
+	if opens.Before(n.ClosedUntil()) {
+		opens = n.ClosedUntil()
+	}
+	return opens, ok
 }
 
 // Admits reports whether what an endpoint has announced allows this process a request
@@ -440,7 +444,8 @@
 // RecordNotice records what an endpoint announced.
 func (p *Picker) RecordNotice(e notice.Entry) {
 	before, after := p.notices.Put(e)
-	if !after.Says(before) && p.OnNotice != nil {
+	changed := !after.Says(before) || !after.ClosedUntil().Equal(before.ClosedUntil())
+	if changed && p.OnNotice != nil {
 		p.OnNotice(e.Endpoint, before, after)
 	}
 }
--- a/core/scen/relay_test.go
+++ b/core/scen/relay_test.go
@@ -161,6 +161,8 @@
 //	pick suspect ID yes|no               checks whether an endpoint is suspect
 //	pick limit ID RATE|none sent=D       records that an endpoint named a limit, or none, in its response to a
 //	                                     request that was sent D ago
+//	pick closed ID D                     records that an endpoint rejected a request and wants none for D
+//	pick leaving ID told|heard           records that an endpoint said that it leaves
 //	pick opens D|never                   checks when the limit of an endpoint allows the next request
 //	pick sole ID yes|no                  starts a request as the only sender, and checks whether it is admitted
 //
@@ -189,6 +191,20 @@
 			Endpoint: e.ID, Incarnation: int64(a.intOption("born", int(e.StartUnixMs))),
 			Notice: notice.Response{RateLimit: rate, SentAt: now.Add(-a.durationOption("sent", 0)), ReceivedAt: now}.Notice(),
 		})
+	case "closed":
+		d, err := time.ParseDuration(a.arg(2))
+		if err != nil {
+			return err
+		}
+		e := relay.view.Endpoint(a.arg(1))
+		relay.picker.RecordNotice(notice.Entry{
+			Endpoint: e.ID, Incarnation: e.StartUnixMs, Notice: notice.Response{ClosedFor: d, SentAt: now, ReceivedAt: now}.Notice(),
+		})
+	case "leaving":
+		e := relay.view.Endpoint(a.arg(1))
+		relay.picker.RecordNotice(notice.Entry{
+			Endpoint: e.ID, Incarnation: e.StartUnixMs, Notice: notice.Notice{}.WithTime(now).WithLeaving(notice.Leaving(a.arg(2))).WithSource(a.options["from"]),
+		})
 	case "opens":
 		got := "never"
 		if c := relay.picker.Pick(now, svc, relay.view.Endpoints("s"), pick.Criteria{}); !c.OpensAt.IsZero() {
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -149,7 +149,9 @@
 	b.Picker.OnClear = func(e *fleet.Endpoint) { l.Event(logs.EndpointCleared).Str("endpoint", e.ID).Msg("") }
 	b.Picker.OnNotice = func(endpoint string, before, after notice.Notice) {
 		logNotice(l, endpoint, before, after)
-		m.Announce()
+		if !after.Says(before) {
+			m.Announce()
+		}
 	}
 	b.Picker.LimitShare = func(e *fleet.Endpoint, requests int) int {
 		return quota.Share(float64(requests), m.Size(), m.Rank(e.ID))
@@ -168,6 +170,9 @@
 	if after.Leaving() != notice.LeavingNo && before.Leaving() == notice.LeavingNo {
 		l.Event(logs.EndpointLeaving).Str("endpoint", endpoint).Str("source", after.Source()).Msg("")
 	}
+	if t := after.ClosedUntil(); !t.Equal(before.ClosedUntil()) {
+		l.Event(logs.EndpointClosed).Str("endpoint", endpoint).Dur("pause_ms", time.Until(t)).Msg("")
+	}
 	rate, limited := after.RateLimit()
 	switch {
 	case after.SameLimit(before):
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -49,6 +49,7 @@
 	EndpointCleared   = newEventType("endpoint_cleared", log.InfoLevel, changeRate, "A suspect endpoint responded successfully and is no longer suspect.", "endpoint")
 	EndpointLimited   = newEventType("endpoint_limited", log.WarnLevel, changeRate, "An endpoint named a limit for the requests of all relays together, or another one.", "endpoint", "rate_limit", "source")
 	EndpointLeaving   = newEventType("endpoint_leaving", log.WarnLevel, changeRate, "An endpoint said in a response that it leaves; it gets no new requests.", "endpoint", "source")
+	EndpointClosed    = newEventType("endpoint_closed", log.WarnLevel, changeRate, "An endpoint rejected a request and named a time for which it wants none from this relay.", "endpoint", "pause_ms")
 	LimitEnded        = newEventType("limit_ended", log.InfoLevel, changeRate, "An endpoint no longer names a limit.", "endpoint", "source")
 
 	MemberDiscovered = newEventType("member_heard", log.InfoLevel, changeRate, "Another relay was discovered or has restarted.", "member", "addr", "zone", "from")
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -135,16 +135,16 @@
 		Dur("left_ms", req.deadline.Sub(req.Clock.Now())).Msg("")
 }
 
-// rejectUnplaced rejects the request if no endpoint can take it. If only limits that
-// endpoints have named stand against it, the caller is asked to retry once the first
-// of them allows a request.
+// rejectUnplaced rejects the request if no endpoint can take it. If only what endpoints
+// have announced stands against it, the caller is asked to retry once the first of
+// them wants requests.
 func (req *request) rejectUnplaced(c pick.Choice) {
 	if c.OpensAt.IsZero() || req.mayHaveRun || req.exchange.CallerGone() {
 		req.rejectFinal("no endpoint")
 		return
 	}
 	retryAfter := max(minRetryAfter, c.OpensAt.Sub(req.Clock.Now()))
-	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "not run: limits of endpoints are used up")
+	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "not run: endpoints want no requests yet")
 }
 
 // rejectFinal rejects the request when no further attempt is made. The status
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,6 +13,10 @@
 	plat "wigeonplank.example/platform"
 )
 
+// maxReopenDelay bounds the random time that is added to that for which an endpoint
+// wants no requests, so that relays don't come back to it all at once.
+const maxReopenDelay = time.Second
+
 // Balancer lets concurrent requests share one pick.Picker, and thus one estimate
 // of each endpoint's load and health. Set the exported fields before use. It is
 // safe for concurrent use.
@@ -127,10 +132,11 @@
 	if resp.Load != nil {
 		b.Picker.RecordLoad(now, e, pick.Load(*resp.Load))
 	}
-	b.Picker.RecordNotice(notice.Entry{
-		Endpoint: e.ID, Incarnation: e.StartUnixMs,
-		Notice: notice.Response{RateLimit: resp.RateLimit, Leaving: resp.Leaving, SentAt: sentAt, ReceivedAt: now}.Notice(),
-	})
+	r := notice.Response{RateLimit: resp.RateLimit, Leaving: resp.Leaving, ClosedFor: resp.ClosedFor, SentAt: sentAt, ReceivedAt: now}
+	if r.ClosedFor > 0 {
+		r.ClosedFor += rand.N(min(maxReopenDelay, r.ClosedFor/2) + 1)
+	}
+	b.Picker.RecordNotice(notice.Entry{Endpoint: e.ID, Incarnation: e.StartUnixMs, Notice: r.Notice()})
 }
 
 // Notices returns what endpoints have announced since a version, and the current
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -192,9 +192,10 @@
 
 // queueRelease adds references to the next release call to an endpoint, which is
 // sent releaseDelay after the first of them is added. An endpoint that limits its
-// requests gets none: it drops results by itself when their retention time ends.
+// requests or wants none gets none: it drops results by itself when their retention
+// time ends.
 func (r *Runner) queueRelease(e *fleet.Endpoint, refs []string) {
-	if _, limited := r.Health.RateLimit(e); limited {
+	if _, limited := r.Health.RateLimit(e); limited || !r.Health.Admits(e, false) {
 		return
 	}
 	r.mu.Lock()
