core/repl, relay/ctrl: a store that comes back from a copy begins another era

Cause: a revision stood for one state for good; after a restore, what was written again at lower revisions was ignored, and what the copy lacks stayed for ever. What is believed stays until it is written again: a configuration by its version, an endpoint by its start and number, a drained zone for 4 s; what the copy lacks is gone after 2 s. Not run: a drill at 146 relays.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -114,8 +114,21 @@
 	State       State
 	ColdUntil   time.Time // end of the cold period; zero: not cold
 	StartUnixMs int64     // start of this incarnation, in milliseconds since 1970
+	Seq         int64     // counts what this incarnation wrote to the store
 	Revision    int64     // store revision of the item that registers the endpoint
 }
 
+// NewerThan reports whether the endpoint wrote e later than other, which has the same
+// ID. An incarnation that drains is not ready again.
+func (e *Endpoint) NewerThan(other *Endpoint) bool {
+	switch {
+	case e.StartUnixMs != other.StartUnixMs:
+		return e.StartUnixMs > other.StartUnixMs
+	case e.Seq != other.Seq:
+		return e.Seq > other.Seq
+	}
+	return e.State == StateDraining && other.State == StateReady
+}
+
 // ColdAt reports whether the endpoint is cold at now.
 func (e *Endpoint) ColdAt(now time.Time) bool { return now.Before(e.ColdUntil) }
--- a/core/repl/contact.go
+++ b/core/repl/contact.go
@@ -24,7 +24,7 @@
 
 // Position tells how much of the store a process has read.
 type Position struct {
-	Revision  int64     // up to which it has all changes; -1: none
+	Point               // up to which it has all changes
 	Contact   Contact   // last known contact of any process with the store; zero: none
 	OutageEnd time.Time // end of the last known outage of the store; zero: none
 }
--- a/core/repl/repl.go
+++ b/core/repl/repl.go
@@ -5,7 +5,10 @@
 package repl
 
 import (
+	"bytes"
 	"errors"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -18,6 +21,24 @@
 // changes between the two are missing.
 var ErrGap = errors.New("changes begin after the revision of the replica")
 
+// ErrFormerEra reports an update from before the store was restored from a copy.
+var ErrFormerEra = errors.New("update of a former era of the store")
+
+// Point is a point in the history of the store. A store that is restored from an
+// older copy begins another era, in which it gives revisions out again.
+type Point struct {
+	Era      int64
+	Revision int64 // -1: nothing was read
+}
+
+// Before reports whether p comes before q.
+func (p Point) Before(q Point) bool {
+	if p.Era != q.Era {
+		return p.Era < q.Era
+	}
+	return p.Revision < q.Revision
+}
+
 // Entry is a key of the store with its value, or a change to it.
 type Entry struct {
 	Key      string
@@ -32,12 +53,14 @@
 	Full    bool  // Entries are all entries of the store, rather than the changes after After
 	After   int64 // revision after which the changes begin; ignored if Full is set
 	To      int64 // revision up to which Entries are complete
+	Era     int64 // of all revisions
 }
 
 // Table is a replica of the store's entries. The zero value is empty. It is not
 // safe for concurrent use.
 type Table struct {
 	loaded   bool
+	era      int64
 	revision int64
 	entries  map[string]Entry
 	removals map[string]int64 // revisions of removed keys
@@ -53,13 +76,23 @@
 	return t.revision
 }
 
+// Point returns the point up to which the replica is complete.
+func (t *Table) Point() Point { return Point{Era: t.era, Revision: t.Revision()} }
+
 // Apply applies an update and returns the changes to the replica, by revision,
 // with one for each key. A full update that is older than the replica changes
-// nothing that the replica knows to be newer.
+// nothing that the replica knows to be newer. An update of a former era is
+// rejected, and the first one of a new era has to be full.
 func (t *Table) Apply(u Update) ([]Entry, error) {
-	if !u.Full && (!t.loaded || u.After > t.revision) {
+	switch {
+	case t.loaded && u.Era < t.era:
+		return nil, ErrFormerEra
+	case t.loaded && u.Era > t.era:
+		return t.replace(u)
+	case !u.Full && (!t.loaded || u.After > t.revision):
 		return nil, ErrGap
 	}
+	t.era = u.Era
 	if t.entries == nil {
 		t.entries, t.removals = make(map[string]Entry), make(map[string]int64)
 	}
@@ -85,6 +118,31 @@
 	return out, nil
 }
 
+// replace replaces the replica by the first update of a new era.
+func (t *Table) replace(u Update) ([]Entry, error) {
+	if !u.Full {
+		return nil, ErrGap
+	}
+	former := t.entries
+	*t = Table{}
+	changes, err := t.Apply(u)
+	if err != nil {
+		return nil, err
+	}
+	changes = slices.DeleteFunc(changes, func(e Entry) bool {
+		old, exists := former[e.Key]
+		return exists && bytes.Equal(old.Value, e.Value)
+	})
+	for key := range former {
+		if _, exists := t.entries[key]; !exists {
+			t.removals[key] = u.To
+			changes = append(changes, Entry{Key: key, Revision: u.To, Removed: true})
+		}
+	}
+	slices.SortFunc(changes, compareEntries)
+	return changes, nil
+}
+
 // applyEntry applies one entry, unless the replica has it or a newer one.
 func (t *Table) applyEntry(e Entry) bool {
 	old, exists := t.entries[e.Key]
@@ -140,11 +198,15 @@
 	}
 }
 
-// Since returns the update that brings a replica from a revision to that of this
-// one: the changes, or all entries if the replica is empty or so old that removals
-// since are forgotten.
-func (t *Table) Since(revision int64) Update {
-	u := Update{After: revision, To: t.revision, Full: revision < 0 || revision < t.floor}
+// Keys returns the keys that the replica lists, in no order.
+func (t *Table) Keys() iter.Seq[string] { return maps.Keys(t.entries) }
+
+// Since returns the update that brings a replica from a point to that of this one:
+// the changes, or all entries if the replica is empty, has those of another era, or is
+// so old that removals since are forgotten.
+func (t *Table) Since(p Point) Update {
+	revision := p.Revision
+	u := Update{After: revision, To: t.revision, Era: t.era, Full: revision < 0 || revision < t.floor || p.Era != t.era}
 	for _, e := range t.entries {
 		if u.Full || e.Revision > revision {
 			u.Entries = append(u.Entries, e)
--- a/core/repl/repl_test.go
+++ b/core/repl/repl_test.go
@@ -12,51 +12,69 @@
 	"wigeonplank.example/core/repl"
 )
 
-// modelStore is the store that the replicas of a test copy. It keeps all changes.
+// modelStore is the store that the replicas of a test copy. It keeps all changes of
+// all eras.
 type modelStore struct {
+	era      int64
 	revision int64
-	floor    int64 // changes up to this revision are discarded
-	changes  []repl.Entry
+	floor    int64                  // changes up to this revision are discarded
+	eras     map[int64][]repl.Entry // changes by era
 }
 
 func (s *modelStore) write(key string, removed bool) {
 	s.revision++
-	s.changes = append(s.changes, repl.Entry{Key: key, Value: fmt.Append(nil, s.revision), Revision: s.revision, Removed: removed})
+	s.eras[s.era] = append(s.eras[s.era], repl.Entry{
+		Key: key, Value: fmt.Appendf(nil, "%d/%d", s.era, s.revision), Revision: s.revision, Removed: removed,
+	})
+}
+
+// restore begins another era with the changes up to a revision.
+func (s *modelStore) restore(revision int64) {
+	var kept []repl.Entry
+	for _, e := range s.eras[s.era] {
+		if e.Revision <= revision {
+			kept = append(kept, e)
+		}
+	}
+	s.era++
+	s.eras[s.era], s.revision, s.floor = kept, revision, min(s.floor, revision)
 }
 
-// at returns the entries of the store at a revision, by key.
-func (s *modelStore) at(revision int64) map[string]int64 {
-	out := make(map[string]int64)
-	for _, e := range s.changes {
+// at returns the entries of the store at a point, by key.
+func (s *modelStore) at(p repl.Point) map[string]repl.Entry {
+	out := make(map[string]repl.Entry)
+	for _, e := range s.eras[p.Era] {
 		switch {
-		case e.Revision > revision:
+		case e.Revision > p.Revision:
 		case e.Removed:
 			delete(out, e.Key)
 		default:
-			out[e.Key] = e.Revision
+			out[e.Key] = e
 		}
 	}
 	return out
 }
 
+func (s *modelStore) point() repl.Point { return repl.Point{Era: s.era, Revision: s.revision} }
+
 // all returns a read of the whole store.
 func (s *modelStore) all() repl.Update {
-	u := repl.Update{Full: true, To: s.revision}
-	for key, revision := range s.at(s.revision) {
-		u.Entries = append(u.Entries, repl.Entry{Key: key, Revision: revision})
+	u := repl.Update{Full: true, To: s.revision, Era: s.era}
+	for _, e := range s.at(s.point()) {
+		u.Entries = append(u.Entries, e)
 	}
 	return u
 }
 
-// since returns a read of the changes after a revision, or of the whole store if
-// they are discarded.
-func (s *modelStore) since(after int64) repl.Update {
-	if after < s.floor {
+// since returns a read of the changes after a point, or of the whole store if they
+// are discarded or of another era.
+func (s *modelStore) since(after repl.Point) repl.Update {
+	if after.Revision < s.floor || after.Era != s.era {
 		return s.all()
 	}
-	u := repl.Update{After: after, To: s.revision}
-	for _, e := range s.changes {
-		if e.Revision > after {
+	u := repl.Update{After: after.Revision, To: s.revision, Era: s.era}
+	for _, e := range s.eras[s.era] {
+		if e.Revision > after.Revision {
 			u.Entries = append(u.Entries, e)
 		}
 	}
@@ -67,64 +85,78 @@
 // returned.
 type modelReplica struct {
 	repl.Table
-	view map[string]int64 // revisions by key
-	last map[string]int64 // highest revision ever seen, by key
+	view map[string]repl.Entry // listed entries by key
+	last map[string]repl.Point // of the last change, by key
 }
 
 func (r *modelReplica) apply(t *rapid.T, u repl.Update) {
-	before := r.Revision()
+	before := r.Point()
 	changes, err := r.Apply(u)
-	if errors.Is(err, repl.ErrGap) {
-		if u.Full || (before >= 0 && u.After <= before) {
-			t.Fatalf("changes after %d are rejected at %d", u.After, before)
+	switch {
+	case errors.Is(err, repl.ErrFormerEra):
+		if u.Era >= before.Era {
+			t.Fatalf("an update of era %d is rejected in era %d", u.Era, before.Era)
 		}
 		return
+	case errors.Is(err, repl.ErrGap):
+		if u.Full || (before.Revision >= 0 && u.Era == before.Era && u.After <= before.Revision) {
+			t.Fatalf("changes after %d of era %d are rejected at %v", u.After, u.Era, before)
+		}
+		return
+	}
+	if u.Era != before.Era {
+		for key, e := range r.view { // what isn't reported is the same in the new era
+			r.last[key] = repl.Point{Era: u.Era, Revision: min(e.Revision, u.To)}
+		}
 	}
 	for _, e := range changes {
-		if e.Revision <= r.last[e.Key] {
-			t.Fatalf("key %s reverts from revision %d to %d", e.Key, r.last[e.Key], e.Revision)
+		p := repl.Point{Era: u.Era, Revision: e.Revision}
+		if u.Era == before.Era && !r.last[e.Key].Before(p) {
+			t.Fatalf("key %s reverts from %v to %v", e.Key, r.last[e.Key], p)
 		}
-		r.last[e.Key] = e.Revision
+		r.last[e.Key] = p
 		if e.Removed {
 			delete(r.view, e.Key)
 		} else {
-			r.view[e.Key] = e.Revision
+			r.view[e.Key] = e
 		}
 	}
-	if r.Revision() < before {
-		t.Fatalf("the revision reverts from %d to %d", before, r.Revision())
+	if r.Point().Before(before) {
+		t.Fatalf("the replica reverts from %v to %v", before, r.Point())
 	}
 }
 
 // check compares what the user of a replica knows with the store at the replica's
-// revision. Entries may be newer than that.
+// point. Entries may be newer than that.
 func (r *modelReplica) check(t *rapid.T, s *modelStore) {
-	if r.Revision() < 0 {
+	p := r.Point()
+	if p.Revision < 0 {
 		return
 	}
-	want := s.at(r.Revision())
-	for key, revision := range want {
-		if r.last[key] < revision {
-			t.Fatalf("at revision %d, key %s is at %d, want %d", r.Revision(), key, r.view[key], revision)
+	want := s.at(p)
+	for key, e := range want {
+		got, listed := r.view[key]
+		if r.last[key].Before(repl.Point{Era: p.Era, Revision: e.Revision}) || (listed && got.Revision == e.Revision && string(got.Value) != string(e.Value)) {
+			t.Fatalf("at %v, key %s is %s of %v, want %s", p, key, got.Value, r.last[key], e.Value)
 		}
 	}
-	for key, revision := range r.view {
-		if _, ok := want[key]; !ok && revision <= r.Revision() {
-			t.Fatalf("at revision %d, key %s is listed with revision %d, but was removed", r.Revision(), key, revision)
+	for key, e := range r.view {
+		if _, ok := want[key]; !ok && e.Revision <= p.Revision {
+			t.Fatalf("at %v, key %s is listed with revision %d, but was removed", p, key, e.Revision)
 		}
 	}
 }
 
 // TestReplicasNeverRevert reads the store and exchanges changes between replicas in
 // random order, with messages that are delayed, repeated and lost, and a store that
-// discards its history. No key may revert or keep an entry that was removed, and all
+// discards its history and is restored from older copies. No key may revert or keep an entry that was removed, and all
 // replicas must agree once they have the same revision.
 func TestReplicasNeverRevert(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var store modelStore
+		store := modelStore{eras: make(map[int64][]repl.Entry)}
 		replicas := make([]*modelReplica, 4)
 		for i := range replicas {
-			replicas[i] = &modelReplica{view: make(map[string]int64), last: make(map[string]int64)}
+			replicas[i] = &modelReplica{view: make(map[string]repl.Entry), last: make(map[string]repl.Point)}
 		}
 		pick := func(t *rapid.T) *modelReplica { return rapid.SampledFrom(replicas).Draw(t, "replica") }
 		var inFlight []repl.Update
@@ -136,18 +168,21 @@
 			},
 			"write": func(t *rapid.T) {
 				key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
-				_, exists := store.at(store.revision)[key]
+				_, exists := store.at(store.point())[key]
 				store.write(key, exists && rapid.Bool().Draw(t, "removed"))
 			},
+			"restore": func(t *rapid.T) {
+				store.restore(rapid.Int64Range(max(0, store.revision-4), store.revision).Draw(t, "copy"))
+			},
 			"compact": func(*rapid.T) { store.floor = store.revision },
 			"read": func(t *rapid.T) {
 				r := pick(t)
-				inFlight = append(inFlight, store.since(r.Revision()))
+				inFlight = append(inFlight, store.since(r.Point()))
 			},
 			"ask": func(t *rapid.T) {
 				from, to := pick(t), pick(t)
 				if from.Revision() >= 0 {
-					inFlight = append(inFlight, from.Since(to.Revision()))
+					inFlight = append(inFlight, from.Since(to.Point()))
 				}
 			},
 			"deliver": func(t *rapid.T) {
@@ -164,6 +199,9 @@
 		for _, r := range replicas {
 			r.apply(t, store.all())
 			r.check(t, &store)
+			if got := r.Point(); got != store.point() {
+				t.Fatalf("after a read of all entries, the replica is at %v, the store at %v", got, store.point())
+			}
 		}
 	})
 }
@@ -186,10 +224,10 @@
 	if _, err := r.Apply(repl.Update{After: n + 1, To: n + 2, Entries: []repl.Entry{{Key: "x", Revision: n + 2}}}); err != nil {
 		t.Fatal(err)
 	}
-	if got := r.Since(n); !got.Full {
+	if got := r.Since(repl.Point{Revision: n}); !got.Full {
 		t.Errorf("a replica at revision %d is sent the changes only, want all entries", n)
 	}
-	if got := r.Since(n + 1); got.Full || len(got.Entries) != 1 {
+	if got := r.Since(repl.Point{Revision: n + 1}); got.Full || len(got.Entries) != 1 {
 		t.Errorf("a replica at revision %d is sent %d entries, want 1", n+1, len(got.Entries))
 	}
 }
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -51,6 +52,14 @@
 	changed           chan struct{}   // closed and replaced at each change
 	outage            Outage
 	calls             int
+	era               int        // incremented each time that a copy is restored
+	backup            *storeCopy // taken by Copy; nil: none
+}
+
+// storeCopy is a copy of the store's entries.
+type storeCopy struct {
+	items    map[string]Item
+	revision int64
 }
 
 // initLocked initializes a zero Store. The caller holds mu.
@@ -58,10 +67,34 @@
 	if s.items == nil {
 		s.items = make(map[string]Item)
 		s.changed = make(chan struct{})
-		s.revision = 1
+		s.revision, s.era = 1, 1
 	}
 }
 
+// Copy takes a copy of the store, which Restore brings back.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.initLocked()
+	s.backup = &storeCopy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// Restore replaces the store by the copy that was taken last, if any. What was written
+// since is lost, and its revisions are given out again. Watches that wait are cut.
+func (s *Store) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backup == nil {
+		return
+	}
+	s.items, s.revision = maps.Clone(s.backup.items), s.backup.revision
+	s.history = slices.DeleteFunc(s.history, func(it Item) bool { return it.Revision > s.revision })
+	s.compactedRevision = min(s.compactedRevision, s.revision)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Put writes the value of a key.
 func (s *Store) Put(key string, value []byte) {
 	s.apply(Item{Key: key, Value: value})
@@ -116,6 +149,7 @@
 	s.calls++
 	outage := s.outage
 	s.mu.Unlock()
+	defer s.setEra(ctx)
 	switch {
 	case outage == OutageBusy:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -133,6 +167,13 @@
 	}
 }
 
+// setEra names the era of the store in a response.
+func (s *Store) setEra(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx.Response.Header.Set("Store-Era", strconv.Itoa(s.era))
+}
+
 // list responds with one page of the items whose keys have a prefix, in the order
 // of keys.
 func (s *Store) list(ctx *fasthttp.RequestCtx) {
@@ -156,14 +197,15 @@
 
 // watch responds with the changes after a revision to keys that have a prefix. If
 // there are none, it waits for one until the timeout of the request. It responds
-// with 410 if the history after the revision was compacted.
+// with 410 if the history after the revision was compacted, or the store doesn't have
+// the revision.
 func (s *Store) watch(ctx *fasthttp.RequestCtx) {
 	q := ctx.QueryArgs()
 	prefix, after := string(q.Peek("prefix")), int64(q.GetUintOrZero("after"))
 	timeout := time.After(time.Duration(q.GetUintOrZero("waitMs")) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.compactedRevision {
+		if after < s.compactedRevision || after > s.revision {
 			s.mu.Unlock()
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -463,16 +463,20 @@
 
 // failStore implements the command
 //
-//	store up|busy|down|mute|compact
+//	store up|busy|down|mute|compact|copy|restore
 //
-// It ends an outage of the store (up), begins one (busy, down, mute) or compacts the
-// store's history.
+// It ends an outage of the store (up), begins one (busy, down, mute), compacts the
+// store's history, takes a copy, or restores the copy that was taken last.
 func failStore(cmd *command) error {
 	switch cmd.arg(0) {
 	case "up":
 		cmd.state.dep.Site.Store.SetOutage(site.OutageNone)
 	case "compact":
 		cmd.state.dep.Site.Store.Compact()
+	case "copy":
+		cmd.state.dep.Site.Store.Copy()
+	case "restore":
+		cmd.state.dep.Site.Store.Restore()
 	default:
 		cmd.state.dep.Site.Store.SetOutage(site.Outage(cmd.arg(0)))
 	}
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 // Timing of missing endpoints.
 const (
 	recoveryWindow    = 4 * time.Second         // after an outage; the store may lack entries of healthy endpoints during this period
+	restoredGrace     = 2 * time.Second         // as missingGrace, after the store was restored from a copy
+	goneMemory        = time.Minute             // for which a removed endpoint is remembered, as a restored store may list it again
 	missingGrace      = 1500 * time.Millisecond // a live endpoint is listed again by then; one that shuts down still serves for 2 s
 	controlTimeout    = time.Second             // to hand a query or an update to the control goroutine
 	defaultColdPeriod = 3 * time.Second         // for endpoints of a returned zone whose service isn't configured
@@ -45,13 +48,14 @@
 	Size func() int
 
 	view     atomic.Pointer[fleet.View]
-	loaded   atomic.Bool  // the first update was applied
-	revision atomic.Int64 // of the replica; -1: none
+	loaded   atomic.Bool // the first update was applied
+	restored atomic.Bool // drained zones may be missing, as the store was restored from a copy
 	updates  chan update
 	queries  chan query
 	state    state
 
 	mu        sync.Mutex // guards the fields below
+	point     repl.Point // of the replica
 	follower  repl.Follower
 	outageEnd time.Time // end of the last known outage of the store; zero if there was none
 }
@@ -61,9 +65,19 @@
 	view       fleet.View
 	returnedAt map[string]time.Time // end of the last drain, by zone
 	table      repl.Table
+	settleAt   time.Time            // when the drained zones are those of the restored store; zero: they are
+	gone       map[string]goneEntry // removed endpoints, by ID
 }
 
-func newState() state { return state{returnedAt: make(map[string]time.Time)} }
+// goneEntry is a removed endpoint.
+type goneEntry struct {
+	endpoint  *fleet.Endpoint
+	removedAt time.Time
+}
+
+func newState() state {
+	return state{returnedAt: make(map[string]time.Time), gone: make(map[string]goneEntry)}
+}
 
 // update is the result of one read from the store, or changes from another relay.
 type update struct {
@@ -74,9 +88,9 @@
 	recheck  bool          // there are no changes; only drop the endpoints that are overdue
 }
 
-// query asks the control goroutine for the changes after a revision.
+// query asks the control goroutine for the changes after a point.
 type query struct {
-	after int64
+	after repl.Point
 	reply chan<- repl.Update
 }
 
@@ -132,7 +146,7 @@
 		Store: store, Clock: clk, Log: l, updates: make(chan update), queries: make(chan query),
 		follower: repl.Follower{Self: instance, Started: clk.Now(), Jitter: rand.Float64()},
 	}
-	c.revision.Store(-1)
+	c.point.Revision = -1
 	return c
 }
 
@@ -140,29 +154,26 @@
 func (c *Control) Position() repl.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return repl.Position{Revision: c.revision.Load(), Contact: c.follower.Last(), OutageEnd: c.outageEnd}
+	return repl.Position{Point: c.point, Contact: c.follower.Last(), OutageEnd: c.outageEnd}
 }
 
 // Announced records the position of another relay, and reports whether it has
 // changes that this relay lacks. Its contact with the store counts once this
 // relay has these changes.
 func (c *Control) Announced(p repl.Position) bool {
-	if p.Revision > c.revision.Load() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.point.Before(p.Point) {
 		return true
 	}
-	c.recordPosition(p)
+	if p.Era == c.point.Era {
+		c.recordPositionLocked(p)
+	}
 	return false
 }
 
-// recordPosition records the contact with the store and the end of an outage that
-// another relay reported.
-func (c *Control) recordPosition(p repl.Position) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.recordPositionLocked(p)
-}
-
-// recordPositionLocked is recordPosition for callers that hold c.mu.
+// recordPositionLocked records the contact with the store and the end of an outage
+// that another relay reported. The caller holds c.mu.
 func (c *Control) recordPositionLocked(p repl.Position) {
 	c.follower.RecordOther(p.Contact)
 	if p.OutageEnd.After(c.outageEnd) {
@@ -186,20 +197,24 @@
 	switch {
 	case u.from != "":
 		c.recordPositionLocked(u.position)
+		if u.outage {
+			c.outageEnd = now
+		}
 	case u.outage:
 		c.outageEnd = now
 		fallthrough
 	default:
 		c.follower.RecordOwn(now)
 	}
-	revision := c.state.table.Revision()
-	return c.revision.Swap(revision) < revision
+	before := c.point
+	c.point = c.state.table.Point()
+	return before.Before(c.point)
 }
 
-// Changes returns the changes after a revision, or all entries if it is negative,
-// and the position that they lead to. It blocks until the control goroutine
+// Changes returns the changes after a point, or all entries if its revision is
+// negative, and the position that they lead to. It blocks until the control goroutine
 // responds; the revision of the position is -1 if that takes longer than a second.
-func (c *Control) Changes(after int64) (repl.Update, repl.Position) {
+func (c *Control) Changes(after repl.Point) (repl.Update, repl.Position) {
 	reply := make(chan repl.Update, 1)
 	t := time.NewTimer(controlTimeout)
 	defer t.Stop()
@@ -210,7 +225,7 @@
 	case c.queries <- query{after: after, reply: reply}:
 		return <-reply, p
 	case <-t.C:
-		return repl.Update{}, repl.Position{Revision: -1}
+		return repl.Update{}, repl.Position{Point: repl.Point{Revision: -1}}
 	}
 }
 
@@ -230,15 +245,23 @@
 
 // apply applies an update to the state and publishes the resulting view.
 func (c *Control) apply(u update) {
+	now := c.Clock.Now()
 	if u.recheck {
 		c.dropOverdue()
+		c.settleZones(now)
 		c.publish()
 		return
 	}
-	now := c.Clock.Now()
+	before := c.state.table.Point()
 	changes, err := c.state.table.Apply(u.Update)
 	if err != nil {
-		return // changes in between are missing; they are requested with the next heartbeat
+		return // changes in between are missing, and are requested with the next heartbeat; or the update is of a former era
+	}
+	restored := before.Revision >= 0 && before.Era != u.Era
+	if restored {
+		c.Log.Event(logs.StoreRestored).Int64("era", u.Era).Int64("after", before.Revision).Int64("revision", u.To).Str("from", u.from).Msg("")
+		changes = c.keepBelieved(changes, now)
+		u.outage = true
 	}
 	advanced := c.recordUpdate(u, now)
 	if u.from != "" {
@@ -255,6 +278,7 @@
 	c.applyOperatorEntries(operator, now)
 	c.applyEndpoints(endpoints, now)
 	c.dropOverdue()
+	c.settleZones(now)
 	c.loaded.Store(true)
 	c.publish()
 	if advanced && c.OnRevision != nil {
@@ -262,6 +286,54 @@
 	}
 }
 
+// awaitsReturn reports whether entries that are missing from the store may return
+// within their grace period.
+func (c *Control) awaitsReturn() bool { return c.View().HasMissing() || c.restored.Load() }
+
+// keepBelieved returns the changes to apply of those that a store which was restored
+// from a copy makes. What is known of an endpoint stays if the copy is older, until
+// the endpoint writes again. Drained zones stay as they are until settleZones; a
+// configuration never goes back by its version.
+func (c *Control) keepBelieved(changes []plat.Entry, now time.Time) []plat.Entry {
+	c.state.settleAt = now.Add(recoveryWindow)
+	c.restored.Store(true)
+	return slices.DeleteFunc(changes, func(entry plat.Entry) bool {
+		if _, ok := plat.DrainedZone(entry.Key); ok {
+			return true
+		}
+		id, ok := plat.EndpointID(entry.Key)
+		if !ok || entry.Removed {
+			return false
+		}
+		e, err := plat.DecodeEndpoint(entry, now)
+		if err != nil {
+			return false
+		}
+		old := c.state.view.Endpoint(id)
+		if gone, ok := c.state.gone[id]; ok && old == nil {
+			return !e.NewerThan(gone.endpoint)
+		}
+		return old != nil && old.NewerThan(e)
+	})
+}
+
+// settleZones makes the drained zones those that a restored store lists, once their
+// operators had the time to write them again.
+func (c *Control) settleZones(now time.Time) {
+	if c.state.settleAt.IsZero() || now.Before(c.state.settleAt) {
+		return
+	}
+	c.state.settleAt = time.Time{}
+	c.restored.Store(false)
+	zones := make(map[string]bool)
+	for key := range c.state.table.Keys() {
+		if zone, ok := plat.DrainedZone(key); ok {
+			zones[zone] = true
+		}
+	}
+	c.applyDrainedZones(zones, now)
+}
+
 // publish makes the view of the state the current one.
 func (c *Control) publish() {
 	v := c.state.view
@@ -393,6 +465,7 @@
 	}
 	overdue := c.state.view.Overdue(c.Position().Contact.At)
 	for _, id := range overdue {
+		c.rememberGone(c.state.view.Endpoint(id), c.Clock.Now())
 		c.Log.Event(logs.EndpointRemoved).Str("endpoint", id).Msg("")
 	}
 	if len(overdue) > 0 {
@@ -404,18 +477,34 @@
 // outage the endpoint only counts as missing, because the store loses the entries
 // of healthy endpoints during an outage.
 func (c *Control) removeEndpoint(change *fleet.Change, id string, now time.Time) {
-	if c.state.view.Endpoint(id) == nil {
+	e := c.state.view.Endpoint(id)
+	if e == nil {
 		return
 	}
 	if end := c.Position().OutageEnd; !end.IsZero() && now.Sub(end) < recoveryWindow {
-		change.Missing[id] = now.Add(missingGrace)
-		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", missingGrace).Msg("")
+		grace := missingGrace
+		if !c.state.settleAt.IsZero() {
+			grace = restoredGrace
+		}
+		change.Missing[id] = now.Add(grace)
+		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", grace).Msg("")
 		return
 	}
+	c.rememberGone(e, now)
 	change.Remove = append(change.Remove, id)
 	c.Log.Event(logs.EndpointRemoved).Str("endpoint", id).Msg("")
 }
 
+// rememberGone remembers a removed endpoint for goneMemory.
+func (c *Control) rememberGone(e *fleet.Endpoint, now time.Time) {
+	for id, g := range c.state.gone {
+		if now.Sub(g.removedAt) > goneMemory {
+			delete(c.state.gone, id)
+		}
+	}
+	c.state.gone[e.ID] = goneEntry{endpoint: e, removedAt: now}
+}
+
 // logEndpoint logs an endpoint that is new, was restarted, or whose state or
 // coldness changed.
 func (c *Control) logEndpoint(e *fleet.Endpoint, now time.Time) {
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -139,6 +139,135 @@
 	check("within a watch", true)
 	f.clock.Advance(2 * time.Second)
 	check("6 s after the last contact", false)
-	f.Announced(repl.Position{Revision: f.Position().Revision, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}})
+	f.Announced(repl.Position{Point: repl.Point{Revision: f.Position().Revision}, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}})
 	check("after another relay's contact", true)
 }
+
+// endpointEntry returns an entry of an endpoint at a revision.
+func endpointEntry(id, state string, born, seq, revision int64) plat.Entry {
+	return plat.Entry{
+		Key: plat.EndpointPrefix + id, Revision: revision,
+		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z-%s","state":%q,"slots":1,"born":%d,"seq":%d}`, id, state, born, seq),
+	}
+}
+
+// restore applies a read of the whole store in another era.
+func (f *fixture) restore(era, to int64, entries ...plat.Entry) {
+	f.revision = to
+	f.apply(update{Update: repl.Update{Entries: entries, Full: true, To: to, Era: era}})
+}
+
+// watch applies changes within an era.
+func (f *fixture) watch(era int64, entries ...plat.Entry) {
+	for _, e := range entries {
+		f.revision = max(f.revision, e.Revision)
+	}
+	f.apply(update{Update: repl.Update{Entries: entries, After: f.Position().Revision, To: f.revision, Era: era}})
+}
+
+// TestRestoredStore checks what is believed of endpoints after the store came back from
+// a copy that is older than the last changes.
+func TestRestoredStore(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, copied, again []plat.Entry // before the restore; in the copy; written again
+		afterCopy, afterAgain int          // endpoints in use
+	}{
+		"unchanged": {
+			before: []plat.Entry{endpointEntry("a", "ready", 1, 5, 10)}, copied: []plat.Entry{endpointEntry("a", "ready", 1, 5, 10)},
+			afterCopy: 1, afterAgain: 1,
+		},
+		"draining": {
+			before: []plat.Entry{endpointEntry("a", "draining", 1, 6, 20)}, copied: []plat.Entry{endpointEntry("a", "ready", 1, 5, 10)},
+			again: []plat.Entry{endpointEntry("a", "draining", 1, 7, 12)},
+		},
+		"draining without numbers": {
+			before: []plat.Entry{endpointEntry("a", "draining", 0, 0, 20)}, copied: []plat.Entry{endpointEntry("a", "ready", 0, 0, 10)},
+		},
+		"gone, and written again": {
+			before: []plat.Entry{endpointEntry("a", "ready", 1, 5, 10), {Key: plat.EndpointPrefix + "a", Revision: 20, Removed: true}},
+			copied: []plat.Entry{endpointEntry("a", "ready", 1, 5, 10)}, again: []plat.Entry{endpointEntry("a", "ready", 1, 6, 12)}, afterAgain: 1,
+		},
+		"next incarnation": {
+			before: []plat.Entry{endpointEntry("a", "draining", 1, 6, 20)}, copied: []plat.Entry{endpointEntry("a", "ready", 2, 1, 11)},
+			afterCopy: 1, afterAgain: 1,
+		},
+		"not in the copy": {
+			before: []plat.Entry{endpointEntry("a", "ready", 1, 5, 20)}, copied: nil, again: []plat.Entry{endpointEntry("a", "ready", 1, 6, 12)},
+			afterCopy: 1, afterAgain: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture()
+			f.read(false)
+			for _, e := range c.before {
+				f.watch(0, e)
+			}
+			f.restore(1, 11, c.copied...)
+			f.check(t, "after the restore", c.afterCopy)
+			f.clock.Advance(time.Second)
+			f.watch(1, c.again...)
+			f.check(t, "after it was written again", c.afterAgain)
+			f.clock.Advance(5 * time.Second)
+			f.watch(1)
+			f.check(t, "later", c.afterAgain)
+		})
+	}
+}
+
+// TestNotWrittenAgain checks that an endpoint which a restored store lacks is gone 2 s
+// later.
+func TestNotWrittenAgain(t *testing.T) {
+	f := newFixture()
+	f.read(false, endpointEntry("a", "ready", 1, 5, 10))
+	f.restore(1, 5)
+	f.clock.Advance(1900 * time.Millisecond)
+	f.watch(1)
+	f.check(t, "1.9 s after the restore", 1)
+	f.clock.Advance(200 * time.Millisecond)
+	f.watch(1)
+	f.check(t, "2.1 s after the restore", 0)
+}
+
+// TestDrainedZoneOfRestoredStore checks that zones stay drained, or in use, until
+// operators had the time to say so again.
+func TestDrainedZoneOfRestoredStore(t *testing.T) {
+	zone := func(name string, revision int64, removed bool) plat.Entry {
+		return plat.Entry{Key: plat.DrainPrefix + name, Revision: revision, Removed: removed, Value: []byte("{}")}
+	}
+	f := newFixture()
+	a, b := endpointEntry("a", "ready", 1, 5, 2), endpointEntry("b", "ready", 1, 5, 3)
+	f.read(false, a, b, zone("z-b", 4, false))
+	f.check(t, "zone of b drained", 1)
+	f.watch(0, zone("z-b", 10, true), zone("z-a", 11, false))
+	f.check(t, "zone of a drained, that of b in use", 1)
+	f.restore(1, 6, a, b, zone("z-b", 4, false))
+	if v := f.View(); !v.Drained("z-a") || v.Drained("z-b") {
+		t.Errorf("drained zones %v right after the restore", v.DrainedZones())
+	}
+	f.clock.Advance(time.Second)
+	f.watch(1, zone("z-a", 7, false))
+	f.clock.Advance(4 * time.Second)
+	f.watch(1)
+	if v := f.View(); !v.Drained("z-a") || !v.Drained("z-b") {
+		t.Errorf("drained zones %v, want those that the store lists", v.DrainedZones())
+	}
+}
+
+// TestFormerEraChangesNothing checks that neither a late answer nor another relay
+// brings a former era back.
+func TestFormerEraChangesNothing(t *testing.T) {
+	f := newFixture()
+	f.read(false, endpointEntry("a", "ready", 1, 5, 10))
+	f.restore(2, 5)
+	at := f.Position().Point
+	f.restore(1, 100, endpointEntry("a", "ready", 1, 9, 90), endpointEntry("b", "ready", 1, 9, 91))
+	if got := f.Position().Point; got != at {
+		t.Errorf("at %v, want %v", got, at)
+	}
+	if f.Announced(repl.Position{Point: repl.Point{Era: 1, Revision: 1000}}) {
+		t.Error("a relay of a former era has changes")
+	}
+	if !f.Announced(repl.Position{Point: repl.Point{Era: 3, Revision: 1}}) {
+		t.Error("a relay of a later era has no changes")
+	}
+}
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -25,7 +25,7 @@
 	probeTimeout     = 700 * time.Millisecond  // for reads after a failed one: requests sent during an outage may never be answered
 	longProbeTimeout = 1500 * time.Millisecond // instead of probeTimeout after every longProbeEvery-th failed read, in case the store is slower than that
 	longProbeEvery   = 4
-	missingWatchWait = 250 * time.Millisecond // instead of the usual wait while endpoints are missing
+	missingWatchWait = 250 * time.Millisecond // instead of the usual wait while entries are missing
 )
 
 // followStore reads the store while it is this relay's turn, and sends the changes
@@ -40,7 +40,7 @@
 		}
 		u, err := c.readStore(full, failures)
 		if errors.Is(err, plat.ErrCompacted) && !full {
-			c.Log.Event(logs.HistoryCompacted).Int64("after", c.revision.Load()).Msg("")
+			c.Log.Event(logs.HistoryCompacted).Int64("after", c.Position().Revision).Msg("")
 			full = true
 			continue
 		}
@@ -75,7 +75,7 @@
 // awaitTurn waits a moment while other relays read the store. Endpoints that are
 // overdue according to them are dropped.
 func (c *Control) awaitTurn(ctx context.Context) {
-	if c.View().HasMissing() {
+	if c.awaitsReturn() {
 		c.send(ctx, update{recheck: true})
 	}
 	wait.For(ctx, turnInterval)
@@ -84,9 +84,9 @@
 // submitRead hands the result of a read to the control goroutine, and waits a
 // moment if there were changes.
 func (c *Control) submitRead(ctx context.Context, u update) {
-	// While endpoints are missing, an update without changes still lets the control
+	// While entries are missing, an update without changes still lets the control
 	// goroutine drop those whose grace period is over.
-	if !u.Full && !u.outage && len(u.Entries) == 0 && !c.View().HasMissing() {
+	if !u.Full && !u.outage && len(u.Entries) == 0 && !c.awaitsReturn() {
 		c.recordContact()
 		return
 	}
@@ -130,20 +130,23 @@
 // full is set or the replica is empty.
 func (c *Control) readStore(full bool, failures int) (update, error) {
 	maxWait, timeout := readTiming(c.watchWait(), failures)
-	if c.View().HasMissing() {
+	if c.awaitsReturn() {
 		maxWait = min(maxWait, missingWatchWait)
 	}
-	after := c.revision.Load()
-	if after < 0 || full {
-		entries, revision, err := c.Store.Range(plat.AllPrefix, timeout)
+	after := c.Position().Point
+	if after.Revision < 0 || full {
+		entries, to, err := c.Store.Range(plat.AllPrefix, timeout)
 		if err != nil {
 			return update{}, err
 		}
-		return update{Update: repl.Update{Entries: entries, Full: true, To: revision}}, nil
+		if to.Era < after.Era {
+			return update{}, repl.ErrFormerEra
+		}
+		return update{Update: repl.Update{Entries: entries, Full: true, To: to.Revision, Era: to.Era}}, nil
 	}
-	entries, revision, err := c.Store.Watch(plat.AllPrefix, after, maxWait, timeout)
+	entries, to, err := c.Store.Watch(plat.AllPrefix, after, maxWait, timeout)
 	if err != nil {
 		return update{}, err
 	}
-	return update{Update: repl.Update{Entries: entries, After: after, To: revision}}, nil
+	return update{Update: repl.Update{Entries: entries, After: after.Revision, To: to.Revision, Era: to.Era}}, nil
 }
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -36,6 +36,7 @@
 	StoreLost         = newEventType("store_lost", log.WarnLevel, changeRate, "A read from the platform's store failed; the last snapshot stays active.", "error")
 	StoreRegained     = newEventType("store_regained", log.WarnLevel, changeRate, "The store responds again.", "failures", "lost_ms")
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
+	StoreRestored     = newEventType("store_restored", log.WarnLevel, changeRate, "The store came back from an older copy, or another relay said so; what was believed stays until it is written again.", "era", "after", "revision", "from")
 	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms")
 	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes")
 	ConfigRejected    = newEventType("config_rejected", log.ErrorLevel, changeRate, "A configuration is invalid; the previous one stays active.", "revision", "error")
@@ -93,6 +94,7 @@
 	"end":              {"", "done, not_run, inputs (not run, results of stages are missing), failed (may have run) or gone (the caller disconnected)"},
 	"endpoint":         {"", "ID of the endpoint"},
 	"endpoint_version": {"", "version of the endpoint's software"},
+	"era":              {"", "number that rises each time that the store is restored from a copy"},
 	"error":            {"", "error message"},
 	"event_id":         {"", "ID of the last event of the stream that the caller has; -1: none"},
 	"failures":         {"", "number of consecutive failures"},
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -62,9 +62,9 @@
 	// Announced records the position of another relay, and reports whether it has
 	// changes that this relay lacks.
 	Announced(p repl.Position) bool
-	// Changes returns the changes after a revision, or all entries if it is negative,
-	// and the position that they lead to.
-	Changes(after int64) (repl.Update, repl.Position)
+	// Changes returns the changes after a point, or all entries if its revision is
+	// negative, and the position that they lead to.
+	Changes(after repl.Point) (repl.Update, repl.Position)
 	// Apply applies changes that the relay named from sent, and its position.
 	Apply(from string, u repl.Update, p repl.Position)
 }
@@ -461,8 +461,8 @@
 	if pending {
 		return
 	}
-	after := m.Source.Position().Revision
-	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: max(0, after), Changes: after >= 0}}})
+	after := m.Source.Position().Point
+	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: max(0, after.Revision), Changes: after.Revision >= 0, Era: after.Era}}})
 }
 
 // pulled allows the next request for changes.
@@ -506,7 +506,7 @@
 // positionToWire converts a position. Its times are sent as durations, since the
 // clocks of two relays may differ.
 func positionToWire(p repl.Position, now time.Time) *StorePosition {
-	w := &StorePosition{Revision: p.Revision, Origin: p.Contact.Origin}
+	w := &StorePosition{Revision: p.Revision, Era: p.Era, Origin: p.Contact.Origin}
 	if !p.Contact.At.IsZero() {
 		w.ContactMs = now.Sub(p.Contact.At).Milliseconds()
 	}
@@ -517,7 +517,7 @@
 }
 
 func positionFromWire(w *StorePosition, now time.Time) repl.Position {
-	p := repl.Position{Revision: w.GetRevision()}
+	p := repl.Position{Point: repl.Point{Era: w.GetEra(), Revision: w.GetRevision()}}
 	if w == nil {
 		p.Revision = -1
 	}
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -309,9 +309,9 @@
 // replica, in parts of about snapshotPartBytes. It sends nothing if the replica is
 // empty, and blocks while the queue is full.
 func (s *session) sendSnapshot(r *SnapshotRequest) {
-	after := int64(-1)
+	after := repl.Point{Revision: -1}
 	if r.GetChanges() {
-		after = r.GetAfter()
+		after = repl.Point{Era: r.GetEra(), Revision: r.GetAfter()}
 	}
 	u, position := s.mesh.Source.Changes(after)
 	if position.Revision < 0 {
@@ -319,7 +319,7 @@
 	}
 	now := s.mesh.Clock.Now()
 	newPart := func() *Snapshot {
-		return &Snapshot{Changes: !u.Full, After: u.After, To: u.To, Position: positionToWire(position, now), AgeMs: now.Sub(position.Contact.At).Milliseconds()}
+		return &Snapshot{Changes: !u.Full, After: u.After, To: u.To, Era: u.Era, Position: positionToWire(position, now), AgeMs: now.Sub(position.Contact.At).Milliseconds()}
 	}
 	part, size := newPart(), 0
 	part.First = true
@@ -362,7 +362,7 @@
 	if part.GetMore() {
 		return
 	}
-	u := repl.Update{Entries: s.parts, Full: !part.GetChanges(), After: part.GetAfter(), To: part.GetTo()}
+	u := repl.Update{Entries: s.parts, Full: !part.GetChanges(), After: part.GetAfter(), To: part.GetTo(), Era: part.GetEra()}
 	s.parts = nil
 	s.mesh.Source.Apply(s.remote.Instance, u, positionFromWire(part.GetPosition(), s.mesh.Clock.Now()))
 	s.mesh.pulled()
