--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -450,16 +450,20 @@
 	}
 }
 
-// EventStream returns the response body of an engine: the events whose IDs are at
-// least from and less than count.
-func EventStream(uri string, from, count int) string {
+// formatEvent returns an event as an endpoint of a software version generates it.
+func formatEvent(uri string, id int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d at %s\n\n", id, uri, id, version)
+}
+
+// StreamVersion returns the software version of the endpoints that generated a
+// response body. It reports false unless the body consists of the events whose IDs are
+// at least from and less than count, all of one version.
+func StreamVersion(body, uri string, from, count int) (string, bool) {
+	_, rest, _ := strings.Cut(body, " at ")
+	version, _, _ := strings.Cut(rest, "\n")
 	var b strings.Builder
 	for id := from; id < count; id++ {
-		b.WriteString(formatEvent(uri, id))
+		b.WriteString(formatEvent(uri, id, version))
 	}
-	return b.String()
-}
-
-func formatEvent(uri string, id int) string {
-	return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, uri, id)
+	return version, b.String() == body
 }
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -80,12 +80,18 @@
 }
 
 // Restore replaces the store by the copy that was taken last, if any. What was written
-// since is lost, and its revisions are given out again. Watches that wait are cut.
-func (s *Store) Restore() {
+// since is lost and returned, and its revisions are given out again.
+func (s *Store) Restore() []Item {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.backup == nil {
-		return
+		return nil
+	}
+	var lost []Item
+	for _, it := range s.history {
+		if it.Revision > s.backup.revision {
+			lost = append(lost, it)
+		}
 	}
 	s.items, s.revision = maps.Clone(s.backup.items), s.backup.revision
 	s.history = slices.DeleteFunc(s.history, func(it Item) bool { return it.Revision > s.revision })
@@ -93,6 +99,7 @@
 	s.era++
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return lost
 }
 
 // Put writes the value of a key.
--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -21,7 +21,7 @@
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
 		for i := from; i < e.EventCount; i++ {
 			time.Sleep(e.WorkTime)
-			text := formatEvent(uri, i)
+			text := formatEvent(uri, i, e.Version)
 			if fault == FaultTruncated && i == from+e.EventCount/2 {
 				// Close the connection in the middle of an event.
 				_, _ = w.WriteString(text[:len(text)/2]) // fails only if the caller has disconnected
