--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,12 +68,6 @@
 	gone       map[string]goneEntry // removed endpoints, by ID
 }
 
-// goneEntry is a removed endpoint.
-type goneEntry struct {
-	endpoint  *fleet.Endpoint
-	removedAt time.Time
-}
-
 func newState() state {
 	return state{returnedAt: make(map[string]time.Time), gone: make(map[string]goneEntry)}
 }
@@ -290,50 +283,6 @@
 // within their grace period.
 func (c *Control) awaitsReturn() bool { return c.View().HasMissing() || c.restored.Load() }
 
-// keepBelieved returns the changes to apply of those that a store which was restored
-// from a copy makes. What is known of an endpoint stays if the copy is older, until
-// the endpoint writes again. Drained zones stay as they are until settleZones; a
-// configuration never goes back by its version.
-func (c *Control) keepBelieved(changes []plat.Entry, now time.Time) []plat.Entry {
-	c.state.settleAt = now.Add(recoveryWindow)
-	c.restored.Store(true)
-	return slices.DeleteFunc(changes, func(entry plat.Entry) bool {
-		if _, ok := plat.DrainedZone(entry.Key); ok {
-			return true
-		}
-		id, ok := plat.EndpointID(entry.Key)
-		if !ok || entry.Removed {
-			return false
-		}
-		e, err := plat.DecodeEndpoint(entry, now)
-		if err != nil {
-			return false
-		}
-		old := c.state.view.Endpoint(id)
-		if gone, ok := c.state.gone[id]; ok && old == nil {
-			return !e.NewerThan(gone.endpoint)
-		}
-		return old != nil && old.NewerThan(e)
-	})
-}
-
-// settleZones makes the drained zones those that a restored store lists, once their
-// operators had the time to write them again.
-func (c *Control) settleZones(now time.Time) {
-	if c.state.settleAt.IsZero() || now.Before(c.state.settleAt) {
-		return
-	}
-	c.state.settleAt = time.Time{}
-	c.restored.Store(false)
-	zones := make(map[string]bool)
-	for key := range c.state.table.Keys() {
-		if zone, ok := plat.DrainedZone(key); ok {
-			zones[zone] = true
-		}
-	}
-	c.applyDrainedZones(zones, now)
-}
-
 // publish makes the view of the state the current one.
 func (c *Control) publish() {
 	v := c.state.view
@@ -495,16 +444,6 @@
 	c.Log.Event(logs.EndpointRemoved).Str("endpoint", id).Msg("")
 }
 
-// rememberGone remembers a removed endpoint for goneMemory.
-func (c *Control) rememberGone(e *fleet.Endpoint, now time.Time) {
-	for id, g := range c.state.gone {
-		if now.Sub(g.removedAt) > goneMemory {
-			delete(c.state.gone, id)
-		}
-	}
-	c.state.gone[e.ID] = goneEntry{endpoint: e, removedAt: now}
-}
-
 // logEndpoint logs an endpoint that is new, was restarted, or whose state or
 // coldness changed.
 func (c *Control) logEndpoint(e *fleet.Endpoint, now time.Time) {
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -24,11 +24,9 @@
 )
 
 const (
-	linkLinger     = 5 * time.Second        // a link that is no longer needed is kept for this long
-	poolLinger     = 10 * time.Second       // the owner of a pool counts as needed for this long after the pool's last use
-	ownersLifetime = 250 * time.Millisecond // for which the owners of a pool are cached
-	pullTimeout    = 700 * time.Millisecond // a request for changes may be repeated, at another relay, after this time
-	seedPeriod     = 5 * time.Second        // links to all seeds are kept for this long after the start
+	linkLinger  = 5 * time.Second        // a link that is no longer needed is kept for this long
+	pullTimeout = 700 * time.Millisecond // a request for changes may be repeated, at another relay, after this time
+	seedPeriod  = 5 * time.Second        // links to all seeds are kept for this long after the start
 )
 
 // Handler runs the stage items that other relays submit, and receives the
@@ -108,14 +106,6 @@
 	origins  origin.Table // of the streams that this relay remembers; guarded by originMu
 }
 
-// ownership caches the owner of a pool and the one that takes over from it.
-type ownership struct {
-	candidates []peer.Member
-	chosenAt   time.Time
-	usedAt     time.Time
-	last       *session // the link that was used last; nil: this relay scheduled the pool
-}
-
 // Run maintains the links of this relay until ctx ends. It blocks.
 func (m *Mesh) Run(ctx context.Context) {
 	m.init()
@@ -282,110 +272,6 @@
 	return m.Group.Rank(key)
 }
 
-// candidates returns the owner of a pool and the one that takes over from it, one of
-// which may be this relay. The caller holds m.mu.
-func (m *Mesh) candidates(now time.Time, p batch.Pool) []peer.Member {
-	o := m.owners[p]
-	if o.candidates == nil || now.Sub(o.chosenAt) >= ownersLifetime {
-		o.candidates, o.chosenAt = m.Group.Owners(now, peer.Key{Name: p.Service, Zone: p.Zone}), now
-		m.owners[p] = o
-	}
-	return o.candidates
-}
-
-// ownerSession returns the link to the owner of a pool, or nil if this relay
-// schedules the pool's items itself. While the link to the owner is not up, the
-// relay that would take over from it is used, or else the former owner, which may be
-// leaving: items are run together only if most relays use the same owner.
-func (m *Mesh) ownerSession(p batch.Pool) *session {
-	if m.Policy().LocalBatching {
-		return nil
-	}
-	now := m.Clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.owners == nil {
-		return nil
-	}
-	candidates := m.candidates(now, p)
-	o := m.owners[p]
-	if now.Sub(o.usedAt) > poolLinger {
-		m.requestRelink()
-	}
-	o.usedAt = now
-	o.last = m.linkedOwner(candidates, o.last)
-	m.owners[p] = o
-	return o.last
-}
-
-// linkedOwner returns the link to the first of the candidates for a pool that is
-// linked, or nil if this relay comes first. Without such a candidate it returns last
-// if that link is still up. The caller holds m.mu.
-func (m *Mesh) linkedOwner(candidates []peer.Member, last *session) *session {
-	for _, p := range candidates {
-		if p.Instance == m.Group.Self.Instance {
-			return nil
-		}
-		if s := m.byID[p.Instance]; s != nil {
-			return s
-		}
-	}
-	if last != nil && m.sessions[last] {
-		return last
-	}
-	return nil
-}
-
-// Owns reports whether this relay is the owner of a pool, so that no other relay
-// schedules the pool's items unless its view of the members differs.
-func (m *Mesh) Owns(p batch.Pool) bool {
-	if m.Policy().LocalBatching {
-		return false
-	}
-	now := m.Clock.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.owners != nil && m.candidates(now, p)[0].Instance == m.Group.Self.Instance
-}
-
-// Submit sends items to the owner of a pool. It reports false if this relay has
-// to schedule them itself: it is the owner, the link to the owner is down or its
-// queue is full, or the policy is LocalBatching. It doesn't block.
-func (m *Mesh) Submit(p batch.Pool, items []*batch.Item) bool {
-	s := m.ownerSession(p)
-	return s != nil && s.submit(p, items)
-}
-
-// ItemCount returns the number of items that are queued or in flight at the owner
-// of a pool, or -1 if this relay schedules the pool's items itself.
-func (m *Mesh) ItemCount(p batch.Pool) int {
-	s := m.ownerSession(p)
-	if s == nil {
-		return -1
-	}
-	return s.itemCount(p)
-}
-
-// Cancel cancels the items of a request that are pending at other relays.
-func (m *Mesh) Cancel(request string) {
-	m.mu.Lock()
-	sessions := make([]*session, 0, len(m.byID))
-	for _, s := range m.byID {
-		sessions = append(sessions, s)
-	}
-	m.mu.Unlock()
-	for _, s := range sessions {
-		s.cancelRequest(request)
-	}
-}
-
-// Release asks the owner of a pool to release results. It reports false if this
-// relay has to release them itself.
-func (m *Mesh) Release(p batch.Pool, refs []string) bool {
-	s := m.ownerSession(p)
-	return s != nil && s.send(&Work{Kind: &Work_Release{Release: &Release{Refs: refs}}})
-}
-
 // heartbeatState tracks the heartbeats that one side of a link has sent.
 type heartbeatState struct {
 	version int // version of the membership that was sent last
@@ -472,64 +358,6 @@
 	m.mu.Unlock()
 }
 
-func toWire(p peer.Member) *Member {
-	return &Member{Instance: p.Instance, Incarnation: p.Incarnation, Addr: p.Addr, Zone: p.Zone, Beat: p.Beat, Weight: p.Weight}
-}
-
-func fromWire(p *Member) peer.Member {
-	return peer.Member{
-		Instance: p.GetInstance(), Incarnation: p.GetIncarnation(), Addr: p.GetAddr(), Zone: p.GetZone(), Beat: p.GetBeat(), Weight: p.GetWeight(),
-	}
-}
-
-// noticeToWire converts a notice. Its time is sent as a duration, since the clocks of
-// two relays may differ.
-func noticeToWire(e notice.Entry, now time.Time) *EndpointNotice {
-	rate, limited := e.Notice.RateLimit()
-	return &EndpointNotice{
-		Endpoint: e.Endpoint, Incarnation: e.Incarnation, Limited: limited, RateLimit: rate, AgeUs: now.Sub(e.Notice.Time()).Microseconds(),
-		Leaving: e.Notice.Leaving() != notice.LeavingNo,
-	}
-}
-
-func noticeFromWire(w *EndpointNotice, from string, now time.Time) notice.Entry {
-	n := notice.Notice{}.WithSource(from).WithTime(now.Add(-time.Duration(w.GetAgeUs()) * time.Microsecond))
-	if w.GetLimited() {
-		n = n.WithRateLimit(w.GetRateLimit())
-	}
-	if w.GetLeaving() {
-		n = n.WithLeaving(notice.LeavingHeard)
-	}
-	return notice.Entry{Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), Notice: n}
-}
-
-// positionToWire converts a position. Its times are sent as durations, since the
-// clocks of two relays may differ.
-func positionToWire(p repl.Position, now time.Time) *StorePosition {
-	w := &StorePosition{Revision: p.Revision, Era: p.Era, Origin: p.Contact.Origin}
-	if !p.Contact.At.IsZero() {
-		w.ContactMs = now.Sub(p.Contact.At).Milliseconds()
-	}
-	if !p.OutageEnd.IsZero() {
-		w.Outage, w.OutageMs = true, now.Sub(p.OutageEnd).Milliseconds()
-	}
-	return w
-}
-
-func positionFromWire(w *StorePosition, now time.Time) repl.Position {
-	p := repl.Position{Point: repl.Point{Era: w.GetEra(), Revision: w.GetRevision()}}
-	if w == nil {
-		p.Revision = -1
-	}
-	if w.GetOrigin() != "" {
-		p.Contact = repl.Contact{At: now.Add(-time.Duration(w.GetContactMs()) * time.Millisecond), Origin: w.GetOrigin()}
-	}
-	if w.GetOutage() {
-		p.OutageEnd = now.Add(-time.Duration(w.GetOutageMs()) * time.Millisecond)
-	}
-	return p
-}
-
 // Serve accepts links from other relays until Close is called, then returns nil.
 // It blocks.
 func (m *Mesh) Serve(ln net.Listener) error {
