relay/stage: items that would expire before any endpoint opens fail at once

Cause: items of a pool whose endpoints all want nothing for a while waited until they expired, and their requests with them. Change: such items fail when it is known, so that the caller is refused at once.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -183,7 +183,7 @@
 	var out []*Item
 	for p, q := range s.queues {
 		s.queues[p] = slices.DeleteFunc(q, func(it *Item) bool {
-			if now.Before(it.Deadline) && (it.FreesMemory || now.Before(it.StartBy)) {
+			if !it.expiredAt(now) {
 				return false
 			}
 			out = append(out, it)
@@ -193,6 +193,25 @@
 	return out
 }
 
+// RemoveUnstartable removes and returns the queued items of a pool that will have
+// expired at a time before which none can start.
+func (s *Scheduler) RemoveUnstartable(p Pool, start time.Time) []*Item {
+	var out []*Item
+	s.queues[p] = slices.DeleteFunc(s.queues[p], func(it *Item) bool {
+		if !it.expiredAt(start) {
+			return false
+		}
+		out = append(out, it)
+		return true
+	})
+	return out
+}
+
+// expiredAt reports whether it is too late to start an item.
+func (it *Item) expiredAt(t time.Time) bool {
+	return !t.Before(it.Deadline) || (!it.FreesMemory && !t.Before(it.StartBy))
+}
+
 // Next removes items from the queue of a pool and returns the call to start with
 // them now, or nil if there is none. The caller reports the end of the call to
 // Finish. usable are the pool's endpoints that may get calls; those in the zones
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -193,7 +193,7 @@
 	var first time.Time
 	out := make([]*fleet.Endpoint, 0, len(endpoints))
 	for _, e := range endpoints {
-		opens, ok := p.opensAt(e, false)
+		opens, ok := p.OpensAt(e, false)
 		switch {
 		case ok && !now.Before(opens):
 			out = append(out, e)
@@ -204,10 +204,10 @@
 	return out, first
 }
 
-// opensAt returns the time from which what an endpoint has announced allows this
+// OpensAt returns the time from which what an endpoint has announced allows this
 // process the next request. It reports false if the process may send none. sole tells
 // that no other process sends requests to the endpoint.
-func (p *Picker) opensAt(e *fleet.Endpoint, sole bool) (time.Time, bool) {
+func (p *Picker) OpensAt(e *fleet.Endpoint, sole bool) (time.Time, bool) {
 	n := p.notices.Get(e.ID, e.StartUnixMs)
 	a, limited := n.Allowance()
 	switch {
@@ -231,7 +231,7 @@
 // now. sole tells that no other process sends requests to the
 // endpoint.
 func (p *Picker) Admits(now time.Time, e *fleet.Endpoint, sole bool) bool {
-	opens, ok := p.opensAt(e, sole)
+	opens, ok := p.OpensAt(e, sole)
 	return ok && !now.Before(opens)
 }
 
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -57,6 +57,15 @@
 	return b.Picker.Admits(b.Clock.Now(), e, sole)
 }
 
+// OpensAt returns the time from which what an endpoint has announced allows this relay
+// a request, and false if there is none. sole tells that no other relay sends requests
+// to the endpoint.
+func (b *Balancer) OpensAt(e *fleet.Endpoint, sole bool) (time.Time, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.OpensAt(e, sole)
+}
+
 // IsLeaving reports whether an endpoint has told this relay that it leaves.
 func (b *Balancer) IsLeaving(e *fleet.Endpoint) bool {
 	b.mu.Lock()
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -21,7 +21,10 @@
 	"wigeonplank.example/relay/stats"
 )
 
-const maxItemAttempts = 3 // failed attempts at one item after which its job fails
+const (
+	maxItemAttempts = 3           // failed attempts at one item after which its job fails
+	maxOpeningWait  = time.Minute // longer than items wait
+)
 
 // FailedError reports that a stage of a request failed.
 type FailedError struct {
@@ -41,6 +44,9 @@
 	// Admits reports whether what an endpoint has announced allows this relay a call
 	// now. sole tells that no other relay sends calls to the endpoint.
 	Admits(e *fleet.Endpoint, sole bool) bool
+	// OpensAt returns the time from which what an endpoint has announced allows this
+	// relay a call, and false if there is none.
+	OpensAt(e *fleet.Endpoint, sole bool) (time.Time, bool)
 	// RateLimit returns the calls per second that an endpoint takes from all relays
 	// together, and false if it names no limit.
 	RateLimit(e *fleet.Endpoint) (float64, bool)
@@ -356,6 +362,9 @@
 		return
 	}
 	sole := r.Peers.Owns(p)
+	for _, it := range r.sched.RemoveUnstartable(p, r.firstOpening(now, usable, sole)) {
+		r.recordResult(it, plat.StageResult{Reason: plat.ReasonExpired}, fx)
+	}
 	for {
 		usable = slices.DeleteFunc(usable, func(e *fleet.Endpoint) bool { return !r.Health.Admits(e, sole) })
 		c := r.sched.Next(now, svc, p, usable)
@@ -372,6 +381,21 @@
 	}
 }
 
+// firstOpening returns the time from which what the first of some endpoints has
+// announced allows a call.
+func (r *Runner) firstOpening(now time.Time, endpoints []*fleet.Endpoint, sole bool) time.Time {
+	first := now.Add(maxOpeningWait)
+	for _, e := range endpoints {
+		if t, ok := r.Health.OpensAt(e, sole); ok && t.Before(first) {
+			first = t
+		}
+	}
+	if first.Before(now) {
+		return now
+	}
+	return first
+}
+
 // usableEndpoints returns the endpoints of a service that are not suspect, or
 // all of them if all are suspect.
 func (r *Runner) usableEndpoints(v *fleet.View, service string) []*fleet.Endpoint {
