core/notice, relay/stage: a service whose endpoints all named a limit of 0 opens again

Cause: both endpoints of a stage had named a limit of 0 and were then counted as no capacity, so that no item reached the queue from which the one request would have been sent that tells the limit's end; and that was allowed once a minute only. Change: capacity follows what relays may send, which is never 0; an endpoint at a limit under one request in 10 s is tried every 10 s.

--- a/core/notice/allowance.go
+++ b/core/notice/allowance.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	minPeriod = 4 * time.Second // over which allowances apply at least, so that low limits can be shared among relays
-	maxPeriod = time.Minute     // an endpoint is tried once in this period also at a limit of 0, as only a response tells that the limit has ended
+	minPeriod = 4 * time.Second  // over which allowances apply at least, so that low limits can be shared among relays
+	maxPeriod = 10 * time.Second // an endpoint is tried once in this period also at a lower limit, as only a response tells that the limit has ended
 )
 
 // Allowance is the number of requests that an endpoint takes in any period of a
@@ -31,10 +31,13 @@
 	return Allowance{Requests: max(1, int(requests)), Period: period}, true
 }
 
+// Rate returns the requests per second that an allowance permits on average.
+func (a Allowance) Rate() float64 { return float64(a.Requests) / a.Period.Seconds() }
+
 // perSecond returns the requests that an allowance permits in any one second, so
 // that they spread over its period.
 func (a Allowance) perSecond() int {
-	return int(math.Ceil(float64(a.Requests) / a.Period.Seconds()))
+	return int(math.Ceil(a.Rate()))
 }
 
 // Sends records the requests that this relay has sent to an endpoint. The zero value
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -235,10 +235,14 @@
 	return ok && !now.Before(opens)
 }
 
-// RateLimit returns the requests per second that an endpoint takes from all relays
-// together, and false if it names no limit.
+// RateLimit returns the requests per second that all relays together may send to an
+// endpoint, which is positive, and false if it names no limit.
 func (p *Picker) RateLimit(e *fleet.Endpoint) (float64, bool) {
-	return p.notices.Get(e.ID, e.StartUnixMs).RateLimit()
+	a, limited := p.notices.Get(e.ID, e.StartUnixMs).Allowance()
+	if !limited {
+		return 0, false
+	}
+	return a.Rate(), true
 }
 
 // usable returns the endpoints that may get the request. It leaves out those
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -73,8 +73,8 @@
 	return b.Picker.Leaving(e) == notice.LeavingTold
 }
 
-// RateLimit returns the requests per second that an endpoint takes from all relays
-// together, and false if it names no limit.
+// RateLimit returns the requests per second that all relays together may send to an
+// endpoint, which is positive, and false if it names no limit.
 func (b *Balancer) RateLimit(e *fleet.Endpoint) (float64, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -47,8 +47,8 @@
 	// OpensAt returns the time from which what an endpoint has announced allows this
 	// relay a call, and false if there is none.
 	OpensAt(e *fleet.Endpoint, sole bool) (time.Time, bool)
-	// RateLimit returns the calls per second that an endpoint takes from all relays
-	// together, and false if it names no limit.
+	// RateLimit returns the calls per second that all relays together may send to an
+	// endpoint, which is positive, and false if it names no limit.
 	RateLimit(e *fleet.Endpoint) (float64, bool)
 	// Begin records that a call is about to be sent to an endpoint, unless what it has
 	// announced doesn't allow it, in which case it returns false.
