core/repl, relay/ctrl: readers read the store at once after their start

Change: a reader waits 20 ms, in which it learns of others, and looks every 10 ms until its first update; the rest still wait for a replica. TestReaderStartsAtOnce fails without it.

--- a/core/repl/contact.go
+++ b/core/repl/contact.go
@@ -6,6 +6,9 @@
 	// startPatience is how long a process that has just started waits for another
 	// one's replica before it reads the store.
 	startPatience = 500 * time.Millisecond
+	// readerStartPatience is startPatience for a reader. It lets the process learn of
+	// others, so that not all of those that start together take themselves for readers.
+	readerStartPatience = 20 * time.Millisecond
 	// patience is the age of the last known contact with the store at which a process
 	// reads the store itself.
 	patience = 2500 * time.Millisecond
@@ -64,8 +67,14 @@
 // processes, and failures the number of its own reads that failed in a row.
 func (f *Follower) ShouldRead(now time.Time, reader bool, size, failures int) bool {
 	jitter := time.Duration(f.Jitter * float64(maxJitter))
-	if f.Last().At.IsZero() && now.Sub(f.Started) < startPatience+jitter {
-		return false
+	if f.Last().At.IsZero() {
+		start := startPatience + jitter
+		if reader {
+			start = readerStartPatience
+		}
+		if now.Sub(f.Started) < start {
+			return false
+		}
 	}
 	if reader {
 		return true
--- a/core/repl/repl_test.go
+++ b/core/repl/repl_test.go
@@ -281,6 +281,21 @@
 	}
 }
 
+// TestReaderStartsAtOnce guards against relays that all start together and wait for
+// one another's replica before any of them reads the store.
+func TestReaderStartsAtOnce(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	for _, jitter := range []float64{0, 0.5, 1} {
+		f := repl.Follower{Self: "a", Started: start, Jitter: jitter}
+		if f.ShouldRead(start.Add(5*time.Millisecond), true, 4, 0) {
+			t.Errorf("jitter %v: the reader doesn't wait to learn of others", jitter)
+		}
+		if !f.ShouldRead(start.Add(50*time.Millisecond), true, 4, 0) {
+			t.Errorf("jitter %v: the reader waits for a replica of another one", jitter)
+		}
+	}
+}
+
 // TestOwnContactIsNotAnothers guards against processes that take a contact of their
 // own, which comes back to them through another process, for one of that process.
 func TestOwnContactIsNotAnothers(t *testing.T) {
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -19,6 +19,7 @@
 	minWatchWait     = time.Second            // of a watch that other relays depend on; the wait varies up to twice this, so that the watches of relays don't coincide
 	coalesceDelay    = 250 * time.Millisecond // before the next read, so that one read returns several changes
 	turnInterval     = 100 * time.Millisecond // between two checks of whether this relay has to read
+	startInterval    = 10 * time.Millisecond  // instead of turnInterval until the first update
 	backoffBase      = 100 * time.Millisecond
 	maxBackoff       = 500 * time.Millisecond
 	readTimeout      = time.Second             // a store under load takes 200 ms to respond
@@ -78,6 +79,10 @@
 	if c.awaitsReturn() {
 		c.send(ctx, update{recheck: true})
 	}
+	if !c.loaded.Load() {
+		wait.For(ctx, startInterval)
+		return
+	}
 	wait.For(ctx, turnInterval)
 }
 
