relay/stats: notices of endpoints are counted by service

Cause: metrics did not tell which services have endpoints in need. Change: notices_total by service and kind (limited, leaving, closed). Result: relay's and deploy's tests that touch it pass; no figure was measured.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -141,14 +141,18 @@
 	}
 }
 
-func newBalancer(live *sets.Live, l *logs.Logger, m *peers.Mesh) *proxy.Balancer {
+func newBalancer(live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, m *peers.Mesh) *proxy.Balancer {
 	b := &proxy.Balancer{Clock: clock.System{}}
 	b.Picker.OnSuspect = func(e *fleet.Endpoint, reason string, failures int, pause time.Duration) {
 		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", reason).Int("failures", failures).Dur("pause_ms", pause).Msg("")
 	}
 	b.Picker.OnClear = func(e *fleet.Endpoint) { l.Event(logs.EndpointCleared).Str("endpoint", e.ID).Msg("") }
 	b.Picker.OnNotice = func(endpoint string, before, after notice.Notice) {
-		logNotice(l, endpoint, before, after)
+		service := ""
+		if e := c.View().Endpoint(endpoint); e != nil {
+			service = e.Service
+		}
+		recordNotice(l, meters, service, endpoint, before, after)
 		if !after.Says(before) {
 			m.Announce()
 		}
@@ -165,19 +169,22 @@
 	return b
 }
 
-// logNotice logs what an endpoint announces that it didn't before.
-func logNotice(l *logs.Logger, endpoint string, before, after notice.Notice) {
+// recordNotice logs and counts what an endpoint announces that it didn't before.
+func recordNotice(l *logs.Logger, meters *stats.Meters, service, endpoint string, before, after notice.Notice) {
 	if after.Leaving() != notice.LeavingNo && before.Leaving() == notice.LeavingNo {
 		l.Event(logs.EndpointLeaving).Str("endpoint", endpoint).Str("source", after.Source()).Msg("")
+		meters.RecordNotice(service, stats.NoticeLeaving)
 	}
 	if t := after.ClosedUntil(); !t.Equal(before.ClosedUntil()) {
 		l.Event(logs.EndpointClosed).Str("endpoint", endpoint).Dur("pause_ms", time.Until(t)).Msg("")
+		meters.RecordNotice(service, stats.NoticeClosed)
 	}
 	rate, limited := after.RateLimit()
 	switch {
 	case after.SameLimit(before):
 	case limited:
 		l.Event(logs.EndpointLimited).Str("endpoint", endpoint).Float64("rate_limit", rate).Str("source", after.Source()).Msg("")
+		meters.RecordNotice(service, stats.NoticeLimited)
 	default:
 		l.Event(logs.LimitEnded).Str("endpoint", endpoint).Str("source", after.Source()).Msg("")
 	}
--- a/relay/stats/stats.go
+++ b/relay/stats/stats.go
@@ -74,6 +74,22 @@
 	m.record(string(p)+unitSuffix, "route", m.routeLabel(route), d)
 }
 
+// Notice is something that an endpoint announces.
+type Notice string
+
+// Notices.
+const (
+	NoticeLimited Notice = "limited" // it names a limit
+	NoticeLeaving Notice = "leaving" // it leaves
+	NoticeClosed  Notice = "closed"  // it wants no requests for a while
+)
+
+// RecordNotice counts what an endpoint of a service has announced. service is empty if
+// it is unknown.
+func (m *Meters) RecordNotice(service string, n Notice) {
+	m.counter("notices_total", "service", m.serviceLabel(service), "kind", string(n)).Inc(1)
+}
+
 // RecordAttempt counts a request's attempt at an endpoint by how it ended.
 func (m *Meters) RecordAttempt(service, end string) {
 	m.counter("attempts_total", "service", m.serviceLabel(service), "end", end).Inc(1)
