core/notice: what an endpoint has announced outlives its entry in the store by a minute

Cause: the notice of an endpoint was dropped with its entry; if the store listed the same incarnation again, after an outage or from a copy, an endpoint that had said that it leaves got requests. Found by reading the change once more. Change: notices are kept for a minute after the endpoint was last listed. Result: TestUnlistedEndpointIsRemembered passes; the former code dropped the entry at once.

--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -152,3 +152,28 @@
 		t.Errorf("next incarnation: %q", got)
 	}
 }
+
+// TestUnlistedEndpointIsRemembered guards against requests to an endpoint that has said
+// that it leaves, and that the store lists again after it had removed its entry.
+func TestUnlistedEndpointIsRemembered(t *testing.T) {
+	var table notice.Table
+	table.Put(notice.Entry{Endpoint: "e", Incarnation: 1, Notice: notice.Response{Leaving: true, SentAt: at(0), ReceivedAt: at(1)}.Notice()})
+	for _, c := range []struct {
+		seconds int
+		listed  bool
+		want    notice.Leaving
+	}{
+		{0, true, notice.LeavingTold},
+		{10, false, notice.LeavingTold},
+		{60, false, notice.LeavingTold},
+		{65, true, notice.LeavingTold},
+		{70, false, notice.LeavingTold},
+		{129, false, notice.LeavingTold},
+		{131, false, notice.LeavingNo},
+	} {
+		table.Prune(at(1000*c.seconds), func(string) bool { return c.listed })
+		if got := table.Get("e", 1).Leaving(); got != c.want {
+			t.Errorf("after %d s: %q, want %q", c.seconds, got, c.want)
+		}
+	}
+}
--- a/core/notice/table.go
+++ b/core/notice/table.go
@@ -13,6 +13,10 @@
 	Notice      Notice
 }
 
+// unlistedRetention is how long the notice of an endpoint is kept that the store no
+// longer lists, as it may list the same incarnation again.
+const unlistedRetention = time.Minute
+
 // Table holds the latest notice of each endpoint. The zero value is empty. It is
 // not safe for concurrent use.
 type Table struct {
@@ -24,6 +28,7 @@
 	Entry
 	changed  int       // version of the table at which it became news
 	passedOn time.Time // of the notice that became news
+	unlisted time.Time // when the endpoint was first found unlisted; zero: it is listed
 }
 
 // Put records a notice, as far as no later one is known. It returns the notices in
@@ -80,11 +85,19 @@
 	return out, t.version
 }
 
-// Prune drops the entries of endpoints that keep doesn't want.
-func (t *Table) Prune(keep func(endpoint string) bool) {
-	for id := range t.entries {
-		if !keep(id) {
+// Prune drops the entries of endpoints that have not been listed for
+// unlistedRetention.
+func (t *Table) Prune(now time.Time, listed func(endpoint string) bool) {
+	for id, e := range t.entries {
+		switch {
+		case listed(id):
+			e.unlisted = time.Time{}
+		case e.unlisted.IsZero():
+			e.unlisted = now
+		case now.Sub(e.unlisted) > unlistedRetention:
 			delete(t.entries, id)
+			continue
 		}
+		t.entries[id] = e
 	}
 }
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -159,7 +159,7 @@
 	Reason     Reason
 	Candidates int       // number of usable endpoints
 	Load       float64   // estimated share of the endpoint's slots in use
-	OpensAt    time.Time // without an Endpoint: when the limit of one that could have taken the request allows the next; zero: unknown
+	OpensAt    time.Time // without an Endpoint: when the first that could have taken the request wants the next; zero: unknown
 }
 
 // Pick chooses the endpoint for a request among the endpoints of a service that
@@ -228,8 +228,7 @@
 }
 
 // Admits reports whether what an endpoint has announced allows this process a request
-// now. sole tells that no other process sends requests to the
-// endpoint.
+// now. sole tells that no other process sends requests to the endpoint.
 func (p *Picker) Admits(now time.Time, e *fleet.Endpoint, sole bool) bool {
 	opens, ok := p.OpensAt(e, sole)
 	return ok && !now.Before(opens)
@@ -346,10 +345,10 @@
 	return h.Sum64()
 }
 
-// Begin records that a request is sent to an endpoint, unless what the endpoint
-// has announced doesn't allow it, in which case it returns false. Each call that returns true is
-// paired with one of End. sole tells that no other process sends requests to the
-// endpoint.
+// Begin records that a request is sent to an endpoint, unless what the endpoint has
+// announced doesn't allow it, in which case it returns false. Each call that returns
+// true is paired with one of End. sole tells that no other process sends requests to
+// the endpoint.
 func (p *Picker) Begin(now time.Time, svc *fleet.Service, e *fleet.Endpoint, sole bool) bool {
 	if !p.Admits(now, e, sole) {
 		return false
@@ -455,14 +454,14 @@
 }
 
 // Prune drops the state of endpoints that are not in keep and have no request of
-// this process in flight.
-func (p *Picker) Prune(keep map[string]*fleet.Endpoint) {
+// this process in flight. What they have announced is kept for longer.
+func (p *Picker) Prune(now time.Time, keep map[string]*fleet.Endpoint) {
 	for id, st := range p.endpoints {
 		if keep[id] == nil && st.inFlight == 0 {
 			delete(p.endpoints, id)
 		}
 	}
-	p.notices.Prune(func(id string) bool { return keep[id] != nil })
+	p.notices.Prune(now, func(id string) bool { return keep[id] != nil })
 }
 
 // window counts the events of the last second.
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -178,6 +178,7 @@
 func (b *Balancer) Observe(v *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.versions.Observe(b.Clock.Now(), v.All())
-	b.Picker.Prune(v.All())
+	now := b.Clock.Now()
+	b.versions.Observe(now, v.All())
+	b.Picker.Prune(now, v.All())
 }
