entry/front: no event holds only the start of a character

Cause: if only the start of a UTF-8 character had arrived, it was passed on as an event of its own, and its test let that through. Change: such a start waits for the rest, or for the end of the answer; the test compares with the longest valid prefix at every cut. Result: TestEventsSplitNoCharacter failed before (cuts at 1 and 2) and passes.

--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -269,6 +269,13 @@
 			return
 		}
 		n := completeRunes(data)
+		if n == 0 {
+			// Only the start of a character has arrived.
+			if _, end := awaitData(f, offset+len(data)); end == nil {
+				continue
+			}
+			n = len(data)
+		}
 		if err := writeEvent(w, "", streamEvent{Offset: offset, Text: string(data[:n])}); err != nil {
 			close(callerGone)
 			return
--- a/entry/front/parse_test.go
+++ b/entry/front/parse_test.go
@@ -26,15 +26,17 @@
 	}
 }
 
+// TestEventsSplitNoCharacter guards against events that hold a part of a character,
+// also if that is all that has arrived.
 func TestEventsSplitNoCharacter(t *testing.T) {
-	text := "አዲስ አበባ ✓ plain"
-	for cut := 1; cut <= len(text); cut++ {
-		n := completeRunes([]byte(text[:cut]))
-		if n == 0 && cut >= utf8.UTFMax {
-			t.Fatalf("cut at %d: no bytes returned", cut)
+	text := "አዲስ አበባ ✓ plain 😀"
+	for cut := range len(text) + 1 {
+		want := cut
+		for !utf8.ValidString(text[:want]) {
+			want--
 		}
-		if n > 0 && cut < len(text) && !utf8.ValidString(text[:n]) && n != cut {
-			t.Errorf("cut at %d: returned %q", cut, text[:n])
+		if got := completeRunes([]byte(text[:cut])); got != want {
+			t.Errorf("cut at %d: %d bytes, want %d", cut, got, want)
 		}
 	}
 	if n := completeRunes([]byte(strings.Repeat("\xff", 5))); n != 5 {
--- a/entry/front/runes.go
+++ b/entry/front/runes.go
@@ -2,15 +2,18 @@
 
 import "unicode/utf8"
 
-// completeRunes returns the length of the longest prefix of p that ends with a
-// complete UTF-8 character, so that no event splits one. It returns len(p) if none
-// of the last utf8.UTFMax positions ends one: invalid UTF-8 is passed on unchanged,
-// and so is p if it contains only the start of a character.
+// completeRunes returns the length of the longest prefix of p that doesn't end within
+// a UTF-8 character, so that no event splits one. It is 0 if p holds only the start of
+// a character. Invalid UTF-8 counts as complete.
 func completeRunes(p []byte) int {
-	for n := len(p); n > 0 && n > len(p)-utf8.UTFMax; n-- {
-		if r, size := utf8.DecodeLastRune(p[:n]); r != utf8.RuneError || size > 1 {
-			return n
+	for n := len(p) - 1; n >= 0 && n > len(p)-utf8.UTFMax; n-- {
+		if !utf8.RuneStart(p[n]) {
+			continue
 		}
+		if utf8.FullRune(p[n:]) {
+			return len(p)
+		}
+		return n
 	}
 	return len(p)
 }
