--- a/fakes/site/caller.go
+++ b/fakes/site/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -42,6 +43,15 @@
 	}
 }
 
+// TakeUp changes the headers of a call to those of another attempt with the given ID,
+// which takes the stream up after the event with the ID last. first is the ID of the
+// attempt that brought the first event.
+func TakeUp(h *fasthttp.RequestHeader, id, first string, last int) {
+	h.Set("X-Attempt-Id", id)
+	h.Set("Resumes", first)
+	h.Set("Last-Event-Id", strconv.Itoa(last))
+}
+
 // Signed reports whether a response carries an endpoint's signature.
 func Signed(h *fasthttp.ResponseHeader) bool { return len(h.Peek("X-Server-Stamp")) > 0 }
 
--- a/proof/deploy/drive.go
+++ b/proof/deploy/drive.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -132,9 +131,7 @@
 		if i > 0 {
 			// The caller has at least one event, and none of them is incomplete.
 			r.TakenUp++
-			req.Header.Set("X-Attempt-Id", fmt.Sprintf("%s-%d", r.ID, i))
-			req.Header.Set("Resumes", r.ID)
-			req.Header.Set("Last-Event-Id", strconv.Itoa(strings.Count(received.String(), eventEnd)-1))
+			site.TakeUp(&req.Header, fmt.Sprintf("%s-%d", r.ID, i), r.ID, strings.Count(received.String(), eventEnd)-1)
 			time.Sleep(takeUpDelay)
 		}
 		body, complete := r.sendOnce(client, addr, req)
