core/stage, entry/exec: a request waits for a new link to the agent of its ticket

Cause: a ticket binds a charge to one agent. If the link to it was being replaced when the ticket was used, nothing was sent, and the request ended at once; its ticket then had to be voided within 80 ms over a link that did not exist yet.

Ruled out: a lost dispatch, whose outcome is asked for over the new link until the deadline.

Change: a dispatch that was not sent waits for a link, half a second in all at most, and is then sent. Nothing else is repeated.

TestOutcomesAreTrue draws the new step. Another end as unknown, with cause "refused", is a fault of its own and not touched here.

--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -271,6 +271,28 @@
 	}
 }
 
+// AwaitLink waits until there is a link to the agent, or until ctx ends.
+func (p *Peer) AwaitLink(ctx context.Context) error {
+	for {
+		changed := p.sessionChanged()
+		if p.hasOpenSession() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("await link: %w", ctx.Err())
+		case <-changed:
+		}
+	}
+}
+
+// hasOpenSession reports whether there is a session that has not been closed.
+func (p *Peer) hasOpenSession() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.session != nil && !p.session.IsClosed()
+}
+
 // sessionChanged returns a channel that is closed at the next change of the
 // session.
 func (p *Peer) sessionChanged() <-chan struct{} {
--- a/core/stage/flow.go
+++ b/core/stage/flow.go
@@ -52,6 +52,8 @@
 	EventStart          EventKind = "start"       // the request arrived
 	EventNoEndpoint     EventKind = "no_endpoint" // the router found no endpoint; RetryAfter is set
 	EventUnsent         EventKind = "unsent"      // the dispatch never left this process
+	EventLinkUp         EventKind = "link_up"     // reply to ActionAwaitLink: there is a link to the agent again
+	EventNoLink         EventKind = "no_link"     // reply to ActionAwaitLink: there was no link in time
 	EventRefused        EventKind = "refused"     // the agent won't start the attempt; RetryAfter may be set
 	EventDone           EventKind = "done"        // the whole result was received
 	EventFailed         EventKind = "failed"      // the endpoint failed after the attempt started
@@ -78,18 +80,19 @@
 
 // Actions that a Flow requests.
 const (
-	ActionWait     ActionKind = "wait"     // wait for the next event
-	ActionDispatch ActionKind = "dispatch" // send the stage to an endpoint that was not tried before
-	ActionVoid     ActionKind = "void"     // ask the agent to void the attempt, over a new link if needed
-	ActionResume   ActionKind = "resume"   // ask the agent for the rest of the result
-	ActionFinish   ActionKind = "finish"   // report End to the caller
+	ActionWait      ActionKind = "wait"       // wait for the next event
+	ActionDispatch  ActionKind = "dispatch"   // send the stage to an endpoint that was not tried before
+	ActionAwaitLink ActionKind = "await_link" // wait for a link to the agent of the attempt that was not sent
+	ActionVoid      ActionKind = "void"       // ask the agent to void the attempt, over a new link if needed
+	ActionResume    ActionKind = "resume"     // ask the agent for the rest of the result
+	ActionFinish    ActionKind = "finish"     // report End to the caller
 )
 
 // Action is an output of a Flow.
 type Action struct {
 	Kind   ActionKind
 	Stage  int           // index of the stage
-	Budget time.Duration // time left for the stage, for ActionDispatch and ActionResume
+	Budget time.Duration // time left for the stage, or for the wait of ActionAwaitLink
 	Cancel bool          // cancel the newest attempt as well
 	End    End           // for ActionFinish
 }
@@ -110,6 +113,10 @@
 // became of an attempt in flight.
 const DeadlineMargin = 100 * time.Millisecond
 
+// RelinkTimeout bounds how long a request waits in total for links to agents that
+// alone can run its non-idempotent stages.
+const RelinkTimeout = 500 * time.Millisecond
+
 // phase is the state of the newest attempt.
 type phase string
 
@@ -135,6 +142,7 @@
 	mayHaveStarted     bool // an attempt may have started
 	mayHaveSideEffects bool // a non-idempotent attempt may have run without a known result; for completed ones see End.Settle
 	nearDeadline       bool // EventDeadlineNear was received
+	relinkUntil        time.Time // end of the wait for links; zero before the first wait
 	retryAfter         time.Duration
 }
 
@@ -157,6 +165,10 @@
 		return f.finish(CauseNoEndpoint)
 	case EventUnsent:
 		return f.handleUnsent(now)
+	case EventLinkUp:
+		return f.dispatch(now)
+	case EventNoLink:
+		return f.finish(CauseLost)
 	case EventRefused, EventVoided:
 		return f.handleNotStarted(now)
 	case EventDone:
@@ -230,13 +242,21 @@
 }
 
 // handleUnsent handles a dispatch that never left this process. At a
-// non-idempotent stage the request ends: only the agent that issued the serial
-// can run the stage, so a retry at another agent is impossible.
+// non-idempotent stage the request waits for a new link: only the agent that
+// issued the serial can run the stage, so a retry at another agent is impossible.
 func (f *Flow) handleUnsent(now time.Time) Action {
-	if !f.currentStage().Idempotent {
+	if f.currentStage().Idempotent {
+		return f.retry(now, CauseLost)
+	}
+	f.phase = phaseIdle
+	if f.relinkUntil.IsZero() {
+		f.relinkUntil = now.Add(RelinkTimeout)
+	}
+	wait := min(f.relinkUntil.Sub(now), f.Deadline.Sub(now)-DeadlineMargin)
+	if wait <= 0 {
 		return f.finish(CauseLost)
 	}
-	return f.retry(now, CauseLost)
+	return Action{Kind: ActionAwaitLink, Stage: f.current, Budget: wait}
 }
 
 // handleNotStarted handles proof that the attempt never starts. At a
--- a/core/stage/flow_test.go
+++ b/core/stage/flow_test.go
@@ -142,6 +142,17 @@
 	return s.progressEvent()
 }
 
+// linkEvent returns what follows the wait for a link.
+func (s *simulation) linkEvent() stage.Event {
+	kinds := map[string]stage.EventKind{
+		"up":      stage.EventLinkUp,
+		"none":    stage.EventNoLink,
+		"closing": stage.EventDeadlineNear,
+		"over":    stage.EventDeadline,
+	}
+	return stage.Event{Kind: kinds[s.draw("link", "up", "up", "none", "closing", "over")]}
+}
+
 // refusalEvent returns the event for a dispatch that the agent did not start. A
 // serial that was not used yet is voided, as the agent does on a refusal.
 func (s *simulation) refusalEvent() stage.Event {
@@ -220,6 +231,8 @@
 		switch a.Kind {
 		case stage.ActionDispatch:
 			ev = s.dispatchEvent(a.Stage)
+		case stage.ActionAwaitLink:
+			ev = s.linkEvent()
 		case stage.ActionVoid:
 			ev = s.voidEvent()
 		case stage.ActionResume:
@@ -273,3 +286,61 @@
 		t.Fatalf("got %+v, want an immediate end with outcome not_run and cause late", a)
 	}
 }
+
+// TestUnsentWaitsForLink guards against charges whose outcome is reported as unknown
+// because the link to their agent was replaced between the issue of a ticket and
+// its use.
+func TestUnsentWaitsForLink(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		left  time.Duration // until the deadline
+		reply stage.EventKind
+		at    time.Duration // of the reply
+		want  stage.Action
+	}{
+		"link returns": {left: 3 * time.Second, reply: stage.EventLinkUp, at: 200 * time.Millisecond,
+			want: stage.Action{Kind: stage.ActionDispatch, Budget: 2700 * time.Millisecond}},
+		"no link in time": {left: 3 * time.Second, reply: stage.EventNoLink, at: stage.RelinkTimeout,
+			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseLost, Stage: "charge"}}},
+		"deadline near": {left: 300 * time.Millisecond, reply: stage.EventDeadlineNear, at: 200 * time.Millisecond,
+			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseLate, Stage: "charge"}}},
+		"caller gone": {left: 3 * time.Second, reply: stage.EventCallerGone, at: 200 * time.Millisecond,
+			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseCallerGone, Stage: "charge"}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := &stage.Flow{Stages: []stage.Spec{{Name: "charge"}}, Deadline: start.Add(test.left)}
+			f.Handle(start, stage.Event{Kind: stage.EventStart})
+			a := f.Handle(start, stage.Event{Kind: stage.EventUnsent})
+			wantWait := min(stage.RelinkTimeout, test.left-stage.DeadlineMargin)
+			if a.Kind != stage.ActionAwaitLink || a.Budget != wantWait {
+				t.Fatalf("got %+v, want a wait for a link of %v", a, wantWait)
+			}
+			if a := f.Handle(start.Add(test.at), stage.Event{Kind: test.reply}); a != test.want {
+				t.Fatalf("got %+v, want %+v", a, test.want)
+			}
+		})
+	}
+}
+
+// TestWaitForLinksIsBounded guards against a request that is held until its deadline
+// by a link that breaks again and again.
+func TestWaitForLinksIsBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := &stage.Flow{Stages: []stage.Spec{{Name: "charge"}}, Deadline: now.Add(time.Minute)}
+	a := f.Handle(now, stage.Event{Kind: stage.EventStart})
+	until := now.Add(stage.RelinkTimeout)
+	for a.Kind == stage.ActionDispatch {
+		if now.After(until) {
+			t.Fatalf("the stage is still dispatched %v after the first wait", now.Sub(until))
+		}
+		a = f.Handle(now, stage.Event{Kind: stage.EventUnsent})
+		if a.Kind == stage.ActionAwaitLink {
+			now = now.Add(min(a.Budget, 60*time.Millisecond))
+			a = f.Handle(now, stage.Event{Kind: stage.EventLinkUp})
+		}
+	}
+	if a.Kind != stage.ActionFinish || a.End.Cause != stage.CauseLost {
+		t.Fatalf("got %+v, want the end with cause %s", a, stage.CauseLost)
+	}
+}
--- a/entry/ctrl/peer.go
+++ b/entry/ctrl/peer.go
@@ -49,6 +49,9 @@
 	return p.link.Query(ctx, req, read)
 }
 
+// AwaitLink waits for a link to the agent; see link.Peer.AwaitLink.
+func (p *Peer) AwaitLink(ctx context.Context) error { return p.link.AwaitLink(ctx) }
+
 // start runs the link until ctx ends or stop is called.
 func (p *Peer) start(ctx context.Context) {
 	ctx, p.stop = context.WithCancel(ctx)
--- a/entry/exec/attempt.go
+++ b/entry/exec/attempt.go
@@ -62,6 +62,7 @@
 		Str("instance", e.current.endpoint.Instance.ID).Uint64("revision", d.GetRevision()).Msg("dispatch")
 	st, err := e.current.peer.Call(&wire.Request{Kind: &wire.Request_Dispatch{Dispatch: d}})
 	if errors.Is(err, link.ErrNoLink) {
+		e.err = fmt.Errorf("dispatch to %s: %w", e.current.endpoint.Instance.ID, err)
 		return stage.Event{Kind: stage.EventUnsent}
 	}
 	if err != nil {
@@ -272,6 +273,26 @@
 	e.current = nil
 }
 
+// awaitLink waits for a link to the agent of the current attempt, for at most d, and
+// posts the result as an event. The returned event is empty unless the agent is
+// not known. It doesn't block.
+func (e *execution) awaitLink(d time.Duration) stage.Event {
+	if e.current == nil {
+		return stage.Event{Kind: stage.EventNoLink}
+	}
+	a, gen := e.current, e.current.streamGen
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), d)
+		defer cancel()
+		kind := stage.EventLinkUp
+		if err := a.peer.AwaitLink(ctx); err != nil {
+			kind = stage.EventNoLink
+		}
+		e.post(event{seq: a.seq, streamGen: gen, kind: kind})
+	}()
+	return stage.Event{}
+}
+
 // requestVoid asks the agent to void the current attempt and posts the answer as
 // an event. It doesn't block.
 func (e *execution) requestVoid() {
--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -202,6 +202,8 @@
 	switch a.Kind {
 	case stage.ActionDispatch:
 		return e.dispatch(a), nil
+	case stage.ActionAwaitLink:
+		return e.awaitLink(a.Budget), nil
 	case stage.ActionVoid:
 		e.requestVoid()
 	case stage.ActionResume:
@@ -293,10 +295,10 @@
 // handleNoTarget handles the failure to select an endpoint.
 func (e *execution) handleNoTarget(err error) stage.Event {
 	var noEndpoint *route.NoEndpointError
+	e.err = err
 	if !errors.As(err, &noEndpoint) {
 		return stage.Event{Kind: stage.EventUnsent}
 	}
-	e.err = err
 	if noEndpoint.Reason == route.ReasonNoCapacity {
 		e.limiter.ReportOverload(time.Now())
 	}
