base/link: closing a stream ends a pending receive

Calls to an agent outlived their time limits: a caller whose request had ended waited for its ticket to be voided as long as the agent was paused, up to the silence of the link, in place of the 80 ms that are promised. Cause: closing a yamux stream forbids further writes only; a reader waits on until the other side closes the stream too. Close now ends the reads of the stream first, as the end of a session does.

--- a/base/link/link.go
+++ b/base/link/link.go
@@ -57,7 +57,7 @@
 	conn    net.Conn
 	r       *bufio.Reader
 	mu      sync.Mutex  // serializes writes
-	aborted atomic.Bool // the session has ended; set for streams of a Session only
+	aborted atomic.Bool // the stream was closed, or its Session has ended
 }
 
 // NewStream returns a Stream over a connection or a yamux stream.
@@ -91,8 +91,10 @@
 	return err
 }
 
-// Close closes the stream. A pending Receive returns an error.
+// Close closes the stream. A pending Receive returns what has arrived, or an error:
+// yamux alone would let it wait for the other side to close the stream too.
 func (s *Stream) Close() {
+	s.abort()
 	// The peer sees the end of the stream even if this fails.
 	_ = s.conn.Close()
 }
--- a/base/link/session.go
+++ b/base/link/session.go
@@ -123,7 +123,7 @@
 	_ = s.conn.SetReadDeadline(longAgo) // fails only on a stream that is closed
 }
 
-// setReadDeadline sets the read deadline, unless the session has ended.
+// setReadDeadline sets the read deadline, unless the stream has ended.
 func (s *Stream) setReadDeadline(t time.Time) error {
 	err := s.conn.SetReadDeadline(t)
 	if s.aborted.Load() {
--- a/base/link/session_test.go
+++ b/base/link/session_test.go
@@ -107,3 +107,39 @@
 		t.Error("a message was received after the last one")
 	}
 }
+
+// TestCloseEndsReceive guards against calls that outlive their time limit because the
+// other side, a process that is paused for example, doesn't close the stream. Voiding a
+// ticket within 80 ms took as long as the agent was paused.
+func TestCloseEndsReceive(t *testing.T) {
+	a, b := net.Pipe()
+	client, err := link.NewClient(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	server, err := link.NewServer(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	st, err := client.OpenStream()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.AcceptStream(); err != nil {
+		t.Fatal(err)
+	}
+	received := make(chan error, 1)
+	go func() { received <- st.Receive(&wire.Ping{}) }()
+	time.Sleep(20 * time.Millisecond) // most likely the reader waits by then; it must end in any case
+	st.Close()
+	select {
+	case err := <-received:
+		if err == nil {
+			t.Error("a message was received, want an error")
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the reader still waits after the stream was closed")
+	}
+}
