entry/exec: voiding a ticket may take half a second while the caller waits

Callers saw a charge end with 504, "whether the request ran is not known", although its agent answered a moment later that it had not run and the caller would have waited for two more seconds. Cause: a ticket had 80 ms to be voided, whatever time was left.

Now the bound is half a second, within the caller's deadline; beyond it 80 ms, as before.

--- a/entry/exec/attempt.go
+++ b/entry/exec/attempt.go
@@ -17,9 +17,11 @@
 	"wigeonplank.example/entry/ctrl"
 )
 
-// voidTicketTimeout bounds how long voiding a ticket may delay the answer to a
-// caller.
-const voidTicketTimeout = 80 * time.Millisecond
+// Bounds on how long voiding a ticket may delay the answer to a caller.
+const (
+	voidTicketTimeout    = 500 * time.Millisecond // before the caller's deadline
+	minVoidTicketTimeout = 80 * time.Millisecond  // near the deadline, or without one
+)
 
 // stageInput is the body of a dispatch: the request's input and the result of the
 // previous stage. Agents decode it.
--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -74,7 +74,7 @@
 // are the whole answer. emit may also be called for a request that ends with
 // another outcome. limiter is notified if no endpoint has capacity. Closing
 // callerGone cancels the request. Run blocks until the deadline at the latest,
-// plus the time it takes to void the request's ticket (voidTicketTimeout at most).
+// plus the time it takes to void the request's ticket (minVoidTicketTimeout at most).
 func (x *Executor) Run(req *Request, limiter *admit.Limiter, callerGone <-chan struct{}, emit func([]byte)) Result {
 	t := x.Control.Table()
 	routes := t.Pipeline(req.Pipeline)
@@ -309,7 +309,7 @@
 // voids the ticket first.
 func (e *execution) finish(end stage.End) Result {
 	e.detachAttempt()
-	if end.Settle && !e.executor.VoidTicket(e.req.Ticket) {
+	if end.Settle && !e.executor.VoidTicket(e.req.Ticket, e.req.Deadline) {
 		end.Outcome = stage.OutcomeUnknown
 	}
 	e.recordCosts(end)
@@ -317,9 +317,11 @@
 }
 
 // VoidTicket voids all serials of a ticket and reports whether this proves that
-// none of them has run or will run.
-func (x *Executor) VoidTicket(body *wire.TicketBody) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), voidTicketTimeout)
+// none of them has run or will run. It blocks for voidTicketTimeout at most, and
+// beyond the deadline for minVoidTicketTimeout at most.
+func (x *Executor) VoidTicket(body *wire.TicketBody, deadline time.Time) bool {
+	timeout := max(minVoidTicketTimeout, min(voidTicketTimeout, time.Until(deadline)))
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	allVoided := true
 	for _, ts := range body.GetStages() {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -202,7 +202,11 @@
 		p = s.checkAdmission(c)
 	}
 	if p != nil {
-		s.voidTicket(ctx, p)
+		var deadline time.Time
+		if c != nil {
+			deadline = c.req.Deadline
+		}
+		s.voidTicket(ctx, p, deadline)
 		p.write(ctx)
 		return
 	}
@@ -255,13 +259,14 @@
 // voidTicket ensures that the outcome not_run is correct for a rejected request
 // that has a ticket, because the caller may have sent it through another entry
 // before. If not all serials of the ticket can be voided, the outcome becomes
-// unknown. Otherwise the problem gets a new ticket, if one can be issued.
-func (s *Server) voidTicket(ctx *fasthttp.RequestCtx, p *problem) {
+// unknown. Otherwise the problem gets a new ticket, if one can be issued. deadline is
+// the caller's; zero: unknown.
+func (s *Server) voidTicket(ctx *fasthttp.RequestCtx, p *problem, deadline time.Time) {
 	body, err := ticket.Decode(string(ctx.Request.Header.Peek(TicketHeader)))
 	if err != nil || p.Outcome != stage.OutcomeNotRun {
 		return // an invalid ticket can't have run anything
 	}
-	if !s.Executor.VoidTicket(body) {
+	if !s.Executor.VoidTicket(body, deadline) {
 		p.Outcome = stage.OutcomeUnknown
 		p.Detail = strings.TrimSpace(p.Detail + " Ask what became of the ticket.")
 		return
