relay/proxy, core/pick: log lines of decisions name the words of endpoints that decided

Cause: the line of an attempt, and the outcome of a refused request, did not tell whether endpoints were passed over because they leave, are closed for a while, or have used up their limit; an endpoint that leaves as the last one read as "no endpoint".

Change: attempt_begun has the field held, and refusals name the same: how many endpoints of the service get no request now, by word. Nothing is counted as long as no endpoint has announced anything.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -14,6 +14,16 @@
 	LeavingTold  Leaving = "told"  // it has said so in a response to this relay
 )
 
+// Hold is the kind of announcement that keeps requests from an endpoint.
+type Hold string
+
+// Holds.
+const (
+	HoldLeaving Hold = "leaving" // it leaves, as it or another relay has said
+	HoldClosed  Hold = "closed"  // it wants no requests from this relay for a while
+	HoldLimit   Hold = "limit"   // this relay has used up its part of the limit, or has none
+)
+
 // Notice is what one incarnation of an endpoint has announced. It is immutable;
 // the zero value announces nothing. A restart of the endpoint ends it, and so does
 // a restart of this relay, which then learns it again from others or from the next
--- a/core/notice/table.go
+++ b/core/notice/table.go
@@ -63,6 +63,9 @@
 	return before, after
 }
 
+// Len returns the number of endpoints that have announced something.
+func (t *Table) Len() int { return len(t.entries) }
+
 // Get returns the notice of an incarnation of an endpoint.
 func (t *Table) Get(endpoint string, incarnation int64) Notice {
 	e := t.entries[endpoint]
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -227,6 +227,37 @@
 	return opens, ok
 }
 
+// Held returns how many endpoints get no request now because of what they have
+// announced, by the announcement.
+func (p *Picker) Held(now time.Time, endpoints []*fleet.Endpoint) map[notice.Hold]int {
+	if p.notices.Len() == 0 {
+		return nil
+	}
+	held := make(map[notice.Hold]int)
+	for _, e := range endpoints {
+		if h := p.hold(now, e); h != "" {
+			held[h]++
+		}
+	}
+	return held
+}
+
+// hold returns the announcement that keeps requests of this process from an endpoint,
+// or "".
+func (p *Picker) hold(now time.Time, e *fleet.Endpoint) notice.Hold {
+	n := p.notices.Get(e.ID, e.StartUnixMs)
+	switch {
+	case n.Leaving() != notice.LeavingNo:
+		return notice.HoldLeaving
+	case now.Before(n.ClosedUntil()):
+		return notice.HoldClosed
+	case !p.Admits(now, e, false):
+		return notice.HoldLimit
+	default:
+		return ""
+	}
+}
+
 // Admits reports whether what an endpoint has announced allows this process a request
 // now. sole tells that no other process sends requests to the endpoint.
 func (p *Picker) Admits(now time.Time, e *fleet.Endpoint, sole bool) bool {
--- a/core/stage/flow.go
+++ b/core/stage/flow.go
@@ -139,9 +139,9 @@
 	phase              phase
 	current            int // index of the current stage
 	retries            int
-	mayHaveStarted     bool // an attempt may have started
-	mayHaveSideEffects bool // a non-idempotent attempt may have run without a known result; for completed ones see End.Settle
-	nearDeadline       bool // EventDeadlineNear was received
+	mayHaveStarted     bool      // an attempt may have started
+	mayHaveSideEffects bool      // a non-idempotent attempt may have run without a known result; for completed ones see End.Settle
+	nearDeadline       bool      // EventDeadlineNear was received
 	relinkUntil        time.Time // end of the wait for links; zero before the first wait
 	retryAfter         time.Duration
 }
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -69,7 +69,7 @@
 	StageCall      = newEventType("stage_call", log.InfoLevel, stepRate, "A call with items of one or more requests has ended.", "endpoint", "service", "requests", "items", "result", "took_ms", "error")
 	ReleaseFailed  = newEventType("release_failed", log.InfoLevel, changeRate, "Results could not be released; the endpoint removes them when their retention ends.", "endpoint", "results", "error")
 	AttemptStarted = newEventType("attempt_begun", log.InfoLevel, requestRate, "An endpoint was selected for an attempt of a request.",
-		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "load", "affinity", "event_id", "left_ms")
+		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "event_id", "left_ms")
 	AttemptDone = newEventType("attempt_done", log.InfoLevel, requestRate, "An attempt at an endpoint has ended.",
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
 	RetryDecided = newEventType("retry_decided", log.InfoLevel, requestRate, "It was decided whether a request is retried; if not, the reason is given.",
@@ -100,6 +100,7 @@
 	"failures":         {"", "number of consecutive failures"},
 	"from":             {"", "relay that sent the information"},
 	"grace_ms":         {"ms", "time for which the endpoint is kept as a last resort"},
+	"held":             {"", "endpoints of the service that get no request now because of what they have announced: closed, leaving, limit, with their number; empty: none"},
 	"idle_ms":          {"ms", "estimate with empty queues"},
 	"items":            {"", "number of items of stages"},
 	"keys":             {"", "settings that changed"},
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -132,19 +132,30 @@
 		Str("endpoint_version", c.Endpoint.Version).Str("resumes", req.headers.Resumes).
 		Int("attempt", len(req.tried)).Str("choice", string(c.Reason)).Int("candidates", c.Candidates).Float64("load", c.Load).
 		Str("affinity", strconv.FormatUint(req.promptAffinity(), 16)).Int64("event_id", lastEvent).
-		Dur("left_ms", req.deadline.Sub(req.Clock.Now())).Msg("")
+		Str("held", req.held()).Dur("left_ms", req.deadline.Sub(req.Clock.Now())).Msg("")
+}
+
+// held tells which endpoints of the service get no request now because of what they
+// have announced; see Balancer.Held.
+func (req *request) held() string {
+	return req.Balancer.Held(req.View().Endpoints(req.service))
 }
 
 // rejectUnplaced rejects the request if no endpoint can take it. If only what endpoints
 // have announced stands against it, the caller is asked to retry once the first of
 // them wants requests.
 func (req *request) rejectUnplaced(c pick.Choice) {
+	held := req.held()
 	if c.OpensAt.IsZero() || req.mayHaveRun || req.exchange.CallerGone() {
-		req.rejectFinal("no endpoint")
+		reason := "no endpoint"
+		if held != "" {
+			reason += " (" + held + ")"
+		}
+		req.rejectFinal(reason)
 		return
 	}
 	retryAfter := max(minRetryAfter, c.OpensAt.Sub(req.Clock.Now()))
-	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "not run: endpoints want no requests yet")
+	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "not run: endpoints want no requests yet ("+held+")")
 }
 
 // rejectFinal rejects the request when no further attempt is made. The status
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -1,7 +1,10 @@
 package proxy
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,6 +60,20 @@
 	return b.Picker.Admits(b.Clock.Now(), e, sole)
 }
 
+// Held tells how many endpoints get no request now because of what they have
+// announced, such as "closed=1 limit=2". It returns "" if there are none.
+func (b *Balancer) Held(list []*fleet.Endpoint) string {
+	b.mu.Lock()
+	held := b.Picker.Held(b.Clock.Now(), list)
+	b.mu.Unlock()
+	parts := make([]string, 0, len(held))
+	for h, n := range held {
+		parts = append(parts, fmt.Sprintf("%s=%d", h, n))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
 // OpensAt returns the time from which what an endpoint has announced allows this relay
 // a request, and false if there is none. sole tells that no other relay sends requests
 // to the endpoint.
