core/notice: requests of two periods don't arrive within one window of a limit

A server that names a limit may get more than one and a half times what it allows in 4 s, plus 5 requests. Cause: each relay spent its part of the limit once in exactly 4 s, and all learn of a limit at the same moment, so that the parts of two periods lie 4 s apart; a few milliseconds of jitter put them into one window.

Change: the period is 4.2 s, with the limit's requests for as long.

--- a/core/notice/allowance.go
+++ b/core/notice/allowance.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	minPeriod = 4 * time.Second  // over which allowances apply at least, so that low limits can be shared among relays
-	maxPeriod = 10 * time.Second // an endpoint is tried once in this period also at a lower limit, as only a response tells that the limit has ended
+	minPeriod = 4200 * time.Millisecond // over which allowances apply at least, so that low limits can be shared among relays; above the 4 s of the limits, as requests sent so far apart may arrive closer together
+	maxPeriod = 10 * time.Second        // an endpoint is tried once in this period also at a lower limit, as only a response tells that the limit has ended
 )
 
 // Allowance is the number of requests that an endpoint takes in any period of a
