core/peer: four relays remember where a stream began

Callers of a site with four relays couldn't take up half of the streams after three relays were killed at once while two versions served. Cause: three relays remembered a stream, so that the one that was left often was none of them.

--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -37,7 +37,7 @@
 	// ownerCandidates is the number of members that a relay links to for a key that it
 	// uses, so that the loss of the owner finds the next one linked.
 	ownerCandidates = 2
-	keepers         = 3 // relays that remember a key
+	keepers         = 4 // relays that remember a key
 	// minReaders is the minimum number of relays that read the store.
 	minReaders = 4
 	// readerKey is the key whose owner in each zone reads the store.
