--- a/agent/cmds/cmds.go
+++ b/agent/cmds/cmds.go
@@ -77,6 +77,7 @@
 		TakesOrders: s.Endpoint.Kind == sets.KindEngine,
 		Log:         l.Logger(logs.LayerEngine),
 	}
+	gateLog := l.Logger(logs.LayerControl)
 	d.Control = ctrl.New(ctrl.Config{
 		Instance:    s.Instance,
 		Zone:        s.Zone,
@@ -86,6 +87,9 @@
 		Clock:       clock.System{},
 		StartJob:    d.StartJob,
 		Jitter:      rand.Float64,
+		OnLimitLowered: func(reason gate.LowerReason, from, to int) {
+			gateLog.Info().Str("reason", string(reason)).Int("from", from).Int("to", to).Msg("limit lowered")
+		},
 	})
 	return components{Control: d.Control, Driver: d}
 }
--- a/agent/ctrl/control.go
+++ b/agent/ctrl/control.go
@@ -39,6 +39,8 @@
 	StartJob func(*Job)
 	// Jitter returns a number in [0,1).
 	Jitter func() float64
+	// OnLimitLowered is called when the gate's limit was lowered. It may be nil.
+	OnLimitLowered func(reason gate.LowerReason, from, to int)
 }
 
 // Job is an attempt that was admitted.
@@ -85,6 +87,7 @@
 		jobs:         make(map[runs.ID]*Job),
 		disconnected: make(map[uint64]time.Time),
 	}
+	c.gate.OnLowered = cfg.OnLimitLowered
 	go c.loop()
 	return c
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -51,6 +51,18 @@
 	ReasonNotSampled Reason = "not_sampled" // the endpoint's load has not been read since the agent started
 )
 
+// LowerReason says why a gate lowered its limit.
+type LowerReason string
+
+// Reasons for a lower limit.
+const (
+	LowerFailed  LowerReason = "failed"  // work failed at the endpoint
+	LowerSlow    LowerReason = "slow"    // work took far longer than the baseline
+	LowerStalled LowerReason = "stalled" // running work shows that the endpoint turned cold or slow
+	LowerCold    LowerReason = "cold"    // the endpoint reported that it is cold
+	LowerModel   LowerReason = "model"   // the endpoint loaded another model
+)
+
 // Work is an attempt submitted for admission.
 type Work struct {
 	ID       runs.ID
@@ -124,6 +136,9 @@
 
 // Gate decides on all work for one endpoint. It is not safe for concurrent use.
 type Gate struct {
+	// OnLowered is called when the limit was lowered. It may be nil.
+	OnLowered func(reason LowerReason, from, to int)
+
 	settings  Settings
 	createdAt time.Time
 
@@ -270,12 +285,18 @@
 	if _, ok := g.running[id]; !ok {
 		return Effects{}
 	}
-	saturated := g.busy() >= g.Limit()-1
+	before := g.Limit()
+	saturated := g.busy() >= before-1
 	delete(g.running, id)
 	if c.OK {
 		g.serviceTime = smooth(g.serviceTime, c.ServiceTime)
 	}
 	lowered := g.limiter.observeCompletion(now, c, saturated)
+	reason := LowerSlow
+	if !c.OK {
+		reason = LowerFailed
+	}
+	g.reportLowered(reason, before)
 	return g.updateQueue(now, lowered)
 }
 
@@ -291,7 +312,9 @@
 		g.sampled = true
 	}
 	g.orphaned = min(g.orphaned, r.Running)
+	before := g.Limit()
 	lowered := g.limiter.observeReport(r)
+	g.reportLowered(LowerCold, before)
 	return g.updateQueue(now, lowered)
 }
 
@@ -299,8 +322,17 @@
 // endpoint counts as cold until a load report measured after now shows that it is
 // warm.
 func (g *Gate) RecordModelLoad(now time.Time) {
+	before := g.Limit()
 	g.limiter.suspected = false
 	g.limiter.markCold(now)
+	g.reportLowered(LowerModel, before)
+}
+
+// reportLowered calls OnLowered if the limit is below what it was before.
+func (g *Gate) reportLowered(reason LowerReason, before int) {
+	if limit := g.Limit(); limit < before && g.OnLowered != nil {
+		g.OnLowered(reason, before, limit)
+	}
 }
 
 // Tick lowers the limit if running work has stalled, and refuses queued work
@@ -309,7 +341,9 @@
 	if !g.sampled && now.Sub(g.createdAt) >= firstReportTimeout {
 		g.sampled = true
 	}
+	before := g.Limit()
 	lowered := g.hasStalledWork(now) && g.limiter.suspectCold(now)
+	g.reportLowered(LowerStalled, before)
 	fx := g.updateQueue(now, lowered)
 	pending := g.queue[:0]
 	for _, w := range g.queue {
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -1,6 +1,8 @@
 package gate_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,3 +71,35 @@
 		})
 	})
 }
+
+// TestLoweredLimitIsReported guards against refusals for lack of room that nobody can
+// explain afterwards, because nothing tells when and why the limit was lowered.
+func TestLoweredLimitIsReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var got []string
+	g := gate.New(gate.Settings{WarmLimit: 4}, now)
+	g.OnLowered = func(reason gate.LowerReason, from, to int) { got = append(got, fmt.Sprint(reason, " ", from, " ", to)) }
+	warm := func() { g.Observe(now, gate.LoadReport{At: now}) }
+	run := func(seq uint64, took time.Duration, ok bool) {
+		id := runs.ID{Entry: 1, Seq: seq}
+		if d := g.Submit(now, gate.Work{ID: id, Budget: time.Minute}); d.Verdict != gate.VerdictStart {
+			t.Fatalf("work %d: %+v", seq, d)
+		}
+		now = now.Add(took)
+		g.Finish(now, id, gate.Completion{ServiceTime: took, Units: 1, OK: ok})
+	}
+	warm()
+	for seq := range uint64(3) { // the limit grows while it is used up
+		run(seq, 100*time.Millisecond, true)
+	}
+	run(10, time.Millisecond, false)
+	run(11, time.Second, true)
+	now = now.Add(time.Millisecond)
+	warm()
+	run(12, 100*time.Millisecond, true)
+	g.Observe(now, gate.LoadReport{At: now, Cold: true})
+	// The slow work 11 ran at a limit of 1, which can't be lowered.
+	if want := []string{"failed 3 1", "cold 2 1"}; !slices.Equal(got, want) {
+		t.Errorf("reported %q, want %q", got, want)
+	}
+}
