--- a/agent/cmds/cmds.go
+++ b/agent/cmds/cmds.go
@@ -88,7 +88,7 @@
 		StartJob:    d.StartJob,
 		Jitter:      rand.Float64,
 		OnLimitLowered: func(reason gate.LowerReason, from, to int) {
-			gateLog.Info().Str("reason", string(reason)).Int("from", from).Int("to", to).Msg("limit lowered")
+			gateLog.Warn().Str("reason", string(reason)).Int("from", from).Int("to", to).Msg("limit lowered")
 		},
 	})
 	return components{Control: d.Control, Driver: d}
