--- a/core/stage/flow_test.go
+++ b/core/stage/flow_test.go
@@ -298,14 +298,22 @@
 		at    time.Duration // of the reply
 		want  stage.Action
 	}{
-		"link returns": {left: 3 * time.Second, reply: stage.EventLinkUp, at: 200 * time.Millisecond,
-			want: stage.Action{Kind: stage.ActionDispatch, Budget: 2700 * time.Millisecond}},
-		"no link in time": {left: 3 * time.Second, reply: stage.EventNoLink, at: stage.RelinkTimeout,
-			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseLost, Stage: "charge"}}},
-		"deadline near": {left: 300 * time.Millisecond, reply: stage.EventDeadlineNear, at: 200 * time.Millisecond,
-			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseLate, Stage: "charge"}}},
-		"caller gone": {left: 3 * time.Second, reply: stage.EventCallerGone, at: 200 * time.Millisecond,
-			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseCallerGone, Stage: "charge"}}},
+		"link returns": {
+			left: 3 * time.Second, reply: stage.EventLinkUp, at: 200 * time.Millisecond,
+			want: stage.Action{Kind: stage.ActionDispatch, Budget: 2700 * time.Millisecond},
+		},
+		"no link in time": {
+			left: 3 * time.Second, reply: stage.EventNoLink, at: stage.RelinkTimeout,
+			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseLost, Stage: "charge"}},
+		},
+		"deadline near": {
+			left: 300 * time.Millisecond, reply: stage.EventDeadlineNear, at: 200 * time.Millisecond,
+			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseLate, Stage: "charge"}},
+		},
+		"caller gone": {
+			left: 3 * time.Second, reply: stage.EventCallerGone, at: 200 * time.Millisecond,
+			want: stage.Action{Kind: stage.ActionFinish, End: stage.End{Outcome: stage.OutcomeNotRun, Settle: true, Cause: stage.CauseCallerGone, Stage: "charge"}},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
