--- a/core/peer/origin_test.go
+++ b/core/peer/origin_test.go
@@ -156,3 +156,41 @@
 		}
 	}
 }
+
+// TestStreamOutlivesItsRelayAndAKeeper guards against a stream whose beginning is known
+// to its own relay and one more only, which are restarted one after the other.
+func TestStreamOutlivesItsRelayAndAKeeper(t *testing.T) {
+	f := &streamFleet{fleet: newFleet(24), origins: make(map[string]*origin.Table)}
+	f.run(8 * time.Second)
+	r := f.relays[5]
+	f.begin(r, "stream")
+	for restarts, id := range []string{r.Self.Instance, r.Keepers(f.now, originKey("stream"))[0].Instance} {
+		f.kill(func(i int) bool { return f.relays[i].Self.Instance == id })
+		f.run(time.Second)
+		f.restart(uint64(2 + restarts))
+		f.run(takeUpDelay)
+	}
+	for _, other := range f.relays {
+		if !f.knows(other, "stream") {
+			t.Errorf("relay %s can't find out where the stream began", other.Self.Instance)
+		}
+	}
+}
+
+// TestSmallGroupRemembersAllStreams guards against streams that the only relay of four
+// that is left knows nothing of.
+func TestSmallGroupRemembersAllStreams(t *testing.T) {
+	for left := range 4 {
+		f := &streamFleet{fleet: newFleet(4), origins: make(map[string]*origin.Table)}
+		f.run(8 * time.Second)
+		for i := range 40 {
+			f.begin(f.relays[i%4], fmt.Sprint("stream-", i))
+		}
+		f.kill(func(i int) bool { return i != left })
+		for i := range 40 {
+			if stream := fmt.Sprint("stream-", i); !f.knows(f.relays[left], stream) {
+				t.Errorf("relay %d alone doesn't know where %s began", left, stream)
+			}
+		}
+	}
+}
