--- a/core/notice/allowance.go
+++ b/core/notice/allowance.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	minPeriod = 4200 * time.Millisecond // over which allowances apply at least, so that low limits can be shared among relays; above the 4 s of the limits, as requests sent so far apart may arrive closer together
+	minPeriod = 4200 * time.Millisecond // over which allowances apply at least, so that low limits can be shared among relays; above the 4 s in which endpoints count, as requests sent that far apart may arrive closer together
 	maxPeriod = 10 * time.Second        // an endpoint is tried once in this period also at a lower limit, as only a response tells that the limit has ended
 )
 
--- a/core/peer/limit_test.go
+++ b/core/peer/limit_test.go
@@ -65,22 +65,10 @@
 	}
 }
 
-// kill ends the relays for which f.dies is true, and forgets what they have sent.
+// kill ends the relays for which dies is true, and forgets what they have sent.
 func (f *limitedFleet) kill(dies func(i int) bool) {
-	for i, r := range f.relays {
-		if dies(i) {
-			r.dead = true
-			delete(f.sends, r.Self.Instance)
-		}
-	}
-}
-
-// restart starts the dead relays again.
-func (f *limitedFleet) restart(incarnation uint64) {
-	for i, r := range f.relays {
-		if r.dead {
-			f.add(i, incarnation)
-		}
+	for _, id := range f.fleet.kill(dies) {
+		delete(f.sends, id)
 	}
 }
 
--- a/core/peer/origin_test.go
+++ b/core/peer/origin_test.go
@@ -65,20 +65,8 @@
 
 // kill ends the relays for which dies is true; what they remember is lost.
 func (f *streamFleet) kill(dies func(i int) bool) {
-	for i, r := range f.relays {
-		if dies(i) {
-			r.dead = true
-			delete(f.origins, r.Self.Instance)
-		}
-	}
-}
-
-// restart starts the dead relays again.
-func (f *streamFleet) restart(incarnation uint64) {
-	for i, r := range f.relays {
-		if r.dead {
-			f.add(i, incarnation)
-		}
+	for _, id := range f.fleet.kill(dies) {
+		delete(f.origins, id)
 	}
 }
 
--- a/core/peer/peer_test.go
+++ b/core/peer/peer_test.go
@@ -57,6 +57,27 @@
 	f.byID[id] = r
 }
 
+// kill ends the relays for which dies is true, and returns their instance IDs.
+func (f *fleet) kill(dies func(i int) bool) []string {
+	var out []string
+	for i, r := range f.relays {
+		if dies(i) {
+			r.dead = true
+			out = append(out, r.Self.Instance)
+		}
+	}
+	return out
+}
+
+// restart starts the dead relays again, with another incarnation.
+func (f *fleet) restart(incarnation uint64) {
+	for i, r := range f.relays {
+		if r.dead {
+			f.add(i, incarnation)
+		}
+	}
+}
+
 // round lets each live relay exchange heartbeats with those that it links to.
 func (f *fleet) round() {
 	f.now = f.now.Add(roundInterval)
@@ -190,9 +211,7 @@
 	const n, lost = 66, 11
 	f := newFleet(n)
 	f.run(6 * time.Second)
-	for i, r := range f.relays {
-		r.dead = i%zoneCount == 1 // a zone of one seed
-	}
+	f.kill(func(i int) bool { return i%zoneCount == 1 }) // a zone of one seed
 	f.run(3 * time.Second)
 	for owner := range f.expectAgreementWithin(t, 2*time.Second) {
 		if f.byID[owner].dead {
@@ -205,11 +224,7 @@
 		f.expectSizes(t, "long after the loss", n-lost)
 		f.round()
 	}
-	for i, r := range f.relays {
-		if r.dead {
-			f.add(i, 2)
-		}
-	}
+	f.restart(2)
 	f.run(5 * time.Second)
 	f.expectSizes(t, "5 s after the return", n)
 }
