relay/ctrl: endpoints that are missing after an outage are dropped within the drain time

Cause: removals within 4 s of an outage leave an endpoint in use for 1.5 s, as entries of healthy ones come back; the read that ends this time came up to 0.5 s late (250 ms of waiting for changes and 250 ms of coalescing), which is the whole drain time of the small sites.

Change: while entries are missing, reads wait 100 ms for changes and follow one another by 100 ms, so that the worst is 1.8 s with the response.

Measured: TestMissingEndpointIsDroppedInTime failed before (2.1 s, at most 2 s) and passes.

--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -29,6 +29,28 @@
 	}
 }
 
+// TestMissingEndpointIsDroppedInTime guards against stage calls to an endpoint later than
+// the users' shortest drain time after its removal was read, because the reads that
+// end its grace period were half a second apart.
+func TestMissingEndpointIsDroppedInTime(t *testing.T) {
+	const (
+		shortestDrain = 2 * time.Second
+		responseTime  = 100 * time.Millisecond // of the store, and of a call that is on its way
+	)
+	if worst := missingGrace + missingCoalesceDelay + missingWatchWait + responseTime; worst > shortestDrain {
+		t.Errorf("an endpoint may be used for %s after its removal was read, want at most %s", worst, shortestDrain)
+	}
+	f := newFixture()
+	if got := f.readDelay(); got != coalesceDelay {
+		t.Errorf("delay %s while no entry is missing, want %s", got, coalesceDelay)
+	}
+	f.read(false, f.entry("a"))
+	f.read(true, f.removal("a"))
+	if got := f.readDelay(); got != missingCoalesceDelay {
+		t.Errorf("delay %s while an entry is missing, want %s", got, missingCoalesceDelay)
+	}
+}
+
 // fixture is a Control without a store. Tests apply the updates themselves.
 type fixture struct {
 	*Control
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -26,7 +26,11 @@
 	probeTimeout     = 700 * time.Millisecond  // for reads after a failed one: requests sent during an outage may never be answered
 	longProbeTimeout = 1500 * time.Millisecond // instead of probeTimeout after every longProbeEvery-th failed read, in case the store is slower than that
 	longProbeEvery   = 4
-	missingWatchWait = 250 * time.Millisecond // instead of the usual wait while entries are missing
+
+	// While entries are missing, reads follow one another so closely that an endpoint is
+	// dropped soon after its grace period.
+	missingWatchWait     = 100 * time.Millisecond // instead of the usual wait
+	missingCoalesceDelay = 100 * time.Millisecond // instead of coalesceDelay
 )
 
 // followStore reads the store while it is this relay's turn, and sends the changes
@@ -96,7 +100,15 @@
 		return
 	}
 	c.send(ctx, u)
-	wait.For(ctx, coalesceDelay)
+	wait.For(ctx, c.readDelay())
+}
+
+// readDelay returns the wait between a read with changes and the next one.
+func (c *Control) readDelay() time.Duration {
+	if c.awaitsReturn() {
+		return missingCoalesceDelay
+	}
+	return coalesceDelay
 }
 
 // send hands an update to the control goroutine.
