platform: read the pace that endpoints report with their load

Cause: the load header of some endpoints has a fourth figure, how long work takes there now. The parser took exactly three, so that the load of these endpoints was unread and the balancer knew its own requests alone.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -38,6 +38,7 @@
 // Load is the load that an endpoint reported, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	Pace                    float64 // how long work takes there now, in multiples of the usual time; 0 if not reported
 }
 
 // Criteria describes the endpoint that a request needs.
@@ -92,6 +93,7 @@
 
 	endpoints map[string]*endpointState // by ID
 	notices   notice.Table
+	timed     map[string]bool // services of which an endpoint has reported its pace
 }
 
 // state returns the state of an endpoint. A new incarnation of an endpoint
@@ -464,8 +466,20 @@
 		return
 	}
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
+	if l.Pace > 0 && !p.timed[e.Service] {
+		if p.timed == nil {
+			p.timed = make(map[string]bool)
+		}
+		p.timed[e.Service] = true
+	}
 }
 
+// IsTimed reports whether an endpoint of a service has reported its pace.
+func (p *Picker) IsTimed(service string) bool { return p.timed[service] }
+
+// HasTimed reports whether an endpoint of any service has reported its pace.
+func (p *Picker) HasTimed() bool { return len(p.timed) > 0 }
+
 // Notices returns what endpoints have announced since a version, and the current
 // version.
 func (p *Picker) Notices(after int) ([]notice.Entry, int) { return p.notices.News(after) }
