core/fleet, relay/sets: which services are scheduled by time and shares

Cause: the parts for hard load must leave earlier deployments as they are. Change: a service is timed once an endpoint reports its pace; a stage service is contended if a less urgent route has a longer objective than a more urgent one; the setting policy.schedule overrides both. Nothing uses it yet.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -16,6 +16,7 @@
 	services    map[string]*Service // by name
 	teams       map[string]*Team    // by key
 	requiresKey bool
+	contended   map[string]bool // stage services; see IsContended
 }
 
 // ConfigError reports why a configuration is invalid.
@@ -60,9 +61,33 @@
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	c.contended = contendedServices(p.Routes)
 	return c, nil
 }
 
+// contendedServices returns the stage services that a route shares with a more urgent
+// one that has a shorter latency objective.
+func contendedServices(routes []*Route) map[string]bool {
+	users := make(map[string][]*Route) // routes by stage service
+	for _, r := range routes {
+		for _, s := range r.Stages {
+			users[s.Service] = append(users[s.Service], r)
+		}
+	}
+	out := make(map[string]bool)
+	for service, list := range users {
+		out[service] = slices.ContainsFunc(list, func(a *Route) bool {
+			return slices.ContainsFunc(list, func(b *Route) bool { return a.Priority > b.Priority && a.LatencyObjective > b.LatencyObjective })
+		})
+	}
+	return out
+}
+
+// IsContended reports whether a route shares a stage service with a more urgent one that
+// has a shorter latency objective. With the items of both ordered by due time alone, the
+// less urgent route would be served better.
+func (c *Config) IsContended(service string) bool { return c.contended[service] }
+
 // validateRoute returns why r is invalid, or "".
 func (c *Config) validateRoute(r *Route) string {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -160,7 +160,7 @@
 }
 
 func newBalancer(live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, m *peers.Mesh) *proxy.Balancer {
-	b := &proxy.Balancer{Clock: clock.System{}}
+	b := &proxy.Balancer{Clock: clock.System{}, Policy: policyFunc(live)}
 	b.Picker.OnSuspect = func(e *fleet.Endpoint, reason string, failures int, pause time.Duration) {
 		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", reason).Int("failures", failures).Dur("pause_ms", pause).Msg("")
 	}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -14,6 +14,7 @@
 	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/sets"
 )
 
 // maxReopenDelay bounds the random time that is added to that for which an endpoint
@@ -26,6 +27,8 @@
 type Balancer struct {
 	Clock  clock.Clock
 	Picker pick.Picker
+	// Policy returns the active policy. If it is nil, the defaults apply.
+	Policy func() sets.Policy
 
 	mu       sync.Mutex // guards Picker and versions
 	versions origin.Versions
@@ -165,6 +168,44 @@
 	b.Picker.RecordNotice(notice.Entry{Endpoint: e.ID, Incarnation: e.StartUnixMs, Notice: r.Notice()})
 }
 
+// IsTimed reports whether the endpoints of a service are chosen by expected completion
+// time.
+func (b *Balancer) IsTimed(service string) bool {
+	switch b.schedule() {
+	case sets.ScheduleLoad:
+		return false
+	case sets.ScheduleTime:
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.IsTimed(service)
+}
+
+// SharesStage reports whether a stage service is scheduled by shares and by urgency:
+// the configuration calls for it, or endpoints of the deployment report their pace.
+func (b *Balancer) SharesStage(cfg *fleet.Config, service string) bool {
+	switch b.schedule() {
+	case sets.ScheduleLoad:
+		return false
+	case sets.ScheduleTime:
+		return true
+	}
+	if cfg.IsContended(service) {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.HasTimed()
+}
+
+func (b *Balancer) schedule() sets.Schedule {
+	if b.Policy == nil {
+		return sets.ScheduleAuto
+	}
+	return b.Policy().Schedule
+}
+
 // Notices returns what endpoints have announced since a version, and the current
 // version.
 func (b *Balancer) Notices(after int) ([]notice.Entry, int) {
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -67,4 +67,18 @@
 	NoAffinity     bool `yaml:"no_affinity,omitempty"`  // select engines by load only
 	LocalPlacement bool `yaml:"place_alone,omitempty"`  // select engines by what this relay knows of their load
 	LocalBatching  bool `yaml:"batch_alone,omitempty"`  // fill the calls of a relay with items of its own requests only
+
+	// Empty: services whose endpoints report their pace, and stage services whose less
+	// urgent routes have longer latency objectives than more urgent ones.
+	Schedule Schedule `yaml:"schedule,omitempty" validate:"omitempty,oneof=load time"` // which services are scheduled by expected completion time and shares: none (load), all (time), or those that call for it (empty)
 }
+
+// Schedule selects the services that are scheduled by expected completion time.
+type Schedule string
+
+// Schedules.
+const (
+	ScheduleAuto Schedule = ""     // by what endpoints report and by the configuration
+	ScheduleLoad Schedule = "load" // none: by load alone
+	ScheduleTime Schedule = "time" // all
+)
