relay/proxy: the log tells time to the first event and the longest pause

Cause: a request that was answered late could not be told from one in time, nor whether its stages, its engine or a pause made it late. Change: first_event_ms and longest_gap_ms in request_done.

--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -67,7 +67,8 @@
 
 	RequestRejected = newEventType("request_rejected", log.InfoLevel, changeRate, "A caller sent an invalid HTTP request.", "caller", "status", "reason")
 	RequestDone     = newEventType("request_done", log.InfoLevel, requestRate, "A request has ended. This is the last line of a request.",
-		"request", "route", "service", "team", "version", "status", "outcome", "attempts", "took_ms", "left_ms", "retry_after_ms")
+		"request", "route", "service", "team", "version", "status", "outcome", "attempts", "took_ms", "left_ms", "retry_after_ms",
+		"first_event_ms", "longest_gap_ms")
 	StagesEstimated = newEventType("stages_estimated", log.InfoLevel, requestRate, "The time until a request's stages are done was estimated, with the current queues and with empty ones. The request is rejected if it can't meet its objective because of the queues.",
 		"request", "now_ms", "idle_ms", "slack_ms", "admitted")
 	StagesDone     = newEventType("stages_done", log.InfoLevel, requestRate, "The stages of a request have returned all results or have failed.", "request", "took_ms", "results", "error")
@@ -107,6 +108,7 @@
 	"error":            {"", "error message"},
 	"event_id":         {"", "ID of the last event of the stream that the caller has; -1: none"},
 	"failures":         {"", "number of consecutive failures"},
+	"first_event_ms":   {"ms", "time from the start of the request to the first event of its stream"},
 	"from":             {"", "relay that sent the information"},
 	"grace_ms":         {"ms", "time for which the endpoint is kept as a last resort"},
 	"held":             {"", "endpoints of the service that get no request now because of what they have announced: closed, leaving, limit, with their number; empty: none"},
@@ -117,6 +119,7 @@
 	"left_ms":          {"ms", "time until the deadline"},
 	"lines":            {"", "number of omitted lines"},
 	"load":             {"", "estimated share of the endpoint's slots in use"},
+	"longest_gap_ms":   {"ms", "longest pause between two events of the stream"},
 	"longest_ms":       {"ms", "maximum time until the process exits"},
 	"lost_ms":          {"ms", "duration of the outage, from the first failed read"},
 	"member":           {"", "instance ID of the other relay"},
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -95,7 +95,9 @@
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
+	firstEventIn   time.Duration      // from the start of the request to the first event that was forwarded; 0: none yet
 	lastEventAt    time.Time          // when the last event was forwarded
+	longestGap     time.Duration      // between two events that were forwarded
 	version        *string            // software version at which the stream began; nil: it has not begun
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
@@ -137,6 +139,9 @@
 	if req.retryAfter > 0 {
 		line.Dur("retry_after_ms", req.retryAfter)
 	}
+	if req.firstEventIn > 0 {
+		line.Dur("first_event_ms", req.firstEventIn).Dur("longest_gap_ms", req.longestGap)
+	}
 	line.Msg("")
 	if req.route != nil {
 		req.Meters.RecordRequest(req.route.Name, req.teamName(), req.exchange.Status(), now.Sub(req.startedAt))
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -193,10 +193,13 @@
 	previous := req.lastEventAt
 	req.lastEventAt = now
 	if req.exchange.ResponseStarted() {
-		req.Meters.RecordPhase(stats.PhaseEventGap, req.route.Name, now.Sub(previous))
+		gap := now.Sub(previous)
+		req.longestGap = max(req.longestGap, gap)
+		req.Meters.RecordPhase(stats.PhaseEventGap, req.route.Name, gap)
 		return req.exchange.SendEvents(raw)
 	}
-	req.Meters.RecordPhase(stats.PhaseFirstEvent, req.route.Name, now.Sub(req.startedAt))
+	req.firstEventIn = now.Sub(req.startedAt)
+	req.Meters.RecordPhase(stats.PhaseFirstEvent, req.route.Name, req.firstEventIn)
 	var h fasthttp.ResponseHeader
 	plat.CopyResponseHeaders(&h, &call.Header)
 	// An engine that has sent its first event has read all of its inputs.
