relay/front: a stop serves what callers have sent, and ends in time

Cause: at the end of the accept period, Stop closed the listener and all idle connections at once. Connections in the listener's queue, and requests that had arrived on kept connections, were reset. When its time was over, Stop waited for handlers without a limit: a handler isn't told that its connection is closed if its caller has sent the start of another request, and then runs until the deadline of its request. 0.5 s were left for the end of the process.

Change: the listener and idle connections end 200 ms after the accept period. At the end of its time, Stop cancels the contexts of all requests and waits for handlers for at most 200 ms. The margin before the process would be killed is 1 s, or a quarter of shorter times for a stop.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -52,11 +52,13 @@
 	defaultRetryRatio    = 0.2 // retries per request
 	defaultStopTimeout   = 8 * time.Second
 	acceptPeriod         = 2500 * time.Millisecond // the load balancer needs two readiness checks, 1 s apart, to notice a stop
-	stopMargin           = 500 * time.Millisecond  // time between the end of the process and the time at which it would be killed
-	usableRetryShare     = 0.75                    // share of the allowed retries that is used; the rest is a margin
-	usableColdShare      = 0.8                     // share of the rate allowed at a cold endpoint that is used; the rest is a margin
-	reloadInterval       = time.Second
-	flushTimeout         = 200 * time.Millisecond // bounds the write of the last log lines if standard output is slow
+	// stopMargin is left of the time for a stop once requests in flight are cancelled. Handlers
+	// and log lines may take 200 ms each; the rest is for a machine without idle cores.
+	stopMargin       = time.Second
+	usableRetryShare = 0.75 // share of the allowed retries that is used; the rest is a margin
+	usableColdShare  = 0.8  // share of the rate allowed at a cold endpoint that is used; the rest is a margin
+	reloadInterval   = time.Second
+	flushTimeout     = 200 * time.Millisecond // bounds the write of the last log lines if standard output is slow
 )
 
 // Parser returns the parser of the command line, which sets opts.
@@ -429,7 +431,7 @@
 		timeout = defaultStopTimeout
 	}
 	l.Event(logs.Stopping).Int64("active", srv.Active()).Dur("longest_ms", timeout).Msg("")
-	ctx, cancel := context.WithTimeout(context.Background(), timeout-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout-min(stopMargin, timeout/4))
 	defer cancel()
 	accept, cancelAccept := context.WithTimeout(ctx, min(acceptPeriod, timeout/3))
 	defer cancelAccept()
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -32,6 +32,8 @@
 	bodyTimeout           = 10 * time.Second       // to read a whole body
 	writeTimeout          = 10 * time.Second       // for one write; a caller that reads nothing for this long counts as disconnected
 	lingerTimeout         = 500 * time.Millisecond // to discard input after the last response
+	drainPeriod           = 200 * time.Millisecond // at a stop, for connections and requests that callers have sent already
+	handlerEndTimeout     = 200 * time.Millisecond // for handlers to return once a stop is out of time
 )
 
 // Server serves callers. Set the exported fields before Serve.
@@ -44,11 +46,11 @@
 
 	ln       net.Listener
 	mu       sync.Mutex
-	idle     map[net.Conn]bool // open connections; true while no request is in flight
-	closed   bool              // no further requests are accepted
+	conns    map[net.Conn]context.CancelFunc // open connections; cancels the request in flight, nil: none
+	draining bool                            // idle connections end soon
 	stopping atomic.Bool
 	active   atomic.Int64
-	wg       sync.WaitGroup // connections
+	wg       sync.WaitGroup // Serve and connections
 }
 
 // Active returns the number of requests in flight.
@@ -62,10 +64,13 @@
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
 	s.ln = ln
-	if s.idle == nil {
-		s.idle = make(map[net.Conn]bool)
+	if s.conns == nil {
+		s.conns = make(map[net.Conn]context.CancelFunc)
 	}
+	s.wg.Add(1)
 	s.mu.Unlock()
+	defer s.wg.Done()
+	defer func() { _ = ln.Close() }() // an error changes nothing: no connection is accepted any more
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -87,24 +92,16 @@
 }
 
 // Stop shuts the server down. It continues to accept requests until accept is
-// done, so that the load balancer can notice that the relay isn't ready. Then it
-// closes the listener and idle connections, and waits for requests in flight.
-// When ctx is done, it closes their connections too. It blocks until all
-// connections are closed.
+// done, so that the load balancer can notice that the relay isn't ready. Requests
+// that callers have sent by then are still served, also those on connections that
+// were not accepted yet. Then it closes the listener and idle connections, and
+// waits for requests in flight. When ctx is done, it cancels them and closes their
+// connections. It blocks until all connections are closed, and no longer than
+// handlerEndTimeout after ctx is done.
 func (s *Server) Stop(ctx, accept context.Context) {
 	s.stopping.Store(true)
 	<-accept.Done()
-	s.mu.Lock()
-	s.closed = true
-	if s.ln != nil {
-		_ = s.ln.Close() // an error changes nothing: no connection is accepted any more
-	}
-	for c, idle := range s.idle {
-		if idle {
-			_ = c.Close() // ends its goroutine
-		}
-	}
-	s.mu.Unlock()
+	s.drain()
 	ended := make(chan struct{})
 	go func() {
 		s.wg.Wait()
@@ -116,11 +113,36 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	for c := range s.idle {
+	for c, cancel := range s.conns {
+		if cancel != nil {
+			cancel()
+		}
 		_ = c.Close() // ends its goroutine
 	}
 	s.mu.Unlock()
-	<-ended
+	select {
+	case <-ended:
+	case <-time.After(handlerEndTimeout):
+	}
+}
+
+// drain ends the listener and idle connections after drainPeriod. Closing them at
+// once would reset those on which a request has arrived that was not read yet.
+func (s *Server) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	end := time.Now().Add(drainPeriod)
+	if l, ok := s.ln.(interface{ SetDeadline(t time.Time) error }); !ok || l.SetDeadline(end) != nil {
+		if s.ln != nil {
+			_ = s.ln.Close() // ends Serve
+		}
+	}
+	for c, cancel := range s.conns {
+		if cancel == nil {
+			_ = c.SetReadDeadline(end) // fails only on a closed connection
+		}
+	}
 }
 
 // limits returns the current limits, with defaults for those that aren't set.
@@ -141,20 +163,29 @@
 	return l
 }
 
-// setIdle records whether a connection is idle, that is, has no request in flight.
-// It returns false if the server no longer accepts requests and the connection
-// must be closed.
-func (s *Server) setIdle(c net.Conn, idle bool) bool {
+// setIdle records that no request is in flight on a connection, and sets the time
+// by which the next one must begin.
+func (s *Server) setIdle(c net.Conn, timeout time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		timeout = min(timeout, drainPeriod)
+	}
+	s.conns[c] = nil
+	_ = c.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection
+}
+
+// setBusy records that a request is in flight on a connection, which cancel ends.
+func (s *Server) setBusy(c net.Conn, cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.idle[c] = idle
-	return !s.closed
+	s.conns[c] = cancel
 }
 
 // removeConn closes a connection and removes it from the open connections.
 func (s *Server) removeConn(c net.Conn) {
 	s.mu.Lock()
-	delete(s.idle, c)
+	delete(s.conns, c)
 	s.mu.Unlock()
 	// An error here adds nothing: the reason why the connection ends was handled.
 	_ = c.Close()
@@ -169,35 +200,31 @@
 	limits := s.limits()
 	br := bufio.NewReaderSize(c, limits.HeaderBytes)
 	next := make(chan peekResult, 1)
-	if !s.setIdle(c, true) {
-		return
-	}
-	_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) // fails only on a closed connection
+	s.setIdle(c, limits.IdleTimeout)
 	_, err := br.Peek(1)
 	for err == nil {
 		limits = s.limits()
-		if !s.setIdle(c, false) {
-			return
-		}
+		ctx, cancel := context.WithCancel(context.Background())
+		s.setBusy(c, cancel)
 		s.active.Add(1)
-		keepAlive := s.serveRequest(c, br, limits, next)
+		keepAlive := s.serveRequest(ctx, cancel, c, br, limits, next)
 		s.active.Add(-1)
+		cancel()
 		if !keepAlive {
 			return
 		}
-		if !s.setIdle(c, true) {
-			return
-		}
-		_ = c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) // fails only on a closed connection
+		s.setIdle(c, limits.IdleTimeout)
 		err = (<-next).err
 	}
 }
 
-// serveRequest reads one request and calls Handle. It reports whether the
-// connection stays open; if so, next receives a result when the next request
-// begins or the connection fails.
-func (s *Server) serveRequest(c net.Conn, br *bufio.Reader, limits fleet.Limits, next chan peekResult) bool {
-	x := &Exchange{StartedAt: time.Now(), conn: c, server: s}
+// serveRequest reads one request and calls Handle with the context ctx, which cancel
+// ends. It reports whether the connection stays open; if so, next receives a result
+// when the next request begins or the connection fails.
+func (s *Server) serveRequest(
+	ctx context.Context, cancel context.CancelFunc, c net.Conn, br *bufio.Reader, limits fleet.Limits, next chan peekResult,
+) bool {
+	x := &Exchange{Context: ctx, StartedAt: time.Now(), conn: c, server: s}
 	_ = c.SetReadDeadline(x.StartedAt.Add(limits.HeaderTimeout)) // fails only on a closed connection
 	if reqErr := x.readRequest(c, br, limits); reqErr != nil {
 		if reqErr.Status != 0 {
@@ -209,9 +236,6 @@
 		}
 		return false
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	x.Context = ctx
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	go func() {
 		// Peek returns when the caller sends its next request or disconnects. In
--- /dev/null
+++ b/relay/front/stop_test.go
@@ -0,0 +1,144 @@
+package front_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonplank.example/relay/front"
+)
+
+const plainRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// gatedListener accepts connections once open is closed, as if the process lagged
+// behind.
+type gatedListener struct {
+	*net.TCPListener
+	open chan struct{}
+}
+
+func (l *gatedListener) Accept() (net.Conn, error) {
+	<-l.open
+	return l.TCPListener.Accept()
+}
+
+// startServer serves handle on loopback. Connections are accepted once the returned
+// channel is closed.
+func startServer(t *testing.T, handle func(x *front.Exchange)) (srv *front.Server, addr string, open chan struct{}) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv, open = newServer(handle), make(chan struct{})
+	go func() { _ = srv.Serve(&gatedListener{TCPListener: ln.(*net.TCPListener), open: open}) }() // returns when the server stops
+	return srv, ln.Addr().String(), open
+}
+
+// dial connects to a server and sends raw.
+func dial(t *testing.T, addr, raw string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	send(t, c, raw)
+	return c, bufio.NewReader(c)
+}
+
+func send(t *testing.T, c net.Conn, raw string) {
+	t.Helper()
+	if _, err := c.Write([]byte(raw)); err != nil {
+		t.Error(err)
+	}
+}
+
+// readAnswer reads a response with the body "ok" and returns it.
+func readAnswer(r *bufio.Reader) string {
+	var b strings.Builder
+	for !strings.HasSuffix(b.String(), "\r\n\r\nok") {
+		c, err := r.ReadByte()
+		if err != nil {
+			return b.String() + "<" + err.Error() + ">"
+		}
+		b.WriteByte(c)
+	}
+	return b.String()
+}
+
+// stopAccepting stops a server, whose time to accept requests is over at once. The
+// returned channel is closed when it has stopped.
+func stopAccepting(srv *front.Server, timeout time.Duration) <-chan struct{} {
+	stopped := make(chan struct{})
+	accept, cancel := context.WithCancel(context.Background())
+	cancel()
+	go func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		srv.Stop(ctx, accept)
+	}()
+	for !srv.Stopping() {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // until the listener and idle connections are dealt with
+	return stopped
+}
+
+// TestStopAnswersWaiting guards against a stop that resets requests which callers sent
+// before it: on a connection that was not accepted yet, and on a kept one.
+func TestStopAnswersWaiting(t *testing.T) {
+	for name, kept := range map[string]bool{"not accepted yet": false, "kept connection": true} {
+		t.Run(name, func(t *testing.T) {
+			var rec recorder
+			srv, addr, open := startServer(t, rec.handle)
+			if kept {
+				close(open)
+			}
+			c, r := dial(t, addr, plainRequest)
+			if kept {
+				readAnswer(r)
+			}
+			stopped := stopAccepting(srv, 5*time.Second)
+			if kept {
+				send(t, c, plainRequest)
+			} else {
+				close(open)
+			}
+			if got := readAnswer(r); !strings.Contains(got, "200 OK") || !strings.Contains(got, "Connection: close") {
+				t.Errorf("got %q, want an answer that ends the connection", got)
+			}
+			<-stopped
+		})
+	}
+}
+
+// TestStopEnds guards against a stop that outlasts its time because a handler is not
+// told of it (the caller has sent the start of another request), or doesn't return.
+func TestStopEnds(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	for name, handle := range map[string]func(x *front.Exchange){
+		"caller has sent more":   func(x *front.Exchange) { <-x.Context.Done() },
+		"handler doesn't return": func(*front.Exchange) { <-release },
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv, addr, open := startServer(t, handle)
+			close(open)
+			dial(t, addr, plainRequest+"G")
+			for srv.Active() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			select {
+			case <-stopAccepting(srv, 50*time.Millisecond):
+			case <-time.After(2 * time.Second):
+				t.Error("the server has not stopped")
+			}
+		})
+	}
+}
