relay/pool: second copies of an answer aren't taken for the next one

Cause: responses to stage calls have no ID. A second copy that arrives after the next call was sent on the connection was accepted as its response if the numbers of items were equal, so that requests got results of others. A second copy of a not-run response, which may lack an ID too, made the next request count as not run: it was run again elsewhere, or its caller was told that it hadn't run.

Change: a connection remembers the hash of the last response with stage results. An equal one is skipped, as references to results are unique. A connection isn't used again after a not-run response.

--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	plat "wigeonplank.example/platform"
@@ -96,6 +97,27 @@
 	return fmt.Errorf("%w: answers of other requests", ErrResponse)
 }
 
+// ReceiveUnnamed reads the response to a request without an ID, which it blocks for
+// until deadline at the latest. It skips second copies of the response before it on the
+// connection. names reports whether a body names something that no other response
+// names; only such a body can be known as a copy.
+func (c *Call) ReceiveUnnamed(names func(body []byte) bool, deadline time.Time) ([]byte, error) {
+	for range maxResponseHeads {
+		if err := c.Receive("", deadline); err != nil {
+			return nil, err
+		}
+		body, err := c.ReadAll()
+		if err != nil || !names(body) {
+			return body, err
+		}
+		if sum := xxhash.Sum64(body); sum != c.Conn.lastBody {
+			c.Conn.lastBody = sum
+			return body, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: copies of an earlier answer", ErrResponse)
+}
+
 // openBody prepares reading the body of the response whose header was read last.
 func (c *Call) openBody() {
 	c.complete, c.chunked = false, false
@@ -227,7 +249,9 @@
 	if c.reserved != nil {
 		c.reserved.Release()
 	}
-	if !c.complete || c.Response.Close || !c.requestWritten() {
+	// A second copy of a not-run response, which may lack an ID, could arrive on the
+	// connection later and be taken for the response to another request.
+	if !c.complete || c.Response.Close || c.Response.NotRun || !c.requestWritten() {
 		_ = c.Conn.Close() // an error doesn't matter: it isn't used again
 		return
 	}
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -51,6 +51,7 @@
 
 	key       key
 	budget    *Budget   // nil: responses are bounded one by one only
+	lastBody  uint64    // hash of the last body that Call.ReceiveUnnamed knows again
 	expiresAt time.Time // an idle connection isn't used from this time on
 }
 
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -130,12 +130,12 @@
 	if _, err := call.Send(msg, nil, deadline); err != nil {
 		return nil, nil, err
 	}
-	if err := call.Receive("", deadline); err != nil {
+	body, err := call.ReceiveUnnamed(plat.HasStageResult, deadline)
+	if err != nil {
 		return nil, nil, err
 	}
 	r.Health.RecordResponse(e, call.Response, sentAt)
-	body, err := call.ReadAll()
-	return call, body, err
+	return call, body, nil
 }
 
 // toStageItems converts items to those of a platform call that is sent at now.
