core/speed, core/pick, relay/proxy: choose direct endpoints by expected completion time

Cause: direct services are chosen by the share of slots in use; no component knows how fast an endpoint is or that it is slow at this moment. Change: core/speed learns the speed of endpoints from the times of their answers, corrected by the pace they report. For timed services, a choice takes the endpoint with the least expected completion time of four drawn at random.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -3,12 +3,14 @@
 package pick
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/notice"
+	"wigeonplank.example/core/speed"
 )
 
 const (
@@ -47,6 +49,7 @@
 	Affinity uint64          // hash of the prompt; requests with the same hash go to the same endpoint; 0: none
 	Exclude  map[string]bool // IDs of endpoints that were tried before
 	Version  *string         // of the endpoint's software; nil: any
+	ByTime   bool            // without Affinity, the endpoint is chosen by expected completion time
 }
 
 // Allows reports whether an endpoint is none of the excluded ones and has the
@@ -90,6 +93,11 @@
 	// OnClear is called at the first good result of an endpoint after it was
 	// suspect. It may be nil.
 	OnClear func(e *fleet.Endpoint)
+	// Rand is the source of the draws for choices by expected completion time. If it is
+	// nil, the process's own source is used.
+	Rand rand.Source
+	// Speeds holds the estimates for choices by expected completion time.
+	Speeds speed.Table
 
 	endpoints map[string]*endpointState // by ID
 	notices   notice.Table
@@ -153,30 +161,42 @@
 	ReasonCold     Reason = "cold"     // cold, and below ColdShare
 	ReasonSuspect  Reason = "suspect"  // suspect, and no other endpoint was usable
 	ReasonPrompt   Reason = "prompt"   // earliest first event, by the prompts that all relays have sent
+	ReasonTime     Reason = "time"     // least expected completion time among a few drawn at random
 )
 
 // Choice is the endpoint that was chosen for a request.
 type Choice struct {
 	Endpoint   *fleet.Endpoint // nil: no endpoint can take the request
 	Reason     Reason
-	Candidates int       // number of usable endpoints
-	Load       float64   // estimated share of the endpoint's slots in use
-	OpensAt    time.Time // without an Endpoint: when the first that could have taken the request wants the next; zero: unknown
+	Candidates int           // number of usable endpoints, or of those drawn if the endpoint was chosen by time
+	Load       float64       // estimated share of the endpoint's slots in use
+	OpensAt    time.Time     // without an Endpoint: when the first that could have taken the request wants the next; zero: unknown
+	Ahead      float64       // requests ahead of this one at the endpoint; only with ByTime
+	Predicted  time.Duration // time to the end of the answer; 0: not predicted
 }
 
 // Pick chooses the endpoint for a request among the endpoints of a service that
 // may get new requests.
 func (p *Picker) Pick(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, c Criteria) Choice {
+	byTime := c.ByTime && c.Affinity == 0
+	if byTime {
+		if choice, ok := p.pickDrawn(now, svc, endpoints, c); ok {
+			return choice
+		}
+	}
 	admitting, opensAt := p.admitting(now, endpoints, c)
 	usable := p.usable(now, svc, admitting, c)
 	if len(usable) == 0 {
 		return Choice{OpensAt: opensAt}
 	}
 	choice := Choice{Reason: ReasonLoad, Candidates: len(usable)}
-	if c.Affinity != 0 {
+	switch {
+	case byTime:
+		choice = p.pickByTime(now, usable, c)
+	case c.Affinity != 0:
 		choice.Reason = ReasonAffinity
 		choice.Endpoint = p.pickByAffinity(now, usable, c)
-	} else {
+	default:
 		choice.Endpoint = p.pickByLoad(now, usable, c)
 	}
 	choice.Load = p.Load(choice.Endpoint, now)
@@ -466,6 +486,7 @@
 		return
 	}
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
+	p.Speeds.RecordPace(now, e, l.Pace)
 	if l.Pace > 0 && !p.timed[e.Service] {
 		if p.timed == nil {
 			p.timed = make(map[string]bool)
@@ -506,6 +527,7 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.Speeds.Prune(keep)
 	p.notices.Prune(now, func(id string) bool { return keep[id] != nil })
 }
 
@@ -525,3 +547,6 @@
 }
 
 func (w *window) add(now time.Time) { w.times = append(w.times, now) }
+
+// InFlight returns the requests of this process that an endpoint has.
+func (p *Picker) InFlight(e *fleet.Endpoint) float64 { return float64(p.state(e).inFlight) }
--- /dev/null
+++ b/core/pick/time.go
@@ -0,0 +1,119 @@
+package pick
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"time"
+
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/speed"
+)
+
+const (
+	maxDrawn = 4  // endpoints that a choice compares; all of them would send relays with the same load information to the same endpoint
+	maxDraws = 16 // draws for them, as some may be unusable
+)
+
+// drawn collects the endpoints that a choice compares, and the best of them.
+type drawn struct {
+	list [maxDrawn]*fleet.Endpoint
+	n    int
+	best Choice
+	cost time.Duration
+}
+
+func (d *drawn) has(e *fleet.Endpoint) bool {
+	for _, other := range d.list[:d.n] {
+		if other == e {
+			return true
+		}
+	}
+	return false
+}
+
+// pickDrawn chooses between a few endpoints drawn from all of a service, without a look
+// at the others. It reports false if all must be looked at: a drawn one is cold, or too
+// few of them are usable.
+func (p *Picker) pickDrawn(now time.Time, svc *fleet.Service, endpoints []*fleet.Endpoint, c Criteria) (Choice, bool) {
+	if len(endpoints) <= 2*maxDrawn {
+		return Choice{}, false
+	}
+	var d drawn
+	for draws := 0; d.n < maxDrawn; draws++ {
+		if draws == maxDraws {
+			return Choice{}, false
+		}
+		e := endpoints[p.intN(len(endpoints))]
+		if d.has(e) || !c.Allows(e) {
+			continue
+		}
+		if p.isCold(now, svc, e) {
+			return Choice{}, false
+		}
+		if !p.IsSuspect(e, now) && p.Admits(now, e, false) {
+			p.compare(&d, now, e, c)
+		}
+	}
+	return d.choice(), true
+}
+
+// pickByTime chooses between a few endpoints drawn from usable ones.
+func (p *Picker) pickByTime(now time.Time, usable []*fleet.Endpoint, c Criteria) Choice {
+	var d drawn
+	for i := range min(maxDrawn, len(usable)) {
+		j := i + p.intN(len(usable)-i)
+		usable[i], usable[j] = usable[j], usable[i]
+		p.compare(&d, now, usable[i], c)
+	}
+	return d.choice()
+}
+
+// compare adds an endpoint to those that are compared.
+func (p *Picker) compare(d *drawn, now time.Time, e *fleet.Endpoint, c Criteria) {
+	st := p.state(e)
+	ahead := st.ahead(now)
+	predicted := p.Speeds.Predict(now, e, ahead)
+	share := ahead / float64(max(1, e.Slots))
+	cost := predicted
+	if e.Zone != c.Zone {
+		cost += time.Duration(crossZonePenalty * float64(p.Speeds.Median(e.Service)))
+	}
+	d.list[d.n] = e
+	d.n++
+	if d.best.Endpoint == nil || cost < d.cost || (cost == d.cost && share < d.best.Load) {
+		d.cost = cost
+		d.best = Choice{Endpoint: e, Reason: ReasonTime, Load: share, Ahead: ahead, Predicted: predicted}
+	}
+}
+
+func (d *drawn) choice() Choice {
+	d.best.Candidates = d.n
+	return d.best
+}
+
+// ahead estimates the requests ahead of a new one at an endpoint: those of this process,
+// and the reported ones of others, whose weight falls linearly with the report's age.
+func (st *endpointState) ahead(now time.Time) float64 {
+	ahead := float64(st.inFlight)
+	if age := now.Sub(st.reportedAt); age < speed.MaxReportAge {
+		weight := 1 - float64(age)/float64(speed.MaxReportAge)
+		ahead += weight * float64(max(0, st.reported.Running+st.reported.Waiting-st.inFlightAtReport))
+	}
+	return ahead
+}
+
+// RecordTime learns from the time that a request took at an endpoint, from being sent to
+// the end of its answer. ahead is that of its Choice, pace the one that the answer
+// reported, 0 if none.
+func (p *Picker) RecordTime(e *fleet.Endpoint, took time.Duration, ahead, pace float64) {
+	p.Speeds.Record(e, speed.Sample{Took: took, Ahead: ahead, Pace: pace})
+}
+
+// intN returns a random number from 0 to n-1.
+func (p *Picker) intN(n int) int {
+	if p.Rand == nil {
+		return rand.IntN(n)
+	}
+	hi, _ := bits.Mul64(p.Rand.Uint64(), uint64(n))
+	return int(hi)
+}
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -232,7 +232,7 @@
 		}
 		req.tried[e.ID] = true
 		req.logAttemptStarted(c, -1)
-		end, reason := req.attemptUnary(ctx, e)
+		end, reason := req.attemptUnary(ctx, c)
 		req.endAssignment()
 		if end == attemptDone || end == attemptCallerGone {
 			return
@@ -247,9 +247,10 @@
 	}
 }
 
-// attemptUnary sends the request to an endpoint and passes its response to the
-// caller. It returns how the attempt ended, and the reason unless it is done.
-func (req *request) attemptUnary(ctx context.Context, e *fleet.Endpoint) (attemptEnd, string) {
+// attemptUnary sends the request to the endpoint of a choice and passes its response to
+// the caller. It returns how the attempt ended, and the reason unless it is done.
+func (req *request) attemptUnary(ctx context.Context, c pick.Choice) (attemptEnd, string) {
+	e := c.Endpoint
 	deadline := req.deadline
 	if req.route.Repeatable() && req.attempts+1 < req.route.MaxAttempts {
 		if t := req.Clock.Now().Add(attemptTimeoutFactor * req.route.LatencyObjective); t.Before(deadline) {
@@ -271,9 +272,21 @@
 	if err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
+	if r := call.Response; r.Status < 300 && r.Stamped && !r.Encoded && !r.NotRun {
+		req.recordAnswerTime(c, r)
+	}
 	return req.handleResponse(e, call, body)
 }
 
+// recordAnswerTime records the time that a complete answer took, and the predicted one.
+func (req *request) recordAnswerTime(c pick.Choice, r plat.Response) {
+	took := req.Clock.Now().Sub(req.attemptAt)
+	req.Balancer.RecordAnswer(c, r, took)
+	if c.Predicted > 0 {
+		req.Meters.RecordAnswerTime(req.service, c.Predicted, took)
+	}
+}
+
 // handleResponse passes a complete response to the caller, unless the endpoint
 // did not run the request, the response is invalid, or a server error can be
 // retried.
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -37,6 +37,7 @@
 // Pick chooses an endpoint of svc from list for a request with the given
 // criteria. The endpoint of the choice is nil if none can take the request.
 func (b *Balancer) Pick(svc *fleet.Service, list []*fleet.Endpoint, criteria pick.Criteria) pick.Choice {
+	criteria.ByTime = b.choosesByTime(svc)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.Picker.Pick(b.Clock.Now(), svc, list, criteria)
@@ -45,6 +46,7 @@
 // Acquire chooses an endpoint as Pick does and records that the request is about to
 // be sent there. If there is an endpoint, the call must be followed by one of End.
 func (b *Balancer) Acquire(svc *fleet.Service, list []*fleet.Endpoint, criteria pick.Criteria) pick.Choice {
+	criteria.ByTime = b.choosesByTime(svc)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
@@ -182,6 +184,28 @@
 	return b.Picker.IsTimed(service)
 }
 
+// choosesByTime reports whether the endpoints of a service are chosen by expected
+// completion time here. Those of engines depend on prompts; see assign.Assigner.
+func (b *Balancer) choosesByTime(svc *fleet.Service) bool {
+	return svc.Engine == nil && svc.Batch == nil && b.IsTimed(svc.Name)
+}
+
+// RecordAnswer learns from the time that a request took at an endpoint that was chosen by
+// expected completion time, from being sent to the end of its answer. A cold endpoint's
+// times say little about its speed.
+func (b *Balancer) RecordAnswer(c pick.Choice, resp plat.Response, took time.Duration) {
+	if c.Predicted == 0 || c.Reason == pick.ReasonCold {
+		return
+	}
+	pace := 0.0
+	if resp.Load != nil {
+		pace = resp.Load.Pace
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Picker.RecordTime(c.Endpoint, took, c.Ahead, pace)
+}
+
 // SharesStage reports whether a stage service is scheduled by shares and by urgency:
 // the configuration calls for it, or endpoints of the deployment report their pace.
 func (b *Balancer) SharesStage(cfg *fleet.Config, service string) bool {
--- a/relay/stats/stats.go
+++ b/relay/stats/stats.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// RecordAnswerTime records the predicted and the actual time of a complete answer of a
+// service.
+func (m *Meters) RecordAnswerTime(service string, predicted, actual time.Duration) {
+	service = m.serviceLabel(service)
+	m.record("answer_predicted"+unitSuffix, "service", service, predicted)
+	m.record("answer_actual"+unitSuffix, "service", service, actual)
+}
+
 // RecordPhase records the duration of a phase of a request.
 func (m *Meters) RecordPhase(p Phase, route string, d time.Duration) {
 	m.record(string(p)+unitSuffix, "route", m.routeLabel(route), d)
