core/pick: usual load in place of an old report; tests against baselines

Cause: relays that hear of an endpoint once a second took it as free in between and sent the fast ones too much; the choice had no tests. Change: the weight that a report loses with its age goes to the load that the endpoint usually reports, for 5 s. A choice compares three endpoints instead of four: more make relays with the same reports choose alike.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -64,6 +64,7 @@
 	reported         Load
 	inFlightAtReport int       // value of inFlight at reportedAt
 	reportedAt       time.Time // when reported was received
+	usualOthers      float64   // moving average of the requests of other processes at reports
 	failures         int       // consecutive
 	failureRate      float64   // exponentially weighted moving average
 	samples          int       // results in failureRate
@@ -486,6 +487,7 @@
 		return
 	}
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
+	st.usualOthers += usualLoadWeight * (st.reportedOthers() - st.usualOthers)
 	p.Speeds.RecordPace(now, e, l.Pace)
 	if l.Pace > 0 && !p.timed[e.Service] {
 		if p.timed == nil {
@@ -548,5 +550,5 @@
 
 func (w *window) add(now time.Time) { w.times = append(w.times, now) }
 
-// InFlight returns the requests of this process that an endpoint has.
-func (p *Picker) InFlight(e *fleet.Endpoint) float64 { return float64(p.state(e).inFlight) }
+// InFlight returns the number of requests of this process at an endpoint.
+func (p *Picker) InFlight(e *fleet.Endpoint) int { return p.state(e).inFlight }
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -13,19 +13,25 @@
 // that the design aims at.
 func BenchmarkPick(b *testing.B) {
 	for _, n := range []int{50, 1000, 12_000} {
-		endpoints := make([]*fleet.Endpoint, n)
-		for i := range endpoints {
-			endpoints[i] = &fleet.Endpoint{ID: fmt.Sprint("i-", i), Zone: fmt.Sprint("z", i%36), Slots: 64, State: fleet.StateReady}
-		}
+		endpoints := benchEndpoints(n)
 		svc := &fleet.Service{Name: "s"}
-		for name, affinity := range map[string]uint64{"load": 0, "affinity": 7} {
+		for name, c := range map[string]pick.Criteria{"load": {}, "affinity": {Affinity: 7}, "time": {ByTime: true}} {
+			c.Zone = "z1"
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
 				var p pick.Picker
 				now := time.Unix(0, 0)
 				for range b.N {
-					p.Pick(now, svc, endpoints, pick.Criteria{Zone: "z1", Affinity: affinity})
+					p.Pick(now, svc, endpoints, c)
 				}
 			})
 		}
 	}
 }
+
+func benchEndpoints(n int) []*fleet.Endpoint {
+	endpoints := make([]*fleet.Endpoint, n)
+	for i := range endpoints {
+		endpoints[i] = &fleet.Endpoint{ID: fmt.Sprint("i-", i), Service: "s", Zone: fmt.Sprint("z", i%36), Slots: 64, State: fleet.StateReady}
+	}
+	return endpoints
+}
--- a/core/pick/time.go
+++ b/core/pick/time.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	maxDrawn = 4  // endpoints that a choice compares; all of them would send relays with the same load information to the same endpoint
+	// Endpoints that a choice compares. More of them send relays with the same load
+	// information to the same endpoints; 2 miss the fast ones too often.
+	maxDrawn = 3
 	maxDraws = 16 // draws for them, as some may be unusable
+
+	usualLoadWeight = 0.2             // of the newest report in the usual load
+	maxUsualLoadAge = 5 * time.Second // the weight of the usual load falls to 0 at this age, so that an endpoint is tried again
 )
 
 // drawn collects the endpoints that a choice compares, and the best of them.
@@ -91,15 +96,20 @@
 	return d.best
 }
 
-// ahead estimates the requests ahead of a new one at an endpoint: those of this process,
-// and the reported ones of others, whose weight falls linearly with the report's age.
+// ahead estimates the requests ahead of a new one at an endpoint. Those of this process
+// are exact. For those of others, the weight of the newest report falls linearly with its
+// age, and what the endpoint usually reports takes its place: without it, relays that hear
+// of a fast endpoint once a second think that it is free and send it too much.
 func (st *endpointState) ahead(now time.Time) float64 {
-	ahead := float64(st.inFlight)
-	if age := now.Sub(st.reportedAt); age < speed.MaxReportAge {
-		weight := 1 - float64(age)/float64(speed.MaxReportAge)
-		ahead += weight * float64(max(0, st.reported.Running+st.reported.Waiting-st.inFlightAtReport))
-	}
-	return ahead
+	age := float64(now.Sub(st.reportedAt))
+	weight := max(0, 1-age/float64(speed.MaxReportAge))
+	usual := st.usualOthers * max(0, 1-age/float64(maxUsualLoadAge))
+	return float64(st.inFlight) + weight*st.reportedOthers() + (1-weight)*usual
+}
+
+// reportedOthers returns the requests of other processes at the last report.
+func (st *endpointState) reportedOthers() float64 {
+	return float64(max(0, st.reported.Running+st.reported.Waiting-st.inFlightAtReport))
 }
 
 // RecordTime learns from the time that a request took at an endpoint, from being sent to
--- a/core/pick/time_test.go
+++ b/core/pick/time_test.go
@@ -36,6 +36,8 @@
 	pickers []*pick.Picker
 	now     int // ms
 	took    []float64
+	worst   float64                 // most that a server got in a window of slowEvery, in multiples of its share
+	news    int                     // ms between broadcasts of the loads of all servers to all relays, the only reports then; 0: each answer reports to its relay
 	lie     func(s *server) float64 // pace that a server reports; nil: the true one
 }
 
@@ -80,6 +82,16 @@
 		for _, s := range f.servers {
 			f.step(s)
 		}
+		if f.news > 0 && f.now%f.news == 0 {
+			for _, s := range f.servers {
+				for _, p := range f.pickers {
+					f.report(p, s)
+				}
+			}
+		}
+		if f.now%slowEvery == 0 {
+			f.endWindow()
+		}
 		for n := f.rng.ExpFloat64(); n < rate; n += f.rng.ExpFloat64() {
 			j := &job{relay: f.rng.IntN(len(f.pickers)), work: usualWork * (0.5 + f.rng.Float64()), startedAt: f.now}
 			s := choose(f, j)
@@ -108,13 +120,44 @@
 	}
 }
 
-func (f *farm) end(s *server, j *job) {
-	p, pace := f.pickers[j.relay], s.pace
+// report tells a relay the load and the pace of a server, and returns the pace.
+func (f *farm) report(p *pick.Picker, s *server) float64 {
+	pace := s.pace
 	if f.lie != nil {
 		pace = f.lie(s)
 	}
-	p.End(f.time(), s.Endpoint, pick.ResultGood)
 	p.RecordLoad(f.time(), s.Endpoint, pick.Load{Running: min(slots, len(s.jobs)), Waiting: max(0, len(s.jobs)-slots), Slots: slots, Pace: pace})
+	return pace
+}
+
+// share returns the requests that a server got since the last window, in multiples of
+// its share of the capacity.
+func (f *farm) share(s *server) float64 {
+	requests, speeds := 0, 0.0
+	for _, other := range f.servers {
+		requests += other.total
+		speeds += other.speed
+	}
+	return float64(s.total) / float64(requests) * speeds / s.speed
+}
+
+func (f *farm) endWindow() {
+	for _, s := range f.servers {
+		if f.now > 10_000 {
+			f.worst = max(f.worst, f.share(s))
+		}
+	}
+	for _, s := range f.servers {
+		s.total = 0
+	}
+}
+
+func (f *farm) end(s *server, j *job) {
+	p, pace := f.pickers[j.relay], s.pace
+	p.End(f.time(), s.Endpoint, pick.ResultGood)
+	if f.news == 0 {
+		pace = f.report(p, s)
+	}
 	took := f.now - j.startedAt
 	p.RecordTime(s.Endpoint, time.Duration(took)*time.Millisecond, j.choice.Ahead, pace)
 	if f.now >= 10_000 {
@@ -151,7 +194,7 @@
 }
 
 func leastInFlight(f *farm, j *job) *server {
-	return f.least(func(s *server) float64 { return f.pickers[j.relay].InFlight(s.Endpoint) })
+	return f.least(func(s *server) float64 { return float64(f.pickers[j.relay].InFlight(s.Endpoint)) })
 }
 
 func randomOfTwo(f *farm, j *job) *server {
@@ -174,15 +217,87 @@
 	}
 }
 
-func TestFast(t *testing.T) {
-	for _, relays := range []int{1, 4, 24} {
-		for _, p := range []struct {
-			name   string
-			policy policy
-		}{{"sees all", seeAll}, {"random of two", randomOfTwo}, {"least in flight", leastInFlight}, {"load alone", picked(false)}, {"time", picked(true)}} {
+// TestFastAndSlowEndpoints guards against choices that ignore how fast endpoints are, and
+// that they are slow for a while. The targets hold if a relay hears of an endpoint about
+// 20 times a second; for 24 relays that hear of one once a second, only the second does.
+func TestFastAndSlowEndpoints(t *testing.T) {
+	byNews := []struct {
+		relays, news int
+		ofBest       float64 // maximum p99, in multiples of that of seeAll
+		ofLeast      float64 // and of leastInFlight
+	}{{1, 0, 1.3, 1}, {24, 0, 2, 2.0 / 3}, {24, 50, 1.3, 2.0 / 3}}
+	for _, c := range byNews {
+		p99 := make(map[string]float64)
+		for name, p := range map[string]policy{
+			"see all": seeAll, "random of two": randomOfTwo, "least in flight": leastInFlight, "load alone": picked(false), "time": picked(true),
+		} {
+			f := newFarm(30, c.relays)
+			f.news = c.news
+			f.run(40, p)
+			p99[name] = f.percentile(0.99)
+			t.Logf("%2d relays, news each %2d ms, %-15s: p50 %4.0f, p99 %4.0f, p99.9 %4.0f ms", c.relays, c.news, name, f.percentile(0.5), p99[name], f.percentile(0.999))
+		}
+		if p99["time"] > c.ofBest*p99["see all"] || p99["time"] > c.ofLeast*p99["least in flight"] {
+			t.Errorf("%d relays, news each %d ms: p99 is %.0f ms; want %.2f of %.0f and %.2f of %.0f at most",
+				c.relays, c.news, p99["time"], c.ofBest, p99["see all"], c.ofLeast, p99["least in flight"])
+		}
+	}
+}
+
+// TestHerdOnFreshNews guards against relays that all choose the same endpoint because
+// they are told the same loads at the same time.
+func TestHerdOnFreshNews(t *testing.T) {
+	for _, relays := range []int{24, 146} {
+		for _, news := range []int{50, 250} {
 			f := newFarm(30, relays)
-			f.run(40, p.policy)
-			t.Logf("%d relays %-16s p50 %.0f p99 %.0f p99.9 %.0f n %d", relays, p.name, f.percentile(0.5), f.percentile(0.99), f.percentile(0.999), len(f.took))
+			f.news = news
+			f.run(30, picked(true))
+			t.Logf("%3d relays, news each %3d ms: %.2f times its share", relays, news, f.worst)
+			if f.worst > 1.5 {
+				t.Errorf("%d relays, news each %d ms: an endpoint got %.2f times its share in 3 s", relays, news, f.worst)
+			}
 		}
 	}
 }
+
+// TestEndpointThatLies guards against a pace that attracts requests although the times of
+// answers contradict it.
+func TestEndpointThatLies(t *testing.T) {
+	// A false pace may cost the endpoint requests, but no more than half of them.
+	for name, lie := range map[string]func(f *farm) float64{
+		"always fast":   func(*farm) float64 { return 0.01 },
+		"fast or slow":  func(f *farm) float64 { return []float64{0.1, 10}[f.rng.IntN(2)] },
+		"always slow":   func(*farm) float64 { return 100 },
+		"the opposite":  func(f *farm) float64 { return slowPace / f.servers[0].pace },
+		"not anymore":   func(*farm) float64 { return 0 },
+		"slow, at last": func(f *farm) float64 { return float64(1 + f.now/20_000) },
+	} {
+		f := newFarm(30, 4)
+		f.run(42, picked(true))
+		honest, honestShare := f.percentile(0.99), f.share(f.servers[0])
+		f = newFarm(30, 4)
+		f.lie = func(s *server) float64 {
+			if s == f.servers[0] {
+				return lie(f)
+			}
+			return s.pace
+		}
+		f.run(42, picked(true))
+		share := f.share(f.servers[0])
+		t.Logf("%-13s: %.2f times its share, p99 %.0f ms; honest %.2f, %.0f ms", name, share, f.percentile(0.99), honestShare, honest)
+		if share > 1.5 || share < honestShare/2 || f.percentile(0.99) > 1.1*honest {
+			t.Errorf("%s: the endpoint got %.2f times its share; p99 is %.0f ms, %.0f if it is honest", name, share, f.percentile(0.99), honest)
+		}
+	}
+}
+
+// TestChoiceAllocatesNothing guards against choices whose cost grows with the service.
+func TestChoiceAllocatesNothing(t *testing.T) {
+	var p pick.Picker
+	list := benchEndpoints(1000)
+	if n := testing.AllocsPerRun(10_000, func() {
+		p.Pick(time.Unix(0, 0), service, list, pick.Criteria{Zone: "z1", ByTime: true})
+	}); n != 0 {
+		t.Errorf("%.0f allocations, want none", n)
+	}
+}
