core/batch, relay/stage: space the calls of a shared stage pool

Cause: the endpoints of a pool end their calls together. The first takes all queued items, the next ones run almost empty calls, and later items wait for a whole call. Change: the last free slot of a shared pool gets a call that isn't full only once the mean time of a call, divided by the pool's slots, has passed since its last call, unless an item would expire or miss its due time. A timer starts it then, not the next tick.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -68,6 +68,8 @@
 	Pool      Pool
 	Items     []*Item
 	StartedAt time.Time
+
+	previousStart time.Time // of the pool's call before this one, if the pool is shared
 }
 
 // Load is the load of a pool.
@@ -98,6 +100,7 @@
 	queues    map[Pool][]*Item          // sorted by Item.Due
 	inFlight  map[Pool]int              // items in calls
 	endpoints map[string]*endpointState // by endpoint ID
+	shared    map[Pool]*sharedPool      // pools whose calls are spaced
 	lastSet   int                       // last value of Item.Set
 }
 
@@ -106,6 +109,7 @@
 		s.queues = make(map[Pool][]*Item)
 		s.inFlight = make(map[Pool]int)
 		s.endpoints = make(map[string]*endpointState)
+		s.shared = make(map[Pool]*sharedPool)
 	}
 }
 
@@ -243,9 +247,13 @@
 
 // Next removes items from the queue of a pool and returns the call to start with
 // them now, or nil if there is none. The caller reports the end of the call to
-// Finish. usable are the pool's endpoints that may get calls; those in the zones
+// Finish. A shared pool may hold a call back until NextStart. usable are the pool's endpoints that may get calls; those in the zones
 // that most items prefer are tried first.
 func (s *Scheduler) Next(now time.Time, svc *fleet.Service, p Pool, usable []*fleet.Endpoint) *Call {
+	sp := s.shared[p]
+	if sp != nil {
+		sp.heldUntil = time.Time{}
+	}
 	q := s.queues[p]
 	if len(q) == 0 {
 		return nil
@@ -256,26 +264,36 @@
 	}
 	available := make([]*fleet.Endpoint, 0, len(usable))
 	usableZones := make(map[string]bool) // zones with a usable endpoint
+	slots, free := max(1, svc.Batch.Slots), 0
 	for _, e := range usable {
 		usableZones[e.Zone] = true
-		if st := s.endpoint(e.ID); st.calls < max(1, svc.Batch.Slots) && !now.Before(st.backoffUntil) {
+		if st := s.endpoint(e.ID); st.calls < slots && !now.Before(st.backoffUntil) {
 			available = append(available, e)
+			free += slots - st.calls
 		}
 	}
 	slices.SortStableFunc(available, func(a, b *fleet.Endpoint) int { return preferred[b.Zone] - preferred[a.Zone] })
-	waitFactor := zoneWaitFactor(len(q), len(usable)*max(1, svc.Batch.Slots)*svc.Batch.MaxItems)
+	waitFactor := zoneWaitFactor(len(q), len(usable)*slots*svc.Batch.MaxItems)
 	for _, e := range available {
 		st := s.endpoint(e.ID)
-		items := s.dequeue(now, svc.Batch, p, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
+		items, blocked := s.choose(now, svc.Batch, p, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
 		if len(items) == 0 {
 			continue
 		}
+		if sp != nil && free == 1 && !blocked && sp.hold(now, svc.Batch, items, len(usable)*slots) {
+			return nil
+		}
+		s.dequeue(p, items, e.Zone)
 		st.calls++
 		for _, it := range items {
 			st.pendingBytes += it.ResultBytes
 		}
 		s.inFlight[p] += len(items)
-		return &Call{Service: svc, Endpoint: e, Pool: p, Items: items, StartedAt: now}
+		c := &Call{Service: svc, Endpoint: e, Pool: p, Items: items, StartedAt: now}
+		if sp != nil {
+			c.previousStart, sp.lastStart = sp.lastStart, now
+		}
+		return c
 	}
 	return nil
 }
@@ -343,17 +361,17 @@
 	return time.Duration(float64(bytes) / bytesPerMB * float64(crossZoneDelayPerMB))
 }
 
-// dequeue removes and returns the items of the next call to an endpoint in a
-// zone with freeMemory bytes for their results. Items whose results don't fit stay
-// queued, unless the configured memory is 0, which means no limit. Items are taken
-// by priority; within a priority, those that prefer the zone come first, and then
-// the order is by Due time.
-func (s *Scheduler) dequeue(
+// choose returns the items of the next call to an endpoint in a zone with
+// freeMemory bytes for their results. Items whose results don't fit are left out,
+// unless the configured memory is 0, which means no limit. Items are taken by
+// priority; within a priority, those that prefer the zone come first, and then the
+// order is by Due time. blocked reports whether the call would get no more items if
+// it started later: it is full or runs apart, or memory is short.
+func (s *Scheduler) choose(
 	now time.Time, b *fleet.Batch, p Pool, zone string, freeMemory int64, usableZones map[string]bool, waitFactor float64,
-) []*Item {
+) (out []*Item, blocked bool) {
 	q := s.queues[p]
 	earliestDone := now.Add(b.CallOverhead + b.ItemTime)
-	var out []*Item
 	taken := make(map[*Item]bool)
 	take := func(priority int, sameZone bool) {
 		for _, it := range q {
@@ -363,8 +381,14 @@
 			if len(out) > 0 && it.Set != out[0].Set {
 				continue
 			}
-			if taken[it] || it.priority(earliestDone) != priority || (b.MemoryBytes > 0 && it.ResultBytes > freeMemory) ||
-				(sameZone && it.Zone != zone) || !it.mayRunIn(now, b, zone, usableZones, waitFactor) {
+			if taken[it] || it.priority(earliestDone) != priority {
+				continue
+			}
+			if b.MemoryBytes > 0 && it.ResultBytes > freeMemory {
+				blocked = true
+				continue
+			}
+			if (sameZone && it.Zone != zone) || !it.mayRunIn(now, b, zone, usableZones, waitFactor) {
 				continue
 			}
 			freeMemory -= it.ResultBytes
@@ -376,10 +400,18 @@
 		take(priority, true)
 		take(priority, false)
 	}
-	q = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
-	assignZone(out, q, zone)
+	return out, blocked || len(out) >= b.MaxItems || (len(out) > 0 && out[0].Set != 0)
+}
+
+// dequeue removes the items of a call to an endpoint in a zone from a pool's queue.
+func (s *Scheduler) dequeue(p Pool, items []*Item, zone string) {
+	taken := make(map[*Item]bool, len(items))
+	for _, it := range items {
+		taken[it] = true
+	}
+	q := slices.DeleteFunc(s.queues[p], func(it *Item) bool { return taken[it] })
+	assignZone(items, q, zone)
 	s.queues[p] = q
-	return out
 }
 
 // assignZone sets the zone of queued items that preferred none, if some of the
@@ -424,6 +456,9 @@
 	if o.Rejected {
 		st.backoffUntil = now.Add(rejectionBackoff)
 	}
+	if sp := s.shared[c.Pool]; sp != nil {
+		sp.finish(now, c, o)
+	}
 	st.adjustMemoryLimit(now, c.Service.Batch.MemoryBytes, o)
 }
 
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -64,6 +64,8 @@
 	// RecordResponse records what an endpoint says of itself in a response to a
 	// request that was sent at sentAt.
 	RecordResponse(e *fleet.Endpoint, resp plat.Response, sentAt time.Time)
+	// SharesStage reports whether a stage service is scheduled by shares.
+	SharesStage(cfg *fleet.Config, service string) bool
 }
 
 // Peers are the other relays. None of its methods blocks.
@@ -100,6 +102,8 @@
 	mu              sync.Mutex
 	sched           batch.Scheduler
 	pendingReleases map[string][]string // results to release by endpoint ID
+	wake            *time.Timer         // dispatches when a call that is held back may start; nil: none is
+	wakeAt          time.Time
 }
 
 // remoteOrigin is the Data of an item that another relay submitted.
@@ -344,12 +348,33 @@
 	for _, p := range r.sched.Pools() {
 		r.dispatchPool(v, p, now, &fx)
 	}
+	r.setWake(now)
 	r.mu.Unlock()
 	if len(fx.releases)+len(fx.submissions)+len(fx.replies) > 0 {
 		r.update(func(out *effects) { *out = fx })
 	}
 }
 
+// setWake sets the timer for the next call that is held back. mu must be held.
+func (r *Runner) setWake(now time.Time) {
+	at := r.sched.NextStart()
+	switch {
+	case at.IsZero() || (r.wake != nil && at.Equal(r.wakeAt)):
+		return // a timer that is no longer needed does no harm
+	case r.wake != nil:
+		r.wake.Stop()
+	}
+	r.wakeAt = at
+	r.wake = time.AfterFunc(at.Sub(now), func() {
+		r.mu.Lock()
+		if r.wakeAt.Equal(at) {
+			r.wake = nil
+		}
+		r.mu.Unlock()
+		r.dispatch()
+	})
+}
+
 // dispatchPool starts the calls of one pool, or fails its items if it has no
 // endpoint. mu must be held.
 func (r *Runner) dispatchPool(v *fleet.View, p batch.Pool, now time.Time, fx *effects) {
@@ -369,6 +394,7 @@
 		return
 	}
 	sole := r.Peers.Owns(p)
+	r.sched.Share(p, r.Health.SharesStage(v.Config, p.Service))
 	for _, it := range r.sched.RemoveUnstartable(p, r.firstOpening(now, usable, sole)) {
 		r.recordResult(it, plat.StageResult{Reason: plat.ReasonExpired}, fx)
 	}
