core/batch: order the items of crowded shared pools by the shares of teams

Cause: in a crowded pool a team with most of the demand takes the room of all others, and the estimate of a stage's time is too short while demand rises. While a pool is crowded, items of a team over its max-min share come after the others.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -18,7 +18,7 @@
 	crossZoneDelayPerMB = 40 * time.Millisecond  // sending 1 MB to another zone costs users about as much as this delay
 	bytesPerMB          = 1_000_000
 	minEndpointsPerZone = 3   // on average; a service with fewer has one pool for all zones
-	priorities          = 3   // values of Item.priority
+	priorities          = 4   // values of Item.priority
 	maxZoneWaitLoad     = 0.5 // items don't wait for their zone once the queue holds this share of a full call to every endpoint
 	minZoneWaitCalls    = 2   // an item waits for its zone only while this many full calls would end by its Due time
 )
@@ -58,7 +58,12 @@
 	StartBy        time.Time // the item expires if it has not started by then; ignored if FreesMemory is set
 	Deadline       time.Time // the item expires if it has not started by then
 	Set            int       // only items of the same set run in one call; 0: those that no crash has set apart
+	Team           string    // team of the request; empty: none is known
+	Urgency        int       // of the request, 0 being the most urgent
 	Data           any       // value of the caller of Scheduler.Add; not used by this package
+
+	overShare bool // the team uses more than its share of the crowded pool, with what others lend
+	borrows   bool // the team uses more than an equal share of the crowded pool
 }
 
 // Call is a set of items that one endpoint runs together.
@@ -69,13 +74,15 @@
 	Items     []*Item
 	StartedAt time.Time
 
-	previousStart time.Time // of the pool's call before this one, if the pool is shared
+	previousStart time.Time     // of the pool's call before this one, if the pool is shared
+	charged       time.Duration // endpoint time that was added to the use of the items' teams
 }
 
 // Load is the load of a pool.
 type Load struct {
-	Endpoints int // endpoints that accept calls
-	Items     int // queued and in flight
+	Endpoints int           // endpoints that accept calls
+	Items     int           // queued and in flight
+	Delay     time.Duration // measured time from an item being queued to its result; 0: not known
 }
 
 // retainedResult is a result that an endpoint retains until it is released or
@@ -274,9 +281,14 @@
 	}
 	slices.SortStableFunc(available, func(a, b *fleet.Endpoint) int { return preferred[b.Zone] - preferred[a.Zone] })
 	waitFactor := zoneWaitFactor(len(q), len(usable)*slots*svc.Batch.MaxItems)
+	earliestDone := now.Add(callTime(svc.Batch, 1))
+	if sp != nil && len(available) > 0 {
+		sp.order(now, svc.Batch, q, len(usable)*slots)
+		earliestDone = now.Add(sp.expectedTime(svc.Batch, min(len(q), svc.Batch.MaxItems)))
+	}
 	for _, e := range available {
 		st := s.endpoint(e.ID)
-		items, blocked := s.choose(now, svc.Batch, p, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
+		items, blocked := s.choose(now, svc.Batch, p, earliestDone, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
 		if len(items) == 0 {
 			continue
 		}
@@ -291,7 +303,7 @@
 		s.inFlight[p] += len(items)
 		c := &Call{Service: svc, Endpoint: e, Pool: p, Items: items, StartedAt: now}
 		if sp != nil {
-			c.previousStart, sp.lastStart = sp.lastStart, now
+			sp.begin(c)
 		}
 		return c
 	}
@@ -316,16 +328,19 @@
 }
 
 // priority returns the priority of an item, 0 being the highest: items that free
-// memory, late or not; then items that can still be done by their Due time; then
-// late items. earliestDone is when a call with one item that starts now is done.
+// memory, late or not; then items that can still be done by their Due time, those of
+// teams over their share last; then late items. earliestDone is when a call that starts
+// now is done.
 func (it *Item) priority(earliestDone time.Time) int {
 	switch {
 	case it.FreesMemory:
 		return 0
-	case !it.Due.Before(earliestDone):
-		return 1
+	case it.Due.Before(earliestDone):
+		return 3
+	case it.overShare:
+		return 2
 	}
-	return 2
+	return 1
 }
 
 // zoneWaitFactor returns the factor by which the zone wait of items is shortened
@@ -368,10 +383,9 @@
 // order is by Due time. blocked reports whether the call would get no more items if
 // it started later: it is full or runs apart, or memory is short.
 func (s *Scheduler) choose(
-	now time.Time, b *fleet.Batch, p Pool, zone string, freeMemory int64, usableZones map[string]bool, waitFactor float64,
+	now time.Time, b *fleet.Batch, p Pool, earliestDone time.Time, zone string, freeMemory int64, usableZones map[string]bool, waitFactor float64,
 ) (out []*Item, blocked bool) {
 	q := s.queues[p]
-	earliestDone := now.Add(b.CallOverhead + b.ItemTime)
 	taken := make(map[*Item]bool)
 	take := func(priority int, sameZone bool) {
 		for _, it := range q {
@@ -534,12 +548,12 @@
 // EstimateLatency estimates the time from queueing n more items for a pool to
 // their results. It is the time to run the pool's load in full calls on all slots
 // of its endpoints, plus that of one call with the new items, or with MaxItems of
-// them if there are more.
+// them if there are more, and at least the measured delay.
 func EstimateLatency(b *fleet.Batch, l Load, n int) time.Duration {
 	full := FullCallTime(b)
 	perItem := full / time.Duration(b.MaxItems)
 	lastCall := b.CallOverhead + time.Duration(min(n, b.MaxItems))*b.ItemTime
-	return lastCall + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots)))
+	return max(l.Delay, lastCall+time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots))))
 }
 
 // ItemCounts returns the number of items that are queued or in flight, by pool.
