--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -18,7 +18,7 @@
 	crossZoneDelayPerMB = 40 * time.Millisecond  // sending 1 MB to another zone costs users about as much as this delay
 	bytesPerMB          = 1_000_000
 	minEndpointsPerZone = 3   // on average; a service with fewer has one pool for all zones
-	priorities          = 3   // values of Item.priority
+	priorities          = 4   // values of Item.priority
 	maxZoneWaitLoad     = 0.5 // items don't wait for their zone once the queue holds this share of a full call to every endpoint
 	minZoneWaitCalls    = 2   // an item waits for its zone only while this many full calls would end by its Due time
 )
@@ -58,7 +58,12 @@
 	StartBy        time.Time // the item expires if it has not started by then; ignored if FreesMemory is set
 	Deadline       time.Time // the item expires if it has not started by then
 	Set            int       // only items of the same set run in one call; 0: those that no crash has set apart
+	Team           string    // team of the request; empty: none is known
+	Urgency        int       // of the request, 0 being the most urgent
 	Data           any       // value of the caller of Scheduler.Add; not used by this package
+
+	overShare bool // the team uses more than its share of the crowded pool, with what others lend
+	borrows   bool // the team uses more than an equal share of the crowded pool
 }
 
 // Call is a set of items that one endpoint runs together.
@@ -68,12 +73,16 @@
 	Pool      Pool
 	Items     []*Item
 	StartedAt time.Time
+
+	previousStart time.Time     // of the pool's call before this one, if the pool is shared
+	charged       time.Duration // endpoint time that was added to the use of the items' teams
 }
 
 // Load is the load of a pool.
 type Load struct {
-	Endpoints int // endpoints that accept calls
-	Items     int // queued and in flight
+	Endpoints int           // endpoints that accept calls
+	Items     int           // queued and in flight
+	Delay     time.Duration // measured time from an item being queued to its result; 0: not known
 }
 
 // retainedResult is a result that an endpoint retains until it is released or
@@ -98,6 +107,7 @@
 	queues    map[Pool][]*Item          // sorted by Item.Due
 	inFlight  map[Pool]int              // items in calls
 	endpoints map[string]*endpointState // by endpoint ID
+	shared    map[Pool]*sharedPool      // pools whose calls are spaced
 	lastSet   int                       // last value of Item.Set
 }
 
@@ -106,6 +116,7 @@
 		s.queues = make(map[Pool][]*Item)
 		s.inFlight = make(map[Pool]int)
 		s.endpoints = make(map[string]*endpointState)
+		s.shared = make(map[Pool]*sharedPool)
 	}
 }
 
@@ -243,9 +254,13 @@
 
 // Next removes items from the queue of a pool and returns the call to start with
 // them now, or nil if there is none. The caller reports the end of the call to
-// Finish. usable are the pool's endpoints that may get calls; those in the zones
+// Finish. A shared pool may hold a call back until NextStart. usable are the pool's endpoints that may get calls; those in the zones
 // that most items prefer are tried first.
 func (s *Scheduler) Next(now time.Time, svc *fleet.Service, p Pool, usable []*fleet.Endpoint) *Call {
+	sp := s.shared[p]
+	if sp != nil {
+		sp.heldUntil = time.Time{}
+	}
 	q := s.queues[p]
 	if len(q) == 0 {
 		return nil
@@ -256,26 +271,41 @@
 	}
 	available := make([]*fleet.Endpoint, 0, len(usable))
 	usableZones := make(map[string]bool) // zones with a usable endpoint
+	slots, free := max(1, svc.Batch.Slots), 0
 	for _, e := range usable {
 		usableZones[e.Zone] = true
-		if st := s.endpoint(e.ID); st.calls < max(1, svc.Batch.Slots) && !now.Before(st.backoffUntil) {
+		if st := s.endpoint(e.ID); st.calls < slots && !now.Before(st.backoffUntil) {
 			available = append(available, e)
+			free += slots - st.calls
 		}
 	}
 	slices.SortStableFunc(available, func(a, b *fleet.Endpoint) int { return preferred[b.Zone] - preferred[a.Zone] })
-	waitFactor := zoneWaitFactor(len(q), len(usable)*max(1, svc.Batch.Slots)*svc.Batch.MaxItems)
+	waitFactor := zoneWaitFactor(len(q), len(usable)*slots*svc.Batch.MaxItems)
+	earliestDone := now.Add(callTime(svc.Batch, 1))
+	if sp != nil && len(available) > 0 {
+		sp.order(now, svc.Batch, q, len(usable)*slots)
+		earliestDone = now.Add(sp.expectedTime(svc.Batch, min(len(q), svc.Batch.MaxItems)))
+	}
 	for _, e := range available {
 		st := s.endpoint(e.ID)
-		items := s.dequeue(now, svc.Batch, p, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
+		items, blocked := s.choose(now, svc.Batch, p, earliestDone, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
 		if len(items) == 0 {
 			continue
 		}
+		if sp != nil && free == 1 && !blocked && sp.hold(now, svc.Batch, items, len(usable)*slots) {
+			return nil
+		}
+		s.dequeue(p, items, e.Zone)
 		st.calls++
 		for _, it := range items {
 			st.pendingBytes += it.ResultBytes
 		}
 		s.inFlight[p] += len(items)
-		return &Call{Service: svc, Endpoint: e, Pool: p, Items: items, StartedAt: now}
+		c := &Call{Service: svc, Endpoint: e, Pool: p, Items: items, StartedAt: now}
+		if sp != nil {
+			sp.begin(c)
+		}
+		return c
 	}
 	return nil
 }
@@ -298,16 +328,19 @@
 }
 
 // priority returns the priority of an item, 0 being the highest: items that free
-// memory, late or not; then items that can still be done by their Due time; then
-// late items. earliestDone is when a call with one item that starts now is done.
+// memory, late or not; then items that can still be done by their Due time, those of
+// teams over their share last; then late items. earliestDone is when a call that starts
+// now is done.
 func (it *Item) priority(earliestDone time.Time) int {
 	switch {
 	case it.FreesMemory:
 		return 0
-	case !it.Due.Before(earliestDone):
-		return 1
+	case it.Due.Before(earliestDone):
+		return 3
+	case it.overShare:
+		return 2
 	}
-	return 2
+	return 1
 }
 
 // zoneWaitFactor returns the factor by which the zone wait of items is shortened
@@ -343,17 +376,16 @@
 	return time.Duration(float64(bytes) / bytesPerMB * float64(crossZoneDelayPerMB))
 }
 
-// dequeue removes and returns the items of the next call to an endpoint in a
-// zone with freeMemory bytes for their results. Items whose results don't fit stay
-// queued, unless the configured memory is 0, which means no limit. Items are taken
-// by priority; within a priority, those that prefer the zone come first, and then
-// the order is by Due time.
-func (s *Scheduler) dequeue(
-	now time.Time, b *fleet.Batch, p Pool, zone string, freeMemory int64, usableZones map[string]bool, waitFactor float64,
-) []*Item {
+// choose returns the items of the next call to an endpoint in a zone with
+// freeMemory bytes for their results. Items whose results don't fit are left out,
+// unless the configured memory is 0, which means no limit. Items are taken by
+// priority; within a priority, those that prefer the zone come first, and then the
+// order is by Due time. blocked reports whether the call would get no more items if
+// it started later: it is full or runs apart, or memory is short.
+func (s *Scheduler) choose(
+	now time.Time, b *fleet.Batch, p Pool, earliestDone time.Time, zone string, freeMemory int64, usableZones map[string]bool, waitFactor float64,
+) (out []*Item, blocked bool) {
 	q := s.queues[p]
-	earliestDone := now.Add(b.CallOverhead + b.ItemTime)
-	var out []*Item
 	taken := make(map[*Item]bool)
 	take := func(priority int, sameZone bool) {
 		for _, it := range q {
@@ -363,8 +395,14 @@
 			if len(out) > 0 && it.Set != out[0].Set {
 				continue
 			}
-			if taken[it] || it.priority(earliestDone) != priority || (b.MemoryBytes > 0 && it.ResultBytes > freeMemory) ||
-				(sameZone && it.Zone != zone) || !it.mayRunIn(now, b, zone, usableZones, waitFactor) {
+			if taken[it] || it.priority(earliestDone) != priority {
+				continue
+			}
+			if b.MemoryBytes > 0 && it.ResultBytes > freeMemory {
+				blocked = true
+				continue
+			}
+			if (sameZone && it.Zone != zone) || !it.mayRunIn(now, b, zone, usableZones, waitFactor) {
 				continue
 			}
 			freeMemory -= it.ResultBytes
@@ -376,10 +414,18 @@
 		take(priority, true)
 		take(priority, false)
 	}
-	q = slices.DeleteFunc(q, func(it *Item) bool { return taken[it] })
-	assignZone(out, q, zone)
+	return out, blocked || len(out) >= b.MaxItems || (len(out) > 0 && out[0].Set != 0)
+}
+
+// dequeue removes the items of a call to an endpoint in a zone from a pool's queue.
+func (s *Scheduler) dequeue(p Pool, items []*Item, zone string) {
+	taken := make(map[*Item]bool, len(items))
+	for _, it := range items {
+		taken[it] = true
+	}
+	q := slices.DeleteFunc(s.queues[p], func(it *Item) bool { return taken[it] })
+	assignZone(items, q, zone)
 	s.queues[p] = q
-	return out
 }
 
 // assignZone sets the zone of queued items that preferred none, if some of the
@@ -424,6 +470,9 @@
 	if o.Rejected {
 		st.backoffUntil = now.Add(rejectionBackoff)
 	}
+	if sp := s.shared[c.Pool]; sp != nil {
+		sp.finish(now, c, o)
+	}
 	st.adjustMemoryLimit(now, c.Service.Batch.MemoryBytes, o)
 }
 
@@ -499,12 +548,12 @@
 // EstimateLatency estimates the time from queueing n more items for a pool to
 // their results. It is the time to run the pool's load in full calls on all slots
 // of its endpoints, plus that of one call with the new items, or with MaxItems of
-// them if there are more.
+// them if there are more, and at least the measured delay.
 func EstimateLatency(b *fleet.Batch, l Load, n int) time.Duration {
 	full := FullCallTime(b)
 	perItem := full / time.Duration(b.MaxItems)
 	lastCall := b.CallOverhead + time.Duration(min(n, b.MaxItems))*b.ItemTime
-	return lastCall + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots)))
+	return max(l.Delay, lastCall+time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots))))
 }
 
 // ItemCounts returns the number of items that are queued or in flight, by pool.
