core/share: limits of stage time by urgency

Change: for shared stage services, the limit of a request is the least slack among its route and the routes that are at least as urgent and share a stage service with it. It is cached for each configuration. stages_estimated names the limit and what decided. Measured: TestUrgentBehindBulk: all 1,000 urgent requests are rejected without the limit, and no more than a tenth above those of bulk with it.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -156,6 +157,15 @@
 // RequiresKey reports whether requests to routes that aren't public need a key.
 func (c *Config) RequiresKey() bool { return c.requiresKey }
 
+// Routes returns all routes, sorted by host, and for each host as Match tries them.
+func (c *Config) Routes() []*Route {
+	var out []*Route
+	for _, host := range slices.Sorted(maps.Keys(c.routes)) {
+		out = append(out, c.routes[host]...)
+	}
+	return out
+}
+
 // NumRoutes returns the number of routes.
 func (c *Config) NumRoutes() int {
 	n := 0
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,14 +31,13 @@
 )
 
 const (
-	defaultTimeout      = 30 * time.Second       // for requests that name no deadline
-	minRetryAfter       = 300 * time.Millisecond // shortest retry delay for rejected callers, before jitter
-	notReadyRetryAfter  = time.Second            // retry delay, before jitter, while the relay is not ready
-	deadlineMargin      = 20 * time.Millisecond  // time between the relay's final response and the caller's deadline
-	minRejectQueueDelay = 100 * time.Millisecond // requests that queued items delay by less are always admitted
-	emptyPromptLatency  = 60 * time.Millisecond  // from sending a request with an empty prompt to its first event
-	maxStageReruns      = 2                      // per request
-	promptTokenTime     = 30 * time.Microsecond  // approximate time that an engine takes to read one prompt token
+	defaultTimeout     = 30 * time.Second       // for requests that name no deadline
+	minRetryAfter      = 300 * time.Millisecond // shortest retry delay for rejected callers, before jitter
+	notReadyRetryAfter = time.Second            // retry delay, before jitter, while the relay is not ready
+	deadlineMargin     = 20 * time.Millisecond  // time between the relay's final response and the caller's deadline
+	emptyPromptLatency = 60 * time.Millisecond  // from sending a request with an empty prompt to its first event
+	maxStageReruns     = 2                      // per request
+	promptTokenTime    = 30 * time.Microsecond  // approximate time that an engine takes to read one prompt token
 )
 
 // Origins remembers where streams began, by the ID of the caller's attempt that
@@ -75,6 +75,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service; guarded by mu
+	limits  atomic.Pointer[configLimits]
 }
 
 // request is the state of one request in flight. One goroutine owns it.
@@ -85,6 +86,7 @@
 	route          *fleet.Route
 	team           *fleet.Team // nil for public routes and where no keys are configured
 	service        string
+	config         *fleet.Config // that the request is served with
 	startedAt      time.Time
 	deadline       time.Time          // for the final response
 	due            time.Time          // when the response, or its first event, must be sent to meet the route's objective
@@ -171,7 +173,7 @@
 		return
 	}
 	v := req.View()
-	req.configVersion = v.Config.Version
+	req.config, req.configVersion = v.Config, v.Config.Version
 	var err error
 	if req.headers, err = plat.ReadRequest(&req.exchange.Header); err != nil {
 		req.reject(fasthttp.StatusBadRequest, 0, err.Error())
@@ -375,29 +377,6 @@
 		Err(err).Msg("")
 }
 
-// admitToStages reports whether to start the stages of a job. It returns false
-// only if the stages can't end in time and the items queued before them delay
-// them by minRejectQueueDelay or more. It then also returns the time after which
-// the caller may retry.
-func (req *request) admitToStages(job stage.Job) (time.Duration, bool) {
-	estimate, idle := req.Stages.Estimate(job)
-	// The time for reading the prompt is left out: it would make large requests
-	// more likely to be rejected than small ones, although they load the stages
-	// no more.
-	left := req.due.Add(-emptyPromptLatency).Sub(req.Clock.Now())
-	admitted := req.Policy().NoAdmission || estimate <= left || estimate-idle < minRejectQueueDelay
-	ev := req.Log.Event
-	if !admitted {
-		ev = req.Log.Failure
-	}
-	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate).Dur("idle_ms", idle).Dur("slack_ms", left).
-		Bool("admitted", admitted).Msg("")
-	if admitted {
-		return 0, true
-	}
-	return max(minRetryAfter, estimate-max(left, idle)), false
-}
-
 // firstEventLatency estimates the time from sending the request to an engine to
 // its first event.
 func (req *request) firstEventLatency() time.Duration {
