core/share: margin of the stage estimate, and the time to the first event

Cause: while demand rises, estimates of the stages' time are too short: 1,486 ms at the 90th percentile, and 1,896 ms actual. The time from the stages to the first event was a constant. Change: each route keeps the 80th percentile of actual less estimated time of the last 2 s free, up to half of its slack. The limit by urgency includes the margin of the route that sets it. The time to the first event is the 75th percentile of the last 10 s in limits, and the median in due times. Teams over their share have half of the limit.

--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -13,6 +13,10 @@
 // that a limit that is shorter than the idle time of a route's stages doesn't starve it.
 const minQueueDelay = 100 * time.Millisecond
 
+// overShareFactor is the part of its limit up to which a team that uses more than its share
+// of a crowded pool is admitted.
+const overShareFactor = 0.5
+
 // Limits tells which routes of a configuration compete for stage services. It is
 // immutable.
 type Limits struct {
@@ -70,26 +74,44 @@
 	ReasonShortQueue Reason = "short_queue" // admitted: queued items delay the stages by little
 	ReasonUnlimited  Reason = "unlimited"   // admitted: admission is off, or no route has an objective
 	ReasonObjective  Reason = "objective"   // rejected: the stages can't end in time for the request itself
+	ReasonMargin     Reason = "margin"      // rejected: estimates of the route were exceeded lately, and the stages would end late by as much
+	ReasonTeam       Reason = "team"        // rejected: the team uses more than its share of a crowded pool
 	ReasonUrgent     Reason = "urgent"      // rejected: routes that are at least as urgent would wait too long
 )
 
 // Admission is what is known of a request before its stages start.
 type Admission struct {
-	Estimate time.Duration // time that its stages take now
-	Idle     time.Duration // time that they would take with nothing queued
-	Slack    time.Duration // time until they must be done for the request itself
-	Limit    time.Duration // see Limits.Limit
+	Estimate  time.Duration // time that its stages take now
+	Idle      time.Duration // time that they would take with nothing queued
+	Slack     time.Duration // time until they must be done for the request itself
+	Margin    time.Duration // part of Slack that is kept free, see History.Margin
+	Limit     time.Duration // see Limits.Limit, with the margin of each route subtracted from its slack
+	OverShare bool          // the team uses more than its share of a crowded pool
+}
+
+// Bound returns the longest estimate with which the request is admitted, unless queued items
+// delay it by little.
+func (a *Admission) Bound() time.Duration {
+	bound := min(a.Slack-a.Margin, a.Limit)
+	if a.OverShare {
+		bound = time.Duration(overShareFactor * float64(bound))
+	}
+	return bound
 }
 
 // Decide reports whether the request is admitted, and why.
 func (a *Admission) Decide() (bool, Reason) {
 	switch {
-	case a.Estimate <= min(a.Slack, a.Limit):
+	case a.Estimate <= a.Bound():
 		return true, ReasonInTime
 	case a.Estimate-a.Idle < minQueueDelay:
 		return true, ReasonShortQueue
 	case a.Estimate > a.Slack:
 		return false, ReasonObjective
+	case a.Estimate > a.Slack-a.Margin:
+		return false, ReasonMargin
+	case a.Estimate > a.Limit:
+		return false, ReasonUrgent
 	}
-	return false, ReasonUrgent
+	return false, ReasonTeam
 }
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -73,3 +73,96 @@
 		t.Errorf("%d urgent requests rejected, %d of bulk", rejected[urgent], rejected[bulk])
 	}
 }
+
+// TestRisingDemand guards against admission by estimates that are too short while demand
+// rises: they are made from loads that are 300 ms old.
+func TestRisingDemand(t *testing.T) {
+	const slack, perItem, idle, age = 1200 * ms, 10 * ms, 200 * ms, 300
+	now := time.Unix(1000, 0)
+	var h share.History
+	type request struct{ estimate, actual, end time.Duration }
+	var running []request
+	var loads [6000]float64
+	load, admitted, late := 0.0, 0, 0
+	for tick := range 6000 { // milliseconds
+		at := time.Duration(tick) * ms
+		now = now.Add(ms)
+		running = slices.DeleteFunc(running, func(r request) bool {
+			if r.end > at {
+				return false
+			}
+			h.RecordStages(now, r.estimate, r.actual)
+			return true
+		})
+		load = max(0, load-0.1)
+		loads[tick] = load
+		if rate := 0.05 + 0.2*min(1, float64(tick)/1500); int(float64(tick)*rate) == int(float64(tick+1)*rate) {
+			continue
+		}
+		estimate := idle + time.Duration(loads[max(0, tick-age)]*float64(perItem))
+		a := share.Admission{Estimate: estimate, Idle: idle, Slack: slack, Limit: slack, Margin: h.Margin(now, slack)}
+		if ok, _ := a.Decide(); !ok {
+			continue
+		}
+		load++
+		actual := idle + time.Duration(load*float64(perItem))
+		running = append(running, request{estimate, actual, at + actual})
+		admitted++
+		if actual > slack {
+			late++
+		}
+	}
+	if late*10 > admitted {
+		t.Errorf("%d of %d admitted requests late", late, admitted)
+	}
+}
+
+// TestMargin guards the bounds of the margin, and its fall once estimates are right.
+func TestMargin(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h share.History
+	if m := h.Margin(now, 1000*ms); m != 0 {
+		t.Errorf("margin without requests: %v", m)
+	}
+	for range 20 {
+		h.RecordStages(now, 100*ms, 400*ms)
+	}
+	if m := h.Margin(now, 1000*ms); m != 300*ms {
+		t.Errorf("margin %v, want 300ms", m)
+	}
+	if m := h.Margin(now, 400*ms); m != 200*ms {
+		t.Errorf("margin %v, want half of the slack", m)
+	}
+	for range 6 {
+		h.RecordStages(now.Add(1500*ms), 100*ms, 60*ms)
+	}
+	if m := h.Margin(now.Add(2000*ms), 1000*ms); m != 0 {
+		t.Errorf("margin %v, want 0 once estimates are right for 2 s", m)
+	}
+}
+
+// TestTail guards the fallback, the quantile and the bound of the time to the first event.
+func TestTail(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var h share.History
+	for i := range 5 {
+		if d := h.Tail(now, share.TailForDue, 1000*ms, 60*ms); d != 60*ms {
+			t.Errorf("%v after %d requests, want the fallback", d, i)
+		}
+		h.RecordTail(now, time.Duration(i+1)*100*ms)
+	}
+	for _, c := range []struct {
+		q               float64
+		objective, want time.Duration
+		age             time.Duration
+	}{
+		{share.TailForDue, time.Second, 300 * ms, 0},
+		{share.TailForLimit, time.Second, 400 * ms, 0},
+		{share.TailForDue, 400 * ms, 200 * ms, 0},
+		{share.TailForDue, time.Second, 60 * ms, 10 * time.Second},
+	} {
+		if d := h.Tail(now.Add(c.age), c.q, c.objective, 60*ms); d != c.want {
+			t.Errorf("quantile %v of an objective of %v: %v, want %v", c.q, c.objective, d, c.want)
+		}
+	}
+}
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -303,6 +303,7 @@
 	}
 	req.recordEnd(e, pick.ResultGood, attemptDone, "")
 	if a.Status < 300 {
+		req.recordTail()
 		req.Guard.Completed(req.suspects)
 	}
 	var h fasthttp.ResponseHeader
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/poison"
 	"wigeonplank.example/core/retry"
+	"wigeonplank.example/core/share"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/assign"
 	"wigeonplank.example/relay/front"
@@ -75,7 +76,8 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service; guarded by mu
-	limits  atomic.Pointer[configLimits]
+	// admission is what is needed to admit requests to stages. mu is held while it changes.
+	admission atomic.Pointer[admission]
 }
 
 // request is the state of one request in flight. One goroutine owns it.
@@ -95,6 +97,10 @@
 	attemptAt      time.Time          // start of the current attempt
 	firstEventAt   time.Time          // first event of the current attempt; zero: none yet
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
+	shared         bool               // one of the stage services is scheduled by shares and by urgency
+	stagesBeganAt  time.Time          // when the stages were estimated
+	stagesEstimate time.Duration      // estimated time of the stages
+	stagesEndedAt  time.Time          // zero: not ended, or the first event was recorded
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
 	firstEventIn   time.Duration      // from the start of the request to the first event that was forwarded; 0: none yet
@@ -284,6 +290,7 @@
 // results in req.inputs. If the stages are overloaded or one fails, it rejects
 // the request and returns false.
 func (req *request) runStages(ctx context.Context) bool {
+	req.shared = req.sharesStages()
 	job := stage.Job{
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
 		Due: req.due.Add(-req.firstEventLatency()), StartBy: req.due, Deadline: req.deadline,
@@ -299,6 +306,9 @@
 	}
 	inputs, err := req.Stages.Run(ctx, job)
 	req.logStages(inputs, err)
+	if req.shared {
+		req.recordStages(err)
+	}
 	req.Meters.RecordPhase(stats.PhaseStages, req.route.Name, req.Clock.Now().Sub(req.startedAt))
 	if err == nil {
 		req.inputs = inputs
@@ -349,6 +359,7 @@
 	req.stageReruns++
 	req.releaseInputs()
 	req.inputs = nil
+	req.stagesEndedAt = time.Time{} // the time to the first event would include the stages
 	// In both reasons, "they" and "them" refer to the results of the stages.
 	reason := "they were given up when the stream began"
 	if end == attemptNoInputs {
@@ -380,7 +391,12 @@
 // firstEventLatency estimates the time from sending the request to an engine to
 // its first event.
 func (req *request) firstEventLatency() time.Duration {
-	return emptyPromptLatency + time.Duration(req.headers.PromptTokens)*promptTokenTime
+	fallback := emptyPromptLatency + time.Duration(req.headers.PromptTokens)*promptTokenTime
+	if !req.shared {
+		return fallback
+	}
+	h := req.admissionFor(req.config).history(req.route)
+	return h.Tail(req.Clock.Now(), share.TailForDue, req.route.LatencyObjective, fallback)
 }
 
 // ResetBudgets drops the retry budgets of all services. NewBudget then creates
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -199,6 +199,7 @@
 		return req.exchange.SendEvents(raw)
 	}
 	req.firstEventIn = now.Sub(req.startedAt)
+	req.recordTail()
 	req.Meters.RecordPhase(stats.PhaseFirstEvent, req.route.Name, req.firstEventIn)
 	var h fasthttp.ResponseHeader
 	plat.CopyResponseHeaders(&h, &call.Header)
