core/share: Retry-After from the backlog, spread over the rejected callers

Cause: rejected callers were asked to retry after the excess of the estimate, with jitter up to the same time again, however many of them there were. Change: for shared stage services, Retry-After is the time until the backlog has fallen to the limit, and a random part of the time that serving the callers that are still to return takes at the rate of the last 2 s. It is at most a third of the caller's time. Rejected requests are counted by reason, route and team; wpctl trace names the limit. Measured: TestRefusedReturnAsAWave: of 300 callers, at most 75 return in half a second. It fails with the spread off.

--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -99,6 +99,12 @@
 	return bound
 }
 
+// Excess returns by how much the time of the queued items must fall for the request to be
+// admitted. Without further admissions, this is also how long that takes.
+func (a *Admission) Excess() time.Duration {
+	return max(0, a.Estimate-max(a.Bound(), a.Idle+minQueueDelay))
+}
+
 // Decide reports whether the request is admitted, and why.
 func (a *Admission) Decide() (bool, Reason) {
 	switch {
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -1,6 +1,7 @@
 package share_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -166,3 +167,75 @@
 		}
 	}
 }
+
+// TestRefusedReturnAsAWave guards against the return of rejected callers as a wave that is
+// rejected again: 300 callers are rejected within 0.3 s, at 50 admitted requests per second.
+func TestRefusedReturnAsAWave(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var r share.Returns
+	for i := range 100 {
+		r.RecordAdmitted(start.Add(time.Duration(i) * -20 * ms))
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	returns := make(map[time.Duration]int) // by period of 0.5 s
+	for i := range 300 {
+		at := time.Duration(i) * ms
+		d := r.RetryAfter(start.Add(at), 400*ms, 30*time.Second, random.Float64())
+		if d < 300*ms || d > 10*time.Second {
+			t.Fatalf("retry after %v", d)
+		}
+		returns[(at+d)/(500*ms)]++
+	}
+	for period, n := range returns {
+		if n > 75 { // three times what is served in that time
+			t.Errorf("%d callers return in the half second after %v", n, period*500*ms)
+		}
+	}
+}
+
+// TestRetryAfter guards the bounds: callers ignore a delay above a third of their time.
+func TestRetryAfter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct{ excess, left, min, max time.Duration }{
+		{0, 30 * time.Second, 300 * ms, 10 * time.Second},
+		{5 * time.Second, 3 * time.Second, 500 * ms, time.Second}, // the backlog outlasts the third
+		{100 * ms, 600 * ms, 200 * ms, 200 * ms},
+		{100 * ms, -ms, 0, 0},
+	} {
+		for random, want := range map[float64]time.Duration{0: c.min, 1: c.max} {
+			var r share.Returns
+			if d := r.RetryAfter(now, c.excess, c.left, random); (d - want).Abs() > ms {
+				t.Errorf("backlog for %v, %v left, random %v: retry after %v, want %v", c.excess, c.left, random, d, want)
+			}
+		}
+	}
+}
+
+// TestDecide guards which bound decides, and that a team over its share has half of the
+// limit, but is admitted while queues are short.
+func TestDecide(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		estimate      time.Duration
+		margin, limit time.Duration
+		over, want    bool
+		reason        share.Reason
+		excess        time.Duration
+	}{
+		{"in time", 800 * ms, 100 * ms, 900 * ms, false, true, share.ReasonInTime, 0},
+		{"late", 1100 * ms, 0, 900 * ms, false, false, share.ReasonObjective, 200 * ms},
+		{"margin", 800 * ms, 300 * ms, 700 * ms, false, false, share.ReasonMargin, 100 * ms},
+		{"more urgent", 800 * ms, 0, 600 * ms, false, false, share.ReasonUrgent, 200 * ms},
+		{"team over its share", 600 * ms, 0, 900 * ms, true, false, share.ReasonTeam, 150 * ms},
+		{"short queue", 290 * ms, 0, 100 * ms, true, true, share.ReasonShortQueue, 0},
+		{"to the short queue", 500 * ms, 0, 100 * ms, false, false, share.ReasonUrgent, 200 * ms},
+	} {
+		a := share.Admission{Estimate: c.estimate, Idle: 200 * ms, Slack: 1000 * ms, Margin: c.margin, Limit: c.limit, OverShare: c.over}
+		if ok, reason := a.Decide(); ok != c.want || reason != c.reason {
+			t.Errorf("%s: %v, %s; want %v, %s", c.name, ok, reason, c.want, c.reason)
+		}
+		if x := a.Excess(); x != c.excess {
+			t.Errorf("%s: excess %v, want %v", c.name, x, c.excess)
+		}
+	}
+}
--- a/relay/proxy/admission.go
+++ b/relay/proxy/admission.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/share"
 	plat "wigeonplank.example/platform"
@@ -15,12 +18,18 @@
 
 // admission holds what is needed to admit requests of one configuration.
 type admission struct {
-	config    *fleet.Config
-	limits    *share.Limits
-	histories map[string]*share.History // by route
+	config *fleet.Config
+	limits *share.Limits
+	routes map[string]*routeState // by name
+}
+
+// routeState is what is known of the recent requests of one route.
+type routeState struct {
+	share.History
+	share.Returns
 }
 
-// admissionFor returns what is needed to admit requests of a configuration. The histories of
+// admissionFor returns what is needed to admit requests of a configuration. The states of
 // routes are kept when the configuration changes.
 func (f *Forwarder) admissionFor(cfg *fleet.Config) *admission {
 	if a := f.admission.Load(); a != nil && a.config == cfg {
@@ -33,27 +42,29 @@
 		return old // by a request that was resolved before the configuration changed
 	}
 	routes := cfg.Routes()
-	a := &admission{config: cfg, limits: share.NewLimits(routes), histories: make(map[string]*share.History, len(routes))}
+	a := &admission{config: cfg, limits: share.NewLimits(routes), routes: make(map[string]*routeState, len(routes))}
 	for _, r := range routes {
-		if old != nil && old.histories[r.Name] != nil {
-			a.histories[r.Name] = old.histories[r.Name]
-			continue
+		a.routes[r.Name] = &routeState{}
+		if old != nil && old.routes[r.Name] != nil {
+			a.routes[r.Name] = old.routes[r.Name]
 		}
-		a.histories[r.Name] = &share.History{}
 	}
 	f.admission.Store(a)
 	return a
 }
 
-// history returns the history of a route, which is empty if the route is not in the
+// route returns the state of a route, which is empty if the route is not in the
 // configuration.
-func (a *admission) history(r *fleet.Route) *share.History {
-	if h := a.histories[r.Name]; h != nil {
-		return h
+func (a *admission) route(r *fleet.Route) *routeState {
+	if s := a.routes[r.Name]; s != nil {
+		return s
 	}
-	return &share.History{}
+	return &routeState{}
 }
 
+// routeState returns the state of the request's route.
+func (req *request) routeState() *routeState { return req.admissionFor(req.config).route(req.route) }
+
 // sharesStages reports whether one of the request's stage services is scheduled by shares
 // and by urgency.
 func (req *request) sharesStages() bool {
@@ -71,9 +82,8 @@
 // admitToStages reports whether to start the stages of a job. It returns false
 // only if the stages can't end in time, for this request or for more urgent ones that use
 // the same stage services, and the items queued before them delay them
-// noticeably. It then also returns the time after which
-// the caller may retry.
-func (req *request) admitToStages(job stage.Job) (time.Duration, bool) {
+// noticeably. It then rejects the request.
+func (req *request) admitToStages(job stage.Job) bool {
 	estimate, idle := req.Stages.Estimate(job)
 	req.stagesBeganAt, req.stagesEstimate = req.Clock.Now(), estimate
 	// The time for reading the prompt is left out: it would make large requests
@@ -83,7 +93,7 @@
 	a := share.Admission{Estimate: estimate, Idle: idle, Slack: left, Limit: left}
 	limitedBy := req.route.Name
 	if req.shared {
-		a, limitedBy = req.sharedAdmission(estimate, idle)
+		a, limitedBy = req.sharedAdmission(job, estimate, idle)
 	}
 	admitted, reason := a.Decide()
 	if req.Policy().NoAdmission {
@@ -95,30 +105,46 @@
 	}
 	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate).Dur("idle_ms", idle).Dur("slack_ms", a.Slack).
 		Dur("margin_ms", a.Margin).Dur("limit_ms", a.Bound()).Str("limited_by", limitedBy).Str("decided_by", string(reason)).Bool("admitted", admitted).Msg("")
-	if admitted {
-		return 0, true
+	switch {
+	case admitted && req.shared:
+		req.routeState().RecordAdmitted(req.Clock.Now())
+	case admitted:
+	case req.shared:
+		req.Meters.RecordRejected(string(reason), req.route.Name, req.teamName())
+		req.rejectCrowded(a.Excess(), "stages are overloaded")
+	default:
+		req.Meters.RecordRejected(string(reason), req.route.Name, req.teamName())
+		req.reject(fasthttp.StatusServiceUnavailable, max(minRetryAfter, estimate-max(left, idle)), "stages are overloaded")
 	}
-	return max(minRetryAfter, estimate-max(a.Bound(), idle)), false
+	return admitted
+}
+
+// rejectCrowded rejects a request of a route whose stages are scheduled by shares and by
+// urgency, before its endpoint has it. excess is the time in which the backlog will have
+// fallen to the level at which the request would be admitted.
+func (req *request) rejectCrowded(excess time.Duration, reason string) {
+	now := req.Clock.Now()
+	req.rejectUntil(fasthttp.StatusServiceUnavailable, req.routeState().RetryAfter(now, excess, req.deadline.Sub(now), rand.Float64()), reason)
 }
 
 // sharedAdmission returns what decides whether the request is admitted to stages that are
 // scheduled by shares and by urgency, and the name of the route that limits it.
-func (req *request) sharedAdmission(estimate, idle time.Duration) (share.Admission, string) {
+func (req *request) sharedAdmission(job stage.Job, estimate, idle time.Duration) (share.Admission, string) {
 	now := req.Clock.Now()
 	state := req.admissionFor(req.config)
 	slack := func(r *fleet.Route) time.Duration {
-		tail := state.history(r).Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency)
+		tail := state.route(r).Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency)
 		return r.LatencyObjective - tail - now.Sub(req.startedAt)
 	}
-	a := share.Admission{Estimate: estimate, Idle: idle, Slack: req.deadline.Sub(now)}
+	a := share.Admission{Estimate: estimate, Idle: idle, Slack: req.deadline.Sub(now), OverShare: req.OverShare != nil && req.OverShare(job)}
 	if req.route.LatencyObjective > 0 {
 		a.Slack = slack(req.route)
 	}
-	a.Margin = state.history(req.route).Margin(now, a.Slack)
+	a.Margin = state.route(req.route).Margin(now, a.Slack)
 	a.Limit = a.Slack - a.Margin
 	limit, by, ok := state.limits.Limit(req.route, req.urgency(), func(r *fleet.Route) time.Duration {
 		s := slack(r)
-		return s - state.history(r).Margin(now, s)
+		return s - state.route(r).Margin(now, s)
 	})
 	if !ok {
 		return a, ""
@@ -135,7 +161,7 @@
 	case err == nil, errors.Is(err, context.DeadlineExceeded), errors.As(err, &failed) && failed.Reason == plat.ReasonExpired:
 		now := req.Clock.Now()
 		req.stagesEndedAt = now
-		req.admissionFor(req.config).history(req.route).RecordStages(now, req.stagesEstimate, now.Sub(req.stagesBeganAt))
+		req.routeState().RecordStages(now, req.stagesEstimate, now.Sub(req.stagesBeganAt))
 	}
 }
 
@@ -146,6 +172,6 @@
 		return
 	}
 	now := req.Clock.Now()
-	req.admissionFor(req.config).history(req.route).RecordTail(now, now.Sub(req.stagesEndedAt))
+	req.routeState().RecordTail(now, now.Sub(req.stagesEndedAt))
 	req.stagesEndedAt = time.Time{}
 }
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -69,6 +69,9 @@
 	Clock     clock.Clock
 	Log       *logs.Logger
 	Meters    *stats.Meters
+	// OverShare reports whether the team of a job uses more than its share of a crowded pool.
+	// nil: no team ever does.
+	OverShare func(job stage.Job) bool
 	// NewBudget returns a new retry budget for one service.
 	NewBudget func() *retry.Budget
 	// Policy returns the active policy.
@@ -163,13 +166,17 @@
 // which impliesNotRun is true may only be used if no endpoint can have run the
 // request.
 func (req *request) reject(status int, retryAfter time.Duration, reason string) {
-	req.outcome = reason
 	if retryAfter > 0 {
 		// Jitter of up to the same time spreads the retries of callers that were
 		// rejected together.
 		retryAfter += time.Duration(rand.Int64N(int64(retryAfter)))
 	}
-	req.retryAfter = retryAfter
+	req.rejectUntil(status, retryAfter, reason)
+}
+
+// rejectUntil is reject without jitter.
+func (req *request) rejectUntil(status int, retryAfter time.Duration, reason string) {
+	req.outcome, req.retryAfter = reason, retryAfter
 	req.exchange.Reject(status, retryAfter)
 }
 
@@ -295,8 +302,7 @@
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
 		Due: req.due.Add(-req.firstEventLatency()), StartBy: req.due, Deadline: req.deadline,
 	}
-	if retryAfter, ok := req.admitToStages(job); !ok {
-		req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "stages are overloaded")
+	if !req.admitToStages(job) {
 		return false
 	}
 	// The results should lie in the zone of the endpoint that the request will
@@ -320,8 +326,12 @@
 	}
 	req.reportItemCrash(err)
 	retryAfter := minRetryAfter
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		retryAfter = 0
+	case req.shared:
+		req.rejectCrowded(0, err.Error())
+		return false
 	}
 	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, err.Error())
 	return false
@@ -395,8 +405,7 @@
 	if !req.shared {
 		return fallback
 	}
-	h := req.admissionFor(req.config).history(req.route)
-	return h.Tail(req.Clock.Now(), share.TailForDue, req.route.LatencyObjective, fallback)
+	return req.routeState().Tail(req.Clock.Now(), share.TailForDue, req.route.LatencyObjective, fallback)
 }
 
 // ResetBudgets drops the retry budgets of all services. NewBudget then creates
--- a/relay/stats/stats.go
+++ b/relay/stats/stats.go
@@ -57,6 +57,12 @@
 	m.record(string(PhaseTotal)+unitSuffix, "route", route, d)
 }
 
+// RecordRejected counts a request that was not admitted to its stages, by what decided.
+func (m *Meters) RecordRejected(reason, route, team string) {
+	m.counter("rejected_total", "route", m.routeLabel(route), "reason", reason).Inc(1)
+	m.counter("team_rejected_total", "team", m.teamLabel(team), "reason", reason).Inc(1)
+}
+
 // RecordPrediction records how far the predicted time from sending a request to its
 // first event was from the actual one. Times that were predicted too short and too
 // long are counted apart.
--- a/wpctl/trace/trace.go
+++ b/wpctl/trace/trace.go
@@ -187,8 +187,12 @@
 	}
 	parts := []string{fmt.Sprintf("status %s: %s", fieldText(done, "status"), outcome)}
 	if e := t.lastLine(eventStagesEstimated, func(l *Line) bool { return fieldText(l, "admitted") == "false" }); e != nil {
-		parts = append(parts, fmt.Sprintf("its stages were estimated to take %s ms (%s ms with empty queues), but only %s ms were left",
-			fieldText(e, "now_ms"), fieldText(e, "idle_ms"), fieldText(e, "slack_ms")))
+		text := fmt.Sprintf("its stages were estimated to take %s ms (%s ms with empty queues), but only %s ms were left",
+			fieldText(e, "now_ms"), fieldText(e, "idle_ms"), fieldText(e, "slack_ms"))
+		if limit := fieldText(e, "limit_ms"); limit != "" && limit != fieldText(e, "slack_ms") {
+			text += fmt.Sprintf(", and the limit was %s ms (decided by %s, limited by %s)", limit, fieldText(e, "decided_by"), fieldText(e, "limited_by"))
+		}
+		parts = append(parts, text)
 	}
 	if c := t.lastLine(eventStageCall, func(l *Line) bool { return fieldText(l, "error") != "" }); c != nil {
 		parts = append(parts, fmt.Sprintf("a stage call to %s failed: %s", fieldText(c, "endpoint"), fieldText(c, "error")))
