--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,7 @@
 	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/poison"
 	"wigeonplank.example/core/retry"
+	"wigeonplank.example/core/share"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/assign"
 	"wigeonplank.example/relay/front"
@@ -30,14 +32,13 @@
 )
 
 const (
-	defaultTimeout      = 30 * time.Second       // for requests that name no deadline
-	minRetryAfter       = 300 * time.Millisecond // shortest retry delay for rejected callers, before jitter
-	notReadyRetryAfter  = time.Second            // retry delay, before jitter, while the relay is not ready
-	deadlineMargin      = 20 * time.Millisecond  // time between the relay's final response and the caller's deadline
-	minRejectQueueDelay = 100 * time.Millisecond // requests that queued items delay by less are always admitted
-	emptyPromptLatency  = 60 * time.Millisecond  // from sending a request with an empty prompt to its first event
-	maxStageReruns      = 2                      // per request
-	promptTokenTime     = 30 * time.Microsecond  // approximate time that an engine takes to read one prompt token
+	defaultTimeout     = 30 * time.Second       // for requests that name no deadline
+	minRetryAfter      = 300 * time.Millisecond // shortest retry delay for rejected callers, before jitter
+	notReadyRetryAfter = time.Second            // retry delay, before jitter, while the relay is not ready
+	deadlineMargin     = 20 * time.Millisecond  // time between the relay's final response and the caller's deadline
+	emptyPromptLatency = 60 * time.Millisecond  // from sending a request with an empty prompt to its first event
+	maxStageReruns     = 2                      // per request
+	promptTokenTime    = 30 * time.Microsecond  // approximate time that an engine takes to read one prompt token
 )
 
 // Origins remembers where streams began, by the ID of the caller's attempt that
@@ -68,6 +69,9 @@
 	Clock     clock.Clock
 	Log       *logs.Logger
 	Meters    *stats.Meters
+	// OverShare reports whether the team of a job uses more than its share of a crowded pool.
+	// nil: no team ever does.
+	OverShare func(job stage.Job) bool
 	// NewBudget returns a new retry budget for one service.
 	NewBudget func() *retry.Budget
 	// Policy returns the active policy.
@@ -75,6 +79,8 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service; guarded by mu
+	// admission is what is needed to admit requests to stages. mu is held while it changes.
+	admission atomic.Pointer[admission]
 }
 
 // request is the state of one request in flight. One goroutine owns it.
@@ -85,6 +91,7 @@
 	route          *fleet.Route
 	team           *fleet.Team // nil for public routes and where no keys are configured
 	service        string
+	config         *fleet.Config // that the request is served with
 	startedAt      time.Time
 	deadline       time.Time          // for the final response
 	due            time.Time          // when the response, or its first event, must be sent to meet the route's objective
@@ -93,6 +100,10 @@
 	attemptAt      time.Time          // start of the current attempt
 	firstEventAt   time.Time          // first event of the current attempt; zero: none yet
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
+	shared         bool               // one of the stage services is scheduled by shares and by urgency
+	stagesBeganAt  time.Time          // when the stages were estimated
+	stagesEstimate time.Duration      // estimated time of the stages
+	stagesEndedAt  time.Time          // zero: not ended, or the first event was recorded
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
 	firstEventIn   time.Duration      // from the start of the request to the first event that was forwarded; 0: none yet
@@ -155,13 +166,17 @@
 // which impliesNotRun is true may only be used if no endpoint can have run the
 // request.
 func (req *request) reject(status int, retryAfter time.Duration, reason string) {
-	req.outcome = reason
 	if retryAfter > 0 {
 		// Jitter of up to the same time spreads the retries of callers that were
 		// rejected together.
 		retryAfter += time.Duration(rand.Int64N(int64(retryAfter)))
 	}
-	req.retryAfter = retryAfter
+	req.rejectUntil(status, retryAfter, reason)
+}
+
+// rejectUntil is reject without jitter.
+func (req *request) rejectUntil(status int, retryAfter time.Duration, reason string) {
+	req.outcome, req.retryAfter = reason, retryAfter
 	req.exchange.Reject(status, retryAfter)
 }
 
@@ -171,7 +186,7 @@
 		return
 	}
 	v := req.View()
-	req.configVersion = v.Config.Version
+	req.config, req.configVersion = v.Config, v.Config.Version
 	var err error
 	if req.headers, err = plat.ReadRequest(&req.exchange.Header); err != nil {
 		req.reject(fasthttp.StatusBadRequest, 0, err.Error())
@@ -282,12 +297,12 @@
 // results in req.inputs. If the stages are overloaded or one fails, it rejects
 // the request and returns false.
 func (req *request) runStages(ctx context.Context) bool {
+	req.shared = req.sharesStages()
 	job := stage.Job{
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
 		Due: req.due.Add(-req.firstEventLatency()), StartBy: req.due, Deadline: req.deadline,
 	}
-	if retryAfter, ok := req.admitToStages(job); !ok {
-		req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "stages are overloaded")
+	if !req.admitToStages(job) {
 		return false
 	}
 	// The results should lie in the zone of the endpoint that the request will
@@ -297,6 +312,9 @@
 	}
 	inputs, err := req.Stages.Run(ctx, job)
 	req.logStages(inputs, err)
+	if req.shared {
+		req.recordStages(err)
+	}
 	req.Meters.RecordPhase(stats.PhaseStages, req.route.Name, req.Clock.Now().Sub(req.startedAt))
 	if err == nil {
 		req.inputs = inputs
@@ -308,8 +326,12 @@
 	}
 	req.reportItemCrash(err)
 	retryAfter := minRetryAfter
-	if errors.Is(err, context.DeadlineExceeded) {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
 		retryAfter = 0
+	case req.shared:
+		req.rejectCrowded(0, err.Error())
+		return false
 	}
 	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, err.Error())
 	return false
@@ -347,6 +369,7 @@
 	req.stageReruns++
 	req.releaseInputs()
 	req.inputs = nil
+	req.stagesEndedAt = time.Time{} // the time to the first event would include the stages
 	// In both reasons, "they" and "them" refer to the results of the stages.
 	reason := "they were given up when the stream began"
 	if end == attemptNoInputs {
@@ -375,33 +398,14 @@
 		Err(err).Msg("")
 }
 
-// admitToStages reports whether to start the stages of a job. It returns false
-// only if the stages can't end in time and the items queued before them delay
-// them by minRejectQueueDelay or more. It then also returns the time after which
-// the caller may retry.
-func (req *request) admitToStages(job stage.Job) (time.Duration, bool) {
-	estimate, idle := req.Stages.Estimate(job)
-	// The time for reading the prompt is left out: it would make large requests
-	// more likely to be rejected than small ones, although they load the stages
-	// no more.
-	left := req.due.Add(-emptyPromptLatency).Sub(req.Clock.Now())
-	admitted := req.Policy().NoAdmission || estimate <= left || estimate-idle < minRejectQueueDelay
-	ev := req.Log.Event
-	if !admitted {
-		ev = req.Log.Failure
-	}
-	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate).Dur("idle_ms", idle).Dur("slack_ms", left).
-		Bool("admitted", admitted).Msg("")
-	if admitted {
-		return 0, true
-	}
-	return max(minRetryAfter, estimate-max(left, idle)), false
-}
-
 // firstEventLatency estimates the time from sending the request to an engine to
 // its first event.
 func (req *request) firstEventLatency() time.Duration {
-	return emptyPromptLatency + time.Duration(req.headers.PromptTokens)*promptTokenTime
+	fallback := emptyPromptLatency + time.Duration(req.headers.PromptTokens)*promptTokenTime
+	if !req.shared {
+		return fallback
+	}
+	return req.routeState().Tail(req.Clock.Now(), share.TailForDue, req.route.LatencyObjective, fallback)
 }
 
 // ResetBudgets drops the retry budgets of all services. NewBudget then creates
