relay/ctrl: relays that start don't go back to outdated entries

Cause: running relays keep the configuration with the highest version and the endpoints that left, although the store lists an older configuration, an unreadable one, or was restored from a copy. But their replicas passed on what the store lists. A relay that started later used a withdrawn key and an endpoint that had left, or had no configuration.

Change: the replica gets the value of the active configuration, at the revision of the outdated entry, and loses endpoints that left.

--- a/core/repl/repl.go
+++ b/core/repl/repl.go
@@ -163,6 +163,18 @@
 	return true
 }
 
+// Override replaces an entry by one of the same revision, or removes it, because what
+// the store lists is known to be outdated. Replicas that are filled from this one get
+// the same.
+func (t *Table) Override(e Entry) {
+	if e.Removed {
+		delete(t.entries, e.Key)
+		t.removals[e.Key] = e.Revision
+		return
+	}
+	t.entries[e.Key] = e
+}
+
 // removeUnlisted removes the entries that a full update doesn't list, except those
 // that are newer than it, and adds the removals to changes.
 func (t *Table) removeUnlisted(u Update, changes map[string]Entry) {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -64,6 +64,7 @@
 	view       fleet.View
 	returnedAt map[string]time.Time // end of the last drain, by zone
 	table      repl.Table
+	config     []byte               // value of the entry that holds the active configuration
 	settleAt   time.Time            // when the drained zones are those of the restored store; zero: they are
 	gone       map[string]goneEntry // removed endpoints, by ID
 }
@@ -322,13 +323,20 @@
 // its version isn't higher.
 func (c *Control) applyConfig(entry plat.Entry) {
 	cfg, err := plat.DecodeConfig(entry)
+	old := c.state.view.Config
+	if old != nil && (err != nil || cfg.Version <= old.Version) {
+		// Relays that start later must not go back to it either.
+		entry.Value = c.state.config
+		c.state.table.Override(entry)
+	}
 	if err != nil {
 		c.Log.Event(logs.ConfigRejected).Int64("revision", entry.Revision).Err(err).Msg("")
 		return
 	}
-	if old := c.state.view.Config; old != nil && cfg.Version <= old.Version {
+	if old != nil && cfg.Version <= old.Version {
 		return
 	}
+	c.state.config = entry.Value
 	c.state.view = c.state.view.WithConfig(cfg)
 	c.Log.Event(logs.ConfigApplied).Int64("version", cfg.Version).Int64("revision", entry.Revision).Int("routes", cfg.NumRoutes()).Msg("")
 }
--- a/relay/ctrl/restore.go
+++ b/relay/ctrl/restore.go
@@ -35,7 +35,11 @@
 		}
 		old := c.state.view.Endpoint(id)
 		if gone, ok := c.state.gone[id]; ok && old == nil {
-			return !e.NewerThan(gone.endpoint)
+			if !e.NewerThan(gone.endpoint) {
+				c.state.table.Override(plat.Entry{Key: entry.Key, Revision: entry.Revision, Removed: true})
+				return true
+			}
+			return false
 		}
 		return old != nil && old.NewerThan(e)
 	})
