relay: tests of streams that break off and of responses byte by byte

Cause: no test showed that a stream which breaks off reaches the caller without its last chunk, or that a response which arrives byte by byte ends at the deadline of its call.

Change: TestBrokenOffStream and TestSingleBytes. The code is unchanged.

--- a/relay/front/stop_test.go
+++ b/relay/front/stop_test.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"wigeonplank.example/relay/front"
 )
 
@@ -142,3 +145,22 @@
 		})
 	}
 }
+
+// TestBrokenOffStream guards against a stream that breaks off and looks complete: the
+// connection has to end without the last chunk.
+func TestBrokenOffStream(t *testing.T) {
+	srv, addr, open := startServer(t, func(x *front.Exchange) {
+		var h fasthttp.ResponseHeader
+		h.SetStatusCode(fasthttp.StatusOK)
+		if x.BeginStream(&h, []byte("data: 1\n\n")) != nil || x.SendEvents([]byte("data: 2\n\n")) != nil {
+			t.Error("the caller is gone")
+		}
+	})
+	close(open)
+	_, r := dial(t, addr, plainRequest)
+	got, err := io.ReadAll(r)
+	if err != nil || !strings.HasSuffix(string(got), "data: 2\n\n\r\n") {
+		t.Errorf("got %q, error %v, want both events and no last chunk", got, err)
+	}
+	<-stopAccepting(srv, time.Second)
+}
--- a/relay/pool/endless_test.go
+++ b/relay/pool/endless_test.go
@@ -175,3 +175,21 @@
 		t.Errorf("%d bytes are still reserved", n)
 	}
 }
+
+// TestSingleBytes guards against a stalled response that never ends because its
+// endpoint sends a byte now and then: bytes don't extend the deadline.
+func TestSingleBytes(t *testing.T) {
+	for name, head := range map[string]string{"header": "HTTP/1.1 200 OK\r\nX-A: ", "body": site.ResponseHead("r1") + "\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			addr := serveRaw(t, func(conn net.Conn) {
+				for _, err := conn.Write([]byte(head)); err == nil; time.Sleep(5 * time.Millisecond) {
+					_, err = conn.Write([]byte("x"))
+				}
+			})
+			start := time.Now()
+			if _, err := exchange(&pool.Pool{}, addr, start.Add(100*time.Millisecond)); err == nil || time.Since(start) > 2*time.Second {
+				t.Errorf("ended after %v with error %v, want one at the deadline of 100 ms", time.Since(start), err)
+			}
+		})
+	}
+}
