--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -169,11 +169,12 @@
 type Choice struct {
 	Endpoint   *fleet.Endpoint // nil: no endpoint can take the request
 	Reason     Reason
-	Candidates int           // number of usable endpoints, or of those drawn if the endpoint was chosen by time
-	Load       float64       // estimated share of the endpoint's slots in use
-	OpensAt    time.Time     // without an Endpoint: when the first that could have taken the request wants the next; zero: unknown
-	Ahead      float64       // requests ahead of this one at the endpoint; only with ByTime
-	Predicted  time.Duration // time to the end of the answer; 0: not predicted
+	Candidates int            // number of usable endpoints, or of those drawn if the endpoint was chosen by time
+	Load       float64        // estimated share of the endpoint's slots in use
+	OpensAt    time.Time      // without an Endpoint: when the first that could have taken the request wants the next; zero: unknown
+	Ahead      float64        // requests ahead of this one at the endpoint; only with ByTime
+	Predicted  time.Duration  // time to the end of the answer; 0: not predicted
+	Estimate   speed.Estimate // that Predicted is based on
 }
 
 // Pick chooses the endpoint for a request among the endpoints of a service that
--- a/core/pick/time.go
+++ b/core/pick/time.go
@@ -59,7 +59,7 @@
 			p.compare(&d, now, e, c)
 		}
 	}
-	return d.choice(), true
+	return p.choice(&d, now), true
 }
 
 // pickByTime chooses between a few endpoints drawn from usable ones.
@@ -70,7 +70,7 @@
 		usable[i], usable[j] = usable[j], usable[i]
 		p.compare(&d, now, usable[i], c)
 	}
-	return d.choice()
+	return p.choice(&d, now)
 }
 
 // compare adds an endpoint to those that are compared.
@@ -91,8 +91,10 @@
 	}
 }
 
-func (d *drawn) choice() Choice {
+// choice returns the best of the endpoints that were compared.
+func (p *Picker) choice(d *drawn, now time.Time) Choice {
 	d.best.Candidates = d.n
+	d.best.Estimate = p.Speeds.Get(now, d.best.Endpoint)
 	return d.best
 }
 
--- a/core/pick/time_test.go
+++ b/core/pick/time_test.go
@@ -42,6 +42,7 @@
 }
 
 const (
+	servers   = 30
 	slots     = 4
 	usualWork = 100.0 // ms
 	slowFor   = 500
@@ -51,7 +52,7 @@
 
 var service = &fleet.Service{Name: "s"}
 
-func newFarm(servers, relays int) *farm {
+func newFarm(relays int) *farm {
 	f := &farm{rng: rand.New(rand.NewPCG(1, 2))}
 	for i := range servers {
 		e := &fleet.Endpoint{ID: fmt.Sprint("e-", i), Service: service.Name, Zone: "z", Slots: slots}
@@ -231,7 +232,7 @@
 		for name, p := range map[string]policy{
 			"see all": seeAll, "random of two": randomOfTwo, "least in flight": leastInFlight, "load alone": picked(false), "time": picked(true),
 		} {
-			f := newFarm(30, c.relays)
+			f := newFarm(c.relays)
 			f.news = c.news
 			f.run(40, p)
 			p99[name] = f.percentile(0.99)
@@ -249,7 +250,7 @@
 func TestHerdOnFreshNews(t *testing.T) {
 	for _, relays := range []int{24, 146} {
 		for _, news := range []int{50, 250} {
-			f := newFarm(30, relays)
+			f := newFarm(relays)
 			f.news = news
 			f.run(30, picked(true))
 			t.Logf("%3d relays, news each %3d ms: %.2f times its share", relays, news, f.worst)
@@ -272,10 +273,10 @@
 		"not anymore":   func(*farm) float64 { return 0 },
 		"slow, at last": func(f *farm) float64 { return float64(1 + f.now/20_000) },
 	} {
-		f := newFarm(30, 4)
+		f := newFarm(4)
 		f.run(42, picked(true))
 		honest, honestShare := f.percentile(0.99), f.share(f.servers[0])
-		f = newFarm(30, 4)
+		f = newFarm(4)
 		f.lie = func(s *server) float64 {
 			if s == f.servers[0] {
 				return lie(f)
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -76,7 +76,8 @@
 	StageCall      = newEventType("stage_call", log.InfoLevel, stepRate, "A call with items of one or more requests has ended.", "endpoint", "service", "requests", "items", "result", "took_ms", "error")
 	ReleaseFailed  = newEventType("release_failed", log.InfoLevel, changeRate, "Results could not be released; the endpoint removes them when their retention ends.", "endpoint", "results", "error")
 	AttemptStarted = newEventType("attempt_begun", log.InfoLevel, requestRate, "An endpoint was selected for an attempt of a request.",
-		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "content", "parts", "event_id", "left_ms")
+		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "content", "parts", "event_id", "left_ms",
+		"predicted_ms", "ahead", "speed", "pace", "pace_age_ms")
 	AttemptDone = newEventType("attempt_done", log.InfoLevel, requestRate, "An attempt at an endpoint has ended.",
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
 	RetryDecided = newEventType("retry_decided", log.InfoLevel, requestRate, "It was decided whether a request is retried; if not, the reason is given.",
@@ -92,11 +93,12 @@
 	"after":            {"revision", "last revision that was read"},
 	"age_ms":           {"ms", "time since any relay last read from the store"},
 	"entries":          {"", "number of entries of the store"},
+	"ahead":            {"requests", "estimated requests at the endpoint when it was selected by time; 0: selected otherwise"},
 	"attempt":          {"", "number of the attempt at an endpoint, from 1"},
 	"attempts":         {"", "number of endpoints that may have run the request"},
 	"caller":           {"", "IP:port"},
-	"candidates":       {"", "number of usable endpoints"},
-	"choice":           {"", "why the endpoint was selected: prompt (earliest first event, by the prompts that all relays sent), affinity, load, cold (within its share), or suspect (none better)"},
+	"candidates":       {"", "number of usable endpoints; with choice time, of those that were compared"},
+	"choice":           {"", "why the endpoint was selected: prompt (earliest first event, by the prompts that all relays sent), affinity, load, time (least expected completion time of a few drawn at random), cold (within its share), or suspect (none better)"},
 	"cold":             {"", "whether the endpoint is in cold start, in which it sustains a lower rate"},
 	"content":          {"", "hash, in hexadecimal, of the request's team, method, host, path and body; requests with the same hash are the same work"},
 	"crashes":          {"", "number of endpoints that crashed"},
@@ -125,8 +127,11 @@
 	"member":           {"", "instance ID of the other relay"},
 	"now_ms":           {"ms", "estimate with the current queues"},
 	"outcome":          {"", "how the request ended, as text"},
+	"pace":             {"", "how long work takes at the endpoint, as it last reported, in multiples of the usual time; 0: not reported or not selected by time"},
+	"pace_age_ms":      {"ms", "time since the endpoint reported its pace"},
 	"parts":            {"", "hashes, in hexadecimal, of the parts of the prompt that other requests may share, the first ones if there are many"},
 	"pause_ms":         {"ms", "time for which the endpoint gets no requests"},
+	"predicted_ms":     {"ms", "predicted time to the end of the answer; 0: not selected by time"},
 	"rate_limit":       {"requests/s", "requests that the endpoint takes from all relays together"},
 	"reason":           {"", "reason, as text"},
 	"request":          {"", "ID of the caller's attempt"},
@@ -146,6 +151,7 @@
 	"since_ms":         {"ms", "time since the request began"},
 	"slack_ms":         {"ms", "time until the stages must be done to meet the objective"},
 	"source":           {"", "relay that learned it from a response; empty: this one"},
+	"speed":            {"", "estimated speed of the endpoint, in multiples of the median of its service; 0: not selected by time"},
 	"state":            {"", "ready or draining"},
 	"status":           {"", "HTTP status of the response; 0: the connection was closed"},
 	"store":            {"", "IP:port"},
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -144,7 +144,9 @@
 		Int("attempt", len(req.tried)).Str("choice", string(c.Reason)).Int("candidates", c.Candidates).Float64("load", c.Load).
 		Str("affinity", strconv.FormatUint(req.promptAffinity(), 16)).
 		Str("content", strconv.FormatUint(req.contentHash(), 16)).Str("parts", req.promptParts()).Int64("event_id", lastEvent).
-		Str("held", req.held()).Dur("left_ms", req.deadline.Sub(req.Clock.Now())).Msg("")
+		Str("held", req.held()).Dur("left_ms", req.deadline.Sub(req.Clock.Now())).
+		Dur("predicted_ms", c.Predicted).Float64("ahead", c.Ahead).Float64("speed", c.Estimate.Speed).Float64("pace", c.Estimate.Pace).
+		Dur("pace_age_ms", c.Estimate.PaceAge).Msg("")
 }
 
 // contentHash returns the same hash for all requests with which a caller asks for the
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -206,6 +207,45 @@
 	b.Picker.RecordTime(c.Endpoint, took, c.Ahead, pace)
 }
 
+// EndpointStatus describes an endpoint for people, as the admin address serves it.
+type EndpointStatus struct {
+	Endpoint  string  `json:"endpoint"`
+	Service   string  `json:"service"`
+	Zone      string  `json:"zone"`
+	ByTime    bool    `json:"by_time"`     // whether its service is served by expected completion time
+	Speed     float64 `json:"speed"`       // in multiples of the median of its service
+	Samples   int     `json:"samples"`     // answers that Speed is based on, the recent ones
+	Pace      float64 `json:"pace"`        // last reported, in multiples of the usual time of work; 0: none
+	PaceAgeMs float64 `json:"pace_age_ms"` // time since Pace was reported
+	Trust     float64 `json:"trust"`       // weight of Pace by how well it agrees with the times of answers, 0 to 1
+	Load      float64 `json:"load"`        // estimated share of its slots in use
+}
+
+// Endpoints describes the endpoints of a view, by service and ID.
+func (b *Balancer) Endpoints(v *fleet.View) []EndpointStatus {
+	b.mu.Lock()
+	now := b.Clock.Now()
+	out := make([]EndpointStatus, 0, len(v.All()))
+	for _, e := range v.All() {
+		est := b.Picker.Speeds.Get(now, e)
+		out = append(out, EndpointStatus{
+			Endpoint: e.ID, Service: e.Service, Zone: e.Zone, Speed: est.Speed, Samples: est.Samples, Pace: est.Pace,
+			PaceAgeMs: float64(est.PaceAge) / float64(time.Millisecond), Trust: est.Trust, Load: b.Picker.Load(e, now),
+		})
+	}
+	b.mu.Unlock()
+	if v.Config != nil {
+		for i := range out {
+			svc := v.Config.Service(out[i].Service)
+			out[i].ByTime = svc != nil && b.choosesByTime(svc)
+		}
+	}
+	slices.SortFunc(out, func(x, y EndpointStatus) int {
+		return cmp.Or(strings.Compare(x.Service, y.Service), strings.Compare(x.Endpoint, y.Endpoint))
+	})
+	return out
+}
+
 // SharesStage reports whether a stage service is scheduled by shares and by urgency:
 // the configuration calls for it, or endpoints of the deployment report their pace.
 func (b *Balancer) SharesStage(cfg *fleet.Config, service string) bool {
