--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -16,6 +16,7 @@
 
 	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/proof/deploy"
+	"wigeonplank.example/relay/sets"
 )
 
 const (
@@ -231,6 +232,8 @@
 		r.Settings.Retry.Slack = float64(cmd.intArg(2))
 	case "no_admission":
 		r.Settings.Policy.NoAdmission = cmd.arg(2) == "true"
+	case "schedule":
+		r.Settings.Policy.Schedule = sets.Schedule(cmd.arg(2))
 	case "zone":
 		r.Settings.Zone = cmd.arg(2)
 	default:
