relay/proxy: jobs name their team and urgency

Cause: the owner of a pool orders items by urgency and by the shares of teams, but the jobs of requests named neither.

--- a/relay/stage/job.go
+++ b/relay/stage/job.go
@@ -19,6 +19,8 @@
 	Items    []int     // number of items by stage
 	Key      string    // key of items without inputs
 	Zone     string    // zone in which the final results are wanted
+	Team     string    // empty: none
+	Urgency  int       // 0 is the most urgent
 	Due      time.Time // when the last stage should be done
 	StartBy  time.Time // latest time at which items may start, unless they free memory
 	Deadline time.Time
