core/prompt: timed engines are chosen by speed, pace and the pauses that a prompt causes

Cause: an engine's rate of reading was forgotten after 5 s, its pace was unknown, and long prompts were read where they delayed the events of streams by more than the max gap of their route. Change: for a timed service, a board keeps the speeds of each engine. Its owner is told the pace of the newest response, and the events and the time of streams that have ended. The cost of a request includes each answer that it is likely to make late. Place carries the slack and the max gap of the request, Progress the pace and the events. Other services are placed as before.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,6 +58,11 @@
 	Parts        []Part
 	PromptTokens int // all tokens of the prompt
 	OutputTokens int // the most that it generates
+
+	// Slack is the time within which the first event should arrive, and MaxGap the time
+	// between two events above which the answer is late. 0: no limit. Both count at timed
+	// services only.
+	Slack, MaxGap time.Duration
 }
 
 // Affinity returns the hash of the longest prefix that other requests may share.
@@ -68,6 +74,15 @@
 	return r.Parts[max(0, len(r.Parts)-2)].ID
 }
 
+// Report tells of the progress of a request at its engine: its first event has arrived,
+// or it has ended.
+type Report struct {
+	Ended     bool
+	Pace      float64       // of the response that brought the first event; 0: not reported
+	Events    int           // of a stream that has ended
+	Streaming time.Duration // between the first and the last of them
+}
+
 // Choice is the engine that was chosen for a request.
 type Choice struct {
 	Engine     Engine
@@ -78,16 +93,20 @@
 // placement is a request that was placed on an engine and has not ended.
 type placement struct {
 	engine    *engineState
+	on        Engine
 	placedAt  time.Time
 	unread    int // tokens that the engine had to read for it
 	ahead     float64
 	tokens    int // memory that it takes in addition to what was cached
 	predicted time.Duration
 	started   bool
+	maxGap    time.Duration
+	output    int // tokens
 }
 
 // engineState is what a Board tracks of one engine.
 type engineState struct {
+	id          string
 	incarnation int64
 	backlog     float64 // tokens to read, as of updatedAt
 	updatedAt   time.Time
@@ -97,11 +116,25 @@
 	rate        float64   // tokens read per millisecond, moving average
 	sampledAt   time.Time // last sample of rate; zero: none
 	cache       cache
+
+	// The following is used at timed services.
+
+	pace    float64 // of the newest response; 0: none
+	pacedAt time.Time
+	streams []*placement // that have not ended
 }
 
 // Board tracks a group of engines. The zero value is ready to use. It is not safe
 // for concurrent use.
 type Board struct {
+	Service string  // to which the engines belong
+	Timed   bool    // engines are chosen by their speeds
+	Speeds  *Speeds // of engines, which several boards may share; nil: the board has its own
+
+	paces        paces
+	eventTokens  float64 // moving average of the tokens in an event; 0: no sample
+	eventSamples int
+
 	engines    map[string]*engineState // by engine ID
 	placements map[string]*placement   // by request ID
 	rate       float64                 // moving average over all engines; 0: no sample
@@ -115,7 +148,7 @@
 	}
 	st := b.engines[e.ID]
 	if st == nil || st.incarnation != e.Incarnation {
-		st = &engineState{incarnation: e.Incarnation, updatedAt: now}
+		st = &engineState{id: e.ID, incarnation: e.Incarnation, updatedAt: now}
 		b.engines[e.ID] = st
 	}
 	return st
@@ -125,6 +158,9 @@
 // doesn't count, so that an engine that was slow is tried again.
 func (b *Board) readRate(now time.Time, st *engineState) float64 {
 	switch {
+	case b.Timed:
+		rate, _ := b.speeds().estimate(b.Service, Engine{ID: st.id, Incarnation: st.incarnation})
+		return rate / b.outlook(now, st).mean()
 	case !st.sampledAt.IsZero() && now.Sub(st.sampledAt) < maxSampleAge:
 		return st.rate
 	case b.rate > 0:
@@ -133,6 +169,13 @@
 	return defaultReadRate
 }
 
+func (b *Board) speeds() *Speeds {
+	if b.Speeds == nil {
+		b.Speeds = &Speeds{}
+	}
+	return b.Speeds
+}
+
 // advance lowers the backlog by what the engine has read since the last call.
 func (b *Board) advance(now time.Time, st *engineState) {
 	read := float64(now.Sub(st.updatedAt)) / float64(time.Millisecond) * b.readRate(now, st)
@@ -154,10 +197,11 @@
 	st := b.engines[c.Engine.ID]
 	unread := max(0, r.PromptTokens-c.Cached)
 	p := &placement{
-		engine: st, placedAt: now, unread: unread, ahead: st.backlog, tokens: unread + r.OutputTokens,
-		predicted: c.FirstEvent,
+		engine: st, on: c.Engine, placedAt: now, unread: unread, ahead: st.backlog, tokens: unread + r.OutputTokens,
+		predicted: c.FirstEvent, maxGap: r.MaxGap, output: r.OutputTokens,
 	}
 	b.placements[r.ID] = p
+	st.streams = append(st.streams, p)
 	st.backlog += float64(unread)
 	st.waiting++
 	st.memory += p.tokens
@@ -212,27 +256,36 @@
 	st := b.state(now, e)
 	b.advance(now, st)
 	cached := min(st.cache.prefix(r.Parts), r.PromptTokens)
-	perToken := float64(time.Millisecond) / b.readRate(now, st)
-	unread := float64(r.PromptTokens - cached)
-	wait := time.Duration(st.backlog*perToken) + time.Duration(st.waiting+st.running)*runningCost
-	c := candidate{
-		Choice: Choice{Engine: e, Cached: cached, FirstEvent: baseLatency + wait + time.Duration(unread*perToken)},
-		cost:   wait + time.Duration(rereadFactor*unread*perToken),
+	var c candidate
+	if b.Timed {
+		c = b.evaluateTimed(now, st, e, r, cached)
+	} else {
+		perToken := float64(time.Millisecond) / b.readRate(now, st)
+		unread := float64(r.PromptTokens - cached)
+		wait := time.Duration(st.backlog*perToken) + time.Duration(st.waiting+st.running)*runningCost
+		c = candidate{
+			Choice: Choice{Engine: e, Cached: cached, FirstEvent: baseLatency + wait + time.Duration(unread*perToken)},
+			cost:   wait + time.Duration(rereadFactor*unread*perToken),
+		}
 	}
 	memory := st.memory + r.PromptTokens - cached + r.OutputTokens
 	c.full = (e.CacheTokens > 0 && float64(memory) > maxMemoryShare*float64(e.CacheTokens)) || st.waiting+st.running >= max(1, e.Slots)
 	return c
 }
 
-// Start records that the first event of a request has arrived. It returns the
-// predicted and the actual time to it, or false if the request is unknown or has
-// started before.
-func (b *Board) Start(now time.Time, request string) (predicted, actual time.Duration, ok bool) {
+// Start records that the first event of a request has arrived. pace is that of the
+// response, or 0. It returns the predicted and the actual time to the event, or false if
+// the request is unknown or has started before.
+func (b *Board) Start(now time.Time, request string, pace float64) (predicted, actual time.Duration, ok bool) {
 	p := b.placements[request]
 	if p == nil || p.started {
 		return 0, 0, false
 	}
 	p.started = true
+	if pace > 0 {
+		b.paces.observe(pace)
+		p.engine.pace, p.engine.pacedAt = pace, now
+	}
 	actual = now.Sub(p.placedAt)
 	st := p.engine
 	b.advance(now, st)
@@ -251,6 +304,9 @@
 		return
 	}
 	sample := min(maxReadRate, max(minReadRate, tokens/ms))
+	if b.Timed {
+		b.speeds().observeRead(b.Service, p.on, sample*b.outlook(now, st).mean())
+	}
 	st.rate, st.sampledAt = smooth(b.readRate(now, st), sample), now
 	if b.rate == 0 {
 		b.rate = sample
@@ -269,6 +325,7 @@
 	}
 	delete(b.placements, request)
 	st := p.engine
+	st.streams = slices.DeleteFunc(st.streams, func(s *placement) bool { return s == p })
 	b.advance(now, st)
 	st.memory -= p.tokens
 	if p.started {
@@ -278,6 +335,19 @@
 	}
 }
 
+// Record records the progress of a request.
+func (b *Board) Record(now time.Time, request string, r Report) {
+	if !r.Ended {
+		b.Start(now, request, r.Pace)
+		return
+	}
+	if p := b.placements[request]; b.Timed && p != nil && p.started && r.Events >= minStreamEvents && r.Streaming > 0 {
+		b.speeds().observeEvents(b.Service, p.on, r.Streaming/time.Duration(r.Events-1))
+		b.eventTokens = average(b.eventTokens, float64(p.output)/float64(r.Events), &b.eventSamples)
+	}
+	b.End(now, request)
+}
+
 // Expire ends the requests whose end was not reported in time.
 func (b *Board) Expire(now time.Time) {
 	for id, p := range b.placements {
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -41,6 +41,13 @@
 	Admits(e *fleet.Endpoint, sole bool) bool
 }
 
+// Timing tells which services are timed.
+type Timing interface {
+	// IsTimed reports whether the endpoints of a service are chosen by expected completion
+	// time.
+	IsTimed(service string) bool
+}
+
 // Peers are the other relays.
 type Peers interface {
 	// Placer returns the link to the owner of a pool, or false if this relay chooses
@@ -56,10 +63,12 @@
 type Assigner struct {
 	View   func() *fleet.View // returns the current view of the deployment
 	Health Health
+	Timing Timing
 	Peers  Peers
 	Clock  clock.Clock
 
 	mu     sync.Mutex
+	speeds prompt.Speeds // of the engines of all boards
 	boards map[batch.Pool]*prompt.Board
 }
 
@@ -70,14 +79,17 @@
 	Candidates int           // number of usable engines in the pool
 	FirstEvent time.Duration // predicted time to the first event
 
-	report func(ended bool)
+	report func(r prompt.Report)
 }
 
-// Started records that the first event has arrived.
-func (a *Assignment) Started() { a.report(false) }
+// Started records that the first event has arrived, in a response with a pace; 0: none.
+func (a *Assignment) Started(pace float64) { a.report(prompt.Report{Pace: pace}) }
 
-// Ended records that the request has ended at the engine.
-func (a *Assignment) Ended() { a.report(true) }
+// Ended records that the request has ended at the engine. events is the number of events
+// if it was streamed, and streaming the time between the first and the last of them.
+func (a *Assignment) Ended(events int, streaming time.Duration) {
+	a.report(prompt.Report{Ended: true, Events: events, Streaming: streaming})
+}
 
 // Assign chooses an engine of a service for a request, which criteria allow. It
 // reports false if none can be chosen this way: all are cold, suspect or gone, or
@@ -95,10 +107,10 @@
 		if placement, ok = a.ask(ctx, placer, r, unfit); !ok {
 			return Assignment{}, false
 		}
-		out.report = func(ended bool) { placer.Progress(r.ID, ended) }
+		out.report = func(rep prompt.Report) { placer.Progress(r.ID, rep) }
 	} else {
 		placement = a.Place(pool, r, unfit)
-		out.report = func(ended bool) { a.Progress(pool, r.ID, ended) }
+		out.report = func(rep prompt.Report) { a.Progress(pool, r.ID, rep) }
 	}
 	out.FirstEvent = placement.FirstEvent
 	for _, e := range warm {
@@ -107,7 +119,7 @@
 			return out, true
 		}
 	}
-	out.Ended() // the views of the two relays differ
+	out.Ended(0, 0) // the views of the two relays differ
 	return Assignment{}, false
 }
 
@@ -223,10 +235,12 @@
 		excluded[id] = true
 	}
 	warm, _ := a.Health.Warm(svc, v.Endpoints(p.Service), pick.Criteria{Exclude: excluded})
+	timed := a.Timing.IsTimed(p.Service)
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b := a.board(p)
+	b.Timed = timed
 	b.Expire(now)
 	var engines []prompt.Engine
 	for _, e := range warm {
@@ -256,7 +270,7 @@
 	}
 	b := a.boards[p]
 	if b == nil {
-		b = &prompt.Board{}
+		b = &prompt.Board{Service: p.Service, Speeds: &a.speeds}
 		a.boards[p] = b
 	}
 	return b
@@ -264,17 +278,12 @@
 
 // Progress records that a request of a pool that this relay owns has its first
 // event, or has ended.
-func (a *Assigner) Progress(p batch.Pool, request string, ended bool) {
+func (a *Assigner) Progress(p batch.Pool, request string, r prompt.Report) {
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b := a.boards[p]
-	switch {
-	case b == nil:
-	case ended:
-		b.End(now, request)
-	default:
-		b.Start(now, request)
+	if b := a.boards[p]; b != nil {
+		b.Record(now, request, r)
 	}
 }
 
@@ -300,4 +309,5 @@
 	for _, b := range a.boards {
 		b.Prune(func(id string) bool { return v.Endpoint(id) != nil })
 	}
+	a.speeds.Prune(func(id string) bool { return v.Endpoint(id) != nil })
 }
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -209,7 +209,7 @@
 }
 
 func newAssigner(c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
-	a := &assign.Assigner{View: c.View, Health: b, Peers: m, Clock: clock.System{}}
+	a := &assign.Assigner{View: c.View, Health: b, Timing: b, Peers: m, Clock: clock.System{}}
 	c.OnViewChange = func(v *fleet.View) {
 		b.Observe(v)
 		a.Prune(v)
--- a/relay/peers/place.go
+++ b/relay/peers/place.go
@@ -21,7 +21,7 @@
 	// Place chooses an engine of a pool that isn't in exclude.
 	Place(p batch.Pool, r prompt.Request, exclude []string) Placement
 	// Progress records that a request has its first event, or has ended.
-	Progress(p batch.Pool, request string, ended bool)
+	Progress(p batch.Pool, request string, r prompt.Report)
 	// Backlogs returns the prompt tokens yet to be read, by pool.
 	Backlogs() map[batch.Pool]int
 }
@@ -44,7 +44,7 @@
 func (p Placer) Place(r prompt.Request, exclude []string) (<-chan Placement, bool) {
 	msg := &Place{
 		Request: r.ID, Service: p.pool.Service, Zone: p.pool.Zone, PromptTokens: int64(r.PromptTokens), OutputTokens: int64(r.OutputTokens),
-		Exclude: exclude,
+		Exclude: exclude, SlackUs: r.Slack.Microseconds(), MaxGapUs: r.MaxGap.Microseconds(),
 	}
 	for _, part := range r.Parts {
 		msg.Parts = append(msg.Parts, &PromptPart{Id: part.ID, Tokens: int64(part.Tokens)})
@@ -67,20 +67,24 @@
 	p.s.mu.Lock()
 	delete(p.s.placing, request)
 	p.s.mu.Unlock()
-	p.Progress(request, true)
+	p.Progress(request, prompt.Report{Ended: true})
 }
 
 // Progress reports to the owner that a placed request has its first event, or has
 // ended. A lost report only makes the owner count the request for longer.
-func (p Placer) Progress(request string, ended bool) {
+func (p Placer) Progress(request string, r prompt.Report) {
 	p.s.send(&Work{Kind: &Work_Progress{Progress: &Progress{
-		Request: request, Service: p.pool.Service, Zone: p.pool.Zone, Ended: ended,
+		Request: request, Service: p.pool.Service, Zone: p.pool.Zone, Ended: r.Ended, Pace: r.Pace, Events: uint32(r.Events),
+		StreamUs: r.Streaming.Microseconds(),
 	}}})
 }
 
 // handlePlace answers a question for an engine.
 func (s *session) handlePlace(msg *Place) {
-	r := prompt.Request{ID: msg.GetRequest(), PromptTokens: int(msg.GetPromptTokens()), OutputTokens: int(msg.GetOutputTokens())}
+	r := prompt.Request{
+		ID: msg.GetRequest(), PromptTokens: int(msg.GetPromptTokens()), OutputTokens: int(msg.GetOutputTokens()),
+		Slack: time.Duration(msg.GetSlackUs()) * time.Microsecond, MaxGap: time.Duration(msg.GetMaxGapUs()) * time.Microsecond,
+	}
 	for _, part := range msg.GetParts() {
 		r.Parts = append(r.Parts, prompt.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
 	}
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -10,6 +10,7 @@
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/prompt"
 	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
 )
@@ -285,7 +286,10 @@
 		case *Work_FoundOrigin:
 			s.handleOriginReply(k.FoundOrigin)
 		case *Work_Progress:
-			s.mesh.Engines.Progress(batch.Pool{Service: k.Progress.GetService(), Zone: k.Progress.GetZone()}, k.Progress.GetRequest(), k.Progress.GetEnded())
+			s.mesh.Engines.Progress(batch.Pool{Service: k.Progress.GetService(), Zone: k.Progress.GetZone()}, k.Progress.GetRequest(), prompt.Report{
+				Ended: k.Progress.GetEnded(), Pace: k.Progress.GetPace(), Events: int(k.Progress.GetEvents()),
+				Streaming: time.Duration(k.Progress.GetStreamUs()) * time.Microsecond,
+			})
 		}
 	}
 }
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -82,7 +82,12 @@
 // promptRequest describes the request's prompt. A resumed stream has the rest of its
 // output to generate.
 func (req *request) promptRequest() prompt.Request {
-	r := prompt.Request{ID: req.headers.ID, PromptTokens: req.headers.PromptTokens, OutputTokens: req.headers.OutputTokens}
+	r := prompt.Request{
+		ID: req.headers.ID, PromptTokens: req.headers.PromptTokens, OutputTokens: req.headers.OutputTokens, MaxGap: req.route.MaxEventGap,
+	}
+	if !req.exchange.ResponseStarted() {
+		r.Slack = max(0, req.due.Sub(req.Clock.Now()))
+	}
 	for _, p := range req.headers.Prompt {
 		r.Parts = append(r.Parts, prompt.Part{ID: xxhash.Sum64String(p.ID), Tokens: p.Tokens})
 	}
@@ -91,9 +96,9 @@
 
 // startAssignment reports the first event of an attempt to the owner of its pool,
 // and records how far off the prediction of its time was.
-func (req *request) startAssignment() {
+func (req *request) startAssignment(pace float64) {
 	if a := req.assignment; a != nil {
-		a.Started()
+		a.Started(pace)
 		req.Meters.RecordPrediction(req.route.Name, a.FirstEvent, req.Clock.Now().Sub(req.attemptAt))
 	}
 }
@@ -101,7 +106,7 @@
 // endAssignment reports the end of an attempt to the owner of its pool.
 func (req *request) endAssignment() {
 	if req.assignment != nil {
-		req.assignment.Ended()
+		req.assignment.Ended(req.events, req.lastEventAt.Sub(req.firstEventAt))
 		req.assignment = nil
 	}
 }
@@ -138,7 +143,7 @@
 
 // logAttemptStarted logs the choice of an endpoint and the reason for it.
 func (req *request) logAttemptStarted(c pick.Choice, lastEvent int64) {
-	req.attemptAt, req.firstEventAt = req.Clock.Now(), time.Time{}
+	req.attemptAt, req.firstEventAt, req.events = req.Clock.Now(), time.Time{}, 0
 	req.Log.Event(logs.AttemptStarted).Str("request", req.headers.ID).Str("endpoint", c.Endpoint.ID).Str("zone", c.Endpoint.Zone).
 		Str("endpoint_version", c.Endpoint.Version).Str("resumes", req.headers.Resumes).
 		Int("attempt", len(req.tried)).Str("choice", string(c.Reason)).Int("candidates", c.Candidates).Float64("load", c.Load).
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -92,6 +92,7 @@
 	tried          map[string]bool    // IDs of endpoints that are not tried again
 	attemptAt      time.Time          // start of the current attempt
 	firstEventAt   time.Time          // first event of the current attempt; zero: none yet
+	events         int                // of the current attempt
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -164,7 +164,11 @@
 		raw, id, err := events.Next()
 		if first && err == nil {
 			req.firstEventAt = req.Clock.Now()
-			req.startAssignment()
+			pace := 0.0
+			if l := call.Response.Load; l != nil {
+				pace = l.Pace
+			}
+			req.startAssignment(pace)
 			req.recordVersion(e)
 			first = false
 		}
@@ -183,6 +187,9 @@
 			*lastEvent = id
 		}
 		progress = !event.IsComment(raw)
+		if progress {
+			req.events++
+		}
 	}
 }
 
