--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -99,6 +99,7 @@
 	tried          map[string]bool    // IDs of endpoints that are not tried again
 	attemptAt      time.Time          // start of the current attempt
 	firstEventAt   time.Time          // first event of the current attempt; zero: none yet
+	events         int                // of the current attempt
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
 	shared         bool               // one of the stage services is scheduled by shares and by urgency
 	stagesBeganAt  time.Time          // when the stages were estimated
