core/share: estimates are corrected by recent delays, and rivals count by their own

Cause: the limit was the least slack of all more urgent routes that share a stage service, so that long chains were rejected for a rival with a short one. The margin was never below 0, although routes with short objectives pass others and were estimated 200 to 500 ms too long. Change: a rival limits a request if a typical one of its own would be rejected, and both wait in the same queues.

--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -44,25 +44,15 @@
 	})
 }
 
-// Limit returns the least slack among the route r of a request and the routes that share a
-// stage service with it and are at least as urgent as the request, and the route that has
-// it. slack returns the time that a route leaves for the stages of a request that starts
-// now. Limit returns false if none of these routes has a latency objective.
-func (l *Limits) Limit(r *fleet.Route, urgency int, slack func(*fleet.Route) time.Duration) (time.Duration, *fleet.Route, bool) {
-	var least time.Duration
-	var by *fleet.Route
-	if r.LatencyObjective > 0 {
-		least, by = slack(r), r
+// Rivals returns the routes that share a stage service with the route r of a request and
+// are at least as urgent as the request, the most urgent first.
+func (l *Limits) Rivals(r *fleet.Route, urgency int) []*fleet.Route {
+	rivals := l.rivals[r]
+	i := slices.IndexFunc(rivals, func(other *fleet.Route) bool { return other.Priority > urgency })
+	if i < 0 {
+		return rivals
 	}
-	for _, other := range l.rivals[r] {
-		if other.Priority > urgency {
-			break
-		}
-		if s := slack(other); by == nil || s < least {
-			least, by = s, other
-		}
-	}
-	return least, by, by != nil
+	return rivals[:i]
 }
 
 // Reason is what decided whether a request was admitted.
@@ -74,7 +64,6 @@
 	ReasonShortQueue Reason = "short_queue" // admitted: queued items delay the stages by little
 	ReasonUnlimited  Reason = "unlimited"   // admitted: admission is off, or no route has an objective
 	ReasonObjective  Reason = "objective"   // rejected: the stages can't end in time for the request itself
-	ReasonMargin     Reason = "margin"      // rejected: estimates of the route were exceeded lately, and the stages would end late by as much
 	ReasonTeam       Reason = "team"        // rejected: the team uses more than its share of a crowded pool
 	ReasonUrgent     Reason = "urgent"      // rejected: routes that are at least as urgent would wait too long
 )
@@ -83,16 +72,36 @@
 type Admission struct {
 	Estimate  time.Duration // time that its stages take now
 	Idle      time.Duration // time that they would take with nothing queued
-	Slack     time.Duration // time until they must be done for the request itself
-	Margin    time.Duration // part of Slack that is kept free, see History.Margin
-	Limit     time.Duration // see Limits.Limit, with the margin of each route subtracted from its slack
+	Slack     time.Duration // time until they must be done for the request to be in time
 	OverShare bool          // the team uses more than its share of a crowded pool
+	Limit     time.Duration // longest Estimate with which no rival is rejected; 0: no rival limits the request
+}
+
+// queueDelay returns the delay by queued items.
+func (a *Admission) queueDelay() time.Duration { return a.Estimate - a.Idle }
+
+// LimitBy lowers the limit if a typical request of a rival would be rejected now because of
+// queues in which the request waits as well. It reports whether it did. A request whose own
+// queues are less than half of those of the rival hardly adds to them.
+func (a *Admission) LimitBy(rival Admission) bool {
+	if ok, _ := rival.Decide(); ok || 2*a.queueDelay() < rival.queueDelay() {
+		return false
+	}
+	limit := max(1, a.Estimate-rival.Excess())
+	if a.Limit > 0 && a.Limit <= limit {
+		return false
+	}
+	a.Limit = limit
+	return true
 }
 
 // Bound returns the longest estimate with which the request is admitted, unless queued items
 // delay it by little.
 func (a *Admission) Bound() time.Duration {
-	bound := min(a.Slack-a.Margin, a.Limit)
+	bound := a.Slack
+	if a.Limit > 0 {
+		bound = min(bound, a.Limit)
+	}
 	if a.OverShare {
 		bound = time.Duration(overShareFactor * float64(bound))
 	}
@@ -110,13 +119,11 @@
 	switch {
 	case a.Estimate <= a.Bound():
 		return true, ReasonInTime
-	case a.Estimate-a.Idle < minQueueDelay:
+	case a.queueDelay() < minQueueDelay:
 		return true, ReasonShortQueue
 	case a.Estimate > a.Slack:
 		return false, ReasonObjective
-	case a.Estimate > a.Slack-a.Margin:
-		return false, ReasonMargin
-	case a.Estimate > a.Limit:
+	case a.Limit > 0 && a.Estimate > a.Limit:
 		return false, ReasonUrgent
 	}
 	return false, ReasonTeam
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -70,7 +70,7 @@
 		"request", "route", "service", "team", "version", "status", "outcome", "attempts", "took_ms", "left_ms", "retry_after_ms",
 		"first_event_ms", "longest_gap_ms")
 	StagesEstimated = newEventType("stages_estimated", log.InfoLevel, requestRate, "The time until a request's stages are done was estimated, with the current queues and with empty ones. The request is rejected if it, or more urgent ones that use the same stage services, can't meet their objectives because of the queues.",
-		"request", "now_ms", "idle_ms", "slack_ms", "margin_ms", "limit_ms", "limited_by", "decided_by", "admitted")
+		"request", "now_ms", "idle_ms", "slack_ms", "expected_ms", "limit_ms", "limited_by", "decided_by", "admitted")
 	StagesDone     = newEventType("stages_done", log.InfoLevel, requestRate, "The stages of a request have returned all results or have failed.", "request", "took_ms", "results", "error")
 	StagesRepeated = newEventType("stages_again", log.InfoLevel, requestRate, "The stages of a request are run again because their results are no longer available.", "request", "reason")
 	StageCall      = newEventType("stage_call", log.InfoLevel, stepRate, "A call with items of one or more requests has ended.", "endpoint", "service", "requests", "items", "result", "took_ms", "error")
@@ -102,7 +102,7 @@
 	"cold":             {"", "whether the endpoint is in cold start, in which it sustains a lower rate"},
 	"content":          {"", "hash, in hexadecimal, of the request's team, method, host, path and body; requests with the same hash are the same work"},
 	"crashes":          {"", "number of endpoints that crashed"},
-	"decided_by":       {"", "what decided: in_time, short_queue (queued items delay it by little) or unlimited if admitted; objective (it would be late itself), margin (the same, as recent estimates of its route were exceeded), team (it uses more than its share of a crowded pool) or urgent (routes that are at least as urgent would wait too long) if rejected"},
+	"decided_by":       {"", "what decided: in_time, short_queue (queued items delay it by little) or unlimited if admitted; objective (it would be late itself), team (it uses more than its share of a crowded pool) or urgent (routes that are at least as urgent would wait too long) if rejected"},
 	"end":              {"", "done, not_run, inputs (not run, results of stages are missing), failed (may have run) or gone (the caller disconnected)"},
 	"endpoint":         {"", "ID of the endpoint"},
 	"endpoints":        {"", "IDs of endpoints"},
@@ -111,6 +111,7 @@
 	"error":            {"", "error message"},
 	"event_id":         {"", "ID of the last event of the stream that the caller has; -1: none"},
 	"failures":         {"", "number of consecutive failures"},
+	"expected_ms":      {"ms", "estimate with the current queues, corrected by how long recent requests of the route waited"},
 	"first_event_ms":   {"ms", "time from the start of the request to the first event of its stream"},
 	"from":             {"", "relay that sent the information"},
 	"grace_ms":         {"ms", "time for which the endpoint is kept as a last resort"},
@@ -127,7 +128,6 @@
 	"longest_gap_ms":   {"ms", "longest pause between two events of the stream"},
 	"longest_ms":       {"ms", "maximum time until the process exits"},
 	"lost_ms":          {"ms", "duration of the outage, from the first failed read"},
-	"margin_ms":        {"ms", "part of the slack that is kept free, as recent estimates of the route were exceeded"},
 	"member":           {"", "instance ID of the other relay"},
 	"now_ms":           {"ms", "estimate with the current queues"},
 	"outcome":          {"", "how the request ended, as text"},
--- a/relay/proxy/admission.go
+++ b/relay/proxy/admission.go
@@ -85,12 +85,12 @@
 // noticeably. It then rejects the request.
 func (req *request) admitToStages(job stage.Job) bool {
 	estimate, idle := req.Stages.Estimate(job)
-	req.stagesBeganAt, req.stagesEstimate = req.Clock.Now(), estimate
+	req.stagesBeganAt, req.stagesEstimate, req.stagesIdle = req.Clock.Now(), estimate, idle
 	// The time for reading the prompt is left out: it would make large requests
 	// more likely to be rejected than small ones, although they load the stages
 	// no more.
 	left := req.due.Add(-emptyPromptLatency).Sub(req.Clock.Now())
-	a := share.Admission{Estimate: estimate, Idle: idle, Slack: left, Limit: left}
+	a := share.Admission{Estimate: estimate, Idle: idle, Slack: left}
 	limitedBy := req.route.Name
 	if req.shared {
 		a, limitedBy = req.sharedAdmission(job, estimate, idle)
@@ -104,7 +104,7 @@
 		ev = req.Log.Failure
 	}
 	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate).Dur("idle_ms", idle).Dur("slack_ms", a.Slack).
-		Dur("margin_ms", a.Margin).Dur("limit_ms", a.Bound()).Str("limited_by", limitedBy).Str("decided_by", string(reason)).Bool("admitted", admitted).Msg("")
+		Dur("expected_ms", a.Estimate).Dur("limit_ms", a.Bound()).Str("limited_by", limitedBy).Str("decided_by", string(reason)).Bool("admitted", admitted).Msg("")
 	switch {
 	case admitted && req.shared:
 		req.routeState().RecordAdmitted(req.Clock.Now())
@@ -130,27 +130,30 @@
 // sharedAdmission returns what decides whether the request is admitted to stages that are
 // scheduled by shares and by urgency, and the name of the route that limits it.
 func (req *request) sharedAdmission(job stage.Job, estimate, idle time.Duration) (share.Admission, string) {
-	now := req.Clock.Now()
 	state := req.admissionFor(req.config)
-	slack := func(r *fleet.Route) time.Duration {
-		tail := state.route(r).Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency)
-		return r.LatencyObjective - tail - now.Sub(req.startedAt)
-	}
-	a := share.Admission{Estimate: estimate, Idle: idle, Slack: req.deadline.Sub(now), OverShare: req.OverShare != nil && req.OverShare(job)}
-	if req.route.LatencyObjective > 0 {
-		a.Slack = slack(req.route)
+	state.route(req.route).RecordItems(job.Items)
+	a := req.expected(state, req.route, estimate, idle)
+	a.OverShare = req.OverShare != nil && req.OverShare(job)
+	limitedBy := req.route.Name
+	for _, r := range state.limits.Rivals(req.route, req.urgency()) {
+		estimate, idle := req.Stages.Estimate(stage.Job{Route: r, Items: state.route(r).Items(len(r.Stages))})
+		if a.LimitBy(req.expected(state, r, estimate, idle)) {
+			limitedBy = r.Name
+		}
 	}
-	a.Margin = state.route(req.route).Margin(now, a.Slack)
-	a.Limit = a.Slack - a.Margin
-	limit, by, ok := state.limits.Limit(req.route, req.urgency(), func(r *fleet.Route) time.Duration {
-		s := slack(r)
-		return s - state.route(r).Margin(now, s)
-	})
-	if !ok {
-		return a, ""
+	return a, limitedBy
+}
+
+// expected returns what decides whether a request of a route that began with this one is
+// admitted, apart from its team and its rivals.
+func (req *request) expected(state *admission, r *fleet.Route, estimate, idle time.Duration) share.Admission {
+	now := req.Clock.Now()
+	h := state.route(r)
+	a := share.Admission{Estimate: h.Correct(now, estimate, idle), Idle: idle, Slack: req.deadline.Sub(now)}
+	if r.LatencyObjective > 0 {
+		a.Slack = r.LatencyObjective - h.Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency) - now.Sub(req.startedAt)
 	}
-	a.Limit = limit
-	return a, by.Name
+	return a
 }
 
 // recordStages records how long the stages of the request took that were estimated when it
@@ -161,7 +164,7 @@
 	case err == nil, errors.Is(err, context.DeadlineExceeded), errors.As(err, &failed) && failed.Reason == plat.ReasonExpired:
 		now := req.Clock.Now()
 		req.stagesEndedAt = now
-		req.routeState().RecordStages(now, req.stagesEstimate, now.Sub(req.stagesBeganAt))
+		req.routeState().RecordStages(now, req.stagesEstimate, req.stagesIdle, now.Sub(req.stagesBeganAt))
 	}
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -104,6 +104,7 @@
 	shared         bool               // one of the stage services is scheduled by shares and by urgency
 	stagesBeganAt  time.Time          // when the stages were estimated
 	stagesEstimate time.Duration      // estimated time of the stages
+	stagesIdle     time.Duration      // estimate with nothing queued
 	stagesEndedAt  time.Time          // zero: not ended, or the first event was recorded
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
