core/share: describe the reason unlimited as it is used

Cause: the comment and the log's page named a second case that doesn't occur. Change: wording only. Measured: scripts of proof/deploy, tests of relay and core/share pass.

--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -72,7 +72,7 @@
 const (
 	ReasonInTime     Reason = "in_time"     // admitted: the stages end within the limit
 	ReasonShortQueue Reason = "short_queue" // admitted: queued items delay the stages by little
-	ReasonUnlimited  Reason = "unlimited"   // admitted: admission is off, or no route has an objective
+	ReasonUnlimited  Reason = "unlimited"   // admitted: admission is off
 	ReasonObjective  Reason = "objective"   // rejected: the stages can't end in time for the request itself
 	ReasonMargin     Reason = "margin"      // rejected: estimates of the route were exceeded lately, and the stages would end late by as much
 	ReasonTeam       Reason = "team"        // rejected: the team uses more than its share of a crowded pool
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -100,7 +100,7 @@
 	"cold":             {"", "whether the endpoint is in cold start, in which it sustains a lower rate"},
 	"content":          {"", "hash, in hexadecimal, of the request's team, method, host, path and body; requests with the same hash are the same work"},
 	"crashes":          {"", "number of endpoints that crashed"},
-	"decided_by":       {"", "what decided: in_time, short_queue (queued items delay it by little) or unlimited if admitted; objective (it would be late itself), margin (the same, as recent estimates of its route were exceeded), team (it uses more than its share of a crowded pool) or urgent (routes that are at least as urgent would wait too long) if rejected"},
+	"decided_by":       {"", "what decided: in_time, short_queue (queued items delay it by little) or unlimited (admission is off) if admitted; objective (it would be late itself), margin (the same, as recent estimates of its route were exceeded), team (it uses more than its share of a crowded pool) or urgent (routes that are at least as urgent would wait too long) if rejected"},
 	"end":              {"", "done, not_run, inputs (not run, results of stages are missing), failed (may have run) or gone (the caller disconnected)"},
 	"endpoint":         {"", "ID of the endpoint"},
 	"endpoints":        {"", "IDs of endpoints"},
