relay/assign: relays share the speeds of engines and which services are timed

Cause: an owner that starts, or takes a pool over, knew no engine's speed, and a relay knew that a service is timed only from its own responses. Change: the topic speeds carries the speed of each engine (endpoint, incarnation, service, rates, samples) and the timed services. Of two records of an incarnation the one with more samples wins. Changes of a tenth or less aren't sent. Engines that are gone are dropped after a minute, and at most 4,096 are kept. Each decision off fails its test.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -3,6 +3,8 @@
 package pick
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -466,14 +468,25 @@
 		return
 	}
 	st.reported, st.inFlightAtReport, st.reportedAt = l, st.inFlight, now
-	if l.Pace > 0 && !p.timed[e.Service] {
-		if p.timed == nil {
-			p.timed = make(map[string]bool)
-		}
-		p.timed[e.Service] = true
+	if l.Pace > 0 {
+		p.SetTimed(e.Service)
 	}
 }
 
+// SetTimed records that an endpoint of a service has reported its pace.
+func (p *Picker) SetTimed(service string) {
+	if p.timed[service] {
+		return
+	}
+	if p.timed == nil {
+		p.timed = make(map[string]bool)
+	}
+	p.timed[service] = true
+}
+
+// Timed returns the services of which an endpoint has reported its pace.
+func (p *Picker) Timed() []string { return slices.Collect(maps.Keys(p.timed)) }
+
 // IsTimed reports whether an endpoint of a service has reported its pace.
 func (p *Picker) IsTimed(service string) bool { return p.timed[service] }
 
--- a/core/prompt/board_test.go
+++ b/core/prompt/board_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -60,7 +61,7 @@
 			r.events++
 			if r.events == 1 {
 				r.firstAt = e.freeAt
-				b.Start(now, r.ID, pace)
+				b.Record(now, r.ID, Report{Pace: pace})
 			} else {
 				r.longest = max(r.longest, e.freeAt-r.lastAt)
 			}
@@ -82,6 +83,7 @@
 	perSecond float64
 	seconds   int
 	seed      uint64
+	noGaps    bool // the board isn't told the max gap of requests
 }
 
 type simResult struct {
@@ -89,17 +91,28 @@
 	busiest             float64 // requests of the busiest engine, in multiples of the mean
 }
 
+var simSpeeds = []float64{0.6, 1, 1.6} // of engines 0, 1 and 2, and so on
+
+func simEngines(n int) []Engine {
+	list := make([]Engine, n)
+	for i := range list {
+		list[i] = Engine{ID: fmt.Sprintf("e%d", i), Incarnation: 1, Slots: 24, CacheTokens: 200_000}
+	}
+	return list
+}
+
 // run places the requests of a load and simulates the engines.
 func (l simLoad) run(b *Board) simResult {
 	rng := rand.New(rand.NewPCG(l.seed, 1))
-	start := time.UnixMilli(1_700_000_000_000)
-	engines, list := make([]*simEngine, 0, l.engines), make([]Engine, 0, l.engines)
-	for i := range l.engines {
-		e := &simEngine{Engine: Engine{ID: fmt.Sprintf("e%d", i), Incarnation: 1, Slots: 24, CacheTokens: 200_000}, speed: []float64{0.6, 1, 1.6}[i%3]}
+	start := simStart
+	list := simEngines(l.engines)
+	engines := make([]*simEngine, 0, l.engines)
+	for i, e := range list {
+		e := &simEngine{Engine: e, speed: simSpeeds[i%3]}
 		for range 200 {
 			e.slowFor = append(e.slowFor, rng.IntN(6) == 0)
 		}
-		engines, list = append(engines, e), append(list, e.Engine)
+		engines = append(engines, e)
 	}
 	res := simResult{late: map[string]int{}, paused: map[string]int{}, total: map[string]int{}}
 	advance := func(to time.Duration) {
@@ -145,7 +158,11 @@
 		}
 		r.Parts = []Part{{ID: uint64(doc), Tokens: 600 + 20*doc}, {ID: uint64(1000 + i), Tokens: own}}
 		r.PromptTokens = own + 600 + 20*doc
-		c, ok := b.Place(start.Add(at), list, r.Request)
+		told := r.Request
+		if l.noGaps {
+			told.MaxGap = 0
+		}
+		c, ok := b.Place(start.Add(at), list, told)
 		if !ok {
 			panic("no engine")
 		}
@@ -171,7 +188,7 @@
 // sum runs a load with several seeds on new boards.
 func (l simLoad) sum(timed bool) simResult {
 	out := simResult{late: map[string]int{}, paused: map[string]int{}, total: map[string]int{}}
-	for l.seed = range uint64(4) {
+	for l.seed = range uint64(10) {
 		r := l.run(&Board{Service: "s", Timed: timed})
 		for k, n := range r.total {
 			out.total[k] += n
@@ -191,23 +208,103 @@
 	return n
 }
 
-// TestBoard/long_prompts_beside_streams guards against long prompts at engines where they
-// delay the events of streams by more than their max gap.
+// simStart is the time at which all loads start.
+var simStart = time.UnixMilli(1_700_000_000_000)
+
 func TestBoard(t *testing.T) {
+	// Guards against long prompts at engines where they delay the events of streams by more
+	// than their max gap.
 	t.Run("long_prompts_beside_streams", func(t *testing.T) {
 		l := simLoad{engines: 18, perSecond: 70, seconds: 30}
 		before, after := l.sum(false), l.sum(true)
-		t.Logf("by load: %v; by speeds: %v", before, after)
-		if n, m := all(before.paused), all(after.paused); 3*m > n {
+		l.noGaps = true
+		blind := l.sum(true)
+		t.Logf("by load: %v; by speeds alone: %v; with the pauses of streams: %v", before, blind, after)
+		if n, m := all(blind.paused), all(after.paused); 3*m > 2*n {
+			t.Errorf("%d answers are late by a pause, and %d if the pauses of streams don't count", m, n)
+		}
+		if n, m := all(before.paused), all(after.paused); 2*m > n {
 			t.Errorf("%d of %d answers are late by a pause, and %d without the choice by speeds", m, all(after.total), n)
 		}
 		if n, m := all(before.late), all(after.late); m > n {
 			t.Errorf("%d of %d answers are late by their first event, and %d without the choice by speeds", m, all(after.total), n)
 		}
 	})
+	// Guards against engines that are chosen as if they were equally fast, or without regard
+	// to the pace of their newest response.
+	t.Run("fast_and_slow_engines", func(t *testing.T) {
+		b := &Board{Service: "s", Timed: true}
+		simLoad{engines: 18, perSecond: 70, seconds: 30}.run(b)
+		now := simStart.Add(time.Hour)
+		place := func(id string) *simEngine {
+			c, _ := b.Place(now, simEngines(18), Request{ID: id, PromptTokens: 12_000, OutputTokens: 10})
+			b.End(now, id)
+			i, _ := strconv.Atoi(c.Engine.ID[1:])
+			return &simEngine{Engine: c.Engine, speed: simSpeeds[i%3]}
+		}
+		first := place("first")
+		if first.speed != 1.6 {
+			t.Errorf("a long prompt is read at %s with speed %v", first.ID, first.speed)
+		}
+		for i := range 6 { // all fast engines turn slow
+			st := b.engines[fmt.Sprintf("e%d", 3*i+2)]
+			st.pace, st.pacedAt = 2.5, now
+		}
+		if e := place("slow"); e.speed == 1.6 {
+			t.Errorf("a long prompt is read at %s, which is slow", e.ID)
+		}
+		now = now.Add(maxPaceAge)
+		if e := place("later"); e.speed != 1.6 {
+			t.Errorf("a long prompt is read at %s with speed %v after the end of a slow period", e.ID, e.speed)
+		}
+	})
+	// Guards against owners that begin without the speeds that the former owner has learned,
+	// and against relays that end up with different speeds.
+	t.Run("owner_restarts", func(t *testing.T) {
+		east, west, next := &Speeds{}, &Speeds{}, &Speeds{}
+		simLoad{engines: 18, perSecond: 70, seconds: 20}.run(&Board{Service: "s", Timed: true, Speeds: east})
+		simLoad{engines: 18, perSecond: 70, seconds: 10, seed: 1}.run(&Board{Service: "s", Timed: true, Speeds: west})
+		samples := 0
+		for _, s := range east.engines {
+			samples += s.Reads + s.Streams
+		}
+		if 4*east.version > samples {
+			t.Errorf("%d changes for other relays in %d samples", east.version, samples)
+		}
+		fromEast, _, _ := east.Changes(0)
+		fromWest, _, _ := west.Changes(0)
+		for _, m := range []struct {
+			to      *Speeds
+			records [][]byte
+		}{{next, fromWest}, {next, fromEast}, {next, fromWest}, {east, fromWest}, {west, fromEast}} {
+			if err := m.to.Merge(m.records); err != nil {
+				t.Fatal(err)
+			}
+		}
+		former, b := &Board{Service: "s", Timed: true, Speeds: east}, &Board{Service: "s", Timed: true, Speeds: next}
+		off := 0.0
+		for _, e := range simEngines(18) {
+			r := Request{ID: e.ID, PromptTokens: 20_000, OutputTokens: 1}
+			was, _ := former.Place(simStart, []Engine{e}, r)
+			is, _ := b.Place(simStart, []Engine{e}, r)
+			off += math.Abs(is.FirstEvent.Seconds()/was.FirstEvent.Seconds()-1) / 18
+		}
+		if off > 0.1 {
+			t.Errorf("the predictions of the next owner differ by %.0f%% from those of the former one", 100*off)
+		}
+		for id, s := range next.engines {
+			if s.Reads+s.Streams < east.engines[id].told.Reads+east.engines[id].told.Streams || s.compare(&west.engines[id].EngineSpeed) > 0 {
+				t.Errorf("%s: %+v at the next owner, %+v and %+v at the former ones", id, s.EngineSpeed, east.engines[id].EngineSpeed, west.engines[id].EngineSpeed)
+			}
+		}
+		if more, _, _ := next.Changes(next.version); len(more) > 0 {
+			t.Errorf("%d records are sent twice", len(more))
+		}
+	})
 }
 
-func BenchmarkPlace(b *testing.B) {
+// BenchmarkChoose measures the choice among 53 engines with 12 streams each.
+func BenchmarkChoose(b *testing.B) {
 	board := &Board{Service: "s", Timed: true}
 	now := time.UnixMilli(1_700_000_000_000)
 	engines := make([]Engine, 0, 53)
@@ -221,15 +318,18 @@
 			ID: fmt.Sprint(i), Parts: []Part{{1, 1000}, {uint64(i) + 9, 2000}}, PromptTokens: 3000, OutputTokens: 280,
 			MaxGap: 400 * time.Millisecond, Slack: time.Second,
 		})
-		board.Start(now, fmt.Sprint(i), 1)
+		board.Record(now, fmt.Sprint(i), Report{Pace: 1})
 		i++
 	}
 	for range 53 * 12 {
 		place()
 	}
 	b.ReportAllocs()
+	r := Request{
+		ID: "next", Parts: []Part{{1, 1000}, {2, 2000}}, PromptTokens: 3000, OutputTokens: 280, MaxGap: 400 * time.Millisecond, Slack: time.Second,
+	}
 	for b.Loop() {
-		place()
-		board.End(now, fmt.Sprint(i-53*12))
+		now = now.Add(time.Microsecond)
+		board.choose(now, engines, r)
 	}
 }
--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,7 +92,6 @@
 // placement is a request that was placed on an engine and has not ended.
 type placement struct {
 	engine    *engineState
-	on        Engine
 	placedAt  time.Time
 	unread    int // tokens that the engine had to read for it
 	ahead     float64
@@ -106,7 +104,6 @@
 
 // engineState is what a Board tracks of one engine.
 type engineState struct {
-	id          string
 	incarnation int64
 	backlog     float64 // tokens to read, as of updatedAt
 	updatedAt   time.Time
@@ -121,7 +118,8 @@
 
 	pace    float64 // of the newest response; 0: none
 	pacedAt time.Time
-	streams []*placement // that have not ended
+	streams []streamCount // of the placements
+	speed   *speedRecord
 }
 
 // Board tracks a group of engines. The zero value is ready to use. It is not safe
@@ -134,6 +132,7 @@
 	paces        paces
 	eventTokens  float64 // moving average of the tokens in an event; 0: no sample
 	eventSamples int
+	mean         *EngineSpeed // of the engines, as in Speeds
 
 	engines    map[string]*engineState // by engine ID
 	placements map[string]*placement   // by request ID
@@ -148,7 +147,7 @@
 	}
 	st := b.engines[e.ID]
 	if st == nil || st.incarnation != e.Incarnation {
-		st = &engineState{id: e.ID, incarnation: e.Incarnation, updatedAt: now}
+		st = &engineState{incarnation: e.Incarnation, updatedAt: now, speed: b.speeds().get(b.Service, e)}
 		b.engines[e.ID] = st
 	}
 	return st
@@ -159,8 +158,8 @@
 func (b *Board) readRate(now time.Time, st *engineState) float64 {
 	switch {
 	case b.Timed:
-		rate, _ := b.speeds().estimate(b.Service, Engine{ID: st.id, Incarnation: st.incarnation})
-		return rate / b.outlook(now, st).mean()
+		o := b.outlook(now, st)
+		return st.speed.readRate(b.meanSpeed()) / o.mean()
 	case !st.sampledAt.IsZero() && now.Sub(st.sampledAt) < maxSampleAge:
 		return st.rate
 	case b.rate > 0:
@@ -176,9 +175,18 @@
 	return b.Speeds
 }
 
+func (b *Board) meanSpeed() *EngineSpeed {
+	if b.mean == nil {
+		b.mean = b.speeds().mean(b.Service)
+	}
+	return b.mean
+}
+
 // advance lowers the backlog by what the engine has read since the last call.
-func (b *Board) advance(now time.Time, st *engineState) {
-	read := float64(now.Sub(st.updatedAt)) / float64(time.Millisecond) * b.readRate(now, st)
+func (b *Board) advance(now time.Time, st *engineState) { st.advance(now, b.readRate(now, st)) }
+
+func (st *engineState) advance(now time.Time, rate float64) {
+	read := float64(now.Sub(st.updatedAt)) / float64(time.Millisecond) * rate
 	st.updatedAt = now
 	st.backlog = max(0, st.backlog-read)
 	if st.waiting == 0 {
@@ -197,11 +205,11 @@
 	st := b.engines[c.Engine.ID]
 	unread := max(0, r.PromptTokens-c.Cached)
 	p := &placement{
-		engine: st, on: c.Engine, placedAt: now, unread: unread, ahead: st.backlog, tokens: unread + r.OutputTokens,
+		engine: st, placedAt: now, unread: unread, ahead: st.backlog, tokens: unread + r.OutputTokens,
 		predicted: c.FirstEvent, maxGap: r.MaxGap, output: r.OutputTokens,
 	}
 	b.placements[r.ID] = p
-	st.streams = append(st.streams, p)
+	st.countStream(r.MaxGap, 1)
 	st.backlog += float64(unread)
 	st.waiting++
 	st.memory += p.tokens
@@ -223,7 +231,7 @@
 	candidates := make([]candidate, 0, len(engines))
 	anyFree := false
 	for _, e := range engines {
-		c := b.evaluate(now, e, r)
+		c := b.evaluate(now, e, &r)
 		anyFree = anyFree || !c.full
 		candidates = append(candidates, c)
 	}
@@ -252,14 +260,14 @@
 }
 
 // evaluate returns the cost of a request at an engine.
-func (b *Board) evaluate(now time.Time, e Engine, r Request) candidate {
+func (b *Board) evaluate(now time.Time, e Engine, r *Request) candidate {
 	st := b.state(now, e)
-	b.advance(now, st)
 	cached := min(st.cache.prefix(r.Parts), r.PromptTokens)
 	var c candidate
 	if b.Timed {
 		c = b.evaluateTimed(now, st, e, r, cached)
 	} else {
+		b.advance(now, st)
 		perToken := float64(time.Millisecond) / b.readRate(now, st)
 		unread := float64(r.PromptTokens - cached)
 		wait := time.Duration(st.backlog*perToken) + time.Duration(st.waiting+st.running)*runningCost
@@ -273,19 +281,15 @@
 	return c
 }
 
-// Start records that the first event of a request has arrived. pace is that of the
-// response, or 0. It returns the predicted and the actual time to the event, or false if
-// the request is unknown or has started before.
-func (b *Board) Start(now time.Time, request string, pace float64) (predicted, actual time.Duration, ok bool) {
+// Start records that the first event of a request has arrived. It returns the
+// predicted and the actual time to it, or false if the request is unknown or has
+// started before.
+func (b *Board) Start(now time.Time, request string) (predicted, actual time.Duration, ok bool) {
 	p := b.placements[request]
 	if p == nil || p.started {
 		return 0, 0, false
 	}
 	p.started = true
-	if pace > 0 {
-		b.paces.observe(pace)
-		p.engine.pace, p.engine.pacedAt = pace, now
-	}
 	actual = now.Sub(p.placedAt)
 	st := p.engine
 	b.advance(now, st)
@@ -299,14 +303,14 @@
 // took to its first event.
 func (b *Board) observeRate(now time.Time, st *engineState, p *placement, actual time.Duration) {
 	tokens := float64(p.unread) + p.ahead
+	if b.Timed {
+		b.observeSpeed(now, st, tokens, actual)
+	}
 	ms := float64(actual-baseLatency) / float64(time.Millisecond)
 	if tokens < minRateSample || ms <= 0 {
 		return
 	}
 	sample := min(maxReadRate, max(minReadRate, tokens/ms))
-	if b.Timed {
-		b.speeds().observeRead(b.Service, p.on, sample*b.outlook(now, st).mean())
-	}
 	st.rate, st.sampledAt = smooth(b.readRate(now, st), sample), now
 	if b.rate == 0 {
 		b.rate = sample
@@ -325,7 +329,7 @@
 	}
 	delete(b.placements, request)
 	st := p.engine
-	st.streams = slices.DeleteFunc(st.streams, func(s *placement) bool { return s == p })
+	st.countStream(p.maxGap, -1)
 	b.advance(now, st)
 	st.memory -= p.tokens
 	if p.started {
@@ -337,12 +341,17 @@
 
 // Record records the progress of a request.
 func (b *Board) Record(now time.Time, request string, r Report) {
+	p := b.placements[request]
+	if p != nil && r.Pace > 0 {
+		b.paces.observe(r.Pace)
+		p.engine.pace, p.engine.pacedAt = r.Pace, now
+	}
 	if !r.Ended {
-		b.Start(now, request, r.Pace)
+		b.Start(now, request)
 		return
 	}
-	if p := b.placements[request]; b.Timed && p != nil && p.started && r.Events >= minStreamEvents && r.Streaming > 0 {
-		b.speeds().observeEvents(b.Service, p.on, r.Streaming/time.Duration(r.Events-1))
+	if b.Timed && p != nil && p.started && r.Events >= minStreamEvents && r.Streaming > 0 {
+		b.speeds().observeEvents(p.engine.speed, r.Streaming/time.Duration(r.Events-1))
 		b.eventTokens = average(b.eventTokens, float64(p.output)/float64(r.Events), &b.eventSamples)
 	}
 	b.End(now, request)
--- a/core/prompt/timed.go
+++ b/core/prompt/timed.go
@@ -1,6 +1,8 @@
 package prompt
 
-import "time"
+import (
+	"time"
+)
 
 const (
 	// maxPaceAge is the age from which on the pace of a response says nothing more. Slow
@@ -63,13 +65,13 @@
 }
 
 // mean returns the expected pace.
-func (o outlook) mean() float64 {
+func (o *outlook) mean() float64 {
 	return o.weight*o.known + (1-o.weight)*(1+o.slowShare*(max(1, o.slow)-1))
 }
 
 // late returns the probability that work is late that takes some part of its limit at
 // the usual pace.
-func (o outlook) late(part float64) float64 {
+func (o *outlook) late(part float64) float64 {
 	return o.weight*lateness(part*o.known) + (1-o.weight)*((1-o.slowShare)*lateness(part)+o.slowShare*lateness(part*max(1, o.slow)))
 }
 
@@ -77,10 +79,12 @@
 
 // evaluateTimed returns the cost of a request at an engine of a timed service: the time
 // to its first event, and a penalty for each request that is likely to be late.
-func (b *Board) evaluateTimed(now time.Time, st *engineState, e Engine, r Request, cached int) candidate {
-	rate, eventTime := b.speeds().estimate(b.Service, e)
+func (b *Board) evaluateTimed(now time.Time, st *engineState, e Engine, r *Request, cached int) candidate {
 	o := b.outlook(now, st)
+	rate := st.speed.readRate(b.meanSpeed())
+	st.advance(now, rate/o.mean())
 	perToken := float64(time.Millisecond) / rate // at the usual pace
+	eventTime := st.speed.eventTime(b.meanSpeed())
 	unread := float64(r.PromptTokens - cached)
 	others := time.Duration(st.waiting+st.running) * runningCost
 	wait := time.Duration(st.backlog*perToken*o.mean()) + others
@@ -93,17 +97,29 @@
 	if r.Slack > 0 {
 		late = o.late(first / float64(r.Slack))
 	}
-	p := pause{outlook: o, before: b.longestPause(st.backlog, perToken, eventTime), after: b.longestPause(st.backlog+unread, perToken, eventTime)}
+	p := pause{outlook: &o, before: b.longestPause(st.backlog, perToken, eventTime), after: b.longestPause(st.backlog+unread, perToken, eventTime)}
 	if r.MaxGap > 0 { // an engine may read several prompts in turn, and start the request before they are read
 		late += o.late(p.before / float64(r.MaxGap))
 	}
 	for _, s := range st.streams {
-		late += p.harm(s.maxGap)
+		late += float64(s.n) * p.harm(s.maxGap)
 	}
 	c.cost += time.Duration(late * float64(latePenalty))
 	return c
 }
 
+// observeSpeed updates the speed of an engine from the time that a request took to its
+// first event. The time includes that of other work, so that an engine with many streams
+// counts as slower.
+func (b *Board) observeSpeed(now time.Time, st *engineState, tokens float64, actual time.Duration) {
+	ms := float64(actual-baseLatency) / float64(time.Millisecond)
+	if tokens < minRateSample || ms <= 0 {
+		return
+	}
+	o := b.outlook(now, st)
+	b.speeds().observeRead(st.speed, tokens/ms*o.mean())
+}
+
 // longestPause returns the longest time between two events of a stream while an engine
 // reads prompts, at the usual pace: the engine reads a chunk between two tokens.
 func (b *Board) longestPause(unread, perToken float64, eventTime time.Duration) float64 {
@@ -119,20 +135,31 @@
 
 // pause is the longest pause of an engine's streams before and after a prompt is added.
 type pause struct {
-	outlook
+	*outlook
 	before, after float64
-	maxGap        time.Duration // for which added was computed
-	added         float64
 }
 
 // harm returns by how much the prompt raises the probability that a stream is late.
 func (p *pause) harm(maxGap time.Duration) float64 {
-	if maxGap != p.maxGap && maxGap > 0 {
-		p.maxGap = maxGap
-		p.added = p.late(p.after/float64(maxGap)) - p.late(p.before/float64(maxGap))
-	}
+	return p.late(p.after/float64(maxGap)) - p.late(p.before/float64(maxGap))
+}
+
+// streamCount is the number of placements of an engine that have the same max gap.
+type streamCount struct {
+	maxGap time.Duration
+	n      int
+}
+
+// countStream adds n to the number of placements with a max gap.
+func (st *engineState) countStream(maxGap time.Duration, n int) {
 	if maxGap == 0 {
-		return 0
+		return
+	}
+	for i := range st.streams {
+		if st.streams[i].maxGap == maxGap {
+			st.streams[i].n += n
+			return
+		}
 	}
-	return p.added
+	st.streams = append(st.streams, streamCount{maxGap, n})
 }
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -14,6 +14,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/pick"
 	"wigeonplank.example/core/prompt"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/peers"
 )
 
@@ -46,6 +47,10 @@
 	// IsTimed reports whether the endpoints of a service are chosen by expected completion
 	// time.
 	IsTimed(service string) bool
+	// Timed returns the services of which an endpoint has reported its pace.
+	Timed() []string
+	// SetTimed records that another relay knows a service as timed.
+	SetTimed(service string)
 }
 
 // Peers are the other relays.
@@ -66,6 +71,7 @@
 	Timing Timing
 	Peers  Peers
 	Clock  clock.Clock
+	Log    *logs.Logger
 
 	mu     sync.Mutex
 	speeds prompt.Speeds // of the engines of all boards
@@ -279,6 +285,9 @@
 // Progress records that a request of a pool that this relay owns has its first
 // event, or has ended.
 func (a *Assigner) Progress(p batch.Pool, request string, r prompt.Report) {
+	if r.Pace > 0 {
+		a.Timing.SetTimed(p.Service)
+	}
 	now := a.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -309,5 +318,5 @@
 	for _, b := range a.boards {
 		b.Prune(func(id string) bool { return v.Endpoint(id) != nil })
 	}
-	a.speeds.Prune(func(id string) bool { return v.Endpoint(id) != nil })
+	a.speeds.Prune(a.Clock.Now(), func(id string) bool { return v.Endpoint(id) != nil })
 }
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -208,8 +208,9 @@
 	}
 }
 
-func newAssigner(c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
-	a := &assign.Assigner{View: c.View, Health: b, Timing: b, Peers: m, Clock: clock.System{}}
+func newAssigner(l *logs.Logger, c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
+	a := &assign.Assigner{View: c.View, Health: b, Timing: b, Peers: m, Clock: clock.System{}, Log: l}
+	m.Topics = append(m.Topics, a)
 	c.OnViewChange = func(v *fleet.View) {
 		b.Observe(v)
 		a.Prune(v)
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -182,6 +182,21 @@
 	return b.Picker.IsTimed(service)
 }
 
+// Timed returns the services of which an endpoint has reported its pace, as far as this
+// relay knows.
+func (b *Balancer) Timed() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Picker.Timed()
+}
+
+// SetTimed records that another relay knows a service as timed.
+func (b *Balancer) SetTimed(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Picker.SetTimed(service)
+}
+
 // SharesStage reports whether a stage service is scheduled by shares and by urgency:
 // the configuration calls for it, or endpoints of the deployment report their pace.
 func (b *Balancer) SharesStage(cfg *fleet.Config, service string) bool {
