--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -137,6 +137,7 @@
 	engines    map[string]*engineState // by engine ID
 	placements map[string]*placement   // by request ID
 	rate       float64                 // moving average over all engines; 0: no sample
+	candidates []candidate             // of the last choice, to be overwritten
 }
 
 // state returns the state of an engine, which is new after a restart.
@@ -228,15 +229,17 @@
 // hardly worse it prefers the one that the request's shared parts hash to, so that a
 // board that knows nothing of the past finds the engine that has them cached.
 func (b *Board) choose(now time.Time, engines []Engine, r Request) (Choice, bool) {
-	candidates := make([]candidate, 0, len(engines))
+	candidates := b.candidates[:0]
 	anyFree := false
 	for _, e := range engines {
 		c := b.evaluate(now, e, &r)
 		anyFree = anyFree || !c.full
 		candidates = append(candidates, c)
 	}
+	b.candidates = candidates
 	lowest := time.Duration(-1)
-	for _, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if (!c.full || !anyFree) && (lowest < 0 || c.cost < lowest) {
 			lowest = c.cost
 		}
--- a/core/prompt/timed.go
+++ b/core/prompt/timed.go
@@ -72,6 +72,9 @@
 // late returns the probability that work is late that takes some part of its limit at
 // the usual pace.
 func (o *outlook) late(part float64) float64 {
+	if part*max(1, o.known, o.slow) <= lateFrom {
+		return 0
+	}
 	return o.weight*lateness(part*o.known) + (1-o.weight)*((1-o.slowShare)*lateness(part)+o.slowShare*lateness(part*max(1, o.slow)))
 }
 
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -103,10 +103,16 @@
 	}
 }
 
-// endAssignment reports the end of an attempt to the owner of its pool.
+// endAssignment reports the end of an attempt to the owner of its pool. The events of a
+// stream that was resumed or broke off are not reported, as their number says nothing
+// about the tokens in an event.
 func (req *request) endAssignment() {
 	if req.assignment != nil {
-		req.assignment.Ended(req.events, req.lastEventAt.Sub(req.firstEventAt))
+		events := req.events
+		if req.outcome != outcomeAnswered || len(req.tried) > 1 || req.headers.LastEventID >= 0 {
+			events = 0
+		}
+		req.assignment.Ended(events, req.lastEventAt.Sub(req.firstEventAt))
 		req.assignment = nil
 	}
 }
