core/prompt: spread the requests of timed engines

Change: each other request at a timed engine costs 10 ms instead of 1.5 ms, and a prompt 1.3 times its reading instead of twice. Own pauses count at half weight, and only if the output fills more than one event.

--- a/core/prompt/timed.go
+++ b/core/prompt/timed.go
@@ -21,6 +21,18 @@
 	// defaultEventTokens is the number of tokens in an event until some were observed.
 	defaultEventTokens = 4.0
 
+	// placementCost is the cost of each other request at an engine, as a time to the first
+	// event. It spreads requests, as a slow period delays all of an engine's streams.
+	placementCost = 10 * time.Millisecond
+	// timedRereadFactor is rereadFactor at timed services, where the delay of later requests
+	// counts by the answers that are made late.
+	timedRereadFactor = 1.3
+
+	// ownPauseWeight is the weight of the pauses that prompts placed earlier cause a request's
+	// own stream. Engines that read prompts one after another read them before it starts,
+	// others don't, and which kind an engine is isn't known.
+	ownPauseWeight = 0.5
+
 	// latePenalty is the cost of a request that is late, as a time to the first event.
 	latePenalty = time.Second
 	// A time counts as late with a probability that rises from 0 at lateFrom to 1 at
@@ -94,15 +106,15 @@
 	first := float64(baseLatency+others) + (st.backlog+unread)*perToken
 	c := candidate{
 		Choice: Choice{Engine: e, Cached: cached, FirstEvent: baseLatency + wait + time.Duration(unread*perToken*o.mean())},
-		cost:   wait + time.Duration(rereadFactor*unread*perToken*o.mean()),
+		cost:   wait - others + time.Duration(st.waiting+st.running)*placementCost + time.Duration(timedRereadFactor*unread*perToken*o.mean()),
 	}
 	late := 0.0
 	if r.Slack > 0 {
 		late = o.late(first / float64(r.Slack))
 	}
 	p := pause{outlook: &o, before: b.longestPause(st.backlog, perToken, eventTime), after: b.longestPause(st.backlog+unread, perToken, eventTime)}
-	if r.MaxGap > 0 { // an engine may read several prompts in turn, and start the request before they are read
-		late += o.late(p.before / float64(r.MaxGap))
+	if r.MaxGap > 0 && float64(r.OutputTokens) > b.tokensPerEvent() {
+		late += ownPauseWeight * o.late(p.before/float64(r.MaxGap))
 	}
 	for _, s := range st.streams {
 		late += float64(s.n) * p.harm(s.maxGap)
