core/pick, fakes: an endpoint that was once slow is tried again; the pace end to end

Cause: in a service of up to three endpoints a choice compares all of them; one that was slow got no request at low load, so that its estimate stayed. Change: one of 32 choices that compare all takes any endpoint.

--- a/core/pick/time.go
+++ b/core/pick/time.go
@@ -15,6 +15,10 @@
 	maxDrawn = 3
 	maxDraws = 16 // draws for them, as some may be unusable
 
+	// One of this many choices takes any endpoint if all are compared. An endpoint that
+	// was once slow would get no request otherwise, and nobody would see that it is fast.
+	exploration = 32
+
 	usualLoadWeight = 0.2             // of the newest report in the usual load
 	maxUsualLoadAge = 5 * time.Second // the weight of the usual load falls to 0 at this age, so that an endpoint is tried again
 )
@@ -65,7 +69,11 @@
 // pickByTime chooses between a few endpoints drawn from usable ones.
 func (p *Picker) pickByTime(now time.Time, usable []*fleet.Endpoint, c Criteria) Choice {
 	var d drawn
-	for i := range min(maxDrawn, len(usable)) {
+	count := min(maxDrawn, len(usable))
+	if count == len(usable) && p.intN(exploration) == 0 {
+		count = 1
+	}
+	for i := range count {
 		j := i + p.intN(len(usable)-i)
 		usable[i], usable[j] = usable[j], usable[i]
 		p.compare(&d, now, usable[i], c)
--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -92,6 +92,7 @@
 	markedAt       time.Time   // first response that named a retry delay or said that the endpoint leaves
 	startUnixMs    int64       // of this incarnation
 	crashed        bool        // a request has crashed it
+	pace           int         // of its work, in percent of the usual time, which responses report; 0: as usual, and not reported
 }
 
 // trackingListener records the accepted connections of an endpoint, so that
@@ -153,6 +154,35 @@
 	e.leaving = true
 }
 
+// SetPace makes the endpoint take a percentage of the usual time for its work, and report
+// it.
+func (e *Endpoint) SetPace(percent int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pace = percent
+}
+
+// workTime returns the time that a request takes now.
+func (e *Endpoint) workTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.pace == 0 {
+		return e.WorkTime
+	}
+	return e.WorkTime * time.Duration(e.pace) / 100
+}
+
+// load returns the value of the load header.
+func (e *Endpoint) load() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	load := fmt.Sprintf("%d,0,%d", e.inFlight, e.Slots)
+	if e.pace > 0 {
+		load += fmt.Sprintf(",%d", e.pace)
+	}
+	return load
+}
+
 // CloseFor makes the endpoint reject the next n requests and name a retry delay, in
 // seconds.
 func (e *Endpoint) CloseFor(seconds string, n int) {
@@ -276,7 +306,7 @@
 		ctx.Response.Header.Set("Retry-After", closedFor)
 		return
 	}
-	ctx.Response.Header.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", e.addInFlight(0), e.Slots))
+	ctx.Response.Header.Set("X-Server-Load", e.load())
 	switch {
 	case e.Kind == KindStage && string(ctx.Path()) == "/stage-run":
 		e.runStage(ctx)
@@ -287,12 +317,11 @@
 	}
 }
 
-// addInFlight adds n to the number of requests in flight and returns the sum.
-func (e *Endpoint) addInFlight(n int) int {
+// addInFlight adds n to the number of requests in flight.
+func (e *Endpoint) addInFlight(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.inFlight += n
-	return e.inFlight
 }
 
 // recordRequest adds the request to the executed ones and returns its attempt
@@ -333,7 +362,7 @@
 	}
 	arrivedAt := time.Now()
 	id := e.recordRequest(ctx)
-	time.Sleep(e.WorkTime)
+	time.Sleep(e.workTime())
 	if e.isPoison(&ctx.Request) {
 		e.crash(arrivedAt)
 		return
--- a/proof/deploy/poison_test.go
+++ b/proof/deploy/poison_test.go
@@ -137,12 +137,16 @@
 //	suspects RELAY PATTERN
 //
 // It waits until a line that wpctl prints of a relay's suspects matches a pattern.
-func checkSuspects(cmd *command) error {
+func checkSuspects(cmd *command) error { return awaitOutput(cmd, "suspects") }
+
+// awaitOutput waits until a line that a command of wpctl prints of a relay matches a
+// pattern.
+func awaitOutput(cmd *command, name string) error {
 	pattern := regexp.MustCompile("(?m)" + cmd.arg(1))
-	return await(fmt.Sprintf("suspects that match %q", cmd.arg(1)), func() bool {
-		out, err := exec.Command(filepath.Join(binDir, "wpctl"), "suspects", cmd.relay(cmd.arg(0)).Settings.Admin.Listen).CombinedOutput()
+	return await(fmt.Sprintf("%s that match %q", name, cmd.arg(1)), func() bool {
+		out, err := exec.Command(filepath.Join(binDir, "wpctl"), name, cmd.relay(cmd.arg(0)).Settings.Admin.Listen).CombinedOutput()
 		if err != nil {
-			cmd.ts.Logf("wpctl suspects: %v: %s", err, out)
+			cmd.ts.Logf("wpctl %s: %v: %s", name, err, out)
 		}
 		return err == nil && pattern.Match(out)
 	})
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -96,6 +96,8 @@
 		"exposed":  checkExposures,
 		"sound":    checkSound,
 		"suspects": checkSuspects,
+		"pace":     setPace,
+		"speeds":   checkSpeeds,
 		"engine":   startEngine,
 		"leave":    drainUsed,
 		"builds":   checkVersions,
@@ -249,6 +251,23 @@
 	return nil
 }
 
+// setPace implements the command
+//
+//	pace ENDPOINT PERCENT
+//
+// It makes an endpoint take PERCENT of the usual time for its work, and report it.
+func setPace(cmd *command) error {
+	cmd.endpoint(cmd.arg(0)).SetPace(cmd.intArg(1))
+	return nil
+}
+
+// checkSpeeds implements the command
+//
+//	speeds RELAY PATTERN
+//
+// It waits until a line that wpctl prints of a relay's endpoints matches a pattern.
+func checkSpeeds(cmd *command) error { return awaitOutput(cmd, "endpoints") }
+
 // crashEndpoint implements the command
 //
 //	crash ENDPOINT
