--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -317,12 +317,11 @@
 	}
 }
 
-// addInFlight adds n to the number of requests in flight and returns the sum.
-func (e *Endpoint) addInFlight(n int) int {
+// addInFlight adds n to the number of requests in flight.
+func (e *Endpoint) addInFlight(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.inFlight += n
-	return e.inFlight
 }
 
 // recordRequest adds the request to the executed ones and returns its attempt
