core/prompt: drop the counts of max gaps that no stream has

Cause: a board kept an entry for each max gap that was ever seen. Change: the entry goes with its last placement. Measured: the results of TestBoard are the same as before.

--- a/core/prompt/timed.go
+++ b/core/prompt/timed.go
@@ -1,6 +1,7 @@
 package prompt
 
 import (
+	"slices"
 	"time"
 )
 
@@ -172,7 +173,9 @@
 	}
 	for i := range st.streams {
 		if st.streams[i].maxGap == maxGap {
-			st.streams[i].n += n
+			if st.streams[i].n += n; st.streams[i].n == 0 {
+				st.streams = slices.Delete(st.streams, i, i+1)
+			}
 			return
 		}
 	}
