--- a/core/pick/time_test.go
+++ b/core/pick/time_test.go
@@ -18,7 +18,8 @@
 	speed, pace float64
 	offset      int // ms by which its slow periods are shifted
 	jobs        []*job
-	total       int
+	window      int // requests since the last window of slowEvery began
+	total       int // requests since warmUp
 }
 
 type job struct {
@@ -49,6 +50,7 @@
 	slowFor   = 500
 	slowEvery = 6 * slowFor
 	slowPace  = 2.5
+	warmUp    = 10_000 // ms that aren't measured
 )
 
 var service = &fleet.Service{Name: "s"}
@@ -71,7 +73,7 @@
 // policy returns the server for a job of a relay.
 type policy func(f *farm, j *job) *server
 
-// run simulates a number of seconds, of which the first 10 aren't measured.
+// run simulates a number of seconds, of which warmUp isn't measured.
 func (f *farm) run(seconds int, choose policy) {
 	rate := 0.0 // jobs per ms
 	for _, s := range f.servers {
@@ -95,7 +97,10 @@
 			j := &job{relay: f.rng.IntN(len(f.pickers)), work: usualWork * (0.5 + f.rng.Float64()), startedAt: f.now}
 			s := choose(f, j)
 			s.jobs = append(s.jobs, j)
-			s.total++
+			s.window++
+			if f.now >= warmUp {
+				s.total++
+			}
 			f.pickers[j.relay].Begin(f.time(), service, s.Endpoint, false)
 		}
 	}
@@ -129,25 +134,27 @@
 	return pace
 }
 
-// share returns the requests that a server got since the last window, in multiples of
-// its share of the capacity.
-func (f *farm) share(s *server) float64 {
-	requests, speeds := 0, 0.0
+// share returns the requests that a server got, in multiples of its share of the capacity.
+func (f *farm) share(s *server, requests func(*server) int) float64 {
+	all, speeds := 0, 0.0
 	for _, other := range f.servers {
-		requests += other.total
+		all += requests(other)
 		speeds += other.speed
 	}
-	return float64(s.total) / float64(requests) * speeds / s.speed
+	return float64(requests(s)) / float64(all) * speeds / s.speed
 }
 
+func inWindow(s *server) int { return s.window }
+func inTotal(s *server) int  { return s.total }
+
 func (f *farm) endWindow() {
 	for _, s := range f.servers {
-		if f.now > 10_000 {
-			f.worst = max(f.worst, f.share(s))
+		if f.now > warmUp {
+			f.worst = max(f.worst, f.share(s, inWindow))
 		}
 	}
 	for _, s := range f.servers {
-		s.total = 0
+		s.window = 0
 	}
 }
 
@@ -159,7 +166,7 @@
 	}
 	took := f.now - j.startedAt
 	p.RecordTime(s.Endpoint, time.Duration(took)*time.Millisecond, j.choice.Ahead, pace)
-	if f.now >= 10_000 {
+	if f.now >= warmUp {
 		f.took = append(f.took, float64(took))
 	}
 }
@@ -259,7 +266,7 @@
 func TestEndpointThatLies(t *testing.T) {
 	f := newFarm(4)
 	f.run(30, picked(true))
-	honest, honestShare := f.percentile(0.99), f.share(f.servers[0])
+	honest, honestShare := f.percentile(0.99), f.share(f.servers[0], inTotal)
 	// A false pace may cost the endpoint requests, but no more than half of them.
 	for name, lie := range map[string]func(f *farm) float64{
 		"always fast":   func(*farm) float64 { return 0.01 },
@@ -277,7 +284,7 @@
 			return s.pace
 		}
 		f.run(30, picked(true))
-		share := f.share(f.servers[0])
+		share := f.share(f.servers[0], inTotal)
 		t.Logf("%-13s: %.2f times its share, p99 %.0f ms; honest %.2f, %.0f ms", name, share, f.percentile(0.99), honestShare, honest)
 		if share > 1.5 || share < honestShare/2 || f.percentile(0.99) > 1.1*honest {
 			t.Errorf("%s: the endpoint got %.2f times its share; p99 is %.0f ms, %.0f if it is honest", name, share, f.percentile(0.99), honest)
