--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -33,8 +33,14 @@
 		urgency int
 		want    []*fleet.Route
 	}{
-		{urgent, 0, nil}, {bulk, 2, []*fleet.Route{urgent}}, {bulk, 3, []*fleet.Route{urgent, later}}, {apart, 1, nil},
-		{none, 0, nil}, {none, 3, []*fleet.Route{bulk, later}}, {later, 3, []*fleet.Route{bulk}}, {later, 1, nil},
+		{urgent, 0, nil},
+		{bulk, 2, []*fleet.Route{urgent}},
+		{bulk, 3, []*fleet.Route{urgent, later}},
+		{apart, 1, nil},
+		{none, 0, nil},
+		{none, 3, []*fleet.Route{bulk, later}},
+		{later, 3, []*fleet.Route{bulk}},
+		{later, 1, nil},
 	} {
 		if got := l.Rivals(c.route, c.urgency); !slices.Equal(got, c.want) {
 			t.Errorf("rivals of %s with urgency %d: %d routes, want %d", c.route.Name, c.urgency, len(got), len(c.want))
