relay/stage, relay/peers, relay/proxy: teams, urgency and reports of pools

Cause: owners order items by the shares of teams, but items named none, and other relays did not learn who is over a share nor how long items wait. Change: items carry team and urgency, also between relays; the urgency of a team overrides that of its route. Owners tell the measured delay, its age and the teams over their share in heartbeats and results; both are used for a second. Estimates of shared stages are at least the delay; Runner.OverShare answers from the reports.

--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -35,8 +35,8 @@
 // outcome of this relay's own items. Its methods are called concurrently.
 type Handler interface {
 	// Accept queues items that another relay submitted to pool p. It calls reply
-	// with the outcome of each item, and the number of items left in the pool.
-	Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, left int))
+	// with the outcome of each item, and a report of the pool.
+	Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, r batch.Report))
 	// RemoveQueued removes the queued items of a request that another relay
 	// cancelled.
 	RemoveQueued(request string)
@@ -47,9 +47,8 @@
 	HandleResult(it *batch.Item, res plat.StageResult)
 	// Resubmit submits own items again that were pending on a link that failed.
 	Resubmit(items []*batch.Item)
-	// Loads returns the number of queued and in-flight items of each pool that
-	// this relay schedules.
-	Loads() map[batch.Pool]int
+	// Reports returns reports of the pools with items that this relay schedules.
+	Reports() map[batch.Pool]batch.Report
 }
 
 // Source is this relay's replica of the platform's store.
@@ -310,8 +309,8 @@
 func (m *Mesh) nextHeartbeat(st *heartbeatState, to string, withLoads bool) *Heartbeat {
 	hb := &Heartbeat{Position: positionToWire(m.Source.Position(), m.Clock.Now())}
 	if withLoads {
-		for p, n := range m.Handler.Loads() {
-			hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
+		for p, r := range m.Handler.Reports() {
+			hb.Loads = append(hb.Loads, reportToWire(p, r))
 		}
 		for p, n := range m.Engines.Backlogs() {
 			hb.Loads = append(hb.Loads, &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(n)})
--- a/relay/peers/mesh_test.go
+++ b/relay/peers/mesh_test.go
@@ -1,8 +1,12 @@
 package peers
 
 import (
+	"reflect"
 	"testing"
+	"time"
 
+	"wigeonplank.example/core/batch"
+	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/peer"
 )
 
@@ -35,3 +39,33 @@
 	check("this relay is the owner", []peer.Member{{Instance: "self"}, {Instance: "second"}}, former, nil)
 	check("this relay takes over", []peer.Member{{Instance: "owner"}, {Instance: "self"}}, former, nil)
 }
+
+// TestPoolReport guards against reports of a pool that are lost on a link or used for too
+// long, and against a relay that can't read those of an older one.
+func TestPoolReport(t *testing.T) {
+	clk := clock.NewFake(time.UnixMilli(1_700_000_000_000))
+	s := &session{mesh: &Mesh{Clock: clk}}
+	p := batch.Pool{Service: "encode", Zone: "z1"}
+	want := batch.Report{Items: 7, Delay: 300 * time.Millisecond, DelayAge: 400 * time.Millisecond, OverShare: []string{"a"}}
+	s.recordLoad(reportToWire(p, want))
+	if r := s.report(p); !reflect.DeepEqual(r, want) {
+		t.Errorf("report %+v, want %+v", r, want)
+	}
+	clk.Advance(600 * time.Millisecond)
+	if r := s.report(p); r.Items != 7 || r.Delay != 0 || len(r.OverShare) != 1 {
+		t.Errorf("report %+v, want no delay, as it was measured a second ago", r)
+	}
+	clk.Advance(400 * time.Millisecond)
+	if r := s.report(p); r.OverShare != nil {
+		t.Errorf("report %+v, want no teams a second later", r)
+	}
+	s.recordLoad(&PoolLoad{Service: p.Service, Zone: p.Zone, Items: 3})
+	if r := s.report(p); !reflect.DeepEqual(r, batch.Report{Items: 3}) {
+		t.Errorf("report %+v of an older relay, want 3 items alone", r)
+	}
+	now := clk.Now()
+	it := &batch.Item{Request: "r", EnqueuedAt: now, Due: now.Add(time.Second), StartBy: now, Deadline: now, Team: "a", Urgency: 2}
+	if got := itemFromWire(itemToWire(it, now), now); !reflect.DeepEqual(got, it) {
+		t.Errorf("item %+v, want %+v", got, it)
+	}
+}
--- a/relay/peers/owner.go
+++ b/relay/peers/owner.go
@@ -94,14 +94,24 @@
 	return s != nil && s.submit(p, items)
 }
 
+// Report returns what the owner of a pool has reported of it. It reports false if this
+// relay schedules the pool's items itself.
+func (m *Mesh) Report(p batch.Pool) (batch.Report, bool) {
+	s := m.ownerSession(p)
+	if s == nil {
+		return batch.Report{}, false
+	}
+	return s.report(p), true
+}
+
 // ItemCount returns the number of items that are queued or in flight at the owner
 // of a pool, or -1 if this relay schedules the pool's items itself.
 func (m *Mesh) ItemCount(p batch.Pool) int {
-	s := m.ownerSession(p)
-	if s == nil {
+	r, ok := m.Report(p)
+	if !ok {
 		return -1
 	}
-	return s.itemCount(p)
+	return r.Items
 }
 
 // Cancel cancels the items of a request that are pending at other relays.
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -53,6 +53,12 @@
 	stage, index int
 }
 
+// poolReport is a report of a pool as it was received.
+type poolReport struct {
+	batch.Report
+	at time.Time
+}
+
 // session is an established link to another relay. The relay that dialed it
 // submits items, the other one runs them.
 type session struct {
@@ -72,7 +78,7 @@
 	closed    bool
 	waiting   time.Time                 // when the oldest unanswered heartbeat was sent; zero: none; for the dialer
 	pending   map[itemKey]*batch.Item   // submitted items without a result
-	loads     map[batch.Pool]int        // loads of the other relay's pools, as last reported
+	reports   map[batch.Pool]poolReport // last reports of the other relay's pools
 	submitted map[batch.Pool]int        // items submitted since that report
 	placing   map[string]chan Placement // requests that wait for an engine, by ID
 
@@ -145,10 +151,11 @@
 	s.mu.Lock()
 	s.waiting = time.Time{}
 	if s.dialer {
-		s.loads = make(map[batch.Pool]int, len(hb.GetLoads()))
+		s.reports = make(map[batch.Pool]poolReport, len(hb.GetLoads()))
 		s.submitted = make(map[batch.Pool]int)
-		for _, p := range hb.GetLoads() {
-			s.loads[batch.Pool{Service: p.GetService(), Zone: p.GetZone()}] = int(p.GetItems())
+		for _, l := range hb.GetLoads() {
+			p, r := reportFromWire(l)
+			s.reports[p] = poolReport{r, now}
 		}
 	}
 	s.mu.Unlock()
@@ -375,11 +382,7 @@
 	now := s.mesh.Clock.Now()
 	msg := &Submit{Service: p.Service, Zone: p.Zone}
 	for _, it := range items {
-		msg.Items = append(msg.Items, &Item{
-			Request: it.Request, Stage: uint32(it.Stage), Index: uint32(it.Index), Key: it.Key, Inputs: it.Inputs,
-			Chain: it.Chain, Bytes: it.ResultBytes, Cross: it.CrossZoneBytes, Holds: it.FreesMemory, Zone: it.Zone, GiveUpUs: it.StartBy.Sub(now).Microseconds(),
-			DueUs: it.Due.Sub(now).Microseconds(), DeadlineUs: it.Deadline.Sub(now).Microseconds(),
-		})
+		msg.Items = append(msg.Items, itemToWire(it, now))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -396,33 +399,25 @@
 	return true
 }
 
-// accept hands submitted items to the handler. Their times arrive as durations
-// from now, since the clocks of two relays may differ.
+// accept hands submitted items to the handler.
 func (s *session) accept(msg *Submit) {
 	now := s.mesh.Clock.Now()
 	items := make([]*batch.Item, 0, len(msg.GetItems()))
 	for _, it := range msg.GetItems() {
-		items = append(items, &batch.Item{
-			Request: it.GetRequest(), Stage: int(it.GetStage()), Index: int(it.GetIndex()), Key: it.GetKey(),
-			Inputs: it.GetInputs(), Chain: it.GetChain(), ResultBytes: it.GetBytes(), CrossZoneBytes: it.GetCross(), FreesMemory: it.GetHolds(),
-			Zone: it.GetZone(), EnqueuedAt: now,
-			StartBy:  now.Add(time.Duration(it.GetGiveUpUs()) * time.Microsecond),
-			Due:      now.Add(time.Duration(it.GetDueUs()) * time.Microsecond),
-			Deadline: now.Add(time.Duration(it.GetDeadlineUs()) * time.Microsecond),
-		})
+		items = append(items, itemFromWire(it, now))
 	}
 	pool := batch.Pool{Service: msg.GetService(), Zone: msg.GetZone()}
-	s.mesh.Handler.Accept(pool, items, func(it *batch.Item, res plat.StageResult, queued int) { s.reply(pool, it, res, queued) })
+	s.mesh.Handler.Accept(pool, items, func(it *batch.Item, res plat.StageResult, r batch.Report) { s.reply(pool, it, res, r) })
 }
 
-// reply sends the outcome of an item to the relay that submitted it, with the
-// number of items that the pool has left. If that isn't possible, it releases the
+// reply sends the outcome of an item to the relay that submitted it, with a
+// report of the pool. If that isn't possible, it releases the
 // result and closes the link, so that the other relay submits the item again.
-func (s *session) reply(p batch.Pool, it *batch.Item, res plat.StageResult, queued int) {
+func (s *session) reply(p batch.Pool, it *batch.Item, res plat.StageResult, r batch.Report) {
 	sent := s.send(&Work{Kind: &Work_Done{Done: &Done{
 		Request: it.Request, Stage: uint32(it.Stage),
 		Results: []*Result{{Index: uint32(it.Index), Ref: res.Ref, Reason: string(res.Reason)}},
-		Load:    &PoolLoad{Service: p.Service, Zone: p.Zone, Items: int64(queued)},
+		Load:    reportToWire(p, r),
 	}}})
 	if sent {
 		return
@@ -456,13 +451,14 @@
 	if l == nil {
 		return
 	}
-	p := batch.Pool{Service: l.GetService(), Zone: l.GetZone()}
+	p, r := reportFromWire(l)
+	now := s.mesh.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.loads == nil {
-		s.loads = make(map[batch.Pool]int)
+	if s.reports == nil {
+		s.reports = make(map[batch.Pool]poolReport)
 	}
-	s.loads[p] = int(l.GetItems())
+	s.reports[p] = poolReport{r, now}
 	delete(s.submitted, p)
 }
 
@@ -484,12 +480,16 @@
 	}
 }
 
-// itemCount returns the load that the other relay last reported for a pool, plus
-// the items submitted since.
-func (s *session) itemCount(p batch.Pool) int {
+// report returns what still holds of the other relay's last report of a pool, with the
+// items submitted since.
+func (s *session) report(p batch.Pool) batch.Report {
+	now := s.mesh.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.loads[p] + s.submitted[p]
+	last := s.reports[p]
+	r := last.After(now.Sub(last.at))
+	r.Items += s.submitted[p]
+	return r
 }
 
 // takePending closes the session for submissions and returns the pending items.
--- a/relay/peers/wire.go
+++ b/relay/peers/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/repl"
@@ -18,6 +19,41 @@
 	}
 }
 
+func reportToWire(p batch.Pool, r batch.Report) *PoolLoad {
+	return &PoolLoad{
+		Service: p.Service, Zone: p.Zone, Items: int64(r.Items), DelayUs: r.Delay.Microseconds(), DelayAgeUs: r.DelayAge.Microseconds(),
+		OverShare: r.OverShare,
+	}
+}
+
+func reportFromWire(w *PoolLoad) (batch.Pool, batch.Report) {
+	return batch.Pool{Service: w.GetService(), Zone: w.GetZone()}, batch.Report{
+		Items: int(w.GetItems()), Delay: time.Duration(w.GetDelayUs()) * time.Microsecond,
+		DelayAge: time.Duration(w.GetDelayAgeUs()) * time.Microsecond, OverShare: w.GetOverShare(),
+	}
+}
+
+// itemToWire converts an item. Its times are sent as durations, since the clocks of
+// two relays may differ.
+func itemToWire(it *batch.Item, now time.Time) *Item {
+	return &Item{
+		Request: it.Request, Stage: uint32(it.Stage), Index: uint32(it.Index), Key: it.Key, Inputs: it.Inputs,
+		Chain: it.Chain, Bytes: it.ResultBytes, Cross: it.CrossZoneBytes, Holds: it.FreesMemory, Zone: it.Zone, GiveUpUs: it.StartBy.Sub(now).Microseconds(),
+		DueUs: it.Due.Sub(now).Microseconds(), DeadlineUs: it.Deadline.Sub(now).Microseconds(), Team: it.Team, Urgency: uint32(max(0, it.Urgency)),
+	}
+}
+
+func itemFromWire(w *Item, now time.Time) *batch.Item {
+	return &batch.Item{
+		Request: w.GetRequest(), Stage: int(w.GetStage()), Index: int(w.GetIndex()), Key: w.GetKey(),
+		Inputs: w.GetInputs(), Chain: w.GetChain(), ResultBytes: w.GetBytes(), CrossZoneBytes: w.GetCross(), FreesMemory: w.GetHolds(),
+		Zone: w.GetZone(), EnqueuedAt: now, Team: w.GetTeam(), Urgency: int(w.GetUrgency()),
+		StartBy:  now.Add(time.Duration(w.GetGiveUpUs()) * time.Microsecond),
+		Due:      now.Add(time.Duration(w.GetDueUs()) * time.Microsecond),
+		Deadline: now.Add(time.Duration(w.GetDeadlineUs()) * time.Microsecond),
+	}
+}
+
 // noticeToWire converts a notice. Its time is sent as a duration, since the clocks of
 // two relays may differ.
 func noticeToWire(e notice.Entry, now time.Time) *EndpointNotice {
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -284,7 +284,7 @@
 func (req *request) runStages(ctx context.Context) bool {
 	job := stage.Job{
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
-		Due: req.due.Add(-req.firstEventLatency()), StartBy: req.due, Deadline: req.deadline,
+		Team: req.teamName(), Urgency: req.urgency(), Due: req.due.Add(-req.firstEventLatency()), StartBy: req.due, Deadline: req.deadline,
 	}
 	if retryAfter, ok := req.admitToStages(job); !ok {
 		req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "stages are overloaded")
@@ -356,7 +356,7 @@
 	now := req.Clock.Now()
 	inputs, err := req.Stages.Run(ctx, stage.Job{
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
-		Due: now, StartBy: req.deadline, Deadline: req.deadline,
+		Team: req.teamName(), Urgency: req.urgency(), Due: now, StartBy: req.deadline, Deadline: req.deadline,
 	})
 	req.logStages(inputs, err)
 	if err != nil {
@@ -437,6 +437,15 @@
 	return xxhash.Sum64String(req.headers.Prompt[max(0, len(req.headers.Prompt)-2)].ID)
 }
 
+// urgency returns the priority of the request, 0 being the most urgent. That of its team
+// overrides that of its route.
+func (req *request) urgency() int {
+	if req.team != nil && req.team.Priority != nil {
+		return *req.team.Priority
+	}
+	return req.route.Priority
+}
+
 func (req *request) teamName() string {
 	if req.team == nil {
 		return ""
--- a/relay/stage/job.go
+++ b/relay/stage/job.go
@@ -163,7 +163,8 @@
 		out = append(out, &batch.Item{
 			Request: j.job.ID, Stage: stage, Index: i, Key: j.job.Key, Inputs: inputs, Chain: len(s.DependsOn) > 0,
 			ResultBytes: s.ResultBytes, FreesMemory: freesMemory, Zone: zone, CrossZoneBytes: crossZoneBytes, EnqueuedAt: now,
-			Due: due, StartBy: j.job.StartBy, Deadline: j.job.Deadline, Data: j,
+			Due: due, StartBy: j.job.StartBy, Deadline: j.job.Deadline, Team: j.job.Team,
+			Urgency: j.job.Urgency, Data: j,
 		})
 	}
 	return out
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -73,9 +73,9 @@
 	// Submit sends items to the relay that owns a pool. It returns false if this
 	// relay has to queue them.
 	Submit(p batch.Pool, items []*batch.Item) bool
-	// ItemCount returns the number of items that are queued or in flight at the
-	// relay that owns a pool, or -1 if this relay schedules the pool's items itself.
-	ItemCount(p batch.Pool) int
+	// Report returns what the relay that owns a pool has reported of it, or false if
+	// this relay schedules the pool's items itself.
+	Report(p batch.Pool) (batch.Report, bool)
 	// Owns reports whether this relay alone schedules the items of a pool.
 	Owns(p batch.Pool) bool
 	// Cancel cancels the items of a request that are pending at other relays.
@@ -109,7 +109,7 @@
 // remoteOrigin is the Data of an item that another relay submitted.
 type remoteOrigin struct {
 	pool  batch.Pool
-	reply func(it *batch.Item, res plat.StageResult, left int)
+	reply func(it *batch.Item, res plat.StageResult, r batch.Report)
 }
 
 // effects collects the actions that follow from a change of the runner's state.
@@ -128,10 +128,10 @@
 
 // reply is the result of an item for the relay that submitted it.
 type reply struct {
-	to   *remoteOrigin
-	it   *batch.Item
-	res  plat.StageResult
-	left int // items left in the pool
+	to     *remoteOrigin
+	it     *batch.Item
+	res    plat.StageResult
+	report batch.Report // of the pool
 }
 
 // Run runs the stages of a job and returns references to the results that its
@@ -179,7 +179,7 @@
 		}
 	}
 	for _, rep := range fx.replies {
-		rep.to.reply(rep.it, rep.res, rep.left)
+		rep.to.reply(rep.it, rep.res, rep.report)
 	}
 	r.ReleaseResults(fx.releases)
 	r.dispatch()
@@ -243,6 +243,7 @@
 // be held.
 func (r *Runner) poolChoices(v *fleet.View, service string) []batch.Candidate {
 	usable := r.usableEndpoints(v, service)
+	shared := r.Health.SharesStage(v.Config, service)
 	capacity := make(map[string]float64) // in endpoints without a limit, by zone
 	for _, e := range usable {
 		capacity[e.Zone] += r.relativeCapacity(v.Config.Service(service), e)
@@ -257,19 +258,28 @@
 	out := make([]batch.Candidate, 0, len(capacity))
 	for zone, c := range capacity {
 		p := batch.Pool{Service: service, Zone: zone}
-		items := r.Peers.ItemCount(p)
-		if items < 0 {
-			items = r.sched.ItemCount(p)
+		report := r.report(p)
+		load := batch.Load{Items: report.Items}
+		if shared {
+			load.Delay = report.Delay
 		}
-		endpoints := int(math.Round(c))
+		load.Endpoints = int(math.Round(c))
 		if c > 0 {
-			endpoints = max(1, endpoints)
+			load.Endpoints = max(1, load.Endpoints)
 		}
-		out = append(out, batch.Candidate{Zone: zone, Load: batch.Load{Endpoints: endpoints, Items: items}})
+		out = append(out, batch.Candidate{Zone: zone, Load: load})
 	}
 	return out
 }
 
+// report returns what is known of a pool. mu must be held.
+func (r *Runner) report(p batch.Pool) batch.Report {
+	if report, ok := r.Peers.Report(p); ok {
+		return report
+	}
+	return r.sched.Report(r.Clock.Now(), p)
+}
+
 // relativeCapacity returns the calls that an endpoint takes in some time, as a share
 // of those that it could run if it had announced nothing.
 func (r *Runner) relativeCapacity(svc *fleet.Service, e *fleet.Endpoint) float64 {
@@ -321,9 +331,26 @@
 }
 
 // OverShare reports whether the team of a job uses more than its share of a crowded
-// pool that the job would use, as far as the pools' owners have told.
-func (r *Runner) OverShare(_ Job) bool {
-	return false // owners don't count the use of teams yet
+// pool that the job would use, as far as the pools' owners have told. Of the pools of a
+// stage's service, it is the one with the lowest estimated latency.
+func (r *Runner) OverShare(job Job) bool {
+	v := r.View()
+	if job.Team == "" || v.Config == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, s := range job.Route.Stages {
+		svc := v.Config.Service(s.Service)
+		if i >= len(job.Items) || job.Items[i] == 0 || svc == nil || svc.Batch == nil || !r.Health.SharesStage(v.Config, s.Service) {
+			continue
+		}
+		zone, ok := batch.ChooseZone(svc.Batch, r.poolChoices(v, s.Service), job.Zone, job.Items[i], 0)
+		if ok && slices.Contains(r.report(batch.Pool{Service: s.Service, Zone: zone}).OverShare, job.Team) {
+			return true
+		}
+	}
+	return false
 }
 
 // latestEnd returns when the last of a set of stages ends, or false if the end
@@ -456,7 +483,7 @@
 // times, in which case its job fails. mu must be held.
 func (r *Runner) recordResult(it *batch.Item, res plat.StageResult, fx *effects) {
 	if origin, ok := it.Data.(*remoteOrigin); ok {
-		fx.replies = append(fx.replies, reply{to: origin, it: it, res: res, left: r.sched.ItemCount(origin.pool)})
+		fx.replies = append(fx.replies, reply{to: origin, it: it, res: res, report: r.sched.Report(r.Clock.Now(), origin.pool)})
 		return
 	}
 	j, ok := it.Data.(*jobRun)
@@ -489,8 +516,8 @@
 }
 
 // Accept queues items that another relay submitted. reply is called with the
-// result of each item and the number of items left in the pool.
-func (r *Runner) Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, left int)) {
+// result of each item and a report of the pool.
+func (r *Runner) Accept(p batch.Pool, items []*batch.Item, reply func(it *batch.Item, res plat.StageResult, r batch.Report)) {
 	o := &remoteOrigin{pool: p, reply: reply}
 	for _, it := range items {
 		it.Data = o
@@ -527,12 +554,12 @@
 	})
 }
 
-// Loads returns the number of items that are queued or in flight at this relay,
-// by pool.
-func (r *Runner) Loads() map[batch.Pool]int {
+// Reports returns reports of the pools with items that are queued or in flight at this
+// relay.
+func (r *Runner) Reports() map[batch.Pool]batch.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sched.ItemCounts()
+	return r.sched.Reports(r.Clock.Now())
 }
 
 // Tick fails expired items and starts calls that had to wait. Call it every few
--- /dev/null
+++ b/relay/stage/stage_test.go
@@ -0,0 +1,110 @@
+package stage
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/batch"
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/pick"
+	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
+	"wigeonplank.example/relay/pool"
+)
+
+// testHealth admits all calls and reports their starts.
+type testHealth struct {
+	Health
+	shares bool
+	starts chan time.Time
+}
+
+func (h *testHealth) IsSuspect(*fleet.Endpoint) bool                  { return false }
+func (h *testHealth) IsLeaving(*fleet.Endpoint) bool                  { return false }
+func (h *testHealth) Admits(*fleet.Endpoint, bool) bool               { return true }
+func (h *testHealth) OpensAt(*fleet.Endpoint, bool) (time.Time, bool) { return time.Time{}, true }
+func (h *testHealth) RateLimit(*fleet.Endpoint) (r float64, b bool)   { return }
+func (h *testHealth) End(*fleet.Endpoint, pick.Result)                {}
+func (h *testHealth) SharesStage(*fleet.Config, string) bool          { return h.shares }
+func (h *testHealth) Begin(*fleet.Service, *fleet.Endpoint, bool) bool {
+	h.starts <- time.Now()
+	return true
+}
+
+// testPeers has a relay that owns all pools and reports the same of each, if owned is
+// set.
+type testPeers struct {
+	Peers
+	owned  bool
+	report batch.Report
+}
+
+func (p *testPeers) Owns(batch.Pool) bool                   { return !p.owned }
+func (p *testPeers) Report(batch.Pool) (batch.Report, bool) { return p.report, p.owned }
+
+// newTestRunner returns a runner with two endpoints that accept connections and don't
+// answer.
+func newTestRunner(t *testing.T, h *testHealth, p *testPeers) (*Runner, *fleet.Route) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	svc := &fleet.Service{Name: "encode", Batch: &fleet.Batch{Slots: 1, MaxItems: 4, CallOverhead: 150 * time.Millisecond, ItemTime: 10 * time.Millisecond}}
+	route := &fleet.Route{Name: "r", Host: "h", Prefix: "/", Targets: []fleet.Target{{Service: "s"}}, Stages: []fleet.Stage{{Service: "encode"}}}
+	cfg, err := fleet.NewConfig(1, 1, fleet.Limits{}, fleet.Parts{Routes: []*fleet.Route{route}, Services: []*fleet.Service{svc, {Name: "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := (&fleet.View{Config: cfg}).WithChange(fleet.Change{Put: []*fleet.Endpoint{
+		{ID: "e1", Service: "encode", Addr: ln.Addr().String(), State: fleet.StateReady},
+		{ID: "e2", Service: "encode", Addr: ln.Addr().String(), State: fleet.StateReady},
+	}})
+	return &Runner{
+		View: func() *fleet.View { return &v }, Health: h, Peers: p, Pool: &pool.Pool{}, Clock: clock.System{},
+		Log: logs.New(io.Discard, clock.System{}, "i"), Crashed: func(*fleet.Endpoint) bool { return false },
+	}, route
+}
+
+// TestHeldCallStarts guards against a call that is held back and starts only at the next
+// tick, of which this test has none.
+func TestHeldCallStarts(t *testing.T) {
+	for _, shares := range []bool{true, false} {
+		h := &testHealth{shares: shares, starts: make(chan time.Time, 2)}
+		r, _ := newTestRunner(t, h, &testPeers{})
+		now := time.Now()
+		items := make([]*batch.Item, 5)
+		for i := range items {
+			items[i] = &batch.Item{Request: "r", Index: i, EnqueuedAt: now, Due: now.Add(time.Minute), StartBy: now.Add(time.Minute), Deadline: now.Add(time.Minute)}
+		}
+		r.Accept(batch.Pool{Service: "encode"}, items, func(*batch.Item, plat.StageResult, batch.Report) {})
+		first := <-h.starts
+		select {
+		case second := <-h.starts:
+			if d := second.Sub(first); (d >= 90*time.Millisecond) != shares {
+				t.Errorf("shared: %v: the second call started %v after the first", shares, d)
+			}
+		case <-time.After(10 * time.Second):
+			t.Errorf("shared: %v: the second call did not start", shares)
+		}
+	}
+}
+
+// TestReported guards against reports of owners that admission doesn't get: the measured
+// delay and the teams over their share, both of shared pools alone.
+func TestReported(t *testing.T) {
+	for _, shares := range []bool{true, false} {
+		r, route := newTestRunner(t, &testHealth{shares: shares}, &testPeers{owned: true, report: batch.Report{Delay: 2 * time.Second, OverShare: []string{"a"}}})
+		if over := r.OverShare(Job{Route: route, Items: []int{1}, Team: "a"}); over != shares {
+			t.Errorf("shared: %v: team a is over its share: %v", shares, over)
+		}
+		if r.OverShare(Job{Route: route, Items: []int{1}, Team: "b"}) || r.OverShare(Job{Route: route, Items: []int{0}, Team: "a"}) {
+			t.Error("a team that isn't told, or that doesn't use the pool, is over its share")
+		}
+		if now, _ := r.Estimate(Job{Route: route, Items: []int{1}}); (now >= 2*time.Second) != shares {
+			t.Errorf("shared: %v: estimate %v, measured 2s", shares, now)
+		}
+	}
+}
