core/batch: no lower bound for the use that teams share

Cause: no test failed without the bound of 0.8 of what the slots can run. Change: the total is the counted use. Measured: in a surge from 0 to three times the room, every team got the same with the bound and without it; TestLoads passes.

--- a/core/batch/ledger.go
+++ b/core/batch/ledger.go
@@ -12,10 +12,6 @@
 	maxTeams     = 64          // counted apart for each pool
 	maxToldTeams = 16          // in a Report
 	useHalfLife  = time.Second // the count of use is halved in this time
-	// minUsedShare is the share of a pool's slots whose use is at least assumed when
-	// shares are computed. A pool in which a team has just begun, or whose owner has just
-	// started, has counted less than it can run. Crowded pools are over 90% busy.
-	minUsedShare = 0.8
 	// crowdedShare is the share of a full call to every slot that the queue of a crowded
 	// pool exceeds. Its items wait for about half a call or more.
 	crowdedShare = 0.5
@@ -93,7 +89,7 @@
 }
 
 // count sets the demand of each team and its share. An item uses itemTime.
-func (l *ledger) count(now time.Time, queue []*Item, itemTime time.Duration, slots int) {
+func (l *ledger) count(now time.Time, queue []*Item, itemTime time.Duration) {
 	l.decay(now)
 	for i := range l.entries {
 		l.entries[i].demand = l.entries[i].use
@@ -108,7 +104,6 @@
 			teams++
 		}
 	}
-	total = max(total, minUsedShare*float64(slots)*useHalfLife.Seconds()/math.Ln2)
 	l.share, l.equal = l.maxMin(total), total/float64(max(1, teams))
 }
 
--- a/core/batch/shared.go
+++ b/core/batch/shared.go
@@ -102,7 +102,7 @@
 	sp.over, sp.overAt = nil, now
 	crowded := isCrowded(b, len(queue), slots)
 	if crowded {
-		sp.ledger.count(now, queue, time.Duration(sp.slowdown*float64(FullCallTime(b)))/time.Duration(b.MaxItems), slots)
+		sp.ledger.count(now, queue, time.Duration(sp.slowdown*float64(FullCallTime(b)))/time.Duration(b.MaxItems))
 		sp.over = sp.ledger.largestOver()
 	}
 	for _, it := range queue {
