core/batch, core/share: shares of teams leave what is still in time alone

Cause: with the shares of teams, drafts with a short objective expired at the end of queues that order by due time would have served, and requests of large teams were rejected in pools with room. The mean delay of a pool made estimates too long for routes that pass others, so that more urgent ones were rejected. Change: a pool is crowded from one and a half full calls to every slot (half before). A team over its share is admitted up to three quarters of the delay by queues that the limit allows, in place of half of the limit, and its less urgent requests not beyond its more urgent ones.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -80,9 +80,8 @@
 
 // Load is the load of a pool.
 type Load struct {
-	Endpoints int           // endpoints that accept calls
-	Items     int           // queued and in flight
-	Delay     time.Duration // measured time from an item being queued to its result; 0: not known
+	Endpoints int // endpoints that accept calls
+	Items     int // queued and in flight
 }
 
 // retainedResult is a result that an endpoint retains until it is released or
@@ -548,12 +547,12 @@
 // EstimateLatency estimates the time from queueing n more items for a pool to
 // their results. It is the time to run the pool's load in full calls on all slots
 // of its endpoints, plus that of one call with the new items, or with MaxItems of
-// them if there are more, and at least the measured delay.
+// them if there are more.
 func EstimateLatency(b *fleet.Batch, l Load, n int) time.Duration {
 	full := FullCallTime(b)
 	perItem := full / time.Duration(b.MaxItems)
 	lastCall := b.CallOverhead + time.Duration(min(n, b.MaxItems))*b.ItemTime
-	return max(l.Delay, lastCall+time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots))))
+	return lastCall + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots)))
 }
 
 // ItemCounts returns the number of items that are queued or in flight, by pool.
--- a/core/batch/ledger.go
+++ b/core/batch/ledger.go
@@ -13,8 +13,9 @@
 	maxToldTeams = 16          // in a Report
 	useHalfLife  = time.Second // the count of use is halved in this time
 	// crowdedShare is the share of a full call to every slot that the queue of a crowded
-	// pool exceeds. Its items wait for about half a call or more.
-	crowdedShare = 0.5
+	// pool exceeds. Below it, the order by due time serves all of them in time, and items
+	// of large teams that were put last would expire.
+	crowdedShare = 1.5
 	// borrowMargin is how far above an equal share a team's use must be for the team to
 	// count as a borrower. Teams that ask for the same differ by about a tenth.
 	borrowMargin = 1.25
--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -15,7 +15,7 @@
 
 // overShareFactor is the part of its limit up to which a team that uses more than its share
 // of a crowded pool is admitted.
-const overShareFactor = 0.5
+const overShareFactor = 0.75
 
 // Limits tells which routes of a configuration compete for stage services. It is
 // immutable.
@@ -80,10 +80,11 @@
 // queueDelay returns the delay by queued items.
 func (a *Admission) queueDelay() time.Duration { return a.Estimate - a.Idle }
 
-// LimitBy lowers the limit if a typical request of a rival would be rejected now because of
-// queues in which the request waits as well. It reports whether it did. A request whose own
+// LimitBy lowers the limit if a typical request of a rival, of the same team, would be
+// rejected now because of queues in which the request waits as well. It reports whether it did. A request whose own
 // queues are less than half of those of the rival hardly adds to them.
 func (a *Admission) LimitBy(rival Admission) bool {
+	rival.OverShare = a.OverShare
 	if ok, _ := rival.Decide(); ok || 2*a.queueDelay() < rival.queueDelay() {
 		return false
 	}
@@ -103,7 +104,7 @@
 		bound = min(bound, a.Limit)
 	}
 	if a.OverShare {
-		bound = time.Duration(overShareFactor * float64(bound))
+		bound -= time.Duration((1 - overShareFactor) * float64(max(0, bound-a.Idle)))
 	}
 	return bound
 }
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -243,7 +243,6 @@
 // be held.
 func (r *Runner) poolChoices(v *fleet.View, service string) []batch.Candidate {
 	usable := r.usableEndpoints(v, service)
-	shared := r.Health.SharesStage(v.Config, service)
 	capacity := make(map[string]float64) // in endpoints without a limit, by zone
 	for _, e := range usable {
 		capacity[e.Zone] += r.relativeCapacity(v.Config.Service(service), e)
@@ -258,12 +257,7 @@
 	out := make([]batch.Candidate, 0, len(capacity))
 	for zone, c := range capacity {
 		p := batch.Pool{Service: service, Zone: zone}
-		report := r.report(p)
-		load := batch.Load{Items: report.Items}
-		if shared {
-			load.Delay = report.Delay
-		}
-		load.Endpoints = int(math.Round(c))
+		load := batch.Load{Endpoints: int(math.Round(c)), Items: r.report(p).Items}
 		if c > 0 {
 			load.Endpoints = max(1, load.Endpoints)
 		}
