relay, wpctl: show the pools of shared stages

Cause: an operator can't tell whether a slow team is over its share of a stage pool, or how long its items wait there. Decisions are as before. The whole of make test was not run.

--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -99,6 +99,7 @@
 		"suspects": checkSuspects,
 		"pace":     setPace,
 		"speeds":   checkSpeeds,
+		"shares":   checkShares,
 		"engine":   startEngine,
 		"leave":    drainUsed,
 		"builds":   checkVersions,
@@ -271,6 +272,13 @@
 // It waits until a line that wpctl prints of a relay's endpoints matches a pattern.
 func checkSpeeds(cmd *command) error { return awaitOutput(cmd, "endpoints") }
 
+// checkShares implements the command
+//
+//	shares RELAY PATTERN
+//
+// It waits until a line that wpctl prints of the pools a relay knows matches a pattern.
+func checkShares(cmd *command) error { return awaitOutput(cmd, "shares") }
+
 // crashEndpoint implements the command
 //
 //	crash ENDPOINT
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -289,7 +289,7 @@
 // requests in flight, dials, responses held and quarantines, and reports the relay as not ready while it
 // stops.
 func newAdmin(
-	c *ctrl.Control, m *peers.Mesh, srv *front.Server, p *pool.Pool, g *guard.Guard, b *proxy.Balancer, meters *stats.Meters,
+	c *ctrl.Control, m *peers.Mesh, srv *front.Server, p *pool.Pool, g *guard.Guard, b *proxy.Balancer, st *stage.Runner, meters *stats.Meters,
 ) *admin.Server {
 	reg := meters.Registry
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_active", reg, srv.Active)
@@ -313,6 +313,7 @@
 		AddRoutes: func(r *router.Router) {
 			r.GET("/suspects", func(ctx *fasthttp.RequestCtx) { admin.WriteJSON(ctx, fasthttp.StatusOK, g.Suspects()) })
 			r.GET("/endpoints", func(ctx *fasthttp.RequestCtx) { admin.WriteJSON(ctx, fasthttp.StatusOK, b.Endpoints(c.View())) })
+			r.GET("/shares", func(ctx *fasthttp.RequestCtx) { admin.WriteJSON(ctx, fasthttp.StatusOK, st.Shares()) })
 		},
 	}
 }
--- a/wpctl/cmds/cmds.go
+++ b/wpctl/cmds/cmds.go
@@ -42,6 +42,7 @@
 		{"explain", "show why endpoints may or may not serve a pipeline", "Shows, for each stage of a pipeline and each endpoint, whether an entry may use the endpoint, given the entry's admin address.", &explainCmd{Globals: g}},
 		{"suspects", "show what crashes endpoints", "Shows what requests have in common that ran at endpoints which crashed, the quarantined ones first, as one relay knows it, given its admin address.", &suspectsCmd{Globals: g}},
 		{"endpoints", "show how fast endpoints are", "Shows the speed, the pace and the load of endpoints, as one relay estimates them, given its admin address.", &endpointsCmd{Globals: g}},
+		{"shares", "show which teams exceed their share of stages", "Shows, for each pool of shared stages, how long items wait and which teams use more than their share, as one relay knows it, given its admin address.", &sharesCmd{Globals: g}},
 		{"trace", "show what happened to a request", "Collects the log lines of a request, given the ID of the caller's attempt, from log files of relays or from standard input. Lines marked ~ are about endpoints and processes that the request depended on. The last line states the cause of its outcome.", &traceCmd{Globals: g}},
 		{"load", "send requests at a rate", "Sends requests at a given rate, without waiting for earlier ones to end, and measures how they end.", &loadCmd{Globals: g}},
 	}
