core/pick: the test of endpoint speeds has the bounds of its targets

Cause: with 24 relays that hear of endpoints by their own answers alone, the test asked for twice the p99 of a scheduler that sees all states, as that is what it got; the target is 1.3 times. With one relay, a third below least in flight isn't asked, as the scheduler that sees all states is only a quarter below.

--- a/core/pick/time_test.go
+++ b/core/pick/time_test.go
@@ -232,16 +232,23 @@
 	}
 	best := run("see all", 1, 0, seeAll)
 	for _, c := range []struct {
+		name         string
 		relays, news int
-		ofBest       float64 // maximum p99, in multiples of that of seeAll
-		ofLeast      float64 // and of leastInFlight
-	}{{1, 0, 1.3, 1}, {24, 0, 2, 2.0 / 3}, {24, 50, 1.3, 2.0 / 3}} {
-		run("random of two", c.relays, c.news, randomOfTwo)
-		run("load alone", c.relays, c.news, picked(false))
-		least := run("least in flight", c.relays, c.news, leastInFlight)
-		if p99 := run("time", c.relays, c.news, picked(true)); p99 > c.ofBest*best || p99 > c.ofLeast*least {
-			t.Errorf("%d relays, news each %d ms: p99 is %.0f ms; want %.2f of %.0f and %.2f of %.0f at most", c.relays, c.news, p99, c.ofBest, best, c.ofLeast, least)
-		}
+		ofLeast      float64 // maximum p99, in multiples of that of leastInFlight
+	}{
+		// seeAll itself is only a quarter below leastInFlight here, so a third can't be asked.
+		{"one_relay", 1, 0, 1},
+		{"many_relays_own_answers", 24, 0, 2.0 / 3},
+		{"many_relays_told", 24, 50, 2.0 / 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run("random of two", c.relays, c.news, randomOfTwo)
+			run("load alone", c.relays, c.news, picked(false))
+			least := run("least in flight", c.relays, c.news, leastInFlight)
+			if p99 := run("time", c.relays, c.news, picked(true)); p99 > 1.3*best || p99 > c.ofLeast*least {
+				t.Errorf("%d relays, news each %d ms: p99 is %.0f ms; want 1.3 of %.0f and %.2f of %.0f at most", c.relays, c.news, p99, best, c.ofLeast, least)
+			}
+		})
 	}
 }
 
