--- a/core/pick/time_test.go
+++ b/core/pick/time_test.go
@@ -299,6 +299,30 @@
 	}
 }
 
+// TestUsualLoad guards against an endpoint that counts as free once its last report is old,
+// although all its reports said that it is busy.
+func TestUsualLoad(t *testing.T) {
+	busy := &fleet.Endpoint{ID: "busy", Service: service.Name, Zone: "z", Slots: slots}
+	free := &fleet.Endpoint{ID: "free", Service: service.Name, Zone: "z", Slots: slots}
+	p := pick.Picker{Rand: rand.NewPCG(1, 2)}
+	now := time.Unix(1000, 0)
+	for range 20 {
+		now = now.Add(time.Second)
+		p.RecordLoad(now, busy, pick.Load{Running: 2 * slots, Slots: slots, Pace: 1})
+		p.RecordLoad(now, free, pick.Load{Slots: slots, Pace: 1})
+	}
+	now = now.Add(time.Second)
+	chosen := 0
+	for range 320 {
+		if c := p.Pick(now, service, []*fleet.Endpoint{busy, free}, pick.Criteria{Zone: "z", ByTime: true}); c.Endpoint == busy {
+			chosen++
+		}
+	}
+	if chosen > 20 { // those that take any endpoint
+		t.Errorf("the busy endpoint was chosen %d times of 320", chosen)
+	}
+}
+
 // TestChoiceAllocatesNothing guards against choices whose cost grows with the service.
 func TestChoiceAllocatesNothing(t *testing.T) {
 	var p pick.Picker
