core/fleet: routes contend for stages only if all of their stages are the same

Cause: earlier deployments have routes that share one stage service with a more urgent route of a shorter objective, so that their stages were shared by urgency too. Change: routes contend only if they have the same stage services. An item is due the sooner the more stages follow, so that order by due time doesn't favour a less urgent route with other stages for its longer objective.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -66,27 +66,43 @@
 	return c, nil
 }
 
-// contendedServices returns the stage services that a route shares with a more urgent
-// one that has a shorter latency objective.
+// contendedServices returns the stage services that a route shares with a more urgent one
+// that has the same stage services and a shorter latency objective.
 func contendedServices(routes []*Route) map[string]bool {
-	users := make(map[string][]*Route) // routes by stage service
+	chains := make(map[string][]*Route) // routes by their stage services
 	for _, r := range routes {
-		for _, s := range r.Stages {
-			users[s.Service] = append(users[s.Service], r)
+		if len(r.Stages) > 0 {
+			key := strings.Join(r.stageServices(), "\x00")
+			chains[key] = append(chains[key], r)
 		}
 	}
 	out := make(map[string]bool)
-	for service, list := range users {
-		out[service] = slices.ContainsFunc(list, func(a *Route) bool {
+	for _, list := range chains {
+		if slices.ContainsFunc(list, func(a *Route) bool {
 			return slices.ContainsFunc(list, func(b *Route) bool { return a.Priority > b.Priority && a.LatencyObjective > b.LatencyObjective })
-		})
+		}) {
+			for _, service := range list[0].stageServices() {
+				out[service] = true
+			}
+		}
 	}
 	return out
 }
 
-// IsContended reports whether a route shares a stage service with a more urgent one that
-// has a shorter latency objective. With the items of both ordered by due time alone, the
-// less urgent route would be served better.
+// stageServices returns the services of the route's stages, sorted, each once.
+func (r *Route) stageServices() []string {
+	out := make([]string, 0, len(r.Stages))
+	for _, s := range r.Stages {
+		out = append(out, s.Service)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// IsContended reports whether a route shares a stage service, and all others of its stages,
+// with a more urgent one that has a shorter latency objective. With the items of both
+// ordered by due time alone, the less urgent route would be served better. Routes with
+// different stages don't count: an item is due the sooner the more stages follow.
 func (c *Config) IsContended(service string) bool { return c.contended[service] }
 
 // validateRoute returns why r is invalid, or "".
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -68,8 +68,8 @@
 	LocalPlacement bool `yaml:"place_alone,omitempty"`  // select engines by what this relay knows of their load
 	LocalBatching  bool `yaml:"batch_alone,omitempty"`  // fill the calls of a relay with items of its own requests only
 
-	// Empty: services whose endpoints report their pace, and stage services whose less
-	// urgent routes have longer latency objectives than more urgent ones.
+	// Empty: services whose endpoints report their pace, and stage services of which a route
+	// has a longer latency objective than a more urgent one with the same stages.
 	Schedule Schedule `yaml:"schedule,omitempty" validate:"omitempty,oneof=load time"` // which services are scheduled by expected completion time and shares: none (load), all (time), or those that call for it (empty)
 }
 
