core/share: rivals are looked for among routes with stages alone

Cause: each change of the configuration compared all pairs of routes, 2 million of them with 1,400 routes, although few routes have stages. Change: routes without stages are left out first. Measured: go test ./share passes; not timed.

--- a/core/share/limit.go
+++ b/core/share/limit.go
@@ -27,8 +27,9 @@
 // objective don't limit others.
 func NewLimits(routes []*fleet.Route) *Limits {
 	l := &Limits{rivals: make(map[*fleet.Route][]*fleet.Route)}
-	for _, r := range routes {
-		for _, other := range routes {
+	staged := slices.DeleteFunc(slices.Clone(routes), func(r *fleet.Route) bool { return len(r.Stages) == 0 }) // few of the routes of a large configuration
+	for _, r := range staged {
+		for _, other := range staged {
 			if other != r && other.LatencyObjective > 0 && shareStage(r, other) {
 				l.rivals[r] = append(l.rivals[r], other)
 			}
