relay/ctrl: the test of a start names nothing of the platform's protocol

Cause: start_test.go wrote the key of the configuration and names of its fields itself, and the script that publishes a key had the same lines.

--- a/fakes/site/standard.go
+++ b/fakes/site/standard.go
@@ -122,3 +122,11 @@
 		"tenants": []any{map[string]any{"name": StandardTeam, "apiKeys": []string{StandardKey}}},
 	}
 }
+
+// StandardConfigWithKey returns the configuration of the standard site with another API
+// key in place of StandardKey.
+func StandardConfigWithKey(version int, key string) map[string]any {
+	config := StandardConfig(version)
+	config["tenants"] = []any{map[string]any{"name": StandardTeam, "apiKeys": []string{key}}}
+	return config
+}
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -336,6 +336,9 @@
 // of a prefix or with another API key.
 func publishConfig(cmd *command) error {
 	cfg := site.StandardConfig(cmd.intArg(0))
+	if k := cmd.opts["key"]; k != "" {
+		cfg = site.StandardConfigWithKey(cmd.intArg(0), k)
+	}
 	if p := cmd.opts["drop"]; p != "" {
 		var routes []any
 		for _, r := range cfg["routes"].([]any) {
@@ -345,9 +348,6 @@
 		}
 		cfg["routes"] = routes
 	}
-	if k := cmd.opts["key"]; k != "" {
-		cfg["tenants"] = []any{map[string]any{"name": site.StandardTeam, "apiKeys": []string{k}}}
-	}
 	return cmd.state.dep.Site.PublishConfig(cfg)
 }
 
--- a/relay/ctrl/start_test.go
+++ b/relay/ctrl/start_test.go
@@ -1,10 +1,11 @@
 package ctrl
 
 import (
-	"fmt"
+	"encoding/json"
 	"testing"
 
 	"wigeonplank.example/core/repl"
+	"wigeonplank.example/fakes/site"
 	plat "wigeonplank.example/platform"
 )
 
@@ -13,17 +14,17 @@
 // was restored from a copy. The relays that know better tell it.
 func TestStartAfterOutdatedEntries(t *testing.T) {
 	config := func(version int, key string, revision int64) plat.Entry {
-		value := fmt.Appendf(nil, `{"version":%d,"tenants":[{"name":"t","apiKeys":[%q]}]}`, version, key)
-		if !plat.IsConfig("op/config") {
-			t.Fatal("op/config isn't the key of the configuration")
+		value, err := json.Marshal(site.StandardConfigWithKey(version, key))
+		if err != nil {
+			t.Fatal(err)
 		}
-		return plat.Entry{Key: "op/config", Revision: revision, Value: value}
+		return plat.Entry{Key: plat.ConfigKey, Revision: revision, Value: value}
 	}
 	endpoint := endpointEntry("a", "ready", 1, 5, 3)
 	for name, change := range map[string]func(f *fixture){
 		"restored from a copy": func(f *fixture) { f.restore(1, 4, config(1, "old", 2), endpoint) },
 		"written again":        func(f *fixture) { f.watch(0, config(1, "old", 12)) },
-		"unreadable":           func(f *fixture) { f.watch(0, plat.Entry{Key: "op/config", Revision: 12, Value: []byte("{")}) },
+		"unreadable":           func(f *fixture) { f.watch(0, plat.Entry{Key: plat.ConfigKey, Revision: 12, Value: []byte("{")}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture()
