relay, core/origin: streams go on at their version after a loss of all relays

Cause: where streams began was remembered by relays alone. Change: a stream begins at a version by a weighted rendezvous hash of its attempt over the endpoints that accept work. A relay that finds no record computes it again, with the bounds of the weights while the stream may have begun: from its own observation, and from the change log of the store before that. How old a stream is follows from the time that its caller has left. What isn't certain is refused at once. Take-ups are admitted to stages by their deadline: their objective has been met, or never will be. TestVersions is replaced by TestBegan: its case 'one version' believed in one version at the first observation, which is the fault; the others stand, and more. Model TestStreamsAfterLossOfAllRelays, TestHistory, scene stream_taken_up_after_loss_of_all, mutants.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -64,7 +64,7 @@
 func (v View) reindex() View {
 	v.byService = make(map[string][]*Endpoint)
 	for _, e := range v.endpoints {
-		if e.State == StateReady && !v.drained[e.Zone] {
+		if v.Accepts(e) {
 			v.byService[e.Service] = append(v.byService[e.Service], e)
 		}
 	}
@@ -78,6 +78,9 @@
 // ID. The caller must not modify the slice.
 func (v *View) Endpoints(service string) []*Endpoint { return v.byService[service] }
 
+// Accepts reports whether an endpoint of the view accepts new work.
+func (v *View) Accepts(e *Endpoint) bool { return e.State == StateReady && !v.drained[e.Zone] }
+
 // Endpoint returns the endpoint with the given ID, or nil.
 func (v *View) Endpoint(id string) *Endpoint { return v.endpoints[id] }
 
--- /dev/null
+++ b/core/origin/model_test.go
@@ -0,0 +1,176 @@
+package origin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
+)
+
+// listModel is a list of endpoints that changes at random, with its change log.
+type listModel struct {
+	rng      *rand.Rand
+	now      time.Time
+	revision int64
+	live     map[string]*fleet.Endpoint
+	created  map[string]int64
+	log      []loggedChange
+	views    []loggedView
+	newest   int // version
+	next     int // endpoint ID
+}
+
+type loggedChange struct {
+	origin.Change
+	at time.Time
+}
+
+type loggedView struct {
+	view fleet.View
+	at   time.Time
+}
+
+func (m *listModel) write(id string, e *fleet.Endpoint) {
+	m.revision++
+	if _, exists := m.created[id]; !exists {
+		m.created[id] = m.revision
+	}
+	m.log = append(m.log, loggedChange{origin.Change{ID: id, Endpoint: e, Revision: m.revision, Created: m.created[id]}, m.now})
+	if m.live[id] = e; e == nil {
+		delete(m.live, id)
+		delete(m.created, id)
+	}
+	var view fleet.View
+	for _, e := range m.live {
+		view = view.WithChange(fleet.Change{Put: []*fleet.Endpoint{e}})
+	}
+	m.views = append(m.views, loggedView{view, m.now})
+}
+
+// add starts an endpoint of one of the newest two versions.
+func (m *listModel) add() {
+	m.next++
+	id := fmt.Sprint("e", m.next)
+	m.write(id, &fleet.Endpoint{
+		ID: id, Service: "s", Version: fmt.Sprint("v", m.newest-m.rng.IntN(2)), State: fleet.StateReady, StartUnixMs: m.now.UnixMilli(),
+	})
+}
+
+// remove lets an endpoint leave. It drains first if that is its habit.
+func (m *listModel) remove() {
+	for id, e := range m.live {
+		if e.State == fleet.StateReady && (m.rng.IntN(4) > 0 || !m.soleOfItsVersion(e)) {
+			if m.rng.IntN(4) > 0 || m.soleOfItsVersion(e) {
+				cp := *e
+				cp.State = fleet.StateDraining
+				m.write(id, &cp)
+			}
+			m.write(id, nil)
+			return
+		}
+	}
+}
+
+// soleOfItsVersion reports whether no other endpoint has the version. Such an endpoint
+// drains before it leaves in this model: without that, its version leaves no trace.
+func (m *listModel) soleOfItsVersion(e *fleet.Endpoint) bool {
+	for _, other := range m.live {
+		if other.ID != e.ID && other.Version == e.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// seenAt returns the list as a relay saw it that lags behind.
+func (m *listModel) seenAt(t time.Time) *fleet.View {
+	for i := len(m.views) - 1; i > 0; i-- {
+		if !m.views[i].at.After(t) {
+			return &m.views[i].view
+		}
+	}
+	return &m.views[0].view
+}
+
+// history returns what a store tells that keeps its changes for a period.
+func (m *listModel) history(kept time.Duration) origin.History {
+	h := origin.History{Since: m.now.Add(-kept), Added: origin.Additions{}}
+	for id, e := range m.live {
+		h.Added[m.created[id]] = time.UnixMilli(e.StartUnixMs)
+	}
+	for _, c := range m.log {
+		if !c.at.Before(h.Since) {
+			h.Changes = append(h.Changes, c.Change)
+		}
+	}
+	return h
+}
+
+// TestStreamsAfterLossOfAllRelays guards against streams that go on at another version than
+// they began at, after all relays were lost at once. Relays' views lag by up to half a
+// second, versions come and go, up to three are listed, and some endpoints leave without
+// draining.
+func TestStreamsAfterLossOfAllRelays(t *testing.T) {
+	const (
+		relays   = 4
+		lag      = 500 * time.Millisecond
+		kept     = 20 * time.Second
+		downtime = time.Second
+	)
+	known, unknown := 0, 0
+	for seed := range uint64(300) {
+		m := &listModel{
+			rng: rand.New(rand.NewPCG(seed, 1)), now: start, newest: 1,
+			live: make(map[string]*fleet.Endpoint), created: make(map[string]int64),
+		}
+		for range 6 {
+			m.add()
+		}
+		var before [relays]origin.Versions
+		began := make(map[string]string) // versions by stream
+		at := make(map[string]time.Time)
+		quiet := seed%3 == 0 // nothing changes in the last half of the time
+		killAt := start.Add(40 * time.Second)
+		for ; m.now.Before(killAt); m.now = m.now.Add(50 * time.Millisecond) {
+			busy := !quiet || m.now.Before(start.Add(15*time.Second))
+			switch n := m.rng.IntN(60); {
+			case n == 0 && busy:
+				m.newest += m.rng.IntN(2)
+				m.add()
+			case n == 1 && busy && len(m.live) > 2:
+				m.remove()
+			}
+			i := m.rng.IntN(relays)
+			before[i].Observe(m.now, m.seenAt(m.now.Add(-time.Duration(m.rng.Int64N(int64(lag))))))
+			stream := fmt.Sprint(seed, "/", m.now.UnixMilli())
+			if version, ok := before[i].Choose("s", stream); ok {
+				began[stream], at[stream] = version, m.now
+			}
+		}
+		m.now = killAt.Add(downtime)
+		var after origin.Versions
+		after.Observe(m.now, m.seenAt(m.now))
+		after.Recall(m.history(kept))
+		for stream, version := range began {
+			age := m.now.Sub(at[stream])
+			if age > streamAge {
+				continue
+			}
+			got, ok := after.Began(m.now, "s", stream, age)
+			switch {
+			case ok && got != version:
+				t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, version, got)
+			case ok:
+				known++
+			case quiet:
+				t.Fatalf("seed %d: the version of stream %s is unknown although nothing has changed", seed, stream)
+			default:
+				unknown++
+			}
+		}
+	}
+	t.Logf("%d streams known, %d unknown", known, unknown)
+}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"fmt"
-	"strings"
 	"testing"
 	"time"
 
-	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/origin"
 )
 
@@ -47,59 +45,3 @@
 		t.Error("the oldest stream was kept")
 	}
 }
-
-// TestVersions checks when a stream whose beginning is unknown may go on anywhere.
-func TestVersions(t *testing.T) {
-	const old, recent = "old", "recent" // start of an endpoint
-	type observation struct {
-		after     time.Duration
-		endpoints string // VERSION:START of each
-	}
-	for name, c := range map[string]struct {
-		observations []observation
-		after        time.Duration // of the question
-		want         bool
-	}{
-		"nothing listed":           {nil, 0, false},
-		"one version":              {[]observation{{0, "v1:old v1:old"}}, 0, true},
-		"one version, just begun":  {[]observation{{0, "v1:old v1:recent"}}, 0, false},
-		"one version for long":     {[]observation{{0, "v1:old v1:recent"}}, origin.Lifetime + time.Second, true},
-		"two versions":             {[]observation{{0, "v1:old v2:old"}}, origin.Lifetime + time.Second, false},
-		"endpoint is added":        {[]observation{{0, "v1:old"}, {time.Second, "v1:old v1:recent"}}, 0, true},
-		"former version gone":      {[]observation{{0, "v1:old v2:old"}, {time.Second, "v2:old"}}, origin.Lifetime, false},
-		"former version long gone": {[]observation{{0, "v1:old v2:old"}, {time.Second, "v2:old"}}, origin.Lifetime + time.Second, true},
-		"replaced at once":         {[]observation{{0, "v1:old"}, {time.Second, "v2:old"}}, 0, false},
-	} {
-		t.Run(name, func(t *testing.T) {
-			var v origin.Versions
-			now := start
-			for _, o := range c.observations {
-				now = now.Add(o.after)
-				endpoints := make(map[string]*fleet.Endpoint)
-				for i, f := range splitFields(o.endpoints) {
-					e := &fleet.Endpoint{ID: fmt.Sprint(i), Service: "s", Version: f[0], StartUnixMs: start.UnixMilli()}
-					if f[1] == old {
-						e.StartUnixMs -= time.Hour.Milliseconds()
-					} else if f[1] != recent {
-						t.Fatal(f)
-					}
-					endpoints[e.ID] = e
-				}
-				v.Observe(now, endpoints)
-			}
-			if got := v.Sole(now.Add(c.after), "s"); got != c.want {
-				t.Errorf("got %v, want %v", got, c.want)
-			}
-		})
-	}
-}
-
-// splitFields splits a list of A:B separated by spaces.
-func splitFields(s string) [][2]string {
-	var out [][2]string
-	for f := range strings.FieldsSeq(s) {
-		a, b, _ := strings.Cut(f, ":")
-		out = append(out, [2]string{a, b})
-	}
-	return out
-}
--- /dev/null
+++ b/core/origin/versions_test.go
@@ -0,0 +1,136 @@
+package origin_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
+)
+
+const streamAge = 8 * time.Second
+
+// viewOf returns a view of the endpoints in a list of ID:VERSION:AGE, in which a minus
+// before the ID stands for a draining endpoint. Ages are at start.
+func viewOf(t *testing.T, list string) *fleet.View {
+	t.Helper()
+	var change fleet.Change
+	for f := range strings.FieldsSeq(list) {
+		change.Put = append(change.Put, parseEndpoint(t, f))
+	}
+	v := fleet.View{}.WithChange(change)
+	return &v
+}
+
+func parseEndpoint(t *testing.T, field string) *fleet.Endpoint {
+	t.Helper()
+	f := strings.Split(field, ":")
+	age, err := time.ParseDuration(f[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &fleet.Endpoint{Service: "s", Version: f[1], State: fleet.StateReady, StartUnixMs: start.Add(-age).UnixMilli()}
+	id, draining := strings.CutPrefix(f[0], "-")
+	if e.ID = id; draining {
+		e.State = fleet.StateDraining
+	}
+	return e
+}
+
+// historyOf returns a history from a list of changes in the form that viewOf takes, and
+// ID for a removal. Revisions of the changes are 101, 102, and so on. Listed endpoints were
+// added at revision 1, except those with a change that begins with +.
+func historyOf(t *testing.T, listed, changes string) origin.History {
+	t.Helper()
+	h := origin.History{Since: start.Add(-20 * time.Second), Added: origin.Additions{}}
+	for i, f := range strings.Fields(changes) {
+		c := origin.Change{Revision: int64(101 + i), Created: 1}
+		f, added := strings.CutPrefix(f, "+")
+		if c.ID, _, _ = strings.Cut(strings.TrimPrefix(f, "-"), ":"); strings.Contains(f, ":") {
+			c.Endpoint = parseEndpoint(t, f)
+		}
+		if added {
+			c.Created = c.Revision
+			h.Added[c.Created] = time.UnixMilli(c.Endpoint.StartUnixMs)
+		}
+		h.Changes = append(h.Changes, c)
+	}
+	for _, e := range viewOf(t, listed).All() {
+		if at := time.UnixMilli(e.StartUnixMs); at.Before(start.Add(-30 * time.Second)) {
+			h.Added[1] = at
+		}
+	}
+	return h
+}
+
+// TestBegan checks after a start which streams are known to have begun at the version "v2".
+// all: any stream of the service. some: only those whose attempt is known, and not each.
+func TestBegan(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed  string // at the start, and since
+		changes string // before the start; "-": the history can't be read
+		want    string
+	}{
+		"no history":                 {"a:v2:1m b:v2:1m", "-", "none"},
+		"nothing has changed":        {"a:v2:1m b:v2:1m", "", "all"},
+		"two versions for long":      {"a:v1:1m b:v2:1m", "", "some"},
+		"last of the former drained": {"a:v2:1m b:v2:1m", "-c:v1:1m c", "some"},
+		"last of the former removed": {"a:v2:1m b:v2:1m", "c:v1:1m c", "some"},
+		"all replaced at once":       {"a:v2:2s b:v2:2s", "+a:v2:2s +b:v2:2s -c:v1:1m -d:v1:1m", "none"},
+		"replaced long ago":          {"a:v2:18s b:v2:16s", "-c:v1:1m c +a:v2:18s +b:v2:16s", "all"},
+		"one more of the same":       {"a:v2:1m b:v2:2s", "+b:v2:2s", "all"},
+		"one lost without a word":    {"a:v2:1m b:v2:1m", "c", "all"},
+		"one lost, two versions":     {"a:v2:1m b:v2:1m d:v1:1m", "c", "some"},
+		"restarted at another":       {"a:v2:1m b:v2:2s", "b:v1:1m b:v2:2s", "some"},
+		"three versions":             {"a:v1:1m b:v2:1m c:v3:1m", "", "some"},
+		"the same again":             {"a:v2:1m b:v2:1m", "a:v2:1m b:v2:1m", "all"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var v origin.Versions
+			v.Observe(start, viewOf(t, c.listed))
+			if c.changes != "-" {
+				v.Recall(historyOf(t, c.listed, c.changes))
+			}
+			now := start.Add(10 * time.Millisecond)
+			known := 0
+			for i := range 100 {
+				if version, ok := v.Began(now, "s", fmt.Sprint(i), streamAge); ok && version == "v2" {
+					known++
+				}
+			}
+			_, anonymous := v.Began(now, "s", "", streamAge)
+			got := "some"
+			switch {
+			case known == 100 && anonymous:
+				got = "all"
+			case known == 0:
+				got = "none"
+			case anonymous:
+				t.Error("a stream whose attempt isn't named is known")
+			}
+			if got != c.want {
+				t.Errorf("%d of 100 streams are known to have begun at v2, want %s", known, c.want)
+			}
+		})
+	}
+}
+
+// TestChooseByWeight checks that streams begin at versions in proportion to the endpoints.
+func TestChooseByWeight(t *testing.T) {
+	var v origin.Versions
+	v.Observe(start, viewOf(t, "a:v1:1m b:v2:1m c:v2:1m d:v2:1m -e:v1:1m"))
+	n := 0
+	for i := range 10_000 {
+		if version, ok := v.Choose("s", fmt.Sprint(i)); ok && version == "v1" {
+			n++
+		}
+	}
+	if n < 2300 || n > 2700 {
+		t.Errorf("%d of 10000 streams began at v1, want a quarter", n)
+	}
+	if version, ok := v.Choose("other", "1"); ok {
+		t.Errorf("a service without endpoints has version %q", version)
+	}
+}
--- a/core/repl/repl.go
+++ b/core/repl/repl.go
@@ -44,6 +44,7 @@
 	Key      string
 	Value    []byte
 	Revision int64 // revision of the last change
+	Created  int64 // revision at which the key was added; 0: not known
 	Removed  bool  // the key was removed at Revision
 }
 
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -117,6 +117,9 @@
 	s.initLocked()
 	s.revision++
 	it.Revision, it.Created = s.revision, s.revision
+	if old, exists := s.items[it.Key]; exists {
+		it.Created = old.Created
+	}
 	if it.Removed {
 		delete(s.items, it.Key)
 	} else {
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -2,6 +2,7 @@
 package cmds
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,6 +25,7 @@
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/notice"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/quota"
 	"wigeonplank.example/core/retry"
@@ -48,6 +50,7 @@
 	responseMemoryShare  = 8 // one part in this many of the instance's memory is for responses in flight
 	maxResponseBudget    = 16 << 20
 	defaultExpectedPeers = 8 // relays
+	defaultHistory       = 20 * time.Second
 	defaultLinkMbps      = 1000
 	defaultRetryRatio    = 0.2 // retries per request
 	defaultStopTimeout   = 8 * time.Second
@@ -118,7 +121,9 @@
 }
 
 func newControl(live *sets.Live, l *logs.Logger) *ctrl.Control {
-	return ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
+	c := ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
+	c.Retention = func() time.Duration { return cmp.Or(live.Get().History, defaultHistory) }
+	return c
 }
 
 // weight returns the weight of this relay among those that own shared work.
@@ -163,6 +168,10 @@
 
 func newBalancer(live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, m *peers.Mesh) *proxy.Balancer {
 	b := &proxy.Balancer{Clock: clock.System{}, Policy: policyFunc(live)}
+	b.History = c.History
+	b.OnRecall = func(h origin.History, err error) {
+		l.Event(logs.VersionsRecalled).Time("since", h.Since).Int("changes", len(h.Changes)).Err(err).Msg("")
+	}
 	b.Picker.OnSuspect = func(e *fleet.Endpoint, reason string, failures int, pause time.Duration) {
 		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", reason).Int("failures", failures).Dur("pause_ms", pause).Msg("")
 	}
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -45,6 +45,8 @@
 	Reads func() (reads, alone bool)
 	// Size returns the number of relays.
 	Size func() int
+	// Retention returns for how long the store keeps its history.
+	Retention func() time.Duration
 
 	view     atomic.Pointer[fleet.View]
 	loaded   atomic.Bool // the first update was applied
--- /dev/null
+++ b/relay/ctrl/history.go
@@ -0,0 +1,112 @@
+package ctrl
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"wigeonplank.example/core/origin"
+	"wigeonplank.example/core/repl"
+	plat "wigeonplank.example/platform"
+)
+
+// errForgotten reports that the store dropped history that it usually keeps.
+var errForgotten = errors.New("the store has forgotten its history")
+
+// History reads the changes to the list of endpoints since a time, or since the time for
+// which the store keeps them. It blocks for the time of a few reads.
+func (c *Control) History(since time.Time) (origin.History, error) {
+	list, last, err := c.Store.Range(plat.EndpointPrefix, readTimeout)
+	if err != nil {
+		return origin.History{}, fmt.Errorf("list endpoints: %w", err)
+	}
+	now := c.Clock.Now()
+	h := origin.History{Since: since, Added: c.additions(list), Zones: make(map[string]bool)}
+	lost := h.Added.Before(since) // a revision that is older than the period
+	changes, err := c.changesAfter(last, lost)
+	if errors.Is(err, plat.ErrCompacted) {
+		if kept := now.Add(-c.Retention()); since.Before(kept) {
+			h.Since = kept
+		}
+		changes, lost, err = c.oldestChanges(last, lost)
+		if err == nil && h.Added.Contradict(lost, h.Since) {
+			err = errForgotten
+		}
+	}
+	if err != nil {
+		return origin.History{}, fmt.Errorf("read history: %w", err)
+	}
+	for _, entry := range changes {
+		c.addToHistory(&h, entry)
+	}
+	return h, nil
+}
+
+// additions returns when the listed endpoints started, by the revisions at which they were
+// added.
+func (c *Control) additions(list []plat.Entry) origin.Additions {
+	now := c.Clock.Now()
+	out := make(origin.Additions)
+	for _, entry := range list {
+		if e, err := plat.DecodeEndpoint(entry, now); err == nil && entry.Created > 0 {
+			out[entry.Created] = time.UnixMilli(e.StartUnixMs)
+		}
+	}
+	return out
+}
+
+// changesAfter reads the changes from a revision to a point.
+func (c *Control) changesAfter(to repl.Point, revision int64) ([]plat.Entry, error) {
+	var all []plat.Entry
+	at := repl.Point{Era: to.Era, Revision: revision}
+	for at.Revision < to.Revision {
+		list, next, err := c.Store.Watch(plat.AllPrefix, at, 0, readTimeout)
+		if err != nil {
+			return nil, err
+		}
+		if next.Revision <= at.Revision {
+			return nil, errForgotten
+		}
+		all, at = append(all, list...), next
+	}
+	return all, nil
+}
+
+// oldestChanges reads all changes that the store still has. lost is a revision of which
+// it has no history any more. It returns the last such revision.
+func (c *Control) oldestChanges(to repl.Point, lost int64) ([]plat.Entry, int64, error) {
+	var changes []plat.Entry
+	for kept := to.Revision; kept-lost > 1; {
+		middle := lost + (kept-lost)/2
+		list, err := c.changesAfter(to, middle)
+		switch {
+		case err == nil:
+			changes, kept = list, middle
+		case errors.Is(err, plat.ErrCompacted):
+			lost = middle
+		default:
+			return nil, 0, err
+		}
+	}
+	return changes, lost, nil
+}
+
+// addToHistory adds a change to a history.
+func (c *Control) addToHistory(h *origin.History, entry plat.Entry) {
+	if zone, ok := plat.DrainedZone(entry.Key); ok {
+		h.Zones[zone] = true
+	}
+	id, ok := plat.EndpointID(entry.Key)
+	if !ok {
+		return
+	}
+	change := origin.Change{ID: id, Revision: entry.Revision, Created: entry.Created}
+	if !entry.Removed {
+		e, err := plat.DecodeEndpoint(entry, c.Clock.Now())
+		if err != nil {
+			return
+		}
+		change.Endpoint = e
+	}
+	h.Changes = append(h.Changes, change)
+}
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -37,6 +37,7 @@
 	StoreRegained     = newEventType("store_regained", log.WarnLevel, changeRate, "The store responds again.", "failures", "lost_ms")
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
 	StoreRestored     = newEventType("store_restored", log.WarnLevel, changeRate, "The store came back from an older copy, or another relay said so; what was believed stays until it is written again.", "era", "after", "revision", "from")
+	VersionsRecalled  = newEventType("versions_recalled", log.InfoLevel, changeRate, "The history of the store was read for a stream whose origin no relay remembers; software versions are known from since on.", "since", "changes", "error")
 	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms")
 	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes")
 	ConfigRejected    = newEventType("config_rejected", log.ErrorLevel, changeRate, "A configuration is invalid; the previous one stays active.", "revision", "error")
@@ -68,7 +69,7 @@
 	RequestRejected = newEventType("request_rejected", log.InfoLevel, changeRate, "A caller sent an invalid HTTP request.", "caller", "status", "reason")
 	RequestDone     = newEventType("request_done", log.InfoLevel, requestRate, "A request has ended. This is the last line of a request.",
 		"request", "route", "service", "team", "version", "status", "outcome", "attempts", "took_ms", "left_ms", "retry_after_ms",
-		"first_event_ms", "longest_gap_ms")
+		"first_event_ms", "longest_gap_ms", "resumes")
 	StagesEstimated = newEventType("stages_estimated", log.InfoLevel, requestRate, "The time until a request's stages are done was estimated, with the current queues and with empty ones. The request is rejected if it, or more urgent ones that use the same stage services, can't meet their objectives because of the queues.",
 		"request", "now_ms", "idle_ms", "slack_ms", "expected_ms", "limit_ms", "limited_by", "decided_by", "admitted")
 	StagesDone     = newEventType("stages_done", log.InfoLevel, requestRate, "The stages of a request have returned all results or have failed.", "request", "took_ms", "results", "error")
@@ -92,6 +93,7 @@
 	"affinity":         {"", "hash, in hexadecimal, of the part of the prompt that an endpoint may have cached; 0: none"},
 	"after":            {"revision", "last revision that was read"},
 	"age_ms":           {"ms", "time since any relay last read from the store"},
+	"changes":          {"", "number of changes of the store"},
 	"entries":          {"", "number of entries of the store"},
 	"ahead":            {"requests", "estimated requests at the endpoint when it was selected by time; 0: selected otherwise"},
 	"attempt":          {"", "number of the attempt at an endpoint, from 1"},
@@ -142,6 +144,7 @@
 	"requests":         {"", "IDs of the callers' attempts"},
 	"requests_lost":    {"", "number of this relay's requests that the endpoint was running"},
 	"resumes":          {"", "ID of the caller's attempt that brought the first event of the stream; empty: the stream begins"},
+	"since":            {"time", "from when on something is known"},
 	"result":           {"", "effect on the endpoint's health: good, full, failed or none"},
 	"results":          {"", "number of results of stages"},
 	"retry":            {"", "whether the request is sent to another endpoint"},
--- a/relay/proxy/admission.go
+++ b/relay/proxy/admission.go
@@ -89,7 +89,7 @@
 	// The time for reading the prompt is left out: it would make large requests
 	// more likely to be rejected than small ones, although they load the stages
 	// no more.
-	left := req.due.Add(-emptyPromptLatency).Sub(req.Clock.Now())
+	left := req.latestStart().Add(-emptyPromptLatency).Sub(req.Clock.Now())
 	a := share.Admission{Estimate: estimate, Idle: idle, Slack: left}
 	limitedBy := req.route.Name
 	if req.shared {
@@ -150,7 +150,7 @@
 	now := req.Clock.Now()
 	h := state.route(r)
 	a := share.Admission{Estimate: h.Correct(now, estimate, idle), Idle: idle, Slack: req.deadline.Sub(now)}
-	if r.LatencyObjective > 0 {
+	if r.LatencyObjective > 0 && !(r == req.route && req.takesUpStream()) {
 		a.Slack = r.LatencyObjective - h.Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency) - now.Sub(req.startedAt)
 	}
 	return a
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -41,6 +41,9 @@
 // criteria describes the endpoint for the next attempt.
 func (req *request) criteria() pick.Criteria {
 	c := pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.tried, Version: req.version}
+	if c.Version == nil && req.route.Kind == fleet.KindStream && req.route.Resumable {
+		c.Version = req.Balancer.ChooseVersion(req.service, req.headers.ID)
+	}
 	if id := req.Guard.Confinement(req.suspects); id != 0 {
 		c.Affinity = id
 	}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -22,6 +22,10 @@
 // wants no requests, so that relays don't come back to it all at once.
 const maxReopenDelay = time.Second
 
+// recallInterval is the time between two reads of the history of the store. Reads end
+// once they cover the lifetime of a stream.
+const recallInterval = 500 * time.Millisecond
+
 // Balancer lets concurrent requests share one pick.Picker, and thus one estimate
 // of each endpoint's load and health. Set the exported fields before use. It is
 // safe for concurrent use.
@@ -31,6 +35,15 @@
 	// Policy returns the active policy. If it is nil, the defaults apply.
 	Policy func() sets.Policy
 
+	// History reads what was listed since a time. If it is nil, nothing is known from before
+	// this relay started.
+	History func(since time.Time) (origin.History, error)
+	// OnRecall is called with the results of each call of History.
+	OnRecall func(h origin.History, err error)
+
+	recallMu   sync.Mutex // held while History reads; guards recalledAt
+	recalledAt time.Time
+
 	mu       sync.Mutex // guards Picker and versions
 	versions origin.Versions
 }
@@ -302,12 +315,37 @@
 	}
 }
 
-// HasSoleVersion reports whether all streams of a service that callers may still take
-// up began at the software version of its present endpoints.
-func (b *Balancer) HasSoleVersion(service string) bool {
+// ChooseVersion returns the software version at which a new stream begins, or nil if no
+// endpoint of the service accepts work.
+func (b *Balancer) ChooseVersion(service, stream string) *string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.versions.Sole(b.Clock.Now(), service)
+	if v, ok := b.versions.Choose(service, stream); ok {
+		return &v
+	}
+	return nil
+}
+
+// OriginVersion returns the software version at which a stream began, by what was listed
+// while it may have begun. It returns false if more than one is possible. age is how old
+// the stream is at most. It blocks while History reads.
+func (b *Balancer) OriginVersion(service, stream string, age time.Duration) (string, bool) {
+	b.recallMu.Lock()
+	defer b.recallMu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.Clock.Now()
+	if b.History != nil && !b.versions.Covers(now, age) && now.Sub(b.recalledAt) >= recallInterval {
+		b.recalledAt = now
+		b.mu.Unlock()
+		h, err := b.History(origin.Window(now, origin.Lifetime))
+		b.OnRecall(h, err)
+		b.mu.Lock()
+		if err == nil {
+			b.versions.Recall(h)
+		}
+	}
+	return b.versions.Began(b.Clock.Now(), service, stream, age)
 }
 
 // Observe records the software versions of the endpoints that v lists, and drops the
@@ -316,6 +354,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
-	b.versions.Observe(now, v.All())
+	b.versions.Observe(now, v)
 	b.Picker.Prune(now, v.All())
 }
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -79,6 +80,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service; guarded by mu
+	waits   map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
 	// admission is what is needed to admit requests to stages. mu is held while it changes.
 	admission atomic.Pointer[admission]
 }
@@ -146,6 +148,9 @@
 	if req.route != nil {
 		line.Str("route", req.route.Name).Str("service", req.service).Str("team", req.teamName())
 	}
+	if req.headers.Resumes != "" {
+		line.Str("resumes", req.headers.Resumes)
+	}
 	if !req.deadline.IsZero() {
 		line.Dur("left_ms", req.deadline.Sub(now))
 	}
@@ -288,6 +293,9 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
+	if req.route.Resumable {
+		req.recordWait(req.route, timeout)
+	}
 	if req.route.Timeout > 0 {
 		timeout = min(timeout, req.route.Timeout)
 	}
@@ -295,6 +303,23 @@
 	req.due = req.startedAt.Add(req.route.LatencyObjective)
 }
 
+// recordWait records how long a caller waits for a stream of a route.
+func (f *Forwarder) recordWait(r *fleet.Route, timeout time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.waits == nil {
+		f.waits = make(map[string]time.Duration)
+	}
+	f.waits[r.Name] = max(f.waits[r.Name], r.Timeout, timeout)
+}
+
+// longestWait returns how long callers of a route wait for a stream at most.
+func (f *Forwarder) longestWait(r *fleet.Route) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cmp.Or(f.waits[r.Name], r.Timeout, origin.Lifetime)
+}
+
 // runStages runs the stages of the request and stores references to their
 // results in req.inputs. If the stages are overloaded or one fails, it rejects
 // the request and returns false.
@@ -303,7 +328,7 @@
 	job := stage.Job{
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
 		Team: req.teamName(),
-		Due:  req.due.Add(-req.firstEventLatency()), StartBy: req.due, Deadline: req.deadline,
+		Due:  req.due.Add(-req.firstEventLatency()), StartBy: req.latestStart(), Deadline: req.deadline,
 	}
 	if !req.admitToStages(job) {
 		return false
@@ -340,6 +365,15 @@
 	return false
 }
 
+// latestStart returns until when items of the stages are worth starting. A stream that its
+// caller takes up has met its objective with the first event, or never will.
+func (req *request) latestStart() time.Time {
+	if req.takesUpStream() {
+		return req.deadline
+	}
+	return req.due
+}
+
 // likelyZone returns the zone of the endpoint that the request will most likely be
 // sent to, or "".
 func (req *request) likelyZone() string {
@@ -383,7 +417,7 @@
 	inputs, err := req.Stages.Run(ctx, stage.Job{
 		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
 		Team: req.teamName(),
-		Due:  now, StartBy: req.deadline, Deadline: req.deadline,
+		Due:  now.Add(req.route.LatencyObjective), StartBy: req.deadline, Deadline: req.deadline,
 	})
 	req.logStages(inputs, err)
 	if err != nil {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -67,9 +67,8 @@
 }
 
 // bindToOrigin binds the request to the service and the software version at which the
-// stream that the caller takes up began. If they are unknown and the stream may have
-// begun at another version than the present endpoints have, it rejects the request
-// and returns false. A service that the route no longer has doesn't bind: its versions
+// stream that the caller takes up began. If no relay remembers them and the stream may
+// have begun at more than one version, it rejects the request and returns false. A service that the route no longer has doesn't bind: its versions
 // mean nothing to another service.
 func (req *request) bindToOrigin(ctx context.Context) bool {
 	o, known := origin.Origin{}, false
@@ -82,13 +81,22 @@
 			req.service, req.version = o.Service, &o.Version
 		}
 		return true
-	case req.Balancer.HasSoleVersion(req.service) && req.Confirmed():
-		return true
+	case req.Confirmed():
+		if v, ok := req.Balancer.OriginVersion(req.service, req.headers.Resumes, req.maxStreamAge()); ok {
+			req.version = &v
+			return true
+		}
 	}
 	req.reject(fasthttp.StatusServiceUnavailable, 0, "version at which the stream began is unknown")
 	return false
 }
 
+// maxStreamAge returns how old the stream is at most that the caller takes up. Callers of
+// a route wait no longer than the longest that any has named.
+func (req *request) maxStreamAge() time.Duration {
+	return max(0, req.longestWait(req.route)-req.headers.Deadline)
+}
+
 // recordVersion binds the request to the software version of the endpoint that sent
 // its first event, and remembers it for callers that take the stream up.
 func (req *request) recordVersion(e *fleet.Endpoint) {
