core/batch: a learned memory limit ends with the retention of results

Pattern: all relays are killed; the results that they held stay at stage endpoints until they expire. What a relay doesn't know of expires within the retention of results. Change: the limit rises evenly to the configured memory within the retention.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -14,7 +14,6 @@
 	rejectionBackoff    = 150 * time.Millisecond // an endpoint that rejected a call gets no call for this long
 	memoryBackoff       = 50 * time.Millisecond  // an endpoint that ran out of memory for results gets no call for this long
 	minMemoryShare      = 0.25                   // of the configured memory; the learned memory limit is never lower
-	memoryGrowthFactor  = 1.02                   // by which a learned memory limit grows with each call whose results fit
 	crossZoneDelayPerMB = 40 * time.Millisecond  // sending 1 MB to another zone costs users about as much as this delay
 	bytesPerMB          = 1_000_000
 	minEndpointsPerZone = 3   // on average; a service with fewer has one pool for all zones
@@ -96,7 +95,8 @@
 	pendingBytes int64                     // size of the results of calls in flight
 	backoffUntil time.Time                 // it gets no calls before this
 	results      map[string]retainedResult // by reference
-	memoryLimit  int64                     // bytes of results it has memory for, learned when it ran out; 0: the configured memory
+	memoryLimit  int64                     // bytes of results it had memory for when it ran out last
+	limitedAt    time.Time                 // when it ran out of memory last; zero: never
 }
 
 // Scheduler holds the queued items of the pools that this process owns. The zero
@@ -286,7 +286,7 @@
 	}
 	for _, e := range available {
 		st := s.endpoint(e.ID)
-		items, blocked := s.choose(now, svc.Batch, p, earliestDone, e.Zone, st.freeMemory(now, svc.Batch.MemoryBytes), usableZones, waitFactor)
+		items, blocked := s.choose(now, svc.Batch, p, earliestDone, e.Zone, st.freeMemory(now, svc.Batch), usableZones, waitFactor)
 		if len(items) == 0 {
 			continue
 		}
@@ -310,11 +310,8 @@
 
 // freeMemory returns the free memory for results in bytes, given the configured
 // memory of the endpoint. It forgets results that have expired.
-func (st *endpointState) freeMemory(now time.Time, memory int64) int64 {
-	if st.memoryLimit > 0 {
-		memory = min(memory, st.memoryLimit)
-	}
-	free := memory - st.pendingBytes
+func (st *endpointState) freeMemory(now time.Time, b *fleet.Batch) int64 {
+	free := st.usableMemory(now, b) - st.pendingBytes
 	for ref, r := range st.results {
 		if now.After(r.expires) {
 			delete(st.results, ref)
@@ -471,28 +468,32 @@
 	if sp := s.shared[c.Pool]; sp != nil {
 		sp.finish(now, c, o)
 	}
-	st.adjustMemoryLimit(now, c.Service.Batch.MemoryBytes, o)
+	if o.OutOfMemory {
+		st.limitMemory(now, c.Service.Batch.MemoryBytes)
+	}
 }
 
-// adjustMemoryLimit lowers the memory limit of an endpoint that ran out of memory
-// to the size of the results it retains, and raises it slowly after calls whose
-// results fit. The configured memory is not reliable, as the sizes of results
-// are approximate and the endpoint may retain results of other processes.
-func (st *endpointState) adjustMemoryLimit(now time.Time, memory int64, o Outcome) {
-	switch {
-	case o.OutOfMemory:
-		st.backoffUntil = now.Add(memoryBackoff)
-		total := int64(0)
-		for _, r := range st.results {
-			total += r.bytes
-		}
-		st.memoryLimit = max(total, int64(float64(memory)*minMemoryShare))
-	case o.Refs != nil && st.memoryLimit > 0:
-		st.memoryLimit = int64(float64(st.memoryLimit) * memoryGrowthFactor)
-		if st.memoryLimit >= memory {
-			st.memoryLimit = 0
-		}
+// usableMemory returns the memory for results that this process reckons with. Results that
+// made the endpoint run out of memory, but aren't known here, are those of processes that
+// have ended or of others; all of them expire within the retention of results.
+func (st *endpointState) usableMemory(now time.Time, b *fleet.Batch) int64 {
+	since := now.Sub(st.limitedAt)
+	if st.limitedAt.IsZero() || since >= b.Retention {
+		return b.MemoryBytes
+	}
+	return st.memoryLimit + int64(float64(b.MemoryBytes-st.memoryLimit)*float64(since)/float64(b.Retention))
+}
+
+// limitMemory lowers the memory limit of an endpoint that ran out of memory to the size of
+// the results that it is known to retain. The configured memory is not reliable, as the
+// sizes of results are approximate and the endpoint may retain results of other processes.
+func (st *endpointState) limitMemory(now time.Time, memory int64) {
+	st.backoffUntil = now.Add(memoryBackoff)
+	total := int64(0)
+	for _, r := range st.results {
+		total += r.bytes
 	}
+	st.memoryLimit, st.limitedAt = min(memory, max(total, int64(float64(memory)*minMemoryShare))), now
 }
 
 // Released records that results of an endpoint were released.
