relay/proxy: due times of stages use the observed time to the first event

Pattern: large prompts beside long chains of stages. Cause: the time that engines need was taken as 30 us for each token of the prompt, twice what it is on these engines and more where parts are cached. Change: the median of the recent times from the end of the stages to the first event, by route, as shared stages had it. attempt_begun names the prompt's tokens, those cached, and the predicted time.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -175,7 +175,8 @@
 	Load       float64        // estimated share of the endpoint's slots in use
 	OpensAt    time.Time      // without an Endpoint: when the first that could have taken the request wants the next; zero: unknown
 	Ahead      float64        // requests ahead of this one at the endpoint; only with ByTime
-	Predicted  time.Duration  // time to the end of the answer; 0: not predicted
+	Predicted  time.Duration  // time to the end of the answer, or to the first event at an engine chosen by prompts; 0: not predicted
+	Cached     int            // tokens of the prompt that the engine has cached, as far as known; engines chosen by prompts only
 	Estimate   speed.Estimate // that Predicted is based on
 }
 
--- a/relay/assign/assign.go
+++ b/relay/assign/assign.go
@@ -83,6 +83,7 @@
 type Assignment struct {
 	Endpoint   *fleet.Endpoint
 	Candidates int           // number of usable engines in the pool
+	Cached     int           // tokens of the prompt that it has cached, as far as known
 	FirstEvent time.Duration // predicted time to the first event
 
 	report func(r prompt.Report)
@@ -118,7 +119,7 @@
 		placement = a.Place(pool, r, unfit)
 		out.report = func(rep prompt.Report) { a.Progress(pool, r.ID, rep) }
 	}
-	out.FirstEvent = placement.FirstEvent
+	out.Cached, out.FirstEvent = placement.Cached, placement.FirstEvent
 	for _, e := range warm {
 		if e.ID == placement.Endpoint {
 			out.Endpoint = e
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -77,7 +77,7 @@
 	StageCall      = newEventType("stage_call", log.InfoLevel, stepRate, "A call with items of one or more requests has ended.", "endpoint", "service", "requests", "items", "result", "took_ms", "error")
 	ReleaseFailed  = newEventType("release_failed", log.InfoLevel, changeRate, "Results could not be released; the endpoint removes them when their retention ends.", "endpoint", "results", "error")
 	AttemptStarted = newEventType("attempt_begun", log.InfoLevel, requestRate, "An endpoint was selected for an attempt of a request.",
-		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "content", "parts", "event_id", "left_ms",
+		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "content", "parts", "prompt_tokens", "cached_tokens", "event_id", "left_ms",
 		"predicted_ms", "ahead", "speed", "pace", "pace_age_ms")
 	AttemptDone = newEventType("attempt_done", log.InfoLevel, requestRate, "An attempt at an endpoint has ended.",
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
@@ -99,6 +99,7 @@
 	"attempt":          {"", "number of the attempt at an endpoint, from 1"},
 	"attempts":         {"", "number of endpoints that may have run the request"},
 	"caller":           {"", "IP:port"},
+	"cached_tokens":    {"tokens", "part of the prompt that the engine has cached, as far as known; engines chosen by prompts only"},
 	"candidates":       {"", "number of usable endpoints; with choice time, of those that were compared"},
 	"choice":           {"", "why the endpoint was selected: prompt (earliest first event, by the prompts that all relays sent), affinity, load, time (least expected completion time of a few drawn at random), cold (within its share), or suspect (none better)"},
 	"cold":             {"", "whether the endpoint is in cold start, in which it sustains a lower rate"},
@@ -137,8 +138,9 @@
 	"pace_age_ms":      {"ms", "time since the endpoint reported its pace"},
 	"parts":            {"", "hashes, in hexadecimal, of the parts of the prompt that other requests may share, the first ones if there are many"},
 	"pause_ms":         {"ms", "time for which the endpoint gets no requests"},
-	"predicted_ms":     {"ms", "predicted time to the end of the answer; 0: not selected by time"},
+	"predicted_ms":     {"ms", "predicted time to the end of the answer, or to the first event at an engine chosen by prompts; 0: not predicted"},
 	"rate_limit":       {"requests/s", "requests that the endpoint takes from all relays together"},
+	"prompt_tokens":    {"tokens", "size of the prompt"},
 	"reason":           {"", "reason, as text"},
 	"request":          {"", "ID of the caller's attempt"},
 	"requests":         {"", "IDs of the callers' attempts"},
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -73,7 +73,7 @@
 		req.endAssignment()
 		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
 	}
-	return pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint)}
+	return pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint), Predicted: a.FirstEvent, Cached: a.Cached}
 }
 
 // assignable reports whether an engine of a service is chosen by prompts.
@@ -159,7 +159,7 @@
 		Str("affinity", strconv.FormatUint(req.promptAffinity(), 16)).
 		Str("content", strconv.FormatUint(req.contentHash(), 16)).Str("parts", req.promptParts()).Int64("event_id", lastEvent).
 		Str("held", req.held()).Dur("left_ms", req.deadline.Sub(req.Clock.Now())).
-		Dur("predicted_ms", c.Predicted).Float64("ahead", c.Ahead).Float64("speed", c.Estimate.Speed).Float64("pace", c.Estimate.Pace).
+		Int("prompt_tokens", req.headers.PromptTokens).Int("cached_tokens", c.Cached).Dur("predicted_ms", c.Predicted).Float64("ahead", c.Ahead).Float64("speed", c.Estimate.Speed).Float64("pace", c.Estimate.Pace).
 		Dur("pace_age_ms", c.Estimate.PaceAge).Msg("")
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -340,9 +340,7 @@
 	}
 	inputs, err := req.Stages.Run(ctx, job)
 	req.logStages(inputs, err)
-	if req.shared {
-		req.recordStages(err)
-	}
+	req.recordStages(err)
 	req.Meters.RecordPhase(stats.PhaseStages, req.route.Name, req.Clock.Now().Sub(req.startedAt))
 	if err == nil {
 		req.inputs = inputs
@@ -440,9 +438,6 @@
 // its first event.
 func (req *request) firstEventLatency() time.Duration {
 	fallback := emptyPromptLatency + time.Duration(req.headers.PromptTokens)*promptTokenTime
-	if !req.shared {
-		return fallback
-	}
 	return req.routeState().Tail(req.Clock.Now(), share.TailForDue, req.route.LatencyObjective, fallback)
 }
 
