core/batch: late items don't count in the load that others are told

Pattern: a burst leaves items that can't be in time any more; they run with what is left, until they expire. Cause: estimates counted them, so that requests were rejected because of items that they would have passed. Change: the load of a pool leaves out queued items past their due time, unless they free memory. TestLateItemsDelayNoOthers.

--- a/core/batch/shared.go
+++ b/core/batch/shared.go
@@ -20,7 +20,7 @@
 
 // Report is what the owner of a pool tells other relays of it.
 type Report struct {
-	Items     int           // queued and in flight
+	Items     int           // queued and in flight, apart from late ones, which new items pass
 	Delay     time.Duration // recent mean time from an item being queued to its result; 0: not measured
 	DelayAge  time.Duration // time since the last of these results
 	OverShare []string      // the largest teams that use more than an equal share while the pool is crowded; it is not modified
@@ -66,7 +66,7 @@
 
 // Report returns what other relays are told of a pool.
 func (s *Scheduler) Report(now time.Time, p Pool) Report {
-	r := Report{Items: s.ItemCount(p)}
+	r := Report{Items: s.ItemCount(p) - s.numLate(now, p)}
 	sp := s.shared[p]
 	if sp == nil {
 		return r
@@ -80,6 +80,21 @@
 	return r.After(0)
 }
 
+// numLate returns the number of a pool's queued items that new items pass, as they can't be
+// done by their Due time.
+func (s *Scheduler) numLate(now time.Time, p Pool) int {
+	n := 0
+	for _, it := range s.queues[p] {
+		if !it.Due.Before(now) {
+			break
+		}
+		if !it.FreesMemory {
+			n++
+		}
+	}
+	return n
+}
+
 // Reports returns the reports of all pools with items.
 func (s *Scheduler) Reports(now time.Time) map[Pool]Report {
 	out := make(map[Pool]Report)
--- a/core/batch/wave_test.go
+++ b/core/batch/wave_test.go
@@ -155,3 +155,25 @@
 		t.Errorf("%.3f of the requests are in time, want nearly all after four of ten seconds", w.part("image"))
 	}
 }
+
+// TestLateItemsDelayNoOthers guards against requests that are rejected because of queued
+// items that they would pass.
+func TestLateItemsDelayNoOthers(t *testing.T) {
+	var s batch.Scheduler
+	add := func(n int, due time.Duration, freesMemory bool) {
+		for range n {
+			s.Add(simPool, &batch.Item{Due: simStart.Add(due), StartBy: simStart.Add(time.Second), Deadline: simStart.Add(time.Minute), FreesMemory: freesMemory})
+		}
+	}
+	add(5, 100*time.Millisecond, false)
+	add(3, 100*time.Millisecond, true) // these go first
+	add(7, 800*time.Millisecond, false)
+	for _, c := range []struct {
+		at   time.Duration
+		want int
+	}{{0, 15}, {200 * time.Millisecond, 10}, {900 * time.Millisecond, 3}} {
+		if got := s.Report(simStart.Add(c.at), simPool).Items; got != c.want {
+			t.Errorf("after %v: %d items delay others, want %d", c.at, got, c.want)
+		}
+	}
+}
