relay/proxy: every rejection by stages names a return that the backlog allows

Change: the Retry-After of shared stages, from the backlog and the rate of admissions, for all. The other rule is gone.

--- a/relay/proxy/admission.go
+++ b/relay/proxy/admission.go
@@ -105,23 +105,18 @@
 	}
 	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate).Dur("idle_ms", idle).Dur("slack_ms", a.Slack).
 		Dur("expected_ms", a.Estimate).Dur("limit_ms", a.Bound()).Str("limited_by", limitedBy).Str("decided_by", string(reason)).Bool("admitted", admitted).Msg("")
-	switch {
-	case admitted && req.shared:
+	if admitted {
 		req.routeState().RecordAdmitted(req.Clock.Now())
-	case admitted:
-	case req.shared:
-		req.Meters.RecordRejected(string(reason), req.route.Name, req.teamName())
-		req.rejectCrowded(a.Excess(), "stages are overloaded")
-	default:
-		req.Meters.RecordRejected(string(reason), req.route.Name, req.teamName())
-		req.reject(fasthttp.StatusServiceUnavailable, max(minRetryAfter, estimate-max(left, idle)), "stages are overloaded")
+		return true
 	}
-	return admitted
+	req.Meters.RecordRejected(string(reason), req.route.Name, req.teamName())
+	req.rejectCrowded(a.Excess(), "stages are overloaded")
+	return false
 }
 
-// rejectCrowded rejects a request of a route whose stages are scheduled by shares and by
-// urgency, before its endpoint has it. excess is the time in which the backlog will have
-// fallen to the level at which the request would be admitted.
+// rejectCrowded rejects a request whose stages are overloaded, before its endpoint has it.
+// excess is the time in which the backlog will have fallen to the level at which the
+// request would be admitted.
 func (req *request) rejectCrowded(excess time.Duration, reason string) {
 	now := req.Clock.Now()
 	req.rejectUntil(fasthttp.StatusServiceUnavailable, req.routeState().RetryAfter(now, excess, req.deadline.Sub(now), rand.Float64()), reason)
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -351,15 +351,11 @@
 		return false
 	}
 	req.reportItemCrash(err)
-	retryAfter := minRetryAfter
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		retryAfter = 0
-	case req.shared:
+	if errors.Is(err, context.DeadlineExceeded) {
+		req.reject(fasthttp.StatusServiceUnavailable, 0, err.Error())
+	} else {
 		req.rejectCrowded(0, err.Error())
-		return false
 	}
-	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, err.Error())
 	return false
 }
 
