core/batch, relay/proxy: inputs of engines are released once they were fetched

Pattern: a burst of requests with large stage results while engines read long prompts. Engines fetch inputs when a request arrives. Change: they are released 60 ms after the send. An endpoint that doesn't find its inputs says so, not having run the request; the time then doubles and shrinks by 2% with each request that did (batch.Hold). If an attempt fails later, the stages run again, as for a stream that broke off. TestResultsHeldWhileEnginesRead (fails with 0.5 s), TestHold.

--- a/core/batch/wave_test.go
+++ b/core/batch/wave_test.go
@@ -177,3 +177,47 @@
 		}
 	}
 }
+
+// TestResultsHeldWhileEnginesRead guards against stages that run small calls, as the memory
+// for their results is full of inputs that engines have fetched long ago.
+func TestResultsHeldWhileEnginesRead(t *testing.T) {
+	var h batch.Hold
+	w := wave{duration: 20 * time.Second, held: h.Time(), kinds: []waveKind{
+		{name: "image", rate: 90, objective: time.Second, after: 300 * time.Millisecond, expected: 300 * time.Millisecond, large: true},
+	}}
+	w.play()
+	if w.part("image") < 0.95 {
+		t.Errorf("%.3f of the requests are in time", w.part("image"))
+	}
+}
+
+// TestHold checks that inputs are kept for longer soon after endpoints didn't find them, and
+// for less time only slowly.
+func TestHold(t *testing.T) {
+	var h batch.Hold
+	first := h.Time()
+	for range 3 {
+		h.RecordMissing()
+	}
+	if got := h.Time(); got < 8*first {
+		t.Errorf("kept for %v after three requests without inputs, %v before", got, first)
+	}
+	for range 20 {
+		h.RecordFound()
+	}
+	if got := h.Time(); got < 4*first {
+		t.Errorf("kept for %v after 20 requests with inputs, %v before", got, first)
+	}
+	for range 1000 {
+		h.RecordFound()
+	}
+	if got := h.Time(); got != first {
+		t.Errorf("kept for %v after 1000 requests with inputs, want %v", got, first)
+	}
+	for range 100 {
+		h.RecordMissing()
+	}
+	if got := h.Time(); got > 4*time.Second {
+		t.Errorf("kept for %v", got)
+	}
+}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/origin"
@@ -80,6 +81,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service; guarded by mu
+	holds   map[string]*batch.Hold   // by service; guarded by mu
 	waits   map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
 	// admission is what is needed to admit requests to stages. mu is held while it changes.
 	admission atomic.Pointer[admission]
@@ -405,6 +407,7 @@
 	reason := "they were given up when the stream began"
 	if end == attemptNoInputs {
 		reason = "the endpoint did not find them"
+		req.hold(req.service).RecordMissing()
 	}
 	req.Log.Event(logs.StagesRepeated).Str("request", req.headers.ID).Str("reason", reason).Msg("")
 	now := req.Clock.Now()
@@ -460,6 +463,21 @@
 	return b
 }
 
+// hold returns how long the inputs of requests to a service are kept.
+func (f *Forwarder) hold(service string) *batch.Hold {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.holds == nil {
+		f.holds = make(map[string]*batch.Hold)
+	}
+	h := f.holds[service]
+	if h == nil {
+		h = &batch.Hold{}
+		f.holds[service] = h
+	}
+	return h
+}
+
 // promptAffinity returns the hash of the longest prompt prefix that other
 // requests may share, or 0 if the request has no affinity. The last part of a
 // prompt is left out, as it mostly belongs to this request alone.
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -135,7 +135,10 @@
 	defer call.Finish(req.Pool)
 	stop := context.AfterFunc(ctx, func() { _ = call.Conn.Close() })
 	defer stop()
-	if err := call.Receive(req.headers.ID, req.deadline); err != nil {
+	kept := req.releaseInputsEarly()
+	err = call.Receive(req.headers.ID, req.deadline)
+	kept()
+	if err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
 	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
@@ -156,6 +159,17 @@
 	return req.forwardEvents(e, call, lastEvent)
 }
 
+// releaseInputsEarly releases the inputs of an attempt once the endpoint has most likely
+// fetched them. The returned function must be called before the inputs are used again.
+func (req *request) releaseInputsEarly() (settle func()) {
+	if req.inputsReleased || len(req.inputs) == 0 {
+		return func() {}
+	}
+	inputs := req.inputs
+	t := time.AfterFunc(req.hold(req.service).Time(), func() { req.Stages.ReleaseResults(inputs) })
+	return func() { req.inputsReleased = !t.Stop() }
+}
+
 // forwardEvents forwards events to the caller until the stream ends or fails, or
 // the gap between two events of a resumable stream is too long.
 func (req *request) forwardEvents(e *fleet.Endpoint, call *pool.Call, lastEvent *int64) (attemptEnd, string) {
@@ -219,6 +233,9 @@
 	var h fasthttp.ResponseHeader
 	plat.CopyResponseHeaders(&h, &call.Header)
 	// An engine that has sent its first event has read all of its inputs.
+	if len(req.inputs) > 0 {
+		req.hold(req.service).RecordFound()
+	}
 	req.releaseInputs()
 	return req.exchange.BeginStream(&h, raw)
 }
