core/batch: pools of a zone from six endpoints a zone on

Pattern: chains of three stages, whose pools have three to five endpoints in each zone. Cause: the items of a request arrive together, and wait for one of few endpoints while others in the next zone become free; a zone that loses endpoints loses half of its pool. Change: a service has pools by zone from six endpoints a zone on, in place of three.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -16,7 +16,7 @@
 	minMemoryShare      = 0.25                   // of the configured memory; the learned memory limit is never lower
 	crossZoneDelayPerMB = 40 * time.Millisecond  // sending 1 MB to another zone costs users about as much as this delay
 	bytesPerMB          = 1_000_000
-	minEndpointsPerZone = 3   // on average; a service with fewer has one pool for all zones
+	minEndpointsPerZone = 6   // on average; a service with fewer has one pool for all zones
 	priorities          = 4   // values of Item.priority
 	maxZoneWaitLoad     = 0.5 // items don't wait for their zone once the queue holds this share of a full call to every endpoint
 	minZoneWaitCalls    = 2   // an item waits for its zone only while this many full calls would end by its Due time
--- a/core/batch/shared_test.go
+++ b/core/batch/shared_test.go
@@ -22,6 +22,7 @@
 type sim struct {
 	sched     batch.Scheduler
 	share     bool
+	group     int // items that arrive together; 0: 1
 	endpoints []*fleet.Endpoint
 	now       time.Time
 	rand      *rand.Rand
@@ -79,8 +80,9 @@
 			return true
 		})
 		for _, team := range slices.Sorted(maps.Keys(rates)) {
-			for arriving := rates[team] * s.room() / 1000; s.rand.Float64() < arriving; arriving-- {
-				s.add(team, 1, 2*time.Second)
+			group := max(1, s.group)
+			for arriving := rates[team] * s.room() / 1000 / float64(group); s.rand.Float64() < arriving; arriving-- {
+				s.add(team, group, 2*time.Second)
 			}
 		}
 		s.sched.RemoveExpired(s.now)
--- a/core/batch/wave_test.go
+++ b/core/batch/wave_test.go
@@ -221,3 +221,24 @@
 		t.Errorf("kept for %v", got)
 	}
 }
+
+// TestZonePoolsAreLargeEnough guards chains of stages against waiting at each pool for one
+// of few endpoints, while others in the next zone become free.
+func TestZonePoolsAreLargeEnough(t *testing.T) {
+	const zones = 4
+	perZone := 1
+	for !batch.HasZonePools(perZone*zones, zones) {
+		perZone++
+	}
+	wait := func(endpoints int) time.Duration {
+		s := newSim(endpoints, false)
+		s.group = 6 // items of one request
+		s.run(60*time.Second, map[string]float64{"": 0.8})
+		return s.waited / time.Duration(s.done)
+	}
+	zone, all := wait(perZone), wait(perZone*zones)
+	// A chain of three stages shall lose at most a tenth of an objective of 1.5 s.
+	if lost := zone - all; lost > 50*time.Millisecond {
+		t.Errorf("with %d endpoints, items wait %v in the pool of a zone and %v in that of all zones", perZone, zone, all)
+	}
+}
