core/prompt: affinity may cost as much as reading the shared parts again

Pattern: owners of engine pools are restarted in turn or lost together; each new one knows nothing of cached prompts. Change: the margin is the time for reading the prompt's shared parts at the observed rate, 30 ms at least.

--- a/core/prompt/prompt.go
+++ b/core/prompt/prompt.go
@@ -18,10 +18,10 @@
 	rateWeight      = 0.1 // of the newest sample in the moving average
 	maxSampleAge    = 5 * time.Second
 
-	baseLatency    = 15 * time.Millisecond // from sending a request to its first event, apart from reading
-	runningCost    = 1500 * time.Microsecond
-	affinityMargin = 30 * time.Millisecond // how much later a first event may be for an engine to be preferred by its affinity
-	rereadFactor   = 2.0                   // cost of reading a part again, in multiples of its time: it also delays later requests
+	baseLatency       = 15 * time.Millisecond // from sending a request to its first event, apart from reading
+	runningCost       = 1500 * time.Microsecond
+	minAffinityMargin = 30 * time.Millisecond // of two predictions that hardly differ
+	rereadFactor      = 2.0                   // cost of reading a part again, in multiples of its time: it also delays later requests
 
 	// cacheShare is the share of an engine's memory that cached parts are assumed to
 	// have; running requests have the rest.
@@ -246,10 +246,10 @@
 	}
 	var best *candidate
 	var bestScore uint64
-	affinity := r.Affinity()
+	affinity, margin := r.Affinity(), b.affinityMargin(&r)
 	for i := range candidates {
 		c := &candidates[i]
-		if (c.full && anyFree) || c.cost > lowest+affinityMargin {
+		if (c.full && anyFree) || c.cost > lowest+margin {
 			continue
 		}
 		if s := score(affinity, c.Engine.ID); best == nil || s > bestScore {
@@ -262,6 +262,21 @@
 	return best.Choice, true
 }
 
+// affinityMargin returns how much later the first event of a request may be for an engine to
+// be preferred by its affinity: by the time for reading its shared parts, which are then
+// mostly cached where the next owner of the pool, who knows nothing, looks for them.
+func (b *Board) affinityMargin(r *Request) time.Duration {
+	rate := b.rate
+	if rate == 0 {
+		rate = defaultReadRate
+	}
+	shared := 0
+	for _, p := range r.Parts[:max(0, len(r.Parts)-1)] {
+		shared += p.Tokens
+	}
+	return max(minAffinityMargin, time.Duration(float64(shared)/rate*float64(time.Millisecond)))
+}
+
 // evaluate returns the cost of a request at an engine.
 func (b *Board) evaluate(now time.Time, e Engine, r *Request) candidate {
 	st := b.state(now, e)
