--- a/relay/ctrl/history.go
+++ b/relay/ctrl/history.go
@@ -10,6 +10,9 @@
 	plat "wigeonplank.example/platform"
 )
 
+// historyTimeout bounds the reads of the history. Callers wait for them.
+const historyTimeout = 1500 * time.Millisecond
+
 // errForgotten reports that the store dropped history that it usually keeps.
 var errForgotten = errors.New("the store has forgotten its history")
 
@@ -76,7 +79,11 @@
 // it has no history any more. It returns the last such revision.
 func (c *Control) oldestChanges(to repl.Point, lost int64) ([]plat.Entry, int64, error) {
 	var changes []plat.Entry
+	start := c.Clock.Now()
 	for kept := to.Revision; kept-lost > 1; {
+		if c.Clock.Now().Sub(start) > historyTimeout {
+			return nil, 0, errors.New("the store takes too long to respond")
+		}
 		middle := lost + (kept-lost)/2
 		list, err := c.changesAfter(to, middle)
 		switch {
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -336,11 +336,11 @@
 	defer b.mu.Unlock()
 	now := b.Clock.Now()
 	if b.History != nil && !b.versions.Covers(now, age) && now.Sub(b.recalledAt) >= recallInterval {
-		b.recalledAt = now
 		b.mu.Unlock()
 		h, err := b.History(origin.Window(now, origin.Lifetime))
 		b.OnRecall(h, err)
 		b.mu.Lock()
+		b.recalledAt = b.Clock.Now() // those that waited don't read again
 		if err == nil {
 			b.versions.Recall(h)
 		}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -312,7 +312,7 @@
 	if f.waits == nil {
 		f.waits = make(map[string]time.Duration)
 	}
-	f.waits[r.Name] = max(f.waits[r.Name], r.Timeout, timeout)
+	f.waits[r.Name] = min(origin.Lifetime, max(f.waits[r.Name], r.Timeout, timeout))
 }
 
 // longestWait returns how long callers of a route wait for a stream at most.
