relay/front: requests that come late in a stop are rejected

Cause: a kept connection whose last response had begun before the stop doesn't tell its caller to close it, and its next request was served, however late. Change: a request that begins after the time for what callers have sent already is rejected with 503, not run, and the connection ends. TestStopRejectsLateRequests, which served both requests before.

--- a/core/batch/wave_test.go
+++ b/core/batch/wave_test.go
@@ -44,7 +44,7 @@
 		MemoryBytes: 14 * imageBytes, Retention: 4 * time.Second,
 	}
 	svc := &fleet.Service{Name: "encode", Batch: b}
-	var endpoints []*fleet.Endpoint
+	endpoints := make([]*fleet.Endpoint, 0, 4)
 	for i := range 4 {
 		endpoints = append(endpoints, &fleet.Endpoint{ID: fmt.Sprint("e", i), Service: svc.Name, State: fleet.StateReady})
 	}
--- a/core/prompt/owner_test.go
+++ b/core/prompt/owner_test.go
@@ -24,7 +24,7 @@
 		lostEvery   = 6 * time.Second
 	)
 	rng := rand.New(rand.NewPCG(3, 4))
-	var engines []prompt.Engine
+	engines := make([]prompt.Engine, 0, engineCount)
 	for i := range engineCount {
 		engines = append(engines, prompt.Engine{ID: fmt.Sprint("e", i), Slots: 64, CacheTokens: 600_000})
 	}
--- a/relay/ctrl/history_test.go
+++ b/relay/ctrl/history_test.go
@@ -51,7 +51,7 @@
 			if failed := err != nil; failed != (c.fails != nil) || failed && !c.fails(err) {
 				t.Fatalf("unexpected error %v", err)
 			}
-			var got []string
+			got := make([]string, 0, len(h.Changes))
 			for _, change := range h.Changes {
 				got = append(got, change.ID)
 			}
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -47,7 +47,7 @@
 	ln       net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]context.CancelFunc // open connections; cancels the request in flight, nil: none
-	draining bool                            // idle connections end soon
+	drainEnd time.Time                       // from then on no request is taken; zero: Stop has not got that far
 	stopping atomic.Bool
 	active   atomic.Int64
 	wg       sync.WaitGroup // Serve and connections
@@ -131,8 +131,8 @@
 func (s *Server) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.draining = true
 	end := time.Now().Add(drainPeriod)
+	s.drainEnd = end
 	if l, ok := s.ln.(interface{ SetDeadline(t time.Time) error }); !ok || l.SetDeadline(end) != nil {
 		if s.ln != nil {
 			_ = s.ln.Close() // ends Serve
@@ -145,6 +145,14 @@
 	}
 }
 
+// drainedBy reports whether a request that begins at t comes too late to be served before
+// the server stops. It can still come on a connection whose last response had begun before.
+func (s *Server) drainedBy(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.drainEnd.IsZero() && t.After(s.drainEnd)
+}
+
 // limits returns the current limits, with defaults for those that aren't set.
 func (s *Server) limits() fleet.Limits {
 	l := s.Limits()
@@ -168,7 +176,7 @@
 func (s *Server) setIdle(c net.Conn, timeout time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
+	if !s.drainEnd.IsZero() {
 		timeout = min(timeout, drainPeriod)
 	}
 	s.conns[c] = nil
@@ -236,6 +244,13 @@
 		}
 		return false
 	}
+	if s.drainedBy(x.StartedAt) {
+		// The rest of the time for the stop may not be enough for it.
+		x.close = true
+		x.Reject(fasthttp.StatusServiceUnavailable, 0)
+		lingeringClose(c)
+		return false
+	}
 	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	go func() {
 		// Peek returns when the caller sends its next request or disconnects. In
--- a/relay/front/stop_test.go
+++ b/relay/front/stop_test.go
@@ -164,3 +164,39 @@
 	}
 	<-stopAccepting(srv, time.Second)
 }
+
+// TestStopRejectsLateRequests guards against a request that is taken late in a stop, on a
+// connection whose last response had begun before, and is cut off at its end.
+func TestStopRejectsLateRequests(t *testing.T) {
+	served := make(chan struct{}, 2)
+	began, proceed := make(chan struct{}, 2), make(chan struct{})
+	srv, addr, open := startServer(t, func(x *front.Exchange) {
+		served <- struct{}{}
+		var h fasthttp.ResponseHeader
+		h.SetStatusCode(fasthttp.StatusOK)
+		if err := x.BeginStream(&h, []byte("a")); err != nil {
+			t.Error(err)
+		}
+		began <- struct{}{}
+		<-proceed
+		x.EndStream()
+	})
+	close(open)
+	c, r := dial(t, addr, plainRequest)
+	<-began
+	stopped := stopAccepting(srv, 5*time.Second)
+	time.Sleep(300 * time.Millisecond) // longer than what callers have sent already is waited for
+	close(proceed)
+	var first, second fasthttp.Response
+	if err := first.Read(r); err != nil || first.StatusCode() != fasthttp.StatusOK {
+		t.Fatalf("first response: %v, %d", err, first.StatusCode())
+	}
+	send(t, c, plainRequest)
+	if err := second.Read(r); err != nil || second.StatusCode() != fasthttp.StatusServiceUnavailable || !second.ConnectionClose() {
+		t.Errorf("second response: %v, %d", err, second.StatusCode())
+	}
+	if len(served) != 1 {
+		t.Errorf("%d requests were served, want 1", len(served))
+	}
+	<-stopped
+}
--- a/relay/proxy/admission.go
+++ b/relay/proxy/admission.go
@@ -145,7 +145,7 @@
 	now := req.Clock.Now()
 	h := state.route(r)
 	a := share.Admission{Estimate: h.Correct(now, estimate, idle), Idle: idle, Slack: req.deadline.Sub(now)}
-	if r.LatencyObjective > 0 && !(r == req.route && req.takesUpStream()) {
+	if r.LatencyObjective > 0 && (r != req.route || !req.takesUpStream()) {
 		a.Slack = r.LatencyObjective - h.Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency) - now.Sub(req.startedAt)
 	}
 	return a
