relay/proxy: an answer that ends at the deadline is out of time

Cause: an endpoint knows the deadline and closes the connection at the same moment; if its end arrives first, the trace names the closed connection instead of the deadline. Status and health are the same.

--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -407,7 +408,8 @@
 	}
 	result := pick.ResultFailed
 	late := !req.Clock.Now().Before(req.deadline)
-	if late && (errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)) {
+	// An endpoint that knows the deadline may close the connection at the same moment.
+	if late && (errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, io.EOF)) {
 		err = errOutOfTime
 	}
 	switch {
