relay: logs tell how changes travel between relays, and why links are lost

A relay that is late with a configuration left no trace of whether it never heard of it, waited for its transfer or stood still. link_lost names the error, view_learnt the size and duration of the transfer; changes_overdue and the gauge view_behind_ms are new.

--- a/core/repl/contact.go
+++ b/core/repl/contact.go
@@ -25,6 +25,13 @@
 	Origin string    // instance that read the store
 }
 
+// Transfer describes how changes came from another process.
+type Transfer struct {
+	From  string        // instance that sent them
+	Bytes int           // size of the keys and values
+	Took  time.Duration // since they were requested
+}
+
 // Position tells how much of the store a process has read.
 type Position struct {
 	Point               // up to which it has all changes
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -295,7 +295,7 @@
 }
 
 // newAdmin returns the server of the admin address. It registers the gauges of
-// requests in flight, dials, responses held and quarantines, and reports the relay as not ready while it
+// requests in flight, dials, responses held, the age of missing changes and quarantines, and reports the relay as not ready while it
 // stops.
 func newAdmin(
 	c *ctrl.Control, m *peers.Mesh, srv *front.Server, p *pool.Pool, g *guard.Guard, b *proxy.Balancer, st *stage.Runner, meters *stats.Meters,
@@ -304,6 +304,7 @@
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_active", reg, srv.Active)
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_dials", reg, p.Dials)
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_response_bytes", reg, p.Budget.Used)
+	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_view_behind_ms", reg, func() int64 { return c.Behind().Milliseconds() })
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_suspects", reg, g.NumSuspects)
 	metrics.NewRegisteredFunctionalGauge("wigeonplank_relay_quarantines", reg, g.NumQuarantined)
 	serving := readyFunc(c, m)
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -58,7 +58,9 @@
 	mu        sync.Mutex // guards the fields below
 	point     repl.Point // of the replica
 	follower  repl.Follower
-	outageEnd time.Time // end of the last known outage of the store; zero if there was none
+	outageEnd time.Time  // end of the last known outage of the store; zero if there was none
+	announced repl.Point // highest point that another relay has announced
+	behindAt  time.Time  // since when the replica lacks changes up to announced; zero: it has them
 }
 
 // state is owned by the control goroutine.
@@ -80,6 +82,7 @@
 	repl.Update
 	outage   bool          // the previous read failed
 	from     string        // relay that sent the changes; empty if read from the store
+	transfer repl.Transfer // of the changes, if another relay sent them
 	position repl.Position // of that relay
 	recheck  bool          // there are no changes; only drop the endpoints that are overdue
 }
@@ -160,6 +163,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.point.Before(p.Point) {
+		if c.announced.Before(p.Point) {
+			c.announced = p.Point
+		}
+		if c.behindAt.IsZero() {
+			c.behindAt = c.Clock.Now()
+		}
 		return true
 	}
 	if p.Era == c.point.Era {
@@ -168,6 +177,17 @@
 	return false
 }
 
+// Behind returns for how long this relay has known of changes to the store that it
+// lacks.
+func (c *Control) Behind() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.behindAt.IsZero() {
+		return 0
+	}
+	return c.Clock.Now().Sub(c.behindAt)
+}
+
 // recordPositionLocked records the contact with the store and the end of an outage
 // that another relay reported. The caller holds c.mu.
 func (c *Control) recordPositionLocked(p repl.Position) {
@@ -204,6 +224,9 @@
 	}
 	before := c.point
 	c.point = c.state.table.Point()
+	if !c.point.Before(c.announced) {
+		c.behindAt = time.Time{}
+	}
 	return before.Before(c.point)
 }
 
@@ -228,12 +251,12 @@
 // Apply applies changes that another relay sent, and its position. It doesn't
 // block; the changes are dropped if the control goroutine doesn't take them within
 // a second.
-func (c *Control) Apply(from string, u repl.Update, p repl.Position) {
+func (c *Control) Apply(tr repl.Transfer, u repl.Update, p repl.Position) {
 	go func() {
 		t := time.NewTimer(controlTimeout)
 		defer t.Stop()
 		select {
-		case c.updates <- update{Update: u, from: from, position: p}:
+		case c.updates <- update{Update: u, from: tr.From, transfer: tr, position: p}:
 		case <-t.C:
 		}
 	}()
@@ -261,7 +284,8 @@
 	}
 	advanced := c.recordUpdate(u, now)
 	if u.from != "" {
-		c.Log.Event(logs.ViewReceived).Str("from", u.from).Int("entries", len(u.Entries)).Dur("age_ms", now.Sub(u.position.Contact.At)).Msg("")
+		c.Log.Event(logs.ViewReceived).Str("from", u.from).Int("entries", len(u.Entries)).Dur("age_ms", now.Sub(u.position.Contact.At)).
+			Int("bytes", u.transfer.Bytes).Dur("took_ms", u.transfer.Took).Msg("")
 	}
 	var operator, endpoints []plat.Entry
 	for _, entry := range changes {
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -38,7 +38,8 @@
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
 	StoreRestored     = newEventType("store_restored", log.WarnLevel, changeRate, "The store came back from an older copy, or another relay said so; what was believed stays until it is written again.", "era", "after", "revision", "from")
 	VersionsRecalled  = newEventType("versions_recalled", log.InfoLevel, changeRate, "The history of the store was read for a stream whose origin no relay remembers; software versions are known from since on.", "since", "changes", "error")
-	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms")
+	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms", "bytes", "took_ms")
+	ChangesOverdue    = newEventType("changes_overdue", log.WarnLevel, changeRate, "Changes to the store that were requested from another relay have not arrived in time; they are requested again.", "from", "took_ms", "behind_ms")
 	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes")
 	ConfigRejected    = newEventType("config_rejected", log.ErrorLevel, changeRate, "A configuration is invalid; the previous one stays active.", "revision", "error")
 	ZoneDrained       = newEventType("zone_drained", log.InfoLevel, changeRate, "An availability zone was drained; its endpoints get no new requests.", "zone")
@@ -58,7 +59,7 @@
 	MemberExpired    = newEventType("member_forgotten", log.InfoLevel, changeRate, "A relay was removed from the members because its last contact is too long ago.", "member")
 	LinkUp           = newEventType("link_up", log.InfoLevel, changeRate, "A link to another relay was established.", "member", "addr")
 	LinkDown         = newEventType("link_down", log.InfoLevel, changeRate, "A link could not be opened or has failed.", "addr", "error")
-	LinkLost         = newEventType("link_lost", log.InfoLevel, changeRate, "An established link has closed; its pending items are placed again.", "member", "items")
+	LinkLost         = newEventType("link_lost", log.InfoLevel, changeRate, "An established link has closed; its pending items are placed again.", "member", "items", "error")
 
 	EndpointCrashed   = newEventType("endpoint_crashed", log.WarnLevel, changeRate, "An endpoint that ran requests of this relay has ended without leaving.", "endpoint", "service", "requests_lost")
 	Quarantined       = newEventType("quarantined", log.WarnLevel, changeRate, "Endpoints crash under requests with a subject in common, such as a part of their prompts. Requests with it are rejected.", "subject", "endpoints", "crashes", "pause_ms")
@@ -93,6 +94,8 @@
 	"affinity":         {"", "hash, in hexadecimal, of the part of the prompt that an endpoint may have cached; 0: none"},
 	"after":            {"revision", "last revision that was read"},
 	"age_ms":           {"ms", "time since any relay last read from the store"},
+	"behind_ms":        {"ms", "time since the relay first heard of changes that it lacks"},
+	"bytes":            {"bytes", "size of the changes"},
 	"changes":          {"", "number of changes of the store"},
 	"entries":          {"", "number of entries of the store"},
 	"ahead":            {"requests", "estimated requests at the endpoint when it was selected by time; 0: selected otherwise"},
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -110,10 +110,9 @@
 	}
 }
 
-// unregister takes a failed session out of use and returns its pending items to the
+// unregister takes a session that has failed out of use and returns its pending items to the
 // handler.
 func (m *Mesh) unregister(s *session) {
-	s.fail()
 	m.mu.Lock()
 	delete(m.sessions, s)
 	if m.byID[s.remote.Instance] == s {
@@ -133,7 +132,7 @@
 	m.requestRelink()
 	pending := s.takePending()
 	if s.dialer {
-		m.Log.Event(logs.LinkLost).Str("member", s.remote.Instance).Int("items", len(pending)).Msg("")
+		m.Log.Event(logs.LinkLost).Str("member", s.remote.Instance).Int("items", len(pending)).Err(s.cause).Msg("")
 	}
 	m.Handler.Resubmit(pending)
 }
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -64,8 +64,10 @@
 	// Changes returns the changes after a point, or all entries if its revision is
 	// negative, and the position that they lead to.
 	Changes(after repl.Point) (repl.Update, repl.Position)
-	// Apply applies changes that the relay named from sent, and its position.
-	Apply(from string, u repl.Update, p repl.Position)
+	// Apply applies changes that another relay sent, and its position.
+	Apply(t repl.Transfer, u repl.Update, p repl.Position)
+	// Behind returns for how long this relay has known of changes that it lacks.
+	Behind() time.Duration
 }
 
 // Notices keeps what endpoints announce in their responses. Its methods are called
@@ -115,6 +117,8 @@
 	informed  bool      // a relay has told what it knows
 	leaving   bool      // this relay is shutting down
 	pullUntil time.Time // no changes are requested before this
+	pulledAt  time.Time // the last request for changes; zero: it was answered
+	pullFrom  string    // relay that it was sent to
 	relink    chan struct{}
 	ln        net.Listener
 
@@ -396,23 +400,28 @@
 	}
 	now := m.Clock.Now()
 	m.mu.Lock()
-	pending := now.Before(m.pullUntil)
+	pending, from, at := now.Before(m.pullUntil), m.pullFrom, m.pulledAt
 	if !pending {
-		m.pullUntil = now.Add(pullTimeout)
+		m.pullUntil, m.pulledAt, m.pullFrom = now.Add(pullTimeout), now, s.remote.Instance
 	}
 	m.mu.Unlock()
 	if pending {
 		return
 	}
+	if !at.IsZero() {
+		m.Log.Event(logs.ChangesOverdue).Str("from", from).Dur("took_ms", now.Sub(at)).Dur("behind_ms", m.Source.Behind()).Msg("")
+	}
 	after := m.Source.Position().Point
 	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: max(0, after.Revision), Changes: after.Revision >= 0, Era: after.Era}}})
 }
 
-// pulled allows the next request for changes.
-func (m *Mesh) pulled() {
+// pulled allows the next request for changes, and returns the time since the last one.
+func (m *Mesh) pulled() time.Duration {
 	m.mu.Lock()
-	m.pullUntil = time.Time{}
-	m.mu.Unlock()
+	defer m.mu.Unlock()
+	took := m.Clock.Now().Sub(m.pulledAt)
+	m.pullUntil, m.pulledAt = time.Time{}, time.Time{}
+	return took
 }
 
 // Serve accepts links from other relays until Close is called, then returns nil.
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -34,6 +34,9 @@
 // errSilent reports that a heartbeat was not answered in time.
 var errSilent = errors.New("no answer to a heartbeat")
 
+// errQueueFull reports that too many messages wait to be sent.
+var errQueueFull = errors.New("too many messages wait to be sent")
+
 // Timing sets the intervals of heartbeats. The zero value selects the defaults.
 type Timing struct {
 	Active time.Duration // between two heartbeats while items are pending on a link; 0: 500 ms
@@ -73,6 +76,7 @@
 	done    chan struct{} // closed when the session has failed
 
 	failOnce sync.Once
+	cause    error       // why the session has failed; set before done is closed
 	remote   peer.Member // guarded by Mesh.mu until the session is registered, then constant
 
 	mu        sync.Mutex
@@ -86,7 +90,8 @@
 	originRequests uint64                         // sent so far
 	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
 
-	parts []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
+	parts      []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
+	partsBytes int          // size of their keys and values
 }
 
 // newSession returns a session over a link and its two streams.
@@ -100,20 +105,19 @@
 
 // run serves the session until it fails, and returns the reason.
 func (s *session) run() error {
-	defer s.fail()
-	sent := make(chan error, 1)
-	go func() { sent <- s.sendHeartbeats() }()
-	err := s.receiveHeartbeats()
-	s.fail()
-	if sendErr := <-sent; errors.Is(sendErr, errSilent) {
-		return sendErr
-	}
-	return err
+	go func() { s.fail(s.sendHeartbeats()) }()
+	s.fail(s.receiveHeartbeats())
+	if s.remoteInstance() != "" {
+		s.mesh.unregister(s)
+	}
+	return s.cause
 }
 
-// fail closes the session. Both ends notice it.
-func (s *session) fail() {
+// fail closes the session because of err. Both ends notice it. Later errors are
+// consequences of the first and are dropped.
+func (s *session) fail(err error) {
 	s.failOnce.Do(func() {
+		s.cause = err
 		close(s.done)
 		s.link.Close()
 	})
@@ -130,7 +134,6 @@
 		s.mesh.observeMembers(&hb)
 		if first {
 			s.mesh.register(s, fromWire(hb.GetSelf()))
-			defer s.mesh.unregister(s)
 			go s.writeWork()
 			go s.readWork()
 		}
@@ -182,7 +185,6 @@
 // sendHeartbeats sends heartbeats until the session fails. The dialer sends them
 // periodically, the other relay only when one is requested.
 func (s *session) sendHeartbeats() error {
-	defer s.fail()
 	var state heartbeatState
 	var tick <-chan time.Time
 	if s.dialer {
@@ -253,8 +255,8 @@
 		case <-s.done:
 			return
 		case w := <-s.queue:
-			if s.work.Send(w) != nil {
-				s.fail()
+			if err := s.work.Send(w); err != nil {
+				s.fail(fmt.Errorf("send work: %w", err))
 				return
 			}
 		}
@@ -263,10 +265,10 @@
 
 // readWork handles the messages of the other relay until the stream ends.
 func (s *session) readWork() {
-	defer s.fail()
 	for {
 		var w Work
-		if s.work.Receive(&w) != nil {
+		if err := s.work.Receive(&w); err != nil {
+			s.fail(fmt.Errorf("receive work: %w", err))
 			return
 		}
 		switch k := w.GetKind().(type) {
@@ -366,9 +368,10 @@
 // goroutine calls it.
 func (s *session) addSnapshotPart(part *Snapshot) {
 	if part.GetFirst() {
-		s.parts = nil
+		s.parts, s.partsBytes = nil, 0
 	}
 	for _, e := range part.GetEntries() {
+		s.partsBytes += len(e.GetKey()) + len(e.GetValue())
 		s.parts = append(s.parts, repl.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved()})
 	}
 	if part.GetMore() {
@@ -376,8 +379,8 @@
 	}
 	u := repl.Update{Entries: s.parts, Full: !part.GetChanges(), After: part.GetAfter(), To: part.GetTo(), Era: part.GetEra()}
 	s.parts = nil
-	s.mesh.Source.Apply(s.remote.Instance, u, positionFromWire(part.GetPosition(), s.mesh.Clock.Now()))
-	s.mesh.pulled()
+	t := repl.Transfer{From: s.remote.Instance, Bytes: s.partsBytes, Took: s.mesh.pulled()}
+	s.mesh.Source.Apply(t, u, positionFromWire(part.GetPosition(), s.mesh.Clock.Now()))
 }
 
 // submit sends items to the other relay and tracks them as pending. It reports
@@ -426,7 +429,7 @@
 	if sent {
 		return
 	}
-	s.fail()
+	s.fail(errQueueFull)
 	if res.Ref != "" {
 		s.mesh.Handler.ReleaseDirectly([]string{res.Ref})
 	}
