relay/peers: a test of configurations that never cross slow links, failing

Callers were served by configurations that had been replaced more than 3 s before. Mesh.Dial lets the test put its connection under a link.

--- /dev/null
+++ b/relay/peers/changes_test.go
@@ -0,0 +1,180 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/batch"
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/notice"
+	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/repl"
+	"wigeonplank.example/relay/logs"
+)
+
+const (
+	slowLink      = 10_000_000 / 8  // bytes per second, each way
+	applyLimit    = 3 * time.Second // within which a configuration is in force everywhere
+	largestConfig = 1 << 20         // bytes; the most that the store keeps under a key
+)
+
+// slowConn is a connection over a link of limited bandwidth.
+type slowConn struct {
+	net.Conn
+	free time.Time // when the link has sent what was written
+}
+
+func (c *slowConn) Write(p []byte) (int, error) {
+	const frame = 8 << 10
+	for sent := 0; sent < len(p); {
+		n := min(frame, len(p)-sent)
+		if now := time.Now(); c.free.Before(now) {
+			c.free = now
+		}
+		c.free = c.free.Add(time.Duration(n) * time.Second / slowLink)
+		time.Sleep(time.Until(c.free))
+		n, err := c.Conn.Write(p[sent : sent+n])
+		if sent += n; err != nil {
+			return sent, err
+		}
+	}
+	return len(p), nil
+}
+
+// idleHandler is a relay without requests. It counts the links that end.
+type idleHandler struct {
+	Handler
+	Engines
+	ended atomic.Int32
+}
+
+func (*idleHandler) Reports() map[batch.Pool]batch.Report { return nil }
+func (*idleHandler) Backlogs() map[batch.Pool]int         { return nil }
+func (*idleHandler) Notices(int) ([]notice.Entry, int)    { return nil, 0 }
+func (*idleHandler) RecordNotices([]notice.Entry)         {}
+
+func (h *idleHandler) Resubmit([]*batch.Item) { h.ended.Add(1) }
+
+// replica is a Source without a store.
+type replica struct {
+	mu    sync.Mutex
+	table repl.Table
+}
+
+func (r *replica) Ready() (bool, string)   { return true, "" }
+func (r *replica) Behind() time.Duration   { return 0 }
+func (r *replica) Position() repl.Position { return repl.Position{Point: r.point()} }
+
+func (r *replica) Announced(p repl.Position) bool { return r.point().Before(p.Point) }
+
+func (r *replica) point() repl.Point {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Point()
+}
+
+func (r *replica) Changes(after repl.Point) (repl.Update, repl.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Since(after), repl.Position{Point: r.table.Point()}
+}
+
+func (r *replica) Apply(_ repl.Transfer, u repl.Update, _ repl.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = r.table.Apply(u) // an update that doesn't fit is requested again
+}
+
+// put changes the value of a key.
+func (r *replica) put(key string, value []byte) repl.Point {
+	at := r.point()
+	r.Apply(repl.Transfer{}, repl.Update{
+		After: at.Revision, To: at.Revision + 1, Entries: []repl.Entry{{Key: key, Value: value, Revision: at.Revision + 1}},
+	}, repl.Position{})
+	return r.point()
+}
+
+// testRelay is a relay on one end of a slow link.
+type testRelay struct {
+	*Mesh
+	idleHandler
+	replica
+}
+
+// startPair returns two relays that are linked by a slow connection.
+func startPair(t *testing.T) (a, b *testRelay) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	log := logs.New(io.Discard, clock.System{}, "test")
+	newRelay := func(name string) *testRelay {
+		r := &testRelay{}
+		r.Mesh = &Mesh{
+			Group: &peer.Group{Self: peer.Member{Instance: name, Addr: name, Zone: "z", Incarnation: 1}, Started: time.Now()},
+			Seeds: func() []string { return []string{"a"} }, Handler: &r.idleHandler, Engines: &r.idleHandler, Notices: &r.idleHandler,
+			Clock: clock.System{}, Log: log, Source: &r.replica,
+		}
+		r.init()
+		r.replica.Apply(repl.Transfer{}, repl.Update{Full: true, To: 1}, repl.Position{})
+		return r
+	}
+	a, b = newRelay("a"), newRelay("b")
+	b.Dial = func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go a.serveLink(&slowConn{Conn: far})
+		return &slowConn{Conn: near}, nil
+	}
+	a.Dial = func(context.Context, string) (net.Conn, error) { return nil, net.ErrClosed }
+	go b.Run(ctx)
+	awaitPoint(t, a, b, a.put("ready", nil), applyLimit)
+	return a, b
+}
+
+// awaitPoint announces the changes of relay a, and waits until relay b has them.
+func awaitPoint(t *testing.T, a, b *testRelay, p repl.Point, limit time.Duration) {
+	t.Helper()
+	start := time.Now()
+	a.Announce()
+	for b.point().Before(p) {
+		if time.Since(start) > limit {
+			t.Fatalf("revision %d is missing after %v, %d links have ended", p.Revision, limit, a.ended.Load())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestLargeConfigurationOverSlowLink guards against configurations that never reach relays
+// with slow links: sent in one message, they exceeded the time limits of the link, which
+// was closed, opened again, and closed by the next attempt.
+func TestLargeConfigurationOverSlowLink(t *testing.T) {
+	tests := map[string]struct {
+		size  int
+		limit time.Duration
+	}{
+		"largest today": {largestConfig, applyLimit},
+		"larger":        {4 * largestConfig, 4 * applyLimit}, // no bound on the size of what is sent
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := startPair(t)
+			config := make([]byte, tt.size) // not compressible
+			random := rand.NewChaCha8([32]byte{1})
+			_, _ = random.Read(config)
+			awaitPoint(t, a, b, a.put("config", config), tt.limit)
+			got, _ := b.Changes(repl.Point{Revision: -1})
+			if n := len(got.Entries); n != 2 || !bytes.Equal(got.Entries[1].Value, config) {
+				t.Errorf("%d entries, or not the configuration", n)
+			}
+			if n := a.ended.Load(); n > 0 {
+				t.Errorf("%d links have ended", n)
+			}
+		})
+	}
+}
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -53,8 +53,7 @@
 // dialAndServe opens the link and its two streams, and serves it until it fails
 // or ctx ends.
 func (l *outboundLink) dialAndServe(ctx context.Context) error {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", l.addr)
+	conn, err := l.mesh.dial(ctx, l.addr)
 	if err != nil {
 		return fmt.Errorf("dial relay: %w", err)
 	}
@@ -76,6 +75,15 @@
 	return l.mesh.newSession(s, control, work, true).run()
 }
 
+// dial opens a connection to the relay at addr.
+func (m *Mesh) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if m.Dial != nil {
+		return m.Dial(ctx, addr)
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // serveLink serves a link that another relay dialed, until it fails.
 func (m *Mesh) serveLink(conn net.Conn) {
 	s, err := link.NewServer(conn)
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -98,6 +98,7 @@
 	Group   *peer.Group     // guarded by mu once Run or Serve is called
 	Seeds   func() []string // addresses (IP:port) to link to from the start; may change between calls
 	Timing  Timing
+	Dial    func(ctx context.Context, addr string) (net.Conn, error) // nil: TCP
 	Handler Handler
 	Engines Engines
 	Clock   clock.Clock
