relay/peers, base/link: changes of any size cross links of any bandwidth

Callers were served by configurations that had been replaced more than 3 s before (CONFIG). Cause: a configuration is one entry and was sent in one message, while time limits held for the whole of it: 0.5 s for the write, 0.8 s for an answer queued behind it, 0.7 s until it was requested once more from another relay. Past what a link of 10 Mbit/s carries in that time, links were closed, and every new one carried the same bytes again.

Messages are written in parts, and time limits hold for the time without progress. Changes are compressed, cut into parts that wait for all other messages, and sent to two relays at a time. A relay that receives changes doesn't read the store meanwhile.

--- a/core/repl/contact.go
+++ b/core/repl/contact.go
@@ -14,6 +14,9 @@
 	patience = 2500 * time.Millisecond
 	// maxJitter spreads the reads of processes that lost contact together.
 	maxJitter = 500 * time.Millisecond
+	// transferPatience is how long a process waits for the next part of changes that
+	// another one is sending, rather than read the store over the same network link.
+	transferPatience = 700 * time.Millisecond
 	// probesPerSecond bounds the reads of all processes together that are no readers,
 	// while the store doesn't respond.
 	probesPerSecond = 8
@@ -28,7 +31,7 @@
 // Transfer describes how changes came from another process.
 type Transfer struct {
 	From  string        // instance that sent them
-	Bytes int           // size of the keys and values
+	Bytes int           // as they were sent
 	Took  time.Duration // since they were requested
 }
 
@@ -49,6 +52,8 @@
 	own    Contact // last contact of this process
 	others Contact // last contact of another process
 	probed time.Time
+
+	receivedAt time.Time // when the last part of changes arrived from another process
 }
 
 // RecordOwn records that this process read the store.
@@ -61,6 +66,9 @@
 	}
 }
 
+// RecordTransfer records that a part of changes arrived from another process.
+func (f *Follower) RecordTransfer(now time.Time) { f.receivedAt = now }
+
 // Last returns the last known contact.
 func (f *Follower) Last() Contact {
 	if f.others.At.After(f.own.At) {
@@ -86,7 +94,7 @@
 	if reader {
 		return true
 	}
-	if now.Sub(f.others.At) < patience+jitter {
+	if now.Sub(f.others.At) < patience+jitter || now.Sub(f.receivedAt) < transferPatience {
 		return false
 	}
 	if failures == 0 {
--- a/core/repl/repl_test.go
+++ b/core/repl/repl_test.go
@@ -307,3 +307,23 @@
 		t.Error("the process doesn't read the store, though no other one does")
 	}
 }
+
+// TestTransferDefersRead guards against processes that read the store while another one
+// sends them the same changes over the same slow network link, so that neither ends.
+func TestTransferDefersRead(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	f := repl.Follower{Self: "a", Started: start}
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for d := 100 * time.Millisecond; d <= 5*time.Second; d += 100 * time.Millisecond {
+		f.RecordTransfer(at(d))
+		if f.ShouldRead(at(d), false, 4, 0) {
+			t.Fatalf("reads the store after %v, while changes arrive", d)
+		}
+	}
+	if !f.ShouldRead(at(5*time.Second), true, 4, 0) {
+		t.Error("a reader doesn't read the store")
+	}
+	if !f.ShouldRead(at(6*time.Second), false, 4, 0) {
+		t.Error("doesn't read the store a second after the last part of the changes")
+	}
+}
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -177,6 +177,13 @@
 	return false
 }
 
+// Receiving records that another relay is sending changes.
+func (c *Control) Receiving() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follower.RecordTransfer(c.Clock.Now())
+}
+
 // Behind returns for how long this relay has known of changes to the store that it
 // lacks.
 func (c *Control) Behind() time.Duration {
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -95,7 +95,7 @@
 	"after":            {"revision", "last revision that was read"},
 	"age_ms":           {"ms", "time since any relay last read from the store"},
 	"behind_ms":        {"ms", "time since the relay first heard of changes that it lacks"},
-	"bytes":            {"bytes", "size of the changes"},
+	"bytes":            {"bytes", "size of the changes as they were sent"},
 	"changes":          {"", "number of changes of the store"},
 	"entries":          {"", "number of entries of the store"},
 	"ahead":            {"requests", "estimated requests at the endpoint when it was selected by time; 0: selected otherwise"},
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -135,6 +135,9 @@
 			m.Group.MarkClosed(s.remote.Instance)
 		}
 	}
+	if m.pulling.from == s {
+		m.pulling = pull{}
+	}
 	m.forgetOwners()
 	m.mu.Unlock()
 	m.requestRelink()
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -25,10 +25,9 @@
 )
 
 const (
-	linkLinger  = 5 * time.Second        // a link that is no longer needed is kept for this long
-	pullTimeout = 700 * time.Millisecond // a request for changes may be repeated, at another relay, after this time
-	seedPeriod  = 5 * time.Second        // links to all seeds are kept for this long after the start
-	informWait  = time.Second            // after the start, at most, until requests are served without what other relays know
+	linkLinger = 5 * time.Second // a link that is no longer needed is kept for this long
+	seedPeriod = 5 * time.Second // links to all seeds are kept for this long after the start
+	informWait = time.Second     // after the start, at most, until requests are served without what other relays know
 )
 
 // Handler runs the stage items that other relays submit, and receives the
@@ -64,6 +63,8 @@
 	// Changes returns the changes after a point, or all entries if its revision is
 	// negative, and the position that they lead to.
 	Changes(after repl.Point) (repl.Update, repl.Position)
+	// Receiving records that another relay is sending changes.
+	Receiving()
 	// Apply applies changes that another relay sent, and its position.
 	Apply(t repl.Transfer, u repl.Update, p repl.Position)
 	// Behind returns for how long this relay has known of changes that it lacks.
@@ -113,14 +114,13 @@
 	byID      map[string]*session      // sessions of links of this relay that are up, by instance ID
 	sessions  map[*session]bool        // all sessions that are up, in both directions
 	owners    map[batch.Pool]ownership
-	reads     bool      // this relay reads the store for others
-	alone     bool      // all known relays read the store
-	informed  bool      // a relay has told what it knows
-	leaving   bool      // this relay is shutting down
-	pullUntil time.Time // no changes are requested before this
-	pulledAt  time.Time // the last request for changes; zero: it was answered
-	pullFrom  string    // relay that it was sent to
+	reads     bool // this relay reads the store for others
+	alone     bool // all known relays read the store
+	informed  bool // a relay has told what it knows
+	leaving   bool // this relay is shutting down
+	pulling   pull // request for changes that is in flight
 	relink    chan struct{}
+	transfers chan struct{} // holds one value for each response with changes that is sent
 	ln        net.Listener
 
 	originMu sync.Mutex
@@ -155,6 +155,7 @@
 	m.sessions = make(map[*session]bool)
 	m.owners = make(map[batch.Pool]ownership)
 	m.relink = make(chan struct{}, 1)
+	m.transfers = make(chan struct{}, maxTransfers)
 }
 
 // requestRelink makes Run update the links now.
@@ -393,38 +394,6 @@
 	}
 }
 
-// pull requests the changes that the relay at the other end of s has announced, if
-// this relay lacks them and no other request is in flight.
-func (m *Mesh) pull(s *session, p repl.Position) {
-	if !m.Source.Announced(p) {
-		return
-	}
-	now := m.Clock.Now()
-	m.mu.Lock()
-	pending, from, at := now.Before(m.pullUntil), m.pullFrom, m.pulledAt
-	if !pending {
-		m.pullUntil, m.pulledAt, m.pullFrom = now.Add(pullTimeout), now, s.remote.Instance
-	}
-	m.mu.Unlock()
-	if pending {
-		return
-	}
-	if !at.IsZero() {
-		m.Log.Event(logs.ChangesOverdue).Str("from", from).Dur("took_ms", now.Sub(at)).Dur("behind_ms", m.Source.Behind()).Msg("")
-	}
-	after := m.Source.Position().Point
-	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: max(0, after.Revision), Changes: after.Revision >= 0, Era: after.Era}}})
-}
-
-// pulled allows the next request for changes, and returns the time since the last one.
-func (m *Mesh) pulled() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	took := m.Clock.Now().Sub(m.pulledAt)
-	m.pullUntil, m.pulledAt = time.Time{}, time.Time{}
-	return took
-}
-
 // Serve accepts links from other relays until Close is called, then returns nil.
 // It blocks.
 func (m *Mesh) Serve(ln net.Listener) error {
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -11,7 +11,6 @@
 	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/prompt"
-	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
 )
 
@@ -27,8 +26,7 @@
 	// in multiples of the interval while there are some.
 	idleFactor = 3
 
-	maxQueuedMessages = 1024     // waiting to be sent on one link
-	snapshotPartBytes = 64 << 10 // a part of a store snapshot is sent once it has this size
+	maxQueuedMessages = 1024 // waiting to be sent on one link
 )
 
 // errSilent reports that a heartbeat was not answered in time.
@@ -72,6 +70,7 @@
 	control *link.Stream
 	work    *link.Stream
 	queue   chan *Work    // messages to send on the work stream
+	parts   chan *Work    // parts of changes, which are sent while the queue is empty
 	beat    chan struct{} // requests a heartbeat now
 	done    chan struct{} // closed when the session has failed
 
@@ -90,15 +89,14 @@
 	originRequests uint64                         // sent so far
 	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
 
-	parts      []repl.Entry // entries of the snapshot parts received so far; used only by the reading goroutine
-	partsBytes int          // size of their keys and values
+	incoming incoming // used only by the goroutine that reads work
 }
 
 // newSession returns a session over a link and its two streams.
 func (m *Mesh) newSession(s *link.Session, control, work *link.Stream, dialer bool) *session {
 	return &session{
 		mesh: m, dialer: dialer, link: s, control: control, work: work,
-		queue: make(chan *Work, maxQueuedMessages), beat: make(chan struct{}, 1), done: make(chan struct{}),
+		queue: make(chan *Work, maxQueuedMessages), parts: make(chan *Work), beat: make(chan struct{}, 1), done: make(chan struct{}),
 		pending: make(map[itemKey]*batch.Item),
 	}
 }
@@ -251,18 +249,35 @@
 // writeWork sends the queued messages until the session fails.
 func (s *session) writeWork() {
 	for {
-		select {
-		case <-s.done:
+		w := s.nextWork()
+		if w == nil {
+			return
+		}
+		if err := s.work.Send(w); err != nil {
+			s.fail(fmt.Errorf("send work: %w", err))
 			return
-		case w := <-s.queue:
-			if err := s.work.Send(w); err != nil {
-				s.fail(fmt.Errorf("send work: %w", err))
-				return
-			}
 		}
 	}
 }
 
+// nextWork waits for the next message to send. It returns nil once the session has
+// failed.
+func (s *session) nextWork() *Work {
+	select {
+	case w := <-s.queue:
+		return w
+	default:
+	}
+	select {
+	case <-s.done:
+		return nil
+	case w := <-s.queue:
+		return w
+	case w := <-s.parts:
+		return w
+	}
+}
+
 // readWork handles the messages of the other relay until the stream ends.
 func (s *session) readWork() {
 	for {
@@ -281,9 +296,9 @@
 		case *Work_Done:
 			s.handleDone(k.Done)
 		case *Work_Fetch:
-			go s.sendSnapshot(k.Fetch)
+			go s.sendChanges(k.Fetch)
 		case *Work_Learnt:
-			s.addSnapshotPart(k.Learnt)
+			s.addPart(k.Learnt)
 		case *Work_Place:
 			s.handlePlace(k.Place)
 		case *Work_Placed:
@@ -319,70 +334,6 @@
 	}
 }
 
-// sendSnapshot sends the changes after a revision, or all entries of this relay's
-// replica, in parts of about snapshotPartBytes. It sends nothing if the replica is
-// empty, and blocks while the queue is full.
-func (s *session) sendSnapshot(r *SnapshotRequest) {
-	after := repl.Point{Revision: -1}
-	if r.GetChanges() {
-		after = repl.Point{Era: r.GetEra(), Revision: r.GetAfter()}
-	}
-	u, position := s.mesh.Source.Changes(after)
-	if position.Revision < 0 {
-		return
-	}
-	now := s.mesh.Clock.Now()
-	newPart := func() *Snapshot {
-		return &Snapshot{Changes: !u.Full, After: u.After, To: u.To, Era: u.Era, Position: positionToWire(position, now), AgeMs: now.Sub(position.Contact.At).Milliseconds()}
-	}
-	part, size := newPart(), 0
-	part.First = true
-	for i, e := range u.Entries {
-		part.Entries = append(part.Entries, &StoreEntry{Key: e.Key, Value: e.Value, Revision: e.Revision, Removed: e.Removed})
-		size += len(e.Key) + len(e.Value)
-		if size < snapshotPartBytes || i == len(u.Entries)-1 {
-			continue
-		}
-		part.More = true
-		if !s.sendPart(part) {
-			return
-		}
-		part, size = newPart(), 0
-	}
-	s.sendPart(part)
-}
-
-// sendPart queues a part of a snapshot. It blocks while the queue is full, and
-// reports false if the session has failed.
-func (s *session) sendPart(part *Snapshot) bool {
-	select {
-	case <-s.done:
-		return false
-	case s.queue <- &Work{Kind: &Work_Learnt{Learnt: part}}:
-		return true
-	}
-}
-
-// addSnapshotPart collects the parts of a snapshot of the other relay's replica,
-// and applies the snapshot once the last part has arrived. Only the reading
-// goroutine calls it.
-func (s *session) addSnapshotPart(part *Snapshot) {
-	if part.GetFirst() {
-		s.parts, s.partsBytes = nil, 0
-	}
-	for _, e := range part.GetEntries() {
-		s.partsBytes += len(e.GetKey()) + len(e.GetValue())
-		s.parts = append(s.parts, repl.Entry{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved()})
-	}
-	if part.GetMore() {
-		return
-	}
-	u := repl.Update{Entries: s.parts, Full: !part.GetChanges(), After: part.GetAfter(), To: part.GetTo(), Era: part.GetEra()}
-	s.parts = nil
-	t := repl.Transfer{From: s.remote.Instance, Bytes: s.partsBytes, Took: s.mesh.pulled()}
-	s.mesh.Source.Apply(t, u, positionFromWire(part.GetPosition(), s.mesh.Clock.Now()))
-}
-
 // submit sends items to the other relay and tracks them as pending. It reports
 // false, and tracks nothing, if the session has failed or its queue is full.
 func (s *session) submit(p batch.Pool, items []*batch.Item) bool {
