proof/scene: the largest configuration reaches agents over slow links

The same cause in another place: an entry sends its agents a configuration in one message on the stream of their pings, whose silence ends a link after 0.7 s. 1 MB takes 0.84 s over 10 Mbit/s, so agents never got it and went on by the old configuration.

--- a/proof/fleet/proxies.go
+++ b/proof/fleet/proxies.go
@@ -19,9 +19,13 @@
 	ProxyCut          ProxyMode = "cut"     // closes existing connections, and new ones when it has accepted them
 	ProxyDropAll      ProxyMode = "black"   // drops all bytes of existing and new connections
 	ProxyDelay        ProxyMode = "delay"   // delays bytes towards the agent
+	ProxySlow         ProxyMode = "slow"    // forwards slowBandwidth bytes per second each way
 )
 
-const proxyDelay = 500 * time.Millisecond // before the bytes of each read are forwarded, in mode ProxyDelay
+const (
+	proxyDelay    = 500 * time.Millisecond // before the bytes of each read are forwarded, in mode ProxyDelay
+	slowBandwidth = 10_000_000 / 8         // bytes per second, in mode ProxySlow
+)
 
 // linkKey identifies a link by the names of its entry and instance.
 type linkKey struct{ entry, instance string }
@@ -47,6 +51,7 @@
 	client, server net.Conn
 	mu             sync.Mutex
 	dropping       bool // stays set until the connection closes
+	slow           bool
 	delay          time.Duration
 }
 
@@ -106,8 +111,11 @@
 			c.close()
 		case ProxyDelay:
 			c.setDelay(proxyDelay)
+		case ProxySlow:
+			c.setSlow(true)
 		case ProxyPass:
 			c.setDelay(0)
+			c.setSlow(false)
 		}
 	}
 }
@@ -142,6 +150,7 @@
 	if mode == ProxyDelay {
 		c.delay = proxyDelay
 	}
+	c.slow = mode == ProxySlow
 	lp.mu.Lock()
 	lp.conns[c] = true
 	lp.mu.Unlock()
@@ -159,10 +168,13 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
-		dropping, delay := c.fault()
+		dropping, slow, delay := c.fault()
 		if delayed && delay > 0 {
 			time.Sleep(delay)
 		}
+		if slow {
+			time.Sleep(time.Duration(n) * time.Second / slowBandwidth)
+		}
 		if dropping {
 			if err != nil {
 				return // dst stays open
@@ -184,10 +196,10 @@
 	}
 }
 
-func (c *proxiedConn) fault() (dropping bool, delay time.Duration) {
+func (c *proxiedConn) fault() (dropping, slow bool, delay time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.dropping, c.delay
+	return c.dropping, c.slow, c.delay
 }
 
 func (c *proxiedConn) startDropping() {
@@ -202,6 +214,12 @@
 	c.delay = d
 }
 
+func (c *proxiedConn) setSlow(slow bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow = slow
+}
+
 func (c *proxiedConn) close() {
 	_ = c.client.Close()
 	_ = c.server.Close()
--- a/proof/scene/procs_test.go
+++ b/proof/scene/procs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -66,7 +68,8 @@
 
 // publishDocument implements "publish zone ZONE STATE": publish the next
 // revision of the document with the zone's state changed; and
-// "publish file FILE": publish the bytes of FILE without validation.
+// "publish file FILE [BYTES]": publish the bytes of FILE without validation, with a
+// comment that brings them to the size.
 func publishDocument(inv *invocation) error {
 	f := inv.scene.fleet
 	if inv.arg(0) == "zone" {
@@ -76,6 +79,13 @@
 	if err != nil {
 		return err
 	}
+	if len(inv.args) > 2 {
+		size, err := strconv.Atoi(inv.arg(2))
+		if err != nil {
+			return fmt.Errorf("size of the document: %w", err)
+		}
+		raw = append(raw, "# "+strings.Repeat("x", size-len(raw)-3)+"\n"...)
+	}
 	return f.PublishRaw(raw)
 }
 
