--- a/relay/peers/changes_test.go
+++ b/relay/peers/changes_test.go
@@ -219,3 +219,27 @@
 		}
 	}
 }
+
+// TestChangesForOlderRelay guards against relays of an earlier release that get no changes
+// from those of this one. They are sent as before, in one message.
+func TestChangesForOlderRelay(t *testing.T) {
+	a, b := startPair(t)
+	config := randomBytes(largestConfig)
+	before := b.point()
+	p := a.put("config", config)
+	b.Mesh.mu.Lock()
+	s := b.byID["a"]
+	b.Mesh.mu.Unlock()
+	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: before.Revision, Changes: true}}})
+	for start := time.Now(); b.point().Before(p); time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > applyLimit {
+			t.Fatal("the changes are missing")
+		}
+	}
+	if got, _ := b.Changes(before); len(got.Entries) != 1 || !bytes.Equal(got.Entries[0].Value, config) {
+		t.Errorf("%d entries, or not the configuration", len(got.Entries))
+	}
+	if n := a.ended.Load(); n > 0 {
+		t.Errorf("%d links have ended", n)
+	}
+}
