--- a/base/link/link.go
+++ b/base/link/link.go
@@ -28,7 +28,7 @@
 	handshakeTimeout = 500 * time.Millisecond
 	writeTimeout     = 500 * time.Millisecond // of a part of a message
 	maxPartBytes     = 32 << 10
-	maxStreamWindow  = 256 << 10 // bytes; pings of a link wait behind as many of each stream
+	maxStreamWindow  = 256 << 10 // bytes; a ping may wait behind as many of every other stream
 	acceptBacklog    = 1024      // streams
 )
 
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -294,9 +294,9 @@
 	}
 }
 
-// newAdmin returns the server of the admin address. It registers the gauges of
-// requests in flight, dials, responses held, the age of missing changes and quarantines, and reports the relay as not ready while it
-// stops.
+// newAdmin returns the server of the admin address. It registers the gauges of requests in
+// flight, dials, responses held, missing changes to the store, suspects and quarantines, and
+// reports the relay as not ready while it stops.
 func newAdmin(
 	c *ctrl.Control, m *peers.Mesh, srv *front.Server, p *pool.Pool, g *guard.Guard, b *proxy.Balancer, st *stage.Runner, meters *stats.Meters,
 ) *admin.Server {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -81,8 +81,7 @@
 type update struct {
 	repl.Update
 	outage   bool          // the previous read failed
-	from     string        // relay that sent the changes; empty if read from the store
-	transfer repl.Transfer // of the changes, if another relay sent them
+	transfer repl.Transfer // from another relay; zero if the changes were read from the store
 	position repl.Position // of that relay
 	recheck  bool          // there are no changes; only drop the endpoints that are overdue
 }
@@ -218,7 +217,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case u.from != "":
+	case u.transfer.From != "":
 		c.recordPositionLocked(u.position)
 		if u.outage {
 			c.outageEnd = now
@@ -263,7 +262,7 @@
 		t := time.NewTimer(controlTimeout)
 		defer t.Stop()
 		select {
-		case c.updates <- update{Update: u, from: tr.From, transfer: tr, position: p}:
+		case c.updates <- update{Update: u, transfer: tr, position: p}:
 		case <-t.C:
 		}
 	}()
@@ -285,13 +284,13 @@
 	}
 	restored := before.Revision >= 0 && before.Era != u.Era
 	if restored {
-		c.Log.Event(logs.StoreRestored).Int64("era", u.Era).Int64("after", before.Revision).Int64("revision", u.To).Str("from", u.from).Msg("")
+		c.Log.Event(logs.StoreRestored).Int64("era", u.Era).Int64("after", before.Revision).Int64("revision", u.To).Str("from", u.transfer.From).Msg("")
 		changes = c.keepBelieved(changes, now)
 		u.outage = true
 	}
 	advanced := c.recordUpdate(u, now)
-	if u.from != "" {
-		c.Log.Event(logs.ViewReceived).Str("from", u.from).Int("entries", len(u.Entries)).Dur("age_ms", now.Sub(u.position.Contact.At)).
+	if u.transfer.From != "" {
+		c.Log.Event(logs.ViewReceived).Str("from", u.transfer.From).Int("entries", len(u.Entries)).Dur("age_ms", now.Sub(u.position.Contact.At)).
 			Int("bytes", u.transfer.Bytes).Dur("took_ms", u.transfer.Took).Msg("")
 	}
 	var operator, endpoints []plat.Entry
--- a/relay/ctrl/start_test.go
+++ b/relay/ctrl/start_test.go
@@ -33,7 +33,7 @@
 			f.watch(0, config(2, "new", 10), plat.Entry{Key: endpoint.Key, Revision: 11, Removed: true})
 			change(f)
 			started := newFixture()
-			started.apply(update{Update: f.state.table.Since(repl.Point{Revision: -1}), from: "a", position: f.Position()})
+			started.apply(update{Update: f.state.table.Since(repl.Point{Revision: -1}), transfer: repl.Transfer{From: "a"}, position: f.Position()})
 			cfg := started.View().Config
 			if cfg == nil {
 				t.Fatal("the relay has no configuration")
@@ -43,7 +43,7 @@
 			}
 			started.check(t, "after the start", 0)
 			f.watch(f.Position().Era, config(3, "newest", 13))
-			started.apply(update{Update: f.state.table.Since(started.Position().Point), from: "a", position: f.Position()})
+			started.apply(update{Update: f.state.table.Since(started.Position().Point), transfer: repl.Transfer{From: "a"}, position: f.Position()})
 			if v := started.View().Config.Version; v != 3 {
 				t.Errorf("version %d after the next one was written, want 3", v)
 			}
--- a/relay/peers/changes.go
+++ b/relay/peers/changes.go
@@ -15,7 +15,7 @@
 	pullTimeout     = 700 * time.Millisecond // without progress, after which changes may be requested again, from another relay
 	partBytes       = 32 << 10               // of changes in one message
 	maxTransfers    = 2                      // responses with changes that a relay sends at a time; with more, none would arrive soon
-	maxChangesBytes = 256 << 20              // of changes once they are decompressed
+	maxChangesBytes = 64 << 20               // of changes once they are decompressed
 )
 
 // pull is a request for changes of the store.
@@ -68,19 +68,29 @@
 	m.Source.Receiving()
 }
 
-// endPull allows the next request for changes, and returns the time since the last one.
-func (m *Mesh) endPull() time.Duration {
+// endPull allows the next request for changes, after the relay at the other end of s has
+// sent all parts of its response. It returns the time since the request, or 0 if the
+// response was overdue and another request is in flight.
+func (m *Mesh) endPull(s *session, now time.Time) time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	took := m.Clock.Now().Sub(m.pulling.sentAt)
+	if m.pulling.from != s {
+		return 0
+	}
+	took := now.Sub(m.pulling.sentAt)
 	m.pulling = pull{}
 	return took
 }
 
 // sendChanges sends the changes after a revision, or all entries of this relay's replica,
-// in parts. It sends nothing if the replica is empty, or if other transfers take so long
-// that the other relay has asked another one.
+// in parts. It sends nothing if the replica is empty, if it is sending changes on this link
+// already, or if transfers on other links take so long that the other relay has asked
+// another one.
 func (s *session) sendChanges(r *SnapshotRequest) {
+	if !s.sending.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.sending.Store(false)
 	t := time.NewTimer(pullTimeout)
 	defer t.Stop()
 	select {
@@ -163,7 +173,7 @@
 	u := repl.Update{
 		Entries: append(in.entries, entries...), Full: !part.GetChanges(), After: part.GetAfter(), To: part.GetTo(), Era: part.GetEra(),
 	}
-	t := repl.Transfer{From: s.remote.Instance, Bytes: len(in.packed), Took: s.mesh.endPull()}
+	t := repl.Transfer{From: s.remote.Instance, Bytes: len(in.packed), Took: s.mesh.endPull(s, now)}
 	s.incoming = incoming{}
 	s.mesh.Source.Apply(t, u, positionFromWire(part.GetPosition(), now))
 }
--- a/relay/peers/changes_test.go
+++ b/relay/peers/changes_test.go
@@ -128,7 +128,7 @@
 			Clock: clock.System{}, Log: log, Source: &r.replica,
 		}
 		r.init()
-		r.replica.Apply(repl.Transfer{}, repl.Update{Full: true, To: 1}, repl.Position{})
+		r.Apply(repl.Transfer{}, repl.Update{Full: true, To: 1}, repl.Position{})
 		return r
 	}
 	a, b = newRelay("a"), newRelay("b")
@@ -156,6 +156,13 @@
 	}
 }
 
+// sessionTo returns a relay's link to another one.
+func sessionTo(r *testRelay, instance string) *session {
+	r.Mesh.mu.Lock()
+	defer r.Mesh.mu.Unlock()
+	return r.byID[instance]
+}
+
 // randomBytes returns bytes that can't be compressed.
 func randomBytes(n int) []byte {
 	out := make([]byte, n)
@@ -203,9 +210,7 @@
 	a, b := startPair(t)
 	p := b.put("config", randomBytes(largestConfig))
 	b.Announce()
-	b.Mesh.mu.Lock()
-	s := b.byID["a"]
-	b.Mesh.mu.Unlock()
+	s := sessionTo(b, "a")
 	for sent := 0; a.point().Before(p); sent++ {
 		start := time.Now()
 		s.send(&Work{Kind: &Work_Release{Release: &Release{}}})
@@ -220,26 +225,39 @@
 	}
 }
 
-// TestChangesForOlderRelay guards against relays of an earlier release that get no changes
-// from those of this one. They are sent as before, in one message.
-func TestChangesForOlderRelay(t *testing.T) {
-	a, b := startPair(t)
-	config := randomBytes(largestConfig)
-	before := b.point()
-	p := a.put("config", config)
-	b.Mesh.mu.Lock()
-	s := b.byID["a"]
-	b.Mesh.mu.Unlock()
-	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: before.Revision, Changes: true}}})
-	for start := time.Now(); b.point().Before(p); time.Sleep(10 * time.Millisecond) {
-		if time.Since(start) > applyLimit {
-			t.Fatal("the changes are missing")
-		}
-	}
-	if got, _ := b.Changes(before); len(got.Entries) != 1 || !bytes.Equal(got.Entries[0].Value, config) {
-		t.Errorf("%d entries, or not the configuration", len(got.Entries))
+// TestRequestedChanges guards against relays of an earlier release that get no changes from
+// those of this one, as they expect them in one message, and against responses to two
+// requests whose parts mix.
+func TestRequestedChanges(t *testing.T) {
+	tests := map[string]struct {
+		packed   bool
+		requests int
+	}{
+		"earlier release": {false, 1},
+		"requested twice": {true, 2},
 	}
-	if n := a.ended.Load(); n > 0 {
-		t.Errorf("%d links have ended", n)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := startPair(t)
+			config := randomBytes(largestConfig)
+			before := b.point()
+			p := a.put("config", config)
+			s := sessionTo(b, "a")
+			for range tt.requests {
+				s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{After: before.Revision, Changes: true, Packed: tt.packed}}})
+			}
+			for start := time.Now(); b.point().Before(p); time.Sleep(10 * time.Millisecond) {
+				if time.Since(start) > applyLimit {
+					t.Fatalf("the changes are missing, %d links have ended", a.ended.Load())
+				}
+			}
+			if got, _ := b.Changes(before); len(got.Entries) != 1 || !bytes.Equal(got.Entries[0].Value, config) {
+				t.Errorf("%d entries, or not the configuration", len(got.Entries))
+			}
+			if n := a.ended.Load(); n > 0 {
+				t.Errorf("%d links have ended", n)
+			}
+		})
 	}
 }
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wigeonplank.example/base/link"
@@ -89,7 +90,8 @@
 	originRequests uint64                         // sent so far
 	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
 
-	incoming incoming // used only by the goroutine that reads work
+	sending  atomic.Bool // changes are being sent; parts of two responses must not mix
+	incoming incoming    // used only by the goroutine that reads work
 }
 
 // newSession returns a session over a link and its two streams.
