base/link, entry: a link is used once its agent's incarnation is recorded

Cause: a new session could be used before OnUp had recorded the agent's incarnation, so that the waiting charge named incarnation 0, which agents refuse; and a silent session counted as a link that is up.

OnUp comes first, a silent session is waited for, and what names no incarnation isn't sent.

--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -33,7 +33,7 @@
 	// NewerDocument returns the document of this process if it is newer than the one with
 	// the given revision and digest, else nil.
 	NewerDocument func(revision, digest uint64) []byte
-	OnUp          func(*wire.Welcome)   // a link was opened
+	OnUp          func(*wire.Welcome)   // a link was opened, and is about to be used
 	OnDown        func(err error)       // a link failed or could not be opened
 	OnPong        func(*wire.Pong)      // a pong arrived
 	OnPublished   func(document []byte) // the agent sent a document
@@ -85,8 +85,8 @@
 		_ = s.Close()
 		return err
 	}
+	p.OnUp(welcome) // calls may name the incarnation that it records
 	p.setSession(s)
-	p.OnUp(welcome)
 	err = p.serveControl(ctx, ctl)
 	if !errors.Is(err, errSilent) {
 		_ = s.Close()
@@ -271,7 +271,7 @@
 	}
 }
 
-// AwaitLink waits until there is a link to the agent, or until ctx ends.
+// AwaitLink waits until there is a link to the agent that isn't silent, or until ctx ends.
 func (p *Peer) AwaitLink(ctx context.Context) error {
 	for {
 		changed := p.sessionChanged()
@@ -286,11 +286,20 @@
 	}
 }
 
-// hasOpenSession reports whether there is a session that has not been closed.
+// hasOpenSession reports whether there is a session that has not been closed and isn't
+// silent.
 func (p *Peer) hasOpenSession() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.session != nil && !p.session.IsClosed()
+	if p.session == nil || p.session.IsClosed() {
+		return false
+	}
+	select {
+	case <-p.silent:
+		return false
+	default:
+		return true
+	}
 }
 
 // sessionChanged returns a channel that is closed at the next change of the
--- a/entry/exec/attempt.go
+++ b/entry/exec/attempt.go
@@ -62,6 +62,10 @@
 	e.current.endpoint.Load.BeginDispatch()
 	e.executor.Log.Debug().Str("request", e.req.ID).Str("stage", s.Stage.Name).Uint64("attempt", e.current.seq).
 		Str("instance", e.current.endpoint.Instance.ID).Uint64("revision", d.GetRevision()).Msg("dispatch")
+	if d.GetIncarnation() == 0 { // the link is being replaced; an agent refuses what names none
+		e.err = fmt.Errorf("dispatch to %s: %w", e.current.endpoint.Instance.ID, link.ErrNoLink)
+		return stage.Event{Kind: stage.EventUnsent}
+	}
 	st, err := e.current.peer.Call(&wire.Request{Kind: &wire.Request_Dispatch{Dispatch: d}})
 	if errors.Is(err, link.ErrNoLink) {
 		e.err = fmt.Errorf("dispatch to %s: %w", e.current.endpoint.Instance.ID, err)
