relay/peers: configurations pass links that are never idle

Found by reading the fix: parts of changes waited for all other messages, so that a busy link never carried a configuration, and two such links held up those of all others. A part waits for 0.1 s at most. TestBusyLinkCarriesConfiguration failed with the former choice and passes.

--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -28,6 +28,10 @@
 	idleFactor = 3
 
 	maxQueuedMessages = 1024 // waiting to be sent on one link
+
+	// maxPartDelay is how long a part of changes waits for other messages. A link that is
+	// never idle carries at least one part in about this time.
+	maxPartDelay = 100 * time.Millisecond
 )
 
 // errSilent reports that a heartbeat was not answered in time.
@@ -71,7 +75,7 @@
 	control *link.Stream
 	work    *link.Stream
 	queue   chan *Work    // messages to send on the work stream
-	parts   chan *Work    // parts of changes, which are sent while the queue is empty
+	parts   chan *Work    // parts of changes, which wait for the queue for up to maxPartDelay
 	beat    chan struct{} // requests a heartbeat now
 	done    chan struct{} // closed when the session has failed
 
@@ -90,6 +94,8 @@
 	originRequests uint64                         // sent so far
 	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
 
+	partSentAt time.Time // when the last part was taken; used only by the goroutine that writes work
+
 	sending  atomic.Bool // changes are being sent; parts of two responses must not mix
 	incoming incoming    // used only by the goroutine that reads work
 }
@@ -265,10 +271,13 @@
 // nextWork waits for the next message to send. It returns nil once the session has
 // failed.
 func (s *session) nextWork() *Work {
-	select {
-	case w := <-s.queue:
-		return w
-	default:
+	now := s.mesh.Clock.Now()
+	if now.Sub(s.partSentAt) < maxPartDelay {
+		select {
+		case w := <-s.queue:
+			return w
+		default:
+		}
 	}
 	select {
 	case <-s.done:
@@ -276,6 +285,7 @@
 	case w := <-s.queue:
 		return w
 	case w := <-s.parts:
+		s.partSentAt = now
 		return w
 	}
 }
