Review: a script for servers that come back with another version

Cause: the review needs a case for new lifetimes that the store can't tell. Change: the stand-in's servers crash and restart, its clients take streams up.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,8 +13,9 @@
 
 // cases are the cases by name. trouble tells whether the disruption happens.
 var cases = map[string]func(s *site, trouble bool) error{
-	"copies": playCopies,
-	"bodies": playBodies,
+	"copies":   playCopies,
+	"bodies":   playBodies,
+	"versions": playVersions,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -17,6 +17,9 @@
 	"time"
 )
 
+// eventGap is the time between two events of a stream.
+const eventGap = 30 * time.Millisecond
+
 // dice is a source of random numbers.
 type dice = rand.Rand
 
@@ -45,11 +48,14 @@
 	service *service
 	zone    string
 	addr    string
-	version string
 	ln      net.Listener
 	slots   chan struct{}
 	waiting atomic.Int64
 
+	mu      sync.Mutex
+	version string // of its software
+	conns   map[net.Conn]bool
+
 	copies  atomic.Bool // it repeats some of its answers late
 	copyOf  float64     // share of its answers that it repeats
 	workFor time.Duration
@@ -63,34 +69,74 @@
 		for i := range svc.servers {
 			n++
 			e := &server{
-				site: s, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: svc, zone: zones[i%len(zones)], version: "v1",
+				site: s, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: svc, zone: zones[i%len(zones)], version: "v1", conns: make(map[net.Conn]bool),
 				addr: fmt.Sprintf("%s.%d:8080", s.subnet, 100+n), slots: make(chan struct{}, svc.slots),
 			}
-			ln, err := net.Listen("tcp", e.addr)
-			if err != nil {
+			if err := e.listen(); err != nil {
 				return err
 			}
-			e.ln = ln
-			go e.accept()
 			s.servers = append(s.servers, e)
-			s.store.put("servers/"+e.id, map[string]any{
-				"service": svc.Name, "address": e.addr, "zone": e.zone, "version": e.version, "slots": svc.slots, "state": "ready",
-				"coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
-			})
+			e.register()
 		}
 	}
 	s.store.put("op/config", cfg)
 	return nil
 }
 
-func (e *server) accept() {
-	for {
-		c, err := e.ln.Accept()
-		if err != nil {
-			return
+// listen starts the server's process.
+func (e *server) listen() error {
+	ln, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		return err
+	}
+	e.ln = ln
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns[c] = true
+			e.mu.Unlock()
+			go e.serve(c)
 		}
-		go e.serve(c)
+	}()
+	return nil
+}
+
+// register writes the server's entry to the store, with a new lifetime.
+func (e *server) register() {
+	e.site.store.put("servers/"+e.id, map[string]any{
+		"service": e.service.Name, "address": e.addr, "zone": e.zone, "version": e.softwareVersion(), "slots": e.service.slots, "state": "ready",
+		"coldLeftMs": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
+}
+
+// crash ends the server's process: its connections are reset.
+func (e *server) crash() {
+	_ = e.ln.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
 	}
+	clear(e.conns)
+}
+
+// restart starts the server's process again, with another version of its software.
+func (e *server) restart(version string) error {
+	e.mu.Lock()
+	e.version = version
+	e.mu.Unlock()
+	return e.listen()
+}
+
+func (e *server) softwareVersion() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
 }
 
 // answer is an answer that is sent whole.
@@ -113,7 +159,12 @@
 
 // serve serves the requests of one connection, one after the other.
 func (e *server) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+	}()
 	br := bufio.NewReader(c)
 	var late []byte // copy of an earlier answer, which is sent where the next one is expected
 	for {
@@ -393,10 +444,7 @@
 	var tokens int
 	_, _ = fmt.Sscanf(r.Header.Get("X-Token-Count"), "%d,", &tokens)
 	time.Sleep(60*time.Millisecond + time.Duration(tokens)*30*time.Microsecond + e.workFor)
-	var mu sync.Mutex
 	write := func(s string) bool {
-		mu.Lock()
-		defer mu.Unlock()
 		_ = c.SetWriteDeadline(time.Now().Add(10 * time.Second))
 		_, err := io.WriteString(c, s)
 		return err == nil
@@ -404,13 +452,13 @@
 	if !write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + strings.Join(head, "\r\n") + "\r\nTransfer-Encoding: chunked\r\n\r\n") {
 		return false
 	}
-	n := eventCount(r.Header.Get("X-Token-Count"))
+	n, version := eventCount(r.Header.Get("X-Token-Count")), e.softwareVersion()
 	for i := from; i < n; i++ {
-		ev := eventText(req.id, i)
+		ev := eventText(i, version)
 		if !write(fmt.Sprintf("%x\r\n%s\r\n", len(ev), ev)) {
 			return false
 		}
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(eventGap)
 	}
 	return write("0\r\n\r\n")
 }
@@ -421,6 +469,4 @@
 	return out / 4
 }
 
-func eventText(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, id, i) }
-
-var _ = sync.Mutex{}
+func eventText(i int, version string) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, version) }
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -33,6 +33,7 @@
 	mu       sync.Mutex
 	requests map[string]*request // by X-Attempt-Id, as sent
 	results  map[string]*result  // by handle, all that were ever made
+	mixed    map[string]bool     // attempts whose streams hold events of two versions
 }
 
 // logf writes a line to the record, with the seconds since the start.
@@ -71,7 +72,7 @@
 	}
 	s := &site{
 		root: root, tmp: tmp, store: newStore(), record: record, began: time.Now(),
-		requests: make(map[string]*request), results: make(map[string]*result),
+		requests: make(map[string]*request), results: make(map[string]*result), mixed: make(map[string]bool),
 	}
 	// A subnet of the loopback network on which the ports of the settings are free.
 	for range 50 {
@@ -197,3 +198,13 @@
 	}
 	_ = s.record.Close()
 }
+
+// mix records that the stream of an attempt holds events of two versions. It reports
+// whether that is new.
+func (s *site) mix(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isNew := !s.mixed[id]
+	s.mixed[id] = true
+	return isNew
+}
