--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -105,7 +105,7 @@
 	}
 	for i := range n {
 		ip, zone := s.relayIP(i), zones[i%len(zones)]
-		r := &relay{name: fmt.Sprintf("edge-%s-1", zone), zone: zone, ip: ip, settings: filepath.Join(s.tmp, fmt.Sprintf("relay-%d.yaml", i))}
+		r := &relay{name: fmt.Sprintf("edge-%s-%d", zone, 1+i/len(zones)), zone: zone, ip: ip, settings: filepath.Join(s.tmp, fmt.Sprintf("relay-%d.yaml", i))}
 		values := map[string]string{
 			"nodeName": fmt.Sprintf("%q", r.name), "zone": fmt.Sprintf("%q", zone), "ip": ip,
 			"listen.frontend": fmt.Sprintf("%q", r.frontend()), "listen.readiness": fmt.Sprintf("%q", ip+":8621"),
