--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -188,20 +188,25 @@
 	}
 }
 
-// traffic sends the requests of all routes at x times their rates for so long, each on a
+// traffic sends the requests of all routes at their rates for so long, each on a
 // connection of its own, to a relay chosen at random.
-func (s *site) traffic(d time.Duration, x float64) *sync.WaitGroup {
+func (s *site) traffic(d time.Duration) *sync.WaitGroup {
+	return s.trafficOf(d, func(*route) bool { return true })
+}
+
+// trafficOf is traffic for some of the routes.
+func (s *site) trafficOf(d time.Duration, of func(*route) bool) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	end := time.Now().Add(d)
 	for _, rt := range s.config.Routes {
-		if rt.perS == 0 {
+		if !of(rt) {
 			continue
 		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			for time.Now().Before(end) {
-				time.Sleep(time.Duration(rand.ExpFloat64() / (rt.perS * x) * float64(time.Second)))
+				time.Sleep(time.Duration(rand.ExpFloat64() / rt.perS * float64(time.Second)))
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
--- a/review/standin/copies.go
+++ b/review/standin/copies.go
@@ -14,7 +14,7 @@
 	if err := s.awaitReady(); err != nil {
 		return err
 	}
-	wg := s.traffic(45*time.Second, 1)
+	wg := s.traffic(45 * time.Second)
 	time.Sleep(5 * time.Second)
 	for range 4 { // 5 s each, with 5 s between them
 		n := make(map[string]int)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(s *site, trouble bool) error{
 	"copies":   playCopies,
 	"versions": playVersions,
+	"origins":  playOrigins,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -55,7 +55,8 @@
 	mu      sync.Mutex
 	version string // of its software
 	conns   map[net.Conn]bool
-	born    int64 // Unix ms of the start
+	born    int64       // Unix ms of the start
+	leaving atomic.Bool // it says in its answers that it leaves
 
 	copies atomic.Bool // it repeats some of its answers late
 	copyOf float64     // share of its answers that it repeats
@@ -153,6 +154,9 @@
 	for _, h := range a.header {
 		b.WriteString(h + "\r\n")
 	}
+	if e.leaving.Load() {
+		b.WriteString("Server-Leaving: 1\r\n")
+	}
 	fmt.Fprintf(&b, "X-Server-Load: %d,%d,%d\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n", len(e.slots), e.waiting.Load(), e.service.slots, len(a.body))
 	b.Write(a.body)
 	return b.Bytes()
@@ -424,6 +428,9 @@
 	}
 	e.site.logf("server %s runs %s (%s, %d bytes)", e.id, id, req.route.Name, len(body))
 	head := []string{"X-Attempt-Id: " + id, "X-Server-Stamp: " + stamp(id)}
+	if req.route.Type == "streaming" && e.leaving.Load() {
+		head = append(head, "Server-Leaving: 1")
+	}
 	if req.route.Type != "streaming" {
 		time.Sleep(30 * time.Millisecond)
 		_, err := c.Write(e.bytes(answer{status: 200, header: head, body: responseBody(id)}))
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -28,7 +28,10 @@
 	history  []entry
 	revision int64
 	changed  chan struct{}
-	mode     string // "": serves; "busy": 503; "silent": no answer
+	keep     time.Duration // how long the history is kept; 0: for good
+	written  []time.Time   // of the entries of history
+	floor    int64         // changes up to this revision are discarded
+	mode     string        // "": serves; "busy": 503; "silent": no answer
 }
 
 func newStore() *store {
@@ -53,7 +56,7 @@
 	} else {
 		s.items[key] = e
 	}
-	s.history = append(s.history, e)
+	s.history, s.written = append(s.history, e), append(s.written, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -61,6 +64,17 @@
 func (s *store) put(key string, value any) { s.write(key, value, false) }
 func (s *store) remove(key string)         { s.write(key, nil, true) }
 
+// history20s makes the store keep its history for 20 s.
+func (s *store) history20s() { s.keep = 20 * time.Second }
+
+// discard drops the history that is too old. The caller holds mu.
+func (s *store) discard() {
+	for s.keep > 0 && len(s.written) > 0 && time.Since(s.written[0]) > s.keep {
+		s.floor = s.history[0].Revision
+		s.history, s.written = s.history[1:], s.written[1:]
+	}
+}
+
 func (s *store) setMode(m string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -114,6 +128,11 @@
 		timeout := time.After(time.Duration(wait) * time.Millisecond)
 		for {
 			s.mu.Lock()
+			if s.discard(); after < s.floor {
+				s.mu.Unlock()
+				w.WriteHeader(http.StatusGone)
+				return
+			}
 			events := make([]entry, 0)
 			for _, e := range s.history {
 				if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -20,7 +20,7 @@
 			models = append(models, e)
 		}
 	}
-	wg := s.traffic(38*time.Second, 1)
+	wg := s.traffic(38 * time.Second)
 	time.Sleep(6 * time.Second)
 	for round := range 2 {
 		if !trouble {
