--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 )
 
 // cases are the cases by name. trouble tells whether the disruption happens.
@@ -18,6 +19,9 @@
 	"origins":  playOrigins,
 }
 
+// longest is how long a case may take.
+const longest = 110 * time.Second
+
 func main() { os.Exit(run()) }
 
 // run plays a case. It returns 1 if the rule was broken, 0 if it held and 2 if the case
@@ -40,7 +44,11 @@
 	sig := make(chan os.Signal, 1)
 	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-sig
+		select {
+		case <-sig:
+		case <-time.After(longest):
+			fmt.Fprintln(os.Stderr, "out of time")
+		}
 		s.stop(false)
 		os.Exit(2)
 	}()
--- a/review/standin/origins.go
+++ b/review/standin/origins.go
@@ -43,7 +43,7 @@
 	}
 	o := &origins{site: s}
 	o.inTouchFrom.Store(time.Now().Add(contactMs * time.Millisecond).UnixNano())
-	const length = 55 * time.Second
+	const length = 59 * time.Second
 	var wg sync.WaitGroup
 	for _, rt := range resumable {
 		wg.Add(1)
@@ -68,7 +68,7 @@
 		old := models[i]
 		models[i] = e
 		go old.drain(false)
-		time.Sleep(400 * time.Millisecond)
+		time.Sleep(time.Second)
 	}
 	time.Sleep(22 * time.Second)
 	if trouble {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -190,8 +190,10 @@
 // stop ends all relays.
 func (s *site) stop(keep bool) {
 	for _, r := range s.relays {
-		_ = r.cmd.Process.Kill()
-		<-r.done
+		if r.done != nil { // it was started
+			_ = r.cmd.Process.Kill()
+			<-r.done
+		}
 	}
 	if !keep {
 		_ = os.RemoveAll(s.tmp)
--- a/review/standin/versions.go
+++ b/review/standin/versions.go
@@ -29,7 +29,7 @@
 		}
 		version := []string{"v2", "v3"}[round]
 		s.logf("the store is down for 8 s")
-		s.store.setMode("busy")
+		s.store.setMode("silent")
 		end := time.Now().Add(8 * time.Second)
 		time.Sleep(300 * time.Millisecond)
 		var restarted []*server
