proof/deploy: a test of endpoints that are silent for two seconds, failing

Cause: a relay ends an attempt at a resumable stream after four times the longest gap without an event, and decides afterwards whether another attempt may follow. Change: the stand-in's endpoints can pause within an answer and go on.

--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -36,9 +36,13 @@
 	FaultWrongID   Fault = "foreign"  // executes the request and responds with another attempt ID
 	FaultHang      Fault = "mute"     // executes the request and never responds
 	FaultEndless   Fault = "endless"  // executes the request and sends a body until the caller closes the connection
+	FaultPause     Fault = "pause"    // is silent for pauseTime, in the middle of what is left of a stream, then goes on
 )
 
-const endlessBlockBytes = 64 << 10
+const (
+	endlessBlockBytes = 64 << 10
+	pauseTime         = 2 * time.Second
+)
 
 // Spec describes an endpoint.
 type Spec struct {
@@ -378,6 +382,10 @@
 	case FaultEndless:
 		sendEndless(ctx, id)
 		return
+	case FaultPause:
+		if e.Kind != KindEngine {
+			time.Sleep(pauseTime)
+		}
 	}
 	body := ResponseBody(string(ctx.RequestURI()), string(ctx.PostBody()))
 	status := fasthttp.StatusOK
--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -22,6 +22,9 @@
 		for i := from; i < e.EventCount; i++ {
 			time.Sleep(e.WorkTime)
 			text := formatEvent(uri, i, e.Version)
+			if fault == FaultPause && i == (from+e.EventCount)/2 {
+				time.Sleep(pauseTime)
+			}
 			if fault == FaultTruncated && i == from+e.EventCount/2 {
 				// Close the connection in the middle of an event.
 				_, _ = w.WriteString(text[:len(text)/2]) // fails only if the caller has disconnected
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -149,6 +149,12 @@
 	return n
 }
 
+func (cmd *command) intOpt(name string) int {
+	n, err := strconv.Atoi(cmd.opts[name])
+	cmd.ts.Check(err)
+	return n
+}
+
 // relay returns a relay by name and fails the script if there is none.
 func (cmd *command) relay(name string) *deploy.Relay {
 	r := cmd.state.dep.Relay(name)
@@ -330,15 +336,24 @@
 
 // publishConfig implements the command
 //
-//	publish VERSION [drop=PREFIX] [key=KEY]
+//	publish VERSION [drop=PREFIX] [key=KEY] [slo=MS] [gap=MS]
 //
 // It writes a version of the standard configuration to the store, without the route
-// of a prefix or with another API key.
+// of a prefix, with another API key, or with another latency objective or maximum gap
+// between events for all routes.
 func publishConfig(cmd *command) error {
 	cfg := site.StandardConfig(cmd.intArg(0))
 	if k := cmd.opts["key"]; k != "" {
 		cfg = site.StandardConfigWithKey(cmd.intArg(0), k)
 	}
+	for _, r := range cfg["routes"].([]any) {
+		if cmd.opts["slo"] != "" {
+			r.(map[string]any)["sloMs"] = cmd.intOpt("slo")
+		}
+		if cmd.opts["gap"] != "" {
+			r.(map[string]any)["maxGapMs"] = cmd.intOpt("gap")
+		}
+	}
 	if p := cmd.opts["drop"]; p != "" {
 		var routes []any
 		for _, r := range cfg["routes"].([]any) {
