relay/proxy: a silent endpoint is left only for another one that was acquired

Callers saw streams that the relay closed without their end, and 502 for requests whose endpoint would have answered, when a sound endpoint was silent for a second or two. Cause: an attempt at a resumable stream ended after four times the longest gap between events, and one at a repeatable request after three times the objective. Whether another attempt may follow was decided afterwards. If the route's attempts or the retry budget were used up, no endpoint had room, or the stages failed to run again, the caller's connection was closed with time left. Change: when the time is over, another endpoint is acquired first, with its retry, and the stages run again beside the attempt. Until then the attempt goes on, to the deadline if need be. It ends early only if the endpoint's address can't be reached either, so that callers can take the stream up elsewhere. attempt_silent and silent_total tell what was decided.

--- a/relay/guard/guard.go
+++ b/relay/guard/guard.go
@@ -339,12 +339,7 @@
 func (g *Guard) refuses(e *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	conn, err := g.Pool.Get(ctx, e.ID, e.Addr, true)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	g.Pool.Put(conn, 0)
-	return false
+	return errors.Is(g.Pool.Check(ctx, e.ID, e.Addr), syscall.ECONNREFUSED)
 }
 
 // Name returns the name under which relays share what they know of crashes.
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -82,6 +82,8 @@
 		"predicted_ms", "ahead", "speed", "pace", "pace_age_ms")
 	AttemptDone = newEventType("attempt_done", log.InfoLevel, requestRate, "An attempt at an endpoint has ended.",
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
+	AttemptSilent = newEventType("attempt_silent", log.InfoLevel, requestRate, "An endpoint has sent nothing for longer than expected. Until another endpoint has been acquired, the attempt goes on.",
+		"request", "endpoint", "attempt", "decision", "reason", "left_ms")
 	RetryDecided = newEventType("retry_decided", log.InfoLevel, requestRate, "It was decided whether a request is retried; if not, the reason is given.",
 		"request", "retry", "reason", "saved", "event_id")
 )
@@ -109,6 +111,7 @@
 	"content":          {"", "hash, in hexadecimal, of the request's team, method, host, path and body; requests with the same hash are the same work"},
 	"crashes":          {"", "number of endpoints that crashed"},
 	"decided_by":       {"", "what decided: in_time, short_queue (queued items delay it by little) or unlimited (admission is off) if admitted; objective (it would be late itself), team (it uses more than its share of a crowded pool) or urgent (routes that are at least as urgent would wait too long) if rejected"},
+	"decision":         {"", "replaced (another endpoint was acquired), awaited (the reason tells why there is none) or ended (the endpoint can't be reached any more either)"},
 	"end":              {"", "done, not_run, inputs (not run, results of stages are missing), failed (may have run) or gone (the caller disconnected)"},
 	"endpoint":         {"", "ID of the endpoint"},
 	"endpoints":        {"", "IDs of endpoints"},
--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -118,6 +118,11 @@
 	return nil, fmt.Errorf("%w: copies of an earlier answer", ErrResponse)
 }
 
+// OnOverdue sets what is done when the read deadline of the call passes: overdue, called in
+// the goroutine that reads, returns the next read deadline, or false to give the response
+// up. It holds until the end of the call.
+func (c *Call) OnOverdue(overdue func() (time.Time, bool)) { c.Conn.overdue = overdue }
+
 // openBody prepares reading the body of the response whose header was read last.
 func (c *Call) openBody() {
 	c.complete, c.chunked = false, false
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -50,9 +51,10 @@
 	Reused bool          // it has carried an earlier request
 
 	key       key
-	budget    *Budget   // nil: responses are bounded one by one only
-	lastBody  uint64    // hash of the last body that Call.ReceiveUnnamed knows again
-	expiresAt time.Time // an idle connection isn't used from this time on
+	overdue   func() (time.Time, bool) // see Call.OnOverdue
+	budget    *Budget                  // nil: responses are bounded one by one only
+	lastBody  uint64                   // hash of the last body that Call.ReceiveUnnamed knows again
+	expiresAt time.Time                // an idle connection isn't used from this time on
 }
 
 // Get returns an idle connection to an endpoint, or dials a new one if there is
@@ -103,7 +105,27 @@
 	if t, ok := raw.(*net.TCPConn); ok {
 		setUnackedTimeout(t)
 	}
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBufferBytes), key: k, budget: &p.Budget}, nil
+	c := &Conn{Conn: raw, key: k, budget: &p.Budget}
+	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
+}
+
+// Read reads from the connection. When the read deadline passes, it asks the current call
+// whether to wait for longer.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 || c.overdue == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		next, ok := c.overdue()
+		if !ok {
+			return 0, err
+		}
+		if err := c.SetReadDeadline(next); err != nil {
+			return 0, fmt.Errorf("extend read deadline: %w", err)
+		}
+	}
 }
 
 // setUnackedTimeout limits how long sent bytes may stay unacknowledged. Without
@@ -127,6 +149,7 @@
 		_ = c.Close() // the bytes belong to no response
 		return
 	}
+	c.overdue = nil
 	idle := defaultIdleTimeout
 	if keepAlive > 0 {
 		idle = max(keepAlive-idleMargin, keepAlive/4)
@@ -166,6 +189,17 @@
 	}
 }
 
+// Check reports whether a new connection to an endpoint can be made, and keeps it for
+// reuse. Any error wraps ErrUnreachable.
+func (p *Pool) Check(ctx context.Context, id, addr string) error {
+	c, err := p.Get(ctx, id, addr, true)
+	if err != nil {
+		return err
+	}
+	p.Put(c, 0)
+	return nil
+}
+
 // Dials returns the number of connections made so far.
 func (p *Pool) Dials() int64 {
 	p.mu.Lock()
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -16,12 +16,13 @@
 	"wigeonplank.example/core/pick"
 	"wigeonplank.example/core/prompt"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/assign"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 )
 
-// attemptTimeoutFactor is the timeout of an attempt that may be followed by
-// another one, in multiples of the route's latency objective.
+// attemptTimeoutFactor is the time after which another endpoint is sought for an attempt
+// that may be repeated, in multiples of the route's latency objective.
 const attemptTimeoutFactor = 3
 
 // maxLoggedParts bounds the prompt parts in a log line.
@@ -53,28 +54,91 @@
 
 // acquireEndpoint chooses the endpoint for the next attempt and records that the
 // request is about to be sent there. A model engine is chosen by the prompts that all
-// relays have sent, if possible. The endpoint of the choice is nil if none can take
-// the request; otherwise the caller must end the attempt with recordEnd and
-// endAssignment.
-func (req *request) acquireEndpoint(ctx context.Context) pick.Choice {
+// relays have sent, if possible; the assignment is nil otherwise. The endpoint of the
+// choice is nil if none can take the request; otherwise the caller must end the attempt
+// with recordEnd and endAssignment.
+func (req *request) acquireEndpoint(ctx context.Context) (pick.Choice, *assign.Assignment) {
 	v := req.View()
 	svc := v.Config.Service(req.service)
 	if svc == nil {
-		return pick.Choice{}
+		return pick.Choice{}, nil
 	}
 	if !req.assignable(svc) {
-		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
+		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
 	}
 	a, ok := req.Engines.Assign(ctx, svc, req.promptRequest(), req.criteria())
 	if !ok {
-		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
+		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
 	}
-	req.assignment = &a
 	if !req.Balancer.Begin(svc, a.Endpoint, false) { // another request has used up the limit
+		a.Ended(0, 0)
+		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
+	}
+	return pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint), Predicted: a.FirstEvent, Cached: a.Cached}, &a
+}
+
+// nextEndpoint returns the endpoint for the next attempt: the successor of a silent one,
+// or another one that can take the request. If there is none, it ends the request and
+// returns false.
+func (req *request) nextEndpoint(ctx context.Context, next *successor) (pick.Choice, bool) {
+	if next != nil {
+		req.assignment = next.assignment
+		return next.choice, true
+	}
+	if !req.passGuard() {
+		return pick.Choice{}, false
+	}
+	c, a := req.acquireEndpoint(ctx)
+	req.assignment = a
+	switch {
+	case c.Endpoint != nil:
+		return c, true
+	case req.exchange.ResponseStarted():
+		req.abortStream("no endpoint")
+	default:
+		req.rejectUnplaced(c)
+	}
+	return c, false
+}
+
+// forward makes attempts at endpoints until one is done or no other may follow. attempt
+// makes one of them. lastEvent is the ID of the last event that the caller has; -1: none.
+func (req *request) forward(ctx context.Context, attempt func(c pick.Choice) (attemptEnd, string), lastEvent *int64) {
+	req.budget(req.service).Deposit()
+	var next *successor
+	for {
+		c, ok := req.nextEndpoint(ctx, next)
+		if !ok {
+			return
+		}
+		req.tried[c.Endpoint.ID] = true
+		req.logAttemptStarted(c, *lastEvent)
+		end, reason := attempt(c)
 		req.endAssignment()
-		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria())
+		next = req.takeSuccessor()
+		if end == attemptDone || end == attemptCallerGone {
+			req.abandon(next)
+			return
+		}
+		if end == attemptNoInputs {
+			delete(req.tried, c.Endpoint.ID) // it can run the request once the stages have run again
+		}
+		if next == nil && (!req.allowRetry(end, *lastEvent) || !req.rerunStages(ctx, end)) {
+			req.abortStream(reason)
+			return
+		}
+	}
+}
+
+// abandon gives up an endpoint that was acquired for an attempt which isn't made.
+func (req *request) abandon(s *successor) {
+	if s == nil {
+		return
+	}
+	req.Balancer.End(s.choice.Endpoint, pick.ResultNone)
+	if s.assignment != nil {
+		s.assignment.Ended(0, 0)
 	}
-	return pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint), Predicted: a.FirstEvent, Cached: a.Cached}
 }
 
 // assignable reports whether an engine of a service is chosen by prompts.
@@ -127,20 +191,9 @@
 func (req *request) allowRetry(end attemptEnd, lastEvent int64) bool {
 	b := req.budget(req.service)
 	balance := b.Balance()
-	reason := ""
-	switch {
-	case end == attemptFailed && !req.route.Repeatable():
-		reason = "it may have run and must not run twice"
-	case end == attemptFailed && req.attempts >= req.route.MaxAttempts:
-		reason = "as many attempts as the route allows"
-	case !req.Clock.Now().Before(req.deadline):
-		reason = "no time left"
-	case end == attemptFailed && req.Guard.Suspected(req.suspects):
-		reason = "endpoints crash under such requests"
-	case req.exchange.CallerGone():
-		reason = "caller gone"
-	case !b.Withdraw(0):
-		reason = "retry budget is spent"
+	reason := req.retryObstacle(end)
+	if reason == "" && !b.Withdraw(0) {
+		reason = reasonBudgetSpent
 	}
 	ev := req.Log.Event
 	if reason != "" {
@@ -151,6 +204,26 @@
 	return reason == ""
 }
 
+const reasonBudgetSpent = "retry budget is spent"
+
+// retryObstacle returns why no other attempt may follow one that ended with end, or "". The
+// retry budget is left aside.
+func (req *request) retryObstacle(end attemptEnd) string {
+	switch {
+	case end == attemptFailed && !req.route.Repeatable():
+		return "it may have run and must not run twice"
+	case end == attemptFailed && req.attempts >= req.route.MaxAttempts:
+		return "as many attempts as the route allows"
+	case !req.Clock.Now().Before(req.deadline):
+		return "no time left"
+	case end == attemptFailed && req.Guard.Suspected(req.suspects):
+		return "endpoints crash under such requests"
+	case req.exchange.CallerGone():
+		return "caller gone"
+	}
+	return ""
+}
+
 // logAttemptStarted logs the choice of an endpoint and the reason for it.
 func (req *request) logAttemptStarted(c pick.Choice, lastEvent int64) {
 	req.attemptAt, req.firstEventAt, req.events = req.Clock.Now(), time.Time{}, 0
@@ -236,51 +309,28 @@
 
 // forwardUnary forwards a request that has a single, complete response.
 func (req *request) forwardUnary(ctx context.Context) {
-	req.budget(req.service).Deposit()
-	for {
-		if !req.passGuard() {
-			return
-		}
-		c := req.acquireEndpoint(ctx)
-		e := c.Endpoint
-		if e == nil {
-			req.rejectUnplaced(c)
-			return
-		}
-		req.tried[e.ID] = true
-		req.logAttemptStarted(c, -1)
-		end, reason := req.attemptUnary(ctx, c)
-		req.endAssignment()
-		if end == attemptDone || end == attemptCallerGone {
-			return
-		}
-		if end == attemptNoInputs {
-			delete(req.tried, e.ID) // it can run the request once the stages have run again
-		}
-		if !req.allowRetry(end, -1) || !req.rerunStages(ctx, end) {
-			req.rejectFinal(reason)
-			return
-		}
-	}
+	noEvent := int64(-1)
+	req.forward(ctx, func(c pick.Choice) (attemptEnd, string) { return req.attemptUnary(ctx, c) }, &noEvent)
 }
 
 // attemptUnary sends the request to the endpoint of a choice and passes its response to
 // the caller. It returns how the attempt ended, and the reason unless it is done.
 func (req *request) attemptUnary(ctx context.Context, c pick.Choice) (attemptEnd, string) {
 	e := c.Endpoint
-	deadline := req.deadline
-	if req.route.Repeatable() && req.attempts+1 < req.route.MaxAttempts {
-		if t := req.Clock.Now().Add(attemptTimeoutFactor * req.route.LatencyObjective); t.Before(deadline) {
-			deadline = t
-		}
-	}
-	call, end, err := req.send(ctx, e, -1, deadline)
+	call, end, err := req.send(ctx, e, -1, req.deadline)
 	if err != nil {
 		return req.recordFailure(e, end, err)
 	}
 	defer call.Finish(req.Pool)
 	stop := context.AfterFunc(ctx, func() { _ = call.Conn.Close() })
 	defer stop()
+	deadline := req.deadline
+	if req.route.Repeatable() && req.attempts < req.route.MaxAttempts {
+		if t := req.attemptAt.Add(attemptTimeoutFactor * req.route.LatencyObjective); t.Before(deadline) {
+			deadline = t
+		}
+	}
+	call.OnOverdue(func() (time.Time, bool) { return req.handleSilence(ctx, e) })
 	if err := call.Receive(req.headers.ID, deadline); err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
@@ -401,6 +451,9 @@
 	if end == attemptFailed {
 		req.mayHaveRun = true
 	}
+	if req.silence.err != nil {
+		err = req.silence.err
+	}
 	if end == attemptCallerGone || req.exchange.CallerGone() {
 		req.recordEnd(e, pick.ResultNone, attemptCallerGone, "caller gone")
 		req.outcome = "caller gone"
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -124,6 +124,7 @@
 	content        uint64           // see contentHash; 0: not computed yet
 	suspects       []poison.Suspect // what the request has in common with others that could crash endpoints
 	trial          bool             // sent to one endpoint although a suspect is quarantined
+	silence        silence          // of the current attempt's endpoint
 }
 
 // outcomeAnswered is the logged outcome of a request whose response came from an
@@ -404,18 +405,13 @@
 	req.inputs = nil
 	req.stagesEndedAt = time.Time{} // the time to the first event would include the stages
 	// In both reasons, "they" and "them" refer to the results of the stages.
-	reason := "they were given up when the stream began"
+	reason := reasonReleased
 	if end == attemptNoInputs {
 		reason = "the endpoint did not find them"
 		req.hold(req.service).RecordMissing()
 	}
 	req.Log.Event(logs.StagesRepeated).Str("request", req.headers.ID).Str("reason", reason).Msg("")
-	now := req.Clock.Now()
-	inputs, err := req.Stages.Run(ctx, stage.Job{
-		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
-		Team: req.teamName(),
-		Due:  now.Add(req.route.LatencyObjective), StartBy: req.deadline, Deadline: req.deadline,
-	})
+	inputs, err := req.Stages.Run(ctx, req.rerunJob())
 	req.logStages(inputs, err)
 	if err != nil {
 		return false
@@ -424,6 +420,17 @@
 	return true
 }
 
+const reasonReleased = "they were given up when the stream began"
+
+// rerunJob returns the job that runs the stages of the request again.
+func (req *request) rerunJob() stage.Job {
+	return stage.Job{
+		ID: req.headers.ID, Route: req.route, Items: req.headers.ItemCounts, Key: req.headers.ItemKey, Zone: req.Zone,
+		Team: req.teamName(),
+		Due:  req.Clock.Now().Add(req.route.LatencyObjective), StartBy: req.deadline, Deadline: req.deadline,
+	}
+}
+
 func (req *request) logStages(inputs []string, err error) {
 	ev := req.Log.Event
 	if err != nil {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -20,44 +20,15 @@
 )
 
 const (
-	eventGapTimeoutFactor = 4 // a resumable stream moves to another endpoint after a gap of this multiple of the route's maximum
+	eventGapTimeoutFactor = 4 // another endpoint is sought for a resumable stream after a gap of this multiple of the route's maximum
 	eventBufferBytes      = 4 << 10
 	defaultMaxEventGap    = time.Second // for routes that set none
 )
 
 // forwardStream forwards a request whose response is a stream of events.
 func (req *request) forwardStream(ctx context.Context) {
-	req.budget(req.service).Deposit()
 	lastEvent := req.headers.LastEventID
-	for {
-		if !req.passGuard() {
-			return
-		}
-		c := req.acquireEndpoint(ctx)
-		e := c.Endpoint
-		if e == nil {
-			if req.exchange.ResponseStarted() {
-				req.abortStream("no endpoint")
-			} else {
-				req.rejectUnplaced(c)
-			}
-			return
-		}
-		req.tried[e.ID] = true
-		req.logAttemptStarted(c, lastEvent)
-		end, reason := req.attemptStream(ctx, e, &lastEvent)
-		req.endAssignment()
-		if end == attemptDone || end == attemptCallerGone {
-			return
-		}
-		if end == attemptNoInputs {
-			delete(req.tried, e.ID) // it can run the request once the stages have run again
-		}
-		if !req.allowRetry(end, lastEvent) || !req.rerunStages(ctx, end) {
-			req.abortStream(reason)
-			return
-		}
-	}
+	req.forward(ctx, func(c pick.Choice) (attemptEnd, string) { return req.attemptStream(ctx, c.Endpoint, &lastEvent) }, &lastEvent)
 }
 
 // takesUpStream reports whether the caller has events of an earlier attempt, after
@@ -135,6 +106,7 @@
 	defer call.Finish(req.Pool)
 	stop := context.AfterFunc(ctx, func() { _ = call.Conn.Close() })
 	defer stop()
+	call.OnOverdue(func() (time.Time, bool) { return req.handleSilence(ctx, e) })
 	kept := req.releaseInputsEarly()
 	err = call.Receive(req.headers.ID, req.deadline)
 	kept()
@@ -170,8 +142,8 @@
 	return func() { req.inputsReleased = !t.Stop() }
 }
 
-// forwardEvents forwards events to the caller until the stream ends or fails, or
-// the gap between two events of a resumable stream is too long.
+// forwardEvents forwards events to the caller until the stream ends or fails, or another
+// endpoint was acquired for a resumable stream after a gap that is too long.
 func (req *request) forwardEvents(e *fleet.Endpoint, call *pool.Call, lastEvent *int64) (attemptEnd, string) {
 	maxGap := req.route.MaxEventGap
 	if maxGap == 0 {
@@ -211,6 +183,7 @@
 		progress = !event.IsComment(raw)
 		if progress {
 			req.events++
+			req.endSilence()
 		}
 	}
 }
--- a/relay/stats/stats.go
+++ b/relay/stats/stats.go
@@ -115,6 +115,12 @@
 	metrics.GetOrRegisterCounter(admin.WithLabel(namePrefix+"crashes_total", "service", m.serviceLabel(service)), m.Registry).Inc(1)
 }
 
+// RecordSilence counts what was decided about an endpoint of a service that was silent for
+// longer than expected.
+func (m *Meters) RecordSilence(service, decision string) {
+	m.counter("silent_total", "service", m.serviceLabel(service), "decision", decision).Inc(1)
+}
+
 // RecordAttempt counts a request's attempt at an endpoint by how it ended.
 func (m *Meters) RecordAttempt(service, end string) {
 	m.counter("attempts_total", "service", m.serviceLabel(service), "end", end).Inc(1)
