relay/proxy: callers that close only their sending side get a response

Callers that half-closed their connection after the request saw it end without an answer or a refusal. Cause: the end of what a caller sends looks the same whether it has gone or only closed its sending side, and a cancelled request was not answered. Change: the request is still cancelled, so that no endpoint works for a caller that has gone. If no response has begun, it is answered with 503 if it has not run and never will, or else 502.

--- a/proof/deploy/calls_test.go
+++ b/proof/deploy/calls_test.go
@@ -196,11 +196,12 @@
 
 // sendRaw implements the command
 //
-//	raw RELAY FILE STATUS... [closed]
+//	raw RELAY FILE STATUS... [closed] [half=DURATION]
 //
 // It sends the bytes of a file, with \r\n as line ends, on one connection and checks
 // the statuses of the responses. With "closed" it reads until the relay closes the
-// connection; otherwise it stops after as many responses as there are statuses.
+// connection; otherwise it stops after as many responses as there are statuses. With the
+// option half it closes the sending side of the connection after DURATION.
 func sendRaw(cmd *command) error {
 	c, err := net.Dial("tcp", cmd.relay(cmd.arg(0)).Settings.HTTP.Listen)
 	if err != nil {
@@ -211,6 +212,12 @@
 	if _, err := c.Write([]byte(text)); err != nil {
 		return err
 	}
+	if v := cmd.opts["half"]; v != "" {
+		d, err := time.ParseDuration(v)
+		cmd.ts.Check(err)
+		time.Sleep(d)
+		cmd.ts.Check(c.(*net.TCPConn).CloseWrite())
+	}
 	var got bytes.Buffer
 	closed := false
 	want := cmd.args[2:]
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -136,9 +136,22 @@
 	req := &request{Forwarder: f, exchange: x, startedAt: x.StartedAt, tried: make(map[string]bool)}
 	req.headers.ID = plat.AttemptID(&x.Header)
 	req.serve()
+	if !x.ResponseStarted() {
+		req.answerGone()
+	}
 	req.recordDone()
 }
 
+// answerGone responds to a caller that counts as disconnected. It may have closed only its
+// sending side, or the relay is out of time for a stop.
+func (req *request) answerGone() {
+	status := fasthttp.StatusServiceUnavailable
+	if req.mayHaveRun {
+		status = fasthttp.StatusBadGateway
+	}
+	req.exchange.Reject(status, 0)
+}
+
 // recordDone logs the end of the request and counts it in the metrics.
 func (req *request) recordDone() {
 	now := req.Clock.Now()
