relay/front: requests that outlast a stop get a response

Callers whose requests were still at work when the time for a stop was over saw their connections closed without a word. Cause: Stop cancelled the requests and closed their connections at the same moment. Change: connections close 100 ms later, within the same limit, so that handlers can respond with 503 or 502 to callers that have no response yet.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -34,6 +34,7 @@
 	lingerTimeout         = 500 * time.Millisecond // to discard input after the last response
 	drainPeriod           = 200 * time.Millisecond // at a stop, for connections and requests that callers have sent already
 	handlerEndTimeout     = 200 * time.Millisecond // for handlers to return once a stop is out of time
+	answerPeriod          = 100 * time.Millisecond // part of handlerEndTimeout in which they may still respond
 )
 
 // Server serves callers. Set the exported fields before Serve.
@@ -95,8 +96,9 @@
 // done, so that the load balancer can notice that the relay isn't ready. Requests
 // that callers have sent by then are still served, also those on connections that
 // were not accepted yet. Then it closes the listener and idle connections, and
-// waits for requests in flight. When ctx is done, it cancels them and closes their
-// connections. It blocks until all connections are closed, and no longer than
+// waits for requests in flight. When ctx is done, it cancels them, and closes their
+// connections after answerPeriod, in which handlers respond to callers that have no
+// response yet. It blocks until all connections are closed, and no longer than
 // handlerEndTimeout after ctx is done.
 func (s *Server) Stop(ctx, accept context.Context) {
 	s.stopping.Store(true)
@@ -112,17 +114,28 @@
 		return
 	case <-ctx.Done():
 	}
-	s.mu.Lock()
-	for c, cancel := range s.conns {
+	s.forEachConn(func(_ net.Conn, cancel context.CancelFunc) {
 		if cancel != nil {
 			cancel()
 		}
-		_ = c.Close() // ends its goroutine
+	})
+	select {
+	case <-ended:
+		return
+	case <-time.After(answerPeriod):
 	}
-	s.mu.Unlock()
+	s.forEachConn(func(c net.Conn, _ context.CancelFunc) { _ = c.Close() }) // ends its goroutine
 	select {
 	case <-ended:
-	case <-time.After(handlerEndTimeout):
+	case <-time.After(handlerEndTimeout - answerPeriod):
+	}
+}
+
+func (s *Server) forEachConn(f func(c net.Conn, cancel context.CancelFunc)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, cancel := range s.conns {
+		f(c, cancel)
 	}
 }
 
