relay: logs tell requests that a stop has cut off from callers that have gone

Change: a stop cancels requests with a cause of its own. They end as 'out of time for a stop', with the status that their callers got. Callers that have gone are counted as before, without a status.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -37,6 +37,9 @@
 	answerPeriod          = 100 * time.Millisecond // part of handlerEndTimeout in which they may still respond
 )
 
+// ErrStopped is the cause for which requests are cancelled that outlast a stop.
+var ErrStopped = errors.New("server has stopped")
+
 // Server serves callers. Set the exported fields before Serve.
 type Server struct {
 	// Handle handles one request. It returns once the response is written.
@@ -47,8 +50,8 @@
 
 	ln       net.Listener
 	mu       sync.Mutex
-	conns    map[net.Conn]context.CancelFunc // open connections; cancels the request in flight, nil: none
-	drainEnd time.Time                       // from then on no request is taken; zero: Stop has not got that far
+	conns    map[net.Conn]context.CancelCauseFunc // open connections; cancels the request in flight, nil: none
+	drainEnd time.Time                            // from then on no request is taken; zero: Stop has not got that far
 	stopping atomic.Bool
 	active   atomic.Int64
 	wg       sync.WaitGroup // Serve and connections
@@ -66,7 +69,7 @@
 	s.mu.Lock()
 	s.ln = ln
 	if s.conns == nil {
-		s.conns = make(map[net.Conn]context.CancelFunc)
+		s.conns = make(map[net.Conn]context.CancelCauseFunc)
 	}
 	s.wg.Add(1)
 	s.mu.Unlock()
@@ -114,9 +117,9 @@
 		return
 	case <-ctx.Done():
 	}
-	s.forEachConn(func(_ net.Conn, cancel context.CancelFunc) {
+	s.forEachConn(func(_ net.Conn, cancel context.CancelCauseFunc) {
 		if cancel != nil {
-			cancel()
+			cancel(ErrStopped)
 		}
 	})
 	select {
@@ -124,14 +127,14 @@
 		return
 	case <-time.After(answerPeriod):
 	}
-	s.forEachConn(func(c net.Conn, _ context.CancelFunc) { _ = c.Close() }) // ends its goroutine
+	s.forEachConn(func(c net.Conn, _ context.CancelCauseFunc) { _ = c.Close() }) // ends its goroutine
 	select {
 	case <-ended:
 	case <-time.After(handlerEndTimeout - answerPeriod):
 	}
 }
 
-func (s *Server) forEachConn(f func(c net.Conn, cancel context.CancelFunc)) {
+func (s *Server) forEachConn(f func(c net.Conn, cancel context.CancelCauseFunc)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, cancel := range s.conns {
@@ -197,7 +200,7 @@
 }
 
 // setBusy records that a request is in flight on a connection, which cancel ends.
-func (s *Server) setBusy(c net.Conn, cancel context.CancelFunc) {
+func (s *Server) setBusy(c net.Conn, cancel context.CancelCauseFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = cancel
@@ -225,12 +228,12 @@
 	_, err := br.Peek(1)
 	for err == nil {
 		limits = s.limits()
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancelCause(context.Background())
 		s.setBusy(c, cancel)
 		s.active.Add(1)
 		keepAlive := s.serveRequest(ctx, cancel, c, br, limits, next)
 		s.active.Add(-1)
-		cancel()
+		cancel(nil)
 		if !keepAlive {
 			return
 		}
@@ -243,7 +246,7 @@
 // ends. It reports whether the connection stays open; if so, next receives a result
 // when the next request begins or the connection fails.
 func (s *Server) serveRequest(
-	ctx context.Context, cancel context.CancelFunc, c net.Conn, br *bufio.Reader, limits fleet.Limits, next chan peekResult,
+	ctx context.Context, cancel context.CancelCauseFunc, c net.Conn, br *bufio.Reader, limits fleet.Limits, next chan peekResult,
 ) bool {
 	x := &Exchange{Context: ctx, StartedAt: time.Now(), conn: c, server: s}
 	_ = c.SetReadDeadline(x.StartedAt.Add(limits.HeaderTimeout)) // fails only on a closed connection
@@ -270,7 +273,7 @@
 		// the second case it returns an error, and the request is cancelled.
 		_, err := br.Peek(1)
 		if err != nil {
-			cancel()
+			cancel(err)
 		}
 		next <- peekResult{err: err}
 	}()
@@ -303,7 +306,7 @@
 // Exchange is one request and its response. It must only be used by the goroutine
 // that runs Handle.
 type Exchange struct {
-	Context   context.Context // cancelled when the caller disconnects, and after Handle
+	Context   context.Context // cancelled when the caller disconnects, when a stop is out of time, and after Handle
 	StartedAt time.Time       // when the first byte of the request was available
 	Header    fasthttp.RequestHeader
 	Body      []byte
@@ -320,9 +323,16 @@
 // Status returns the status code of the response, or 0 if none was started.
 func (x *Exchange) Status() int { return x.status }
 
-// CallerGone reports whether the caller has disconnected.
+// CallerGone reports whether the caller has disconnected, or counts as such since a stop is
+// out of time.
 func (x *Exchange) CallerGone() bool { return x.Context != nil && x.Context.Err() != nil }
 
+// Stopped reports whether the request was cancelled because the server's time for a stop
+// is over.
+func (x *Exchange) Stopped() bool {
+	return x.Context != nil && errors.Is(context.Cause(x.Context), ErrStopped)
+}
+
 // CallerLeft reports whether the caller has disconnected, also if that was not
 // noticed yet: the connection may have been closed before the request was read.
 func (x *Exchange) CallerLeft() bool {
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -136,15 +136,20 @@
 	req := &request{Forwarder: f, exchange: x, startedAt: x.StartedAt, tried: make(map[string]bool)}
 	req.headers.ID = plat.AttemptID(&x.Header)
 	req.serve()
-	if !x.ResponseStarted() {
-		req.answerGone()
+	if x.Stopped() && req.outcome != outcomeAnswered {
+		req.outcome = "out of time for a stop"
+		if !x.ResponseStarted() {
+			req.answerCancelled()
+		}
 	}
 	req.recordDone()
+	if !x.ResponseStarted() {
+		req.answerCancelled() // the caller may have closed only its sending side
+	}
 }
 
-// answerGone responds to a caller that counts as disconnected. It may have closed only its
-// sending side, or the relay is out of time for a stop.
-func (req *request) answerGone() {
+// answerCancelled responds to the caller of a request that was cancelled.
+func (req *request) answerCancelled() {
 	status := fasthttp.StatusServiceUnavailable
 	if req.mayHaveRun {
 		status = fasthttp.StatusBadGateway
