proof/deploy: the soak sees requests without a response, silent endpoints and odd entries

Cause: the soak counted requests without a response as broken, whoever was to blame, and played neither endpoints that pause within an answer, nor callers that close only their sending side, nor entries of other writers. Change: a request that gets nothing from a relay that was neither killed nor paused is a finding, also one that was sent before a planned stop. Three faults are new.

--- a/fakes/site/caller.go
+++ b/fakes/site/caller.go
@@ -43,6 +43,15 @@
 	}
 }
 
+// AppendHead appends the head of a GET request of the call.
+func (c Call) AppendHead(dst []byte, uri string) []byte {
+	var h fasthttp.RequestHeader
+	h.SetRequestURI(uri)
+	h.SetHost(StandardHost)
+	c.SetHeaders(&h)
+	return h.AppendBytes(dst)
+}
+
 // TakeUp changes the headers of a call to those of another attempt with the given ID,
 // which takes the stream up after the event with the ID last. first is the ID of the
 // attempt that brought the first event.
@@ -72,5 +81,8 @@
 // RestoreZone ends the drain of an availability zone.
 func (s *Site) RestoreZone(zone string) { s.Store.Delete("op/evacuate/" + zone) }
 
+// PutEntry writes a value in place of the store entry of an endpoint.
+func (s *Site) PutEntry(id, value string) { s.Store.Put("servers/"+id, []byte(value)) }
+
 // Deregister deletes the store entry of an endpoint. The endpoint keeps running.
 func (s *Site) Deregister(id string) { s.Store.Delete("servers/" + id) }
--- a/proof/deploy/deploy.go
+++ b/proof/deploy/deploy.go
@@ -48,6 +48,8 @@
 	Dir    string // directory for settings and logs
 	Bin    string // directory with the built programs
 	Relays []*Relay
+
+	client fasthttp.Client // of the callers of SendLoad
 }
 
 // Relay returns a relay by name, or nil.
--- a/proof/deploy/drive.go
+++ b/proof/deploy/drive.go
@@ -56,6 +56,10 @@
 	Signed       bool   // the response has an endpoint's signature
 	StartedAt    time.Time
 	EndedAt      time.Time
+
+	Relay        string    // that got the first attempt
+	FirstError   error     // why nothing of a response to it arrived; nil: something did
+	FirstEndedAt time.Time // when the first attempt ended
 }
 
 // Load describes the requests that callers send.
@@ -73,9 +77,9 @@
 	rng := rand.New(rand.NewPCG(l.Seed, 0))
 	ctx, cancel := context.WithTimeout(ctx, l.Duration)
 	defer cancel()
+	d.client.MaxIdemponentCallAttempts, d.client.MaxConnsPerHost = 1, 1<<14
 	var wg sync.WaitGroup
 	var out []*Reply
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1 << 14}
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
@@ -84,7 +88,7 @@
 		case <-time.After(time.Duration(rng.ExpFloat64() / l.Rate * float64(time.Second))):
 		}
 		routes := Routes()
-		r := &Reply{ID: fmt.Sprintf("%x-%x", l.Seed, n), Route: routes[rng.IntN(len(routes))]}
+		r := &Reply{ID: fmt.Sprintf("%x-%x", l.Seed, n), Route: routes[rng.IntN(len(routes))], Relay: d.Relays[n%len(d.Relays)].Name}
 		r.URI = fmt.Sprintf("%s%d", r.Route.Prefix, n)
 		if rng.IntN(2) == 0 {
 			r.RequestBody = fmt.Sprintf("body of %s", r.ID)
@@ -97,7 +101,7 @@
 		out = append(out, r)
 		wg.Go(func() {
 			defer fasthttp.ReleaseRequest(req)
-			r.send(client, addrs, req)
+			r.send(&d.client, addrs, req)
 		})
 	}
 }
@@ -137,7 +141,14 @@
 			site.TakeUp(&req.Header, fmt.Sprintf("%s-%d", r.ID, i), r.ID, strings.Count(received.String(), eventEnd)-1)
 			time.Sleep(takeUpDelay)
 		}
-		body, complete := r.sendOnce(client, addr, req)
+		body, err := r.sendOnce(client, addr, req)
+		if i == 0 {
+			r.FirstEndedAt = time.Now()
+			if body == "" {
+				r.FirstError = err
+			}
+		}
+		complete := err == nil
 		if complete && r.Status == fasthttp.StatusOK {
 			received.WriteString(body)
 			r.ResponseBody = received.String()
@@ -156,8 +167,8 @@
 }
 
 // sendOnce sends the request to one relay. It returns the part of the body that
-// arrived, and whether it is complete. The status is 0 if it is not.
-func (r *Reply) sendOnce(client *fasthttp.Client, addr string, req *fasthttp.Request) (string, bool) {
+// arrived, and an error if it is not complete. The status is 0 then.
+func (r *Reply) sendOnce(client *fasthttp.Client, addr string, req *fasthttp.Request) (string, error) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	resp.StreamBody = true
@@ -166,16 +177,16 @@
 	req.Header.SetHost(site.StandardHost)
 	r.Status = 0
 	if err := client.DoTimeout(req, resp, requestDeadline+responseGrace); err != nil {
-		return "", false
+		return "", fmt.Errorf("send request: %w", err)
 	}
 	body, err := io.ReadAll(resp.BodyStream())
 	_ = resp.CloseBodyStream() // fails only after a failed read
 	if err != nil {
-		return string(body), false
+		return string(body), fmt.Errorf("read body: %w", err)
 	}
 	r.Status = resp.StatusCode()
 	r.Signed = site.Signed(&resp.Header)
-	return string(body), true
+	return string(body), nil
 }
 
 // Verdict counts replies and lists what is wrong with them. Served are those with
@@ -188,18 +199,19 @@
 	WrongResponses    []string // status 200, but not the complete and signed response of an endpoint
 	RanTwice          []string // ran more than once though the route forbids it
 	RanThoughRejected []string // ran, though the response says that the request did not run
+	Unanswered        []string // got neither an answer nor a refusal from a relay that was not interrupted
 }
 
 // OK reports whether there are no findings.
 func (v *Verdict) OK() bool {
-	return len(v.WrongResponses)+len(v.RanTwice)+len(v.RanThoughRejected) == 0
+	return len(v.WrongResponses)+len(v.RanTwice)+len(v.RanThoughRejected)+len(v.Unanswered) == 0
 }
 
 // String returns the counts and the first findings of each kind.
 func (v *Verdict) String() string {
-	s := fmt.Sprintf("%d sent, %d served (%d taken up), %d rejected, %d broken; wrong responses %d, ran twice %d, ran though rejected %d",
-		v.Sent, v.Served, v.TakenUp, v.Rejected, v.Broken, len(v.WrongResponses), len(v.RanTwice), len(v.RanThoughRejected))
-	for _, list := range [][]string{v.WrongResponses, v.RanTwice, v.RanThoughRejected} {
+	s := fmt.Sprintf("%d sent, %d served (%d taken up), %d rejected, %d broken; wrong responses %d, ran twice %d, ran though rejected %d, unanswered %d",
+		v.Sent, v.Served, v.TakenUp, v.Rejected, v.Broken, len(v.WrongResponses), len(v.RanTwice), len(v.RanThoughRejected), len(v.Unanswered))
+	for _, list := range [][]string{v.WrongResponses, v.RanTwice, v.RanThoughRejected, v.Unanswered} {
 		for _, f := range list[:min(len(list), maxPrintedFindings)] {
 			s += "\n  ! " + f
 		}
--- a/proof/deploy/soak.go
+++ b/proof/deploy/soak.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -49,6 +50,12 @@
 	version      int               // version of the last published configuration
 	release      int               // number of the last released version
 	lastEndpoint int               // number in the ID of the last replacement endpoint
+	oddEntries   int               // number of entries of other writers so far
+	interrupted  interruptions
+
+	mu         sync.Mutex
+	halfClosed []string // callers that closed their sending side and got no response; guarded by mu
+	callers    sync.WaitGroup
 }
 
 // Run runs the soak and returns its verdict. It returns an error if the run could
@@ -95,7 +102,10 @@
 	if err := sr.awaitRecovery(); err != nil {
 		return nil, err
 	}
-	return d.Verify(all), nil
+	v := d.Verify(all)
+	sr.callers.Wait()
+	v.Unanswered = append(sr.interrupted.unanswered(all), sr.halfClosed...)
+	return v, nil
 }
 
 // injectFaults injects faults for the duration of the run and waits until all have
@@ -144,7 +154,7 @@
 
 // injectFault injects one random fault.
 func (sr *soakRun) injectFault() error {
-	switch sr.rng.IntN(17) {
+	switch sr.rng.IntN(19) {
 	case 0, 1, 2:
 		return sr.failResponses()
 	case 3:
@@ -173,6 +183,12 @@
 		return sr.poisonPart()
 	case 15:
 		return sr.poisonRequest()
+	case 16:
+		sr.halfClose()
+		return nil
+	case 17:
+		sr.putOddEntry()
+		return nil
 	default:
 		return sr.drainZone()
 	}
@@ -192,7 +208,7 @@
 func (sr *soakRun) failResponses() error {
 	faults := []site.Fault{
 		site.FaultLost, site.FaultTruncated, site.FaultDuplicate, site.FaultShed, site.FaultError, site.FaultUnsigned, site.FaultWrongID, site.FaultHang,
-		site.FaultEndless,
+		site.FaultEndless, site.FaultPause,
 	}
 	e, f, n := sr.randomEndpoint(), faults[sr.rng.IntN(len(faults))], 1+sr.rng.IntN(3)
 	sr.Logf("%s: fault in the next %d responses: %s", e.ID, n, f)
@@ -372,6 +388,36 @@
 
 func (sr *soakRun) randomRelay() *Relay { return sr.dep.Relays[sr.rng.IntN(len(sr.dep.Relays))] }
 
+// halfClose sends a request whose caller closes its sending side while it waits.
+func (sr *soakRun) halfClose() {
+	routes := Routes()
+	r, uri, delay := sr.randomRelay(), fmt.Sprintf("%shalf-%d", routes[sr.rng.IntN(len(routes))].Prefix, sr.rng.Uint32()), time.Duration(sr.rng.Int64N(int64(maxHalfCloseDelay)))
+	sr.Logf("the caller of %s closes its sending side after %s", uri, delay)
+	sr.callers.Go(func() {
+		startedAt := time.Now()
+		if err := callHalfClosed(r, uri, uri, delay); err != nil && !sr.interrupted.excuses(r.Name, startedAt, time.Now()) {
+			sr.mu.Lock()
+			defer sr.mu.Unlock()
+			sr.halfClosed = append(sr.halfClosed, err.Error())
+		}
+	})
+}
+
+// putOddEntry writes an entry that names no endpoint among those of the endpoints, and
+// removes it later.
+func (sr *soakRun) putOddEntry() {
+	values := site.OddEntries()
+	n := sr.rng.IntN(len(values))
+	sr.oddEntries++
+	id := fmt.Sprint("odd-", sr.oddEntries)
+	sr.Logf("another writer leaves entry %s with odd value %d", id, n)
+	sr.dep.Site.PutEntry(id, values[n])
+	sr.schedule(sr.randomDuration(), func() error {
+		sr.dep.Site.Deregister(id)
+		return nil
+	})
+}
+
 // endRelay sends SIGKILL or SIGTERM to a relay and starts it again once it has ended.
 // It does nothing if the relay is already ending or isn't ready: SIGTERM makes such
 // a relay exit with an error, which is correct but would fail the run.
@@ -384,6 +430,7 @@
 		return nil
 	}
 	sr.ending[r.Name] = true
+	restarted := sr.interrupted.begin(r.Name, sig == syscall.SIGTERM)
 	sr.Logf("%s gets %s", r.Name, sig)
 	if err := errors.Join(r.proc.Signal(syscall.SIGCONT), r.proc.Signal(sig)); err != nil {
 		return err
@@ -395,8 +442,15 @@
 				return fmt.Errorf("%s failed to stop after SIGTERM: %w", r.Name, err)
 			}
 			delete(sr.ending, r.Name)
-			_, err := sr.dep.StartRelay(r.Name, r.Settings.Zone)
-			return err
+			sr.dep.client.CloseIdleConnections() // a request on one of the ended relay could not be told from one that it has read
+			if _, err := sr.dep.StartRelay(r.Name, r.Settings.Zone); err != nil {
+				return err
+			}
+			go func() {
+				_ = sr.dep.AwaitReady(sr.ctx, r) // it may have been ended again
+				restarted()
+			}()
+			return nil
 		}
 	}()
 	return nil
@@ -410,9 +464,11 @@
 		return nil
 	}
 	sr.Logf("%s is paused for %s", r.Name, d)
+	resumed := sr.interrupted.begin(r.Name, false)
 	_ = r.proc.Signal(syscall.SIGSTOP) // fails only if the process has ended
 	sr.schedule(d, func() error {
 		_ = r.proc.Signal(syscall.SIGCONT) // fails only if the process has ended
+		resumed()
 		return nil
 	})
 	return nil
