relay/proxy: a silent endpoint's successor is connected first, and may send the request back

The successor's placement was ended by the report of the attempt that it replaced. Stages ran again before it was known that any endpoint could take the request. One check of 300 ms that failed ended a stream, and each request made checks of its own. A service that a new configuration has dropped took no attempt of a request that had begun. Change: each of these. Bytes that arrive during the search still count, a retry that isn't made returns to the budget, and requests share the checks of an endpoint.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -66,6 +66,14 @@
 	return true
 }
 
+// Return puts back a retry that was withdrawn and not made.
+func (b *Budget) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.initLocked()
+	b.balance = min(b.balance+1, b.MaxBalance)
+}
+
 // Balance returns the number of retries that are left.
 func (b *Budget) Balance() float64 {
 	b.mu.Lock()
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -39,3 +39,18 @@
 		}
 	}
 }
+
+// TestReturnedRetry checks that a retry that isn't made can be withdrawn again, and that
+// returned ones never exceed the maximum balance.
+func TestReturnedRetry(t *testing.T) {
+	b := retry.Budget{MaxBalance: 1}
+	for range 3 {
+		if !b.Withdraw(0) || b.Withdraw(0) {
+			t.Fatalf("balance is %v, want that of one retry", b.Balance())
+		}
+		b.Return()
+	}
+	if b.Return(); b.Balance() != 1 {
+		t.Errorf("balance is %v, want 1", b.Balance())
+	}
+}
--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -133,6 +133,9 @@
 	return err
 }
 
+// Refuse makes the endpoint refuse new connections. Those that are open stay so.
+func (e *Endpoint) Refuse() error { return e.ln.Close() }
+
 // InjectFault injects a fault into the next n responses.
 func (e *Endpoint) InjectFault(f Fault, n int) {
 	e.mu.Lock()
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -90,6 +90,7 @@
 		"arrived":  checkArrived,
 		"restart":  restartEndpoint,
 		"crash":    crashEndpoint,
+		"refuse":   refuseConnections,
 		"poison":   poisonPart,
 		"mixed":    sendMixed,
 		"stage":    startStage,
@@ -292,6 +293,13 @@
 // It ends an endpoint and its connections and leaves its store entry.
 func crashEndpoint(cmd *command) error { return cmd.state.dep.Site.CrashEndpoint(cmd.arg(0)) }
 
+// refuseConnections implements the command
+//
+//	refuse ENDPOINT
+//
+// It makes an endpoint refuse new connections.
+func refuseConnections(cmd *command) error { return cmd.endpoint(cmd.arg(0)).Refuse() }
+
 // setState implements the command
 //
 //	state ENDPOINT ready|draining|gone
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -357,6 +357,9 @@
 	return err != nil || closed
 }
 
+// Complete reports whether the whole response was written.
+func (x *Exchange) Complete() bool { return x.complete }
+
 // ResponseStarted reports whether writing of a response has started.
 func (x *Exchange) ResponseStarted() bool { return x.started }
 
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -22,7 +22,8 @@
 	idleMargin         = 700 * time.Millisecond // an idle connection expires this long before its endpoint closes it
 	readBufferBytes    = 8 << 10
 	unackedTimeout     = 2 * time.Second // a connection fails if sent bytes stay unacknowledged for longer
-	sweepInterval      = time.Second     // minimum time between two sweeps for expired connections
+	arrivedTimeout     = time.Millisecond
+	sweepInterval      = time.Second // minimum time between two sweeps for expired connections
 )
 
 // ErrUnreachable reports that no connection to an endpoint could be made.
@@ -52,6 +53,7 @@
 
 	key       key
 	overdue   func() (time.Time, bool) // see Call.OnOverdue
+	lastRead  time.Time                // see LastRead
 	budget    *Budget                  // nil: responses are bounded one by one only
 	lastBody  uint64                   // hash of the last body that Call.ReceiveUnnamed knows again
 	expiresAt time.Time                // an idle connection isn't used from this time on
@@ -110,17 +112,27 @@
 	return c, nil
 }
 
+// LastRead returns when the current call last read from the connection, if it has set
+// OnOverdue.
+func (c *Conn) LastRead() time.Time { return c.lastRead }
+
 // Read reads from the connection. When the read deadline passes, it asks the current call
 // whether to wait for longer.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.overdue == nil {
+		return c.Conn.Read(p)
+	}
 	for {
 		n, err := c.Conn.Read(p)
-		if n > 0 || c.overdue == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		if n > 0 {
+			c.lastRead = time.Now()
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		next, ok := c.overdue()
 		if !ok {
-			return 0, err
+			return c.readArrived(p, err)
 		}
 		if err := c.SetReadDeadline(next); err != nil {
 			return 0, fmt.Errorf("extend read deadline: %w", err)
@@ -189,6 +201,20 @@
 	}
 }
 
+// readArrived reads what has arrived while the call decided to give the response up. If
+// nothing has, it returns err.
+func (c *Conn) readArrived(p []byte, err error) (int, error) {
+	if c.SetReadDeadline(time.Now().Add(arrivedTimeout)) != nil {
+		return 0, err
+	}
+	n, _ := c.Conn.Read(p)
+	if n == 0 {
+		return 0, err
+	}
+	c.lastRead = time.Now()
+	return n, nil
+}
+
 // Check reports whether a new connection to an endpoint can be made, and keeps it for
 // reuse. Any error wraps ErrUnreachable.
 func (p *Pool) Check(ctx context.Context, id, addr string) error {
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -25,6 +25,12 @@
 // that may be repeated, in multiples of the route's latency objective.
 const attemptTimeoutFactor = 3
 
+// Reasons why no attempt follows.
+const (
+	reasonBudgetSpent = "retry budget is spent"
+	reasonNoEndpoint  = "no endpoint"
+)
+
 // maxLoggedParts bounds the prompt parts in a log line.
 const maxLoggedParts = 8
 
@@ -58,31 +64,41 @@
 // choice is nil if none can take the request; otherwise the caller must end the attempt
 // with recordEnd and endAssignment.
 func (req *request) acquireEndpoint(ctx context.Context) (pick.Choice, *assign.Assignment) {
-	v := req.View()
-	svc := v.Config.Service(req.service)
+	svc, list := req.candidates()
 	if svc == nil {
 		return pick.Choice{}, nil
 	}
 	if !req.assignable(svc) {
-		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
+		return req.Balancer.Acquire(svc, list, req.criteria()), nil
 	}
 	a, ok := req.Engines.Assign(ctx, svc, req.promptRequest(), req.criteria())
 	if !ok {
-		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
+		return req.Balancer.Acquire(svc, list, req.criteria()), nil
 	}
 	if !req.Balancer.Begin(svc, a.Endpoint, false) { // another request has used up the limit
 		a.Ended(0, 0)
-		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
+		return req.Balancer.Acquire(svc, list, req.criteria()), nil
 	}
 	return pick.Choice{Endpoint: a.Endpoint, Reason: pick.ReasonPrompt, Candidates: a.Candidates, Load: req.Balancer.Load(a.Endpoint), Predicted: a.FirstEvent, Cached: a.Cached}, &a
 }
 
+// candidates returns the request's service and its endpoints. A service that the newest
+// configuration has dropped is that of the configuration that the request is served with.
+func (req *request) candidates() (*fleet.Service, []*fleet.Endpoint) {
+	v := req.View()
+	svc := v.Config.Service(req.service)
+	if svc == nil {
+		svc = req.config.Service(req.service)
+	}
+	return svc, v.Endpoints(req.service)
+}
+
 // nextEndpoint returns the endpoint for the next attempt: the successor of a silent one,
 // or another one that can take the request. If there is none, it ends the request and
 // returns false.
 func (req *request) nextEndpoint(ctx context.Context, next *successor) (pick.Choice, bool) {
 	if next != nil {
-		req.assignment = next.assignment
+		req.assignment, req.conn = next.assignment, next.conn
 		return next.choice, true
 	}
 	if !req.passGuard() {
@@ -94,7 +110,7 @@
 	case c.Endpoint != nil:
 		return c, true
 	case req.exchange.ResponseStarted():
-		req.abortStream("no endpoint")
+		req.abortStream(reasonNoEndpoint)
 	default:
 		req.rejectUnplaced(c)
 	}
@@ -106,6 +122,7 @@
 func (req *request) forward(ctx context.Context, attempt func(c pick.Choice) (attemptEnd, string), lastEvent *int64) {
 	req.budget(req.service).Deposit()
 	var next *successor
+	silent := "" // ID of the endpoint that the current attempt replaces
 	for {
 		c, ok := req.nextEndpoint(ctx, next)
 		if !ok {
@@ -116,28 +133,28 @@
 		end, reason := attempt(c)
 		req.endAssignment()
 		next = req.takeSuccessor()
-		if end == attemptDone || end == attemptCallerGone {
-			req.abandon(next)
+		switch end {
+		case attemptDone, attemptCallerGone:
+			req.dropRerun()
+			if next != nil {
+				req.abandon(next)
+				req.budget(req.service).Return()
+			}
 			return
-		}
-		if end == attemptNoInputs {
+		case attemptNoInputs:
 			delete(req.tried, c.Endpoint.ID) // it can run the request once the stages have run again
+		case attemptNotRun:
+			delete(req.tried, silent) // it may go on after all
 		}
 		if next == nil && (!req.allowRetry(end, *lastEvent) || !req.rerunStages(ctx, end)) {
+			req.dropRerun()
 			req.abortStream(reason)
 			return
 		}
-	}
-}
-
-// abandon gives up an endpoint that was acquired for an attempt which isn't made.
-func (req *request) abandon(s *successor) {
-	if s == nil {
-		return
-	}
-	req.Balancer.End(s.choice.Endpoint, pick.ResultNone)
-	if s.assignment != nil {
-		s.assignment.Ended(0, 0)
+		silent = ""
+		if next != nil {
+			silent = c.Endpoint.ID
+		}
 	}
 }
 
@@ -204,8 +221,6 @@
 	return reason == ""
 }
 
-const reasonBudgetSpent = "retry budget is spent"
-
 // retryObstacle returns why no other attempt may follow one that ended with end, or "". The
 // retry budget is left aside.
 func (req *request) retryObstacle(end attemptEnd) string {
@@ -281,7 +296,7 @@
 func (req *request) rejectUnplaced(c pick.Choice) {
 	held := req.held()
 	if c.OpensAt.IsZero() || req.mayHaveRun || req.exchange.CallerGone() {
-		reason := "no endpoint"
+		reason := reasonNoEndpoint
 		if held != "" {
 			reason += " (" + held + ")"
 		}
@@ -330,7 +345,12 @@
 			deadline = t
 		}
 	}
-	call.OnOverdue(func() (time.Time, bool) { return req.handleSilence(ctx, e) })
+	call.OnOverdue(func() (time.Time, bool) {
+		if t := call.Conn.LastRead().Add(silenceInterval); req.Clock.Now().Before(t) {
+			return earlier(t, req.deadline), true // the body is on its way
+		}
+		return req.handleSilence(ctx, e)
+	})
 	if err := call.Receive(req.headers.ID, deadline); err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
@@ -421,11 +441,17 @@
 // attemptFailed if it may have.
 func (req *request) send(ctx context.Context, e *fleet.Endpoint, lastEvent int64, deadline time.Time) (*pool.Call, attemptEnd, error) {
 	if req.exchange.CallerLeft() {
+		if req.conn != nil {
+			_ = req.conn.Close() // nothing was sent on it
+		}
 		return nil, attemptCallerGone, errCallerLeft
 	}
-	conn, err := req.Pool.Get(ctx, e.ID, e.Addr, false)
-	if err != nil {
-		return nil, attemptNotRun, err
+	conn := req.conn
+	if req.conn = nil; conn == nil {
+		var err error
+		if conn, err = req.Pool.Get(ctx, e.ID, e.Addr, false); err != nil {
+			return nil, attemptNotRun, err
+		}
 	}
 	call := &pool.Call{Conn: conn}
 	head := plat.AppendRequest(nil, &req.exchange.Header, plat.RelayHeaders{
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -83,6 +83,7 @@
 	budgets map[string]*retry.Budget // by service; guarded by mu
 	holds   map[string]*batch.Hold   // by service; guarded by mu
 	waits   map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
+	reach   reachability
 	// admission is what is needed to admit requests to stages. mu is held while it changes.
 	admission atomic.Pointer[admission]
 }
@@ -125,6 +126,7 @@
 	suspects       []poison.Suspect // what the request has in common with others that could crash endpoints
 	trial          bool             // sent to one endpoint although a suspect is quarantined
 	silence        silence          // of the current attempt's endpoint
+	conn           *pool.Conn       // to the endpoint of the next attempt; nil: none yet
 }
 
 // outcomeAnswered is the logged outcome of a request whose response came from an
@@ -136,7 +138,7 @@
 	req := &request{Forwarder: f, exchange: x, startedAt: x.StartedAt, tried: make(map[string]bool)}
 	req.headers.ID = plat.AttemptID(&x.Header)
 	req.serve()
-	if x.Stopped() && req.outcome != outcomeAnswered {
+	if x.Stopped() && !x.Complete() {
 		req.outcome = "out of time for a stop"
 		if !x.ResponseStarted() {
 			req.answerCancelled()
@@ -415,6 +417,9 @@
 	if len(req.route.Stages) == 0 || (!req.inputsReleased && end != attemptNoInputs) {
 		return true
 	}
+	if req.silence.rerun != nil {
+		return req.takeRerun() == nil
+	}
 	if req.stageReruns == maxStageReruns {
 		return false
 	}
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -13,11 +13,8 @@
 )
 
 const (
-	silenceInterval      = 250 * time.Millisecond // between two searches for a successor of a silent endpoint
-	rerunInterval        = 25 * time.Millisecond  // instead of silenceInterval while stages run again
-	reachableInterval    = time.Second            // between two checks of whether a silent endpoint is reachable
-	reachableTimeout     = 300 * time.Millisecond
-	reasonStagesRunAgain = "stages run again"
+	silenceInterval = 250 * time.Millisecond // between two searches for a successor of a silent endpoint
+	rerunInterval   = 25 * time.Millisecond  // instead of silenceInterval while stages run again
 )
 
 // errSilent reports an attempt whose endpoint sent nothing for so long that another
@@ -34,20 +31,30 @@
 	silenceEnded    silenceDecision = "ended"    // the endpoint can't be reached any more
 )
 
+// searchResult is the result of a search for a successor.
+type searchResult string
+
+const (
+	searchFound   searchResult = "found"
+	searchPending searchResult = "pending" // the stages run again for it
+	searchFailed  searchResult = "failed"
+)
+
 // silence is what is known of the silence of the current attempt's endpoint. The attempt
 // goes on until a successor has been acquired, as the endpoint may still answer.
 type silence struct {
 	successor *successor
 	rerun     *stageRerun
-	awaited   string    // logged reason for waiting
-	checkedAt time.Time // when the endpoint was last found reachable
-	err       error     // why the attempt was given up
+	trial     bool   // the guard has allowed a trial to the successor
+	awaited   string // logged reason for waiting
+	err       error  // why the attempt was given up
 }
 
-// successor is an endpoint that was acquired for the next attempt.
+// successor is an endpoint that was acquired for the next attempt, and a connection to it.
 type successor struct {
 	choice     pick.Choice
 	assignment *assign.Assignment
+	conn       *pool.Conn
 }
 
 // stageRerun is a run of the stages beside an attempt. inputs and err may be read once done
@@ -64,18 +71,18 @@
 // attempt is given up.
 func (req *request) handleSilence(ctx context.Context, e *fleet.Endpoint) (time.Time, bool) {
 	now := req.Clock.Now()
-	if !now.Before(req.deadline) || ctx.Err() != nil {
+	if !now.Before(req.deadline) || ctx.Err() != nil || req.silence.successor != nil {
 		return time.Time{}, false
 	}
-	reason := req.findSuccessor(ctx)
+	result, reason := req.findSuccessor(ctx)
 	switch {
-	case reason == "":
+	case result == searchFound:
 		req.silence.err = errSilent
 		req.recordSilence(e, silenceReplaced, "")
 		return time.Time{}, false
-	case reason == reasonStagesRunAgain:
+	case result == searchPending:
 		return now.Add(rerunInterval), true
-	case !req.isReachable(ctx, e):
+	case req.isLost(ctx, e):
 		req.silence.err = pool.ErrUnreachable
 		req.recordSilence(e, silenceEnded, reason)
 		return time.Time{}, false
@@ -83,72 +90,106 @@
 		req.silence.awaited = reason
 		req.recordSilence(e, silenceAwaited, reason)
 	}
-	next := now.Add(silenceInterval)
-	if next.After(req.deadline) {
-		next = req.deadline
+	return earlier(now.Add(silenceInterval), req.deadline), true
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return next, true
+	return b
 }
 
-// findSuccessor acquires the endpoint for the next attempt, runs the stages again if their
-// results were released, and withdraws the attempt from the retry budget. It returns why
-// there is no successor yet, or "".
-func (req *request) findSuccessor(ctx context.Context) string {
-	if reason := req.retryObstacle(attemptFailed); reason != "" {
-		return reason
+// findSuccessor acquires the endpoint for the next attempt and connects to it, runs the
+// stages again if their results were released, and withdraws the attempt from the retry
+// budget. It returns the reason if there is no successor.
+func (req *request) findSuccessor(ctx context.Context) (searchResult, string) {
+	reason := req.retryObstacle(attemptFailed)
+	switch {
+	case reason != "":
+		return searchFailed, reason
+	case req.exchange.ResponseStarted() && req.deadline.Sub(req.Clock.Now()) < req.firstEventLatency():
+		return searchFailed, "no time left for another endpoint"
+	case req.budget(req.service).Balance() < 1:
+		return searchFailed, reasonBudgetSpent
 	}
-	if req.budget(req.service).Balance() < 1 {
-		return reasonBudgetSpent
+	svc, list := req.candidates()
+	if svc == nil || req.Balancer.Pick(svc, list, req.criteria()).Endpoint == nil {
+		return searchFailed, reasonNoEndpoint
 	}
-	if reason := req.prepareInputs(ctx); reason != "" {
-		return reason
+	if result, reason := req.prepareInputs(ctx); result != searchFound {
+		return result, reason
+	}
+	if !req.silence.trial {
+		d := req.Guard.Admit(req.suspects)
+		if d.Rejected {
+			return searchFailed, d.Reason
+		}
+		req.silence.trial = d.Trial
 	}
+	return req.acquireSuccessor(ctx)
+}
+
+// acquireSuccessor acquires the endpoint for the next attempt, connects to it and withdraws
+// the attempt from the retry budget.
+func (req *request) acquireSuccessor(ctx context.Context) (searchResult, string) {
+	req.endAssignment() // an owner of a pool knows one placement of a request
 	c, a := req.acquireEndpoint(ctx)
 	if c.Endpoint == nil {
-		return "no endpoint"
+		return searchFailed, reasonNoEndpoint
 	}
 	s := &successor{choice: c, assignment: a}
-	d := req.Guard.Admit(req.suspects)
-	switch {
-	case d.Rejected:
+	conn, err := req.Pool.Get(ctx, c.Endpoint.ID, c.Endpoint.Addr, false)
+	if err != nil {
+		req.Balancer.MarkUnreachable(c.Endpoint)
 		req.abandon(s)
-		return d.Reason
-	case !req.budget(req.service).Withdraw(0):
+		return searchFailed, err.Error()
+	}
+	s.conn = conn
+	if !req.budget(req.service).Withdraw(0) {
 		req.abandon(s)
-		return reasonBudgetSpent
+		return searchFailed, reasonBudgetSpent
 	}
-	req.trial = d.Trial
+	req.trial = req.silence.trial
 	req.silence.successor = s
-	return ""
+	return searchFound, ""
+}
+
+// abandon gives up an endpoint that was acquired for an attempt which isn't made.
+func (req *request) abandon(s *successor) {
+	req.Balancer.End(s.choice.Endpoint, pick.ResultNone)
+	if s.assignment != nil {
+		s.assignment.Ended(0, 0)
+	}
+	if s.conn != nil {
+		_ = s.conn.Close() // nothing was sent on it
+	}
 }
 
 // prepareInputs runs the stages again, beside the current attempt, if their results were
-// released. It returns why the results don't exist yet, or "".
-func (req *request) prepareInputs(ctx context.Context) string {
+// released. It returns the reason if the results don't exist.
+func (req *request) prepareInputs(ctx context.Context) (searchResult, string) {
 	r := req.silence.rerun
 	if r == nil {
 		if len(req.route.Stages) == 0 || !req.inputsReleased {
-			return ""
+			return searchFound, ""
 		}
 		if req.stageReruns == maxStageReruns {
-			return "stages have run again before"
+			return searchFailed, "stages have run again before"
 		}
 		req.silence.rerun = req.beginRerun(ctx)
-		return reasonStagesRunAgain
+		return searchPending, ""
 	}
 	select {
 	case <-r.done:
 	default:
-		return reasonStagesRunAgain
+		return searchPending, ""
 	}
-	req.silence.rerun = nil
-	r.cancel()
-	req.logStages(r.inputs, r.err)
-	if r.err != nil {
-		return r.err.Error()
+	if err := req.takeRerun(); err != nil {
+		return searchFailed, err.Error()
 	}
-	req.inputs, req.inputsReleased = r.inputs, false
-	return ""
+	return searchFound, ""
 }
 
 // beginRerun starts the stages of the request once more.
@@ -166,49 +207,57 @@
 	return r
 }
 
-// endSilence forgets the silence of an endpoint that goes on, and releases what was
-// prepared for a successor.
+// takeRerun waits for the results of the stages that run beside the attempt, and makes them
+// the inputs of the next one.
+func (req *request) takeRerun() error {
+	r := req.silence.rerun
+	req.silence.rerun = nil
+	<-r.done
+	r.cancel()
+	req.logStages(r.inputs, r.err)
+	if r.err == nil {
+		req.inputs, req.inputsReleased = r.inputs, false
+	}
+	return r.err
+}
+
+// endSilence forgets the silence of an endpoint that goes on, and gives up what was prepared
+// for a successor.
 func (req *request) endSilence() {
+	if s := req.silence.successor; s != nil {
+		req.abandon(s)
+		req.budget(req.service).Return()
+	}
 	req.dropRerun()
 	req.silence = silence{}
 	req.releaseInputs()
 }
 
-// dropRerun cancels a run of the stages beside an attempt and releases its results.
+// dropRerun cancels a run of the stages beside an attempt and releases its results. It waits
+// for its end, which would remove the items of another run of the request.
 func (req *request) dropRerun() {
 	r := req.silence.rerun
 	if r == nil {
 		return
 	}
 	req.silence.rerun = nil
+	req.stageReruns--
 	r.cancel()
-	stages := req.Stages
-	go func() {
-		<-r.done
-		stages.ReleaseResults(r.inputs)
-	}()
+	<-r.done
+	req.Stages.ReleaseResults(r.inputs)
 }
 
-// takeSuccessor returns the successor of the endpoint whose attempt has ended, if one was
-// acquired. The silence ends with the attempt.
+// takeSuccessor returns the successor of the endpoint whose attempt has ended, or nil. The
+// silence ends with the attempt, but for stages that still run again.
 func (req *request) takeSuccessor() *successor {
-	req.dropRerun()
 	s := req.silence.successor
-	req.silence = silence{}
+	req.silence = silence{rerun: req.silence.rerun}
 	return s
 }
 
-// isReachable reports whether a silent endpoint accepts connections, which it does unless
-// its instance is lost. A check counts for reachableInterval.
-func (req *request) isReachable(ctx context.Context, e *fleet.Endpoint) bool {
-	now := req.Clock.Now()
-	if now.Sub(req.silence.checkedAt) < reachableInterval {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, reachableTimeout)
-	defer cancel()
-	req.silence.checkedAt = now
-	return req.Pool.Check(ctx, e.ID, e.Addr) == nil
+// isLost reports whether a silent endpoint accepts no connections any more.
+func (req *request) isLost(ctx context.Context, e *fleet.Endpoint) bool {
+	return req.reach.isLost(req.Clock.Now(), e.ID, func() error { return req.Pool.Check(ctx, e.ID, e.Addr) })
 }
 
 func (req *request) recordSilence(e *fleet.Endpoint, d silenceDecision, reason string) {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -152,7 +152,8 @@
 	first, progress := true, true
 	events := event.Reader{R: bufio.NewReaderSize(call, eventBufferBytes), LastID: *lastEvent, Grow: call.Grow}
 	for {
-		if t := req.Clock.Now().Add(eventGapTimeoutFactor * maxGap); progress && req.route.Resumable && req.exchange.ResponseStarted() && t.Before(req.deadline) {
+		if progress && req.route.Resumable && req.exchange.ResponseStarted() {
+			t := earlier(req.Clock.Now().Add(eventGapTimeoutFactor*maxGap), req.deadline)
 			_ = call.Conn.SetReadDeadline(t) // fails only on a closed connection
 		}
 		raw, id, err := events.Next()
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -137,7 +137,8 @@
 // Run runs the stages of a job and returns references to the results that its
 // request needs. The caller must release them with ReleaseResults. Run blocks
 // until the results exist, a stage fails, or ctx is done. The error is a
-// *FailedError if a stage failed, and otherwise wraps the cause of ctx.
+// *FailedError if a stage failed, and otherwise wraps the cause of ctx. Two runs of one
+// request must not overlap, as the end of one removes the queued items of both.
 func (r *Runner) Run(ctx context.Context, job Job) ([]string, error) {
 	j := newJobRun(job)
 	r.update(func(fx *effects) { r.startStages(j, fx) })
