relay/proxy: an endpoint's own failure is passed on if no other attempt follows

Callers of repeatable requests got 502 in place of the endpoint's own answer. Cause: the answer was discarded once the retry budget allowed another attempt; that there was no other endpoint showed later. Change: the answer is kept until another attempt has answered. Result: TestDeploy/repeat got 502 in place of 500 before and passes; the mutant own-failure-kept fails it.

--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -307,12 +307,16 @@
 	req.reject(fasthttp.StatusServiceUnavailable, retryAfter, "not run: endpoints want no requests yet ("+held+")")
 }
 
-// rejectFinal rejects the request when no further attempt is made. The status
-// tells the caller whether the request may have run.
+// rejectFinal rejects the request when no further attempt is made, unless an endpoint has
+// answered with a failure of its own. The status tells the caller whether the request may
+// have run.
 func (req *request) rejectFinal(reason string) {
 	switch {
 	case req.exchange.CallerGone():
 		req.outcome = "caller gone"
+	case req.failure != nil:
+		req.outcome = outcomeAnswered
+		req.exchange.Respond(&req.failure.header, req.failure.body)
 	case !req.mayHaveRun:
 		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: "+reason)
 	case !req.Clock.Now().Before(req.deadline):
@@ -397,6 +401,8 @@
 		return req.recordFailure(e, attemptFailed, errInvalidResponse)
 	case a.Status >= 500 && req.route.Repeatable() && req.attempts < req.route.MaxAttempts && req.budget(req.service).Balance() >= 1:
 		req.mayHaveRun = true
+		req.failure = &ownFailure{body: body}
+		plat.CopyResponseHeaders(&req.failure.header, &call.Header)
 		// An endpoint that responds is healthy, even if with a server error.
 		req.recordEnd(e, pick.ResultGood, attemptFailed, "endpoint's own failure")
 		return attemptFailed, "endpoint's own failure"
@@ -413,6 +419,13 @@
 	return attemptDone, ""
 }
 
+// ownFailure is an endpoint's response that reports a failure of its own. It is passed to the
+// caller if no other attempt answers the request.
+type ownFailure struct {
+	header fasthttp.ResponseHeader
+	body   []byte
+}
+
 // errInvalidResponse reports a response that was not made by an endpoint of the
 // platform, was changed on the way, or has a status that can't be passed to the
 // caller.
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -127,6 +127,7 @@
 	trial          bool             // sent to one endpoint although a suspect is quarantined
 	silence        silence          // of the current attempt's endpoint
 	conn           *pool.Conn       // to the endpoint of the next attempt; nil: none yet
+	failure        *ownFailure      // of an endpoint that was followed by other attempts; nil: none
 }
 
 // outcomeAnswered is the logged outcome of a request whose response came from an
