relay/peers: items that are too large for one message are split

A relay submitted all items of a stage to the owner of their pool in one message. Each item carries the references to all results of earlier stages, so that 512 items with 512 inputs take 11 MB. The receiver allows 2 MB and ended the link, the items were submitted again, and the next link ended as well.

Items now go out in messages of up to 1 MB. An item that is larger by itself is scheduled by the relay that has it.

--- a/relay/peers/mesh_test.go
+++ b/relay/peers/mesh_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/wire"
 )
 
 // TestOwnerWithoutLink checks which relay schedules a pool while the link to its
@@ -69,3 +73,38 @@
 		t.Errorf("item %+v, want %+v", got, it)
 	}
 }
+
+// TestLargeSubmissions guards against submitted items that are larger together than a
+// message may be, which would end the link.
+func TestLargeSubmissions(t *testing.T) {
+	inputs := make([]string, 512)
+	for i := range inputs {
+		inputs[i] = strings.Repeat("x", 40)
+	}
+	s := &session{
+		mesh: &Mesh{Clock: clock.NewFake(time.UnixMilli(1_700_000_000_000))}, queue: make(chan *Work, maxQueuedMessages),
+		pending: make(map[itemKey]*batch.Item), done: make(chan struct{}),
+	}
+	items := make([]*batch.Item, 512)
+	for i := range items {
+		items[i] = &batch.Item{Request: "r", Index: i, Inputs: inputs}
+	}
+	if !s.submit(batch.Pool{Service: "p"}, items) || len(s.pending) != len(items) {
+		t.Fatalf("%d of %d items are pending", len(s.pending), len(items))
+	}
+	sent := 0
+	for len(s.queue) > 0 {
+		w := <-s.queue
+		sent += len(w.GetSubmit().GetItems())
+		if n := proto.Size(w); n > wire.MaxMessageBytes {
+			t.Errorf("a message has %d bytes", n)
+		}
+	}
+	if sent != len(items) {
+		t.Errorf("%d of %d items were sent", sent, len(items))
+	}
+	items[0].Inputs = []string{strings.Repeat("x", wire.MaxMessageBytes)}
+	if s.submit(batch.Pool{Service: "p"}, items[:1]) {
+		t.Error("an item that no message can hold was submitted")
+	}
+}
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -7,11 +7,14 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/notice"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/prompt"
+	"wigeonplank.example/core/wire"
 	plat "wigeonplank.example/platform"
 )
 
@@ -27,7 +30,8 @@
 	// in multiples of the interval while there are some.
 	idleFactor = 3
 
-	maxQueuedMessages = 1024 // waiting to be sent on one link
+	maxQueuedMessages = 1024                     // waiting to be sent on one link
+	maxSubmitBytes    = wire.MaxMessageBytes / 2 // of the items in one message, apart from their framing
 
 	// maxPartDelay is how long a part of changes waits for other messages. A link that is
 	// never idle carries at least one part in about this time.
@@ -347,18 +351,22 @@
 }
 
 // submit sends items to the other relay and tracks them as pending. It reports
-// false, and tracks nothing, if the session has failed or its queue is full.
+// false, and tracks nothing, if the session has failed, its queue is full, or an item is
+// too large for a message.
 func (s *session) submit(p batch.Pool, items []*batch.Item) bool {
-	now := s.mesh.Clock.Now()
-	msg := &Submit{Service: p.Service, Zone: p.Zone}
-	for _, it := range items {
-		msg.Items = append(msg.Items, itemToWire(it, now))
+	msgs := submissions(p, items, s.mesh.Clock.Now())
+	if msgs == nil {
+		return false
 	}
+	complete := true
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed || !s.send(&Work{Kind: &Work_Submit{Submit: msg}}) {
+	if s.closed || !s.send(msgs[0]) {
+		s.mu.Unlock()
 		return false
 	}
+	for _, w := range msgs[1:] {
+		complete = complete && s.send(w)
+	}
 	for _, it := range items {
 		s.pending[itemKey{request: it.Request, stage: it.Stage, index: it.Index}] = it
 	}
@@ -366,9 +374,34 @@
 		s.submitted = make(map[batch.Pool]int)
 	}
 	s.submitted[p] += len(items)
+	s.mu.Unlock()
+	if !complete {
+		s.fail(errQueueFull) // all items are submitted again
+	}
 	return true
 }
 
+// submissions returns the messages that submit items, or nil if an item is too large for
+// one.
+func submissions(p batch.Pool, items []*batch.Item, now time.Time) []*Work {
+	var out []*Work
+	var msg *Submit
+	size := 0
+	for _, it := range items {
+		w := itemToWire(it, now)
+		n := proto.Size(w)
+		if n > maxSubmitBytes {
+			return nil
+		}
+		if size += n; msg == nil || size > maxSubmitBytes {
+			msg, size = &Submit{Service: p.Service, Zone: p.Zone}, n
+			out = append(out, &Work{Kind: &Work_Submit{Submit: msg}})
+		}
+		msg.Items = append(msg.Items, w)
+	}
+	return out
+}
+
 // accept hands submitted items to the handler.
 func (s *session) accept(msg *Submit) {
 	now := s.mesh.Clock.Now()
