platform: an entry that can't be read doesn't hide the others

A response of the store was decoded as a whole. One entry whose value isn't base64, with a revision or another field of a wrong type or too large, or with more than 10,000 nested lists, made the read fail, and the relay no longer followed the store.

--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -23,6 +23,7 @@
 	awaitTimeout      = 20 * time.Second // for each awaited condition
 	awaitPollInterval = 20 * time.Millisecond
 	maxLogExcerpt     = 3000 // bytes
+	nestedLevels      = 50_000
 )
 
 // scriptState is the state of one script: its deployment and its calls by name.
@@ -310,12 +311,14 @@
 //	entry KEY FILE [address=ENDPOINT]
 //
 // It writes the bytes of a file to the store. With the option address the text
-// ADDRESS is replaced by the address of an endpoint.
+// ADDRESS is replaced by the address of an endpoint. The text NESTED is replaced by lists
+// in lists.
 func putStoreEntry(cmd *command) error {
 	text := cmd.ts.ReadFile(cmd.arg(1))
 	if id := cmd.opts["address"]; id != "" {
 		text = strings.ReplaceAll(text, "ADDRESS", cmd.endpoint(id).Addr)
 	}
+	text = strings.ReplaceAll(text, "NESTED", strings.Repeat("[", nestedLevels)+strings.Repeat("]", nestedLevels))
 	cmd.state.dep.Site.Store.Put(cmd.arg(0), []byte(text))
 	return nil
 }
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -121,7 +121,11 @@
 }
 
 func newControl(live *sets.Live, l *logs.Logger) *ctrl.Control {
-	c := ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
+	store := plat.NewStore(live.Get().Store)
+	store.OnSkipped = func(entries int) {
+		l.Event(logs.EndpointRejected).Err(fmt.Errorf("%d entries of a response have no readable key or revision", entries)).Msg("")
+	}
+	c := ctrl.New(live.Get().Instance, store, clock.System{}, l)
 	c.Retention = func() time.Duration { return cmp.Or(live.Get().History, defaultHistory) }
 	return c
 }
