base/accept: a process that runs out of descriptors goes on

Serve of the relay's callers, of its other listeners, and of entry and agent returned the first error of Accept, which ended the process. One that ran out of descriptors ended with all its requests in flight, just when it was used most.

All three programs now listen through base/accept, whose Accept waits 5 to 200 ms and tries again after errors that mean a shortage of descriptors or memory, or a connection that has ended in the queue. A relay logs accept_failed, the others warn.

--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 	cd core && go test ./ticket -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
 	cd agent && go test ./engine -run '^$$' -fuzz FuzzTokens -fuzztime $(FUZZTIME)
 	cd platform && go test . -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	cd platform && go test . -run '^$$' -fuzz FuzzPage -fuzztime $(FUZZTIME)
 	cd platform && go test . -run '^$$' -fuzz FuzzHeaders -fuzztime $(FUZZTIME)
 	cd relay && go test ./front -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZTIME)
 	cd relay && go test ./pool -run '^$$' -fuzz FuzzAnswers -fuzztime $(FUZZTIME)
--- a/agent/cmds/cmds.go
+++ b/agent/cmds/cmds.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"time"
 
@@ -17,6 +16,7 @@
 	"wigeonplank.example/agent/engine"
 	"wigeonplank.example/agent/serve"
 	"wigeonplank.example/agent/sets"
+	"wigeonplank.example/base/accept"
 	"wigeonplank.example/base/admin"
 	"wigeonplank.example/base/certs"
 	"wigeonplank.example/base/link"
@@ -142,11 +142,14 @@
 func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, d *engine.Driver, srv *link.Server, adm *admin.Server) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ln, err := net.Listen("tcp", s.Link.Listen)
+	onShortage := func(addr string, err error) {
+		l.Logger(logs.LayerControl).Warn().Str("addr", addr).Err(err).Msg("a connection can't be accepted yet")
+	}
+	ln, err := accept.Listen(s.Link.Listen, onShortage)
 	if err != nil {
 		return fmt.Errorf("listen for links: %w", err)
 	}
-	adminLn, err := net.Listen("tcp", s.Admin.Listen)
+	adminLn, err := accept.Listen(s.Admin.Listen, onShortage)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
--- a/entry/cmds/cmds.go
+++ b/entry/cmds/cmds.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
+	"wigeonplank.example/base/accept"
 	"wigeonplank.example/base/admin"
 	"wigeonplank.example/base/certs"
 	"wigeonplank.example/base/fetch"
@@ -159,8 +160,8 @@
 }
 
 // listenCallers opens the listener for callers, with TLS if it is configured.
-func listenCallers(s sets.Settings) (net.Listener, error) {
-	ln, err := net.Listen("tcp", s.HTTP.Listen)
+func listenCallers(s sets.Settings, onShortage func(addr string, err error)) (net.Listener, error) {
+	ln, err := accept.Listen(s.HTTP.Listen, onShortage)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
@@ -179,11 +180,14 @@
 func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, executor *exec.Executor, f *front.Server, adm *admin.Server) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ln, err := listenCallers(s)
+	onShortage := func(addr string, err error) {
+		l.Logger(logs.LayerControl).Warn().Str("addr", addr).Err(err).Msg("a connection can't be accepted yet")
+	}
+	ln, err := listenCallers(s, onShortage)
 	if err != nil {
 		return err
 	}
-	adminLn, err := net.Listen("tcp", s.Admin.Listen)
+	adminLn, err := accept.Listen(s.Admin.Listen, onShortage)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sys/unix"
 
 	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/proof/deploy"
@@ -78,6 +79,7 @@
 		"relay":    startRelay,
 		"signal":   sendSignal,
 		"ended":    awaitEnd,
+		"files":    limitFiles,
 		"call":     makeCall,
 		"begin":    startCall,
 		"end":      finishCall,
@@ -219,6 +221,21 @@
 	return cmd.relay(cmd.arg(0)).Proc().Signal(sig)
 }
 
+// limitFiles implements the command
+//
+//	files NAME N
+//
+// It limits the descriptors that a relay may open.
+func limitFiles(cmd *command) error {
+	var limit unix.Rlimit
+	pid := cmd.relay(cmd.arg(0)).Proc().PID()
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &limit); err != nil {
+		return fmt.Errorf("read limit: %w", err)
+	}
+	limit.Cur = min(uint64(cmd.intArg(1)), limit.Max)
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil)
+}
+
 // awaitEnd implements the command
 //
 //	ended NAME
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -20,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/dig"
 
+	"wigeonplank.example/base/accept"
 	"wigeonplank.example/base/admin"
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
@@ -342,21 +342,22 @@
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	ln, err := net.Listen("tcp", s.HTTP.Listen)
+	onShortage := func(addr string, err error) { l.Event(logs.AcceptFailed).Str("addr", addr).Err(err).Msg("") }
+	ln, err := accept.Listen(s.HTTP.Listen, onShortage)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	adminLn, err := net.Listen("tcp", s.Admin.Listen)
+	adminLn, err := accept.Listen(s.Admin.Listen, onShortage)
 	if err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
-	peerLn, err := net.Listen("tcp", s.Peers.Listen)
+	peerLn, err := accept.Listen(s.Peers.Listen, onShortage)
 	if err != nil {
 		return fmt.Errorf("listen for other relays: %w", err)
 	}
 	failed := make(chan error, 4)
 	if s.Metrics != nil {
-		ln, err := net.Listen("tcp", s.Metrics.Listen)
+		ln, err := accept.Listen(s.Metrics.Listen, onShortage)
 		if err != nil {
 			return fmt.Errorf("listen for metrics: %w", err)
 		}
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -32,6 +32,7 @@
 	SettingsApplied  = newEventType("settings_applied", log.InfoLevel, changeRate, "Changed settings were applied.", "settings", "keys")
 	SettingsRejected = newEventType("settings_rejected", log.ErrorLevel, changeRate, "Changed settings are invalid; the current settings stay active.", "settings", "error")
 	LinesOmitted     = newEventType("lines_omitted", log.WarnLevel, changeRate, "Lines were omitted since the last line of this kind, because an event exceeded its rate or standard output was blocked.", "kind", "lines")
+	AcceptFailed     = newEventType("accept_failed", log.WarnLevel, changeRate, "A connection can't be accepted, as descriptors or memory are short. It is tried again.", "addr", "error")
 
 	StoreLost         = newEventType("store_lost", log.WarnLevel, changeRate, "A read from the platform's store failed; the last snapshot stays active.", "error")
 	StoreRegained     = newEventType("store_regained", log.WarnLevel, changeRate, "The store responds again.", "failures", "lost_ms")
