relay/proxy: changed settings don't refill the retry budgets

Any change of the settings file dropped the retry budgets, and new ones begin full. A series of changes, which reach all relays at the same time, allowed the whole slack of retries each time.

Budgets now keep their balance, bounded by the new maximum, and get the new ratio.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -2,6 +2,7 @@
 package retry
 
 import (
+	"cmp"
 	"sync"
 	"time"
 )
@@ -74,6 +75,16 @@
 	return b.balance
 }
 
+// Resize replaces the ratio and the maximum balance by those of other. The balance stays,
+// as far as the maximum allows.
+func (b *Budget) Resize(other *Budget) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.initLocked()
+	b.Ratio, b.MaxBalance = cmp.Or(other.Ratio, DefaultRatio), cmp.Or(other.MaxBalance, DefaultMaxBalance)
+	b.balance = min(b.balance, b.MaxBalance)
+}
+
 // Backoff is an exponential delay before retries, with jitter. It is immutable;
 // the zero value uses the defaults.
 type Backoff struct {
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -39,3 +39,20 @@
 		}
 	}
 }
+
+// TestResize guards against a change of the settings that refills a budget, or that leaves
+// more in it than the new settings allow.
+func TestResize(t *testing.T) {
+	b := retry.Budget{Ratio: 0.2, MaxBalance: 5}
+	for range 4 {
+		b.Withdraw(0)
+	}
+	for _, step := range []struct{ maximum, want float64 }{{10, 1}, {0.5, 0.5}, {7, 0.5}} {
+		if b.Resize(&retry.Budget{Ratio: 0.5, MaxBalance: step.maximum}); b.Balance() != step.want {
+			t.Errorf("maximum %v: balance %v, want %v", step.maximum, b.Balance(), step.want)
+		}
+	}
+	if b.Deposit(); b.Balance() != 1 {
+		t.Errorf("balance %v after a deposit with the new ratio, want 1", b.Balance())
+	}
+}
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -399,7 +399,7 @@
 		return
 	}
 	setMemoryLimit(live.Get())
-	f.ResetBudgets()
+	f.ResizeBudgets()
 	l.Event(logs.SettingsApplied).Str("settings", live.File()).Strs("keys", keys).Msg("")
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -465,12 +465,14 @@
 	return req.routeState().Tail(req.Clock.Now(), share.TailForDue, req.route.LatencyObjective, fallback)
 }
 
-// ResetBudgets drops the retry budgets of all services. NewBudget then creates
-// new ones with the current settings.
-func (f *Forwarder) ResetBudgets() {
+// ResizeBudgets applies the current settings to the retry budgets of all services, which
+// keep their balance.
+func (f *Forwarder) ResizeBudgets() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	clear(f.budgets)
+	for _, b := range f.budgets {
+		b.Resize(f.NewBudget())
+	}
 }
 
 // budget returns the retry budget of a service.
