relay/front: kept connections follow the limit for headers

The read buffer of a connection had the size of the header limit at its start. After a configuration that raised maxHeaderBytes, kept connections still rejected larger heads with 431, and closed; after one that lowered it, they still accepted them.

The buffer now grows at the next request, and a head is compared with the limit in force.

TestLimitsOfKeptConnection failed before ("limit of 4096 bytes: HTTP/1.1 431") and passes now.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -228,6 +228,7 @@
 	_, err := br.Peek(1)
 	for err == nil {
 		limits = s.limits()
+		br = bufio.NewReaderSize(br, limits.HeaderBytes) // br itself if it is large enough
 		ctx, cancel := context.WithCancelCause(context.Background())
 		s.setBusy(c, cancel)
 		s.active.Add(1)
--- a/relay/front/front_test.go
+++ b/relay/front/front_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -273,3 +274,41 @@
 		t.Error(err)
 	}
 }
+
+// TestLimitsOfKeptConnection guards against a connection that stays with the limits of its
+// start: a configuration that allows larger headers would hold for new connections alone.
+func TestLimitsOfKeptConnection(t *testing.T) {
+	var rec recorder
+	srv, addr, open := startServer(t, rec.handle)
+	var headerBytes atomic.Int64
+	headerBytes.Store(1024)
+	limits := srv.Limits
+	srv.Limits = func() fleet.Limits {
+		l := limits()
+		l.HeaderBytes = int(headerBytes.Load())
+		return l
+	}
+	close(open)
+	c, r := dial(t, addr, plainRequest)
+	if got := readAnswer(r); !strings.Contains(got, " 200 ") {
+		t.Fatalf("first request: %q", got)
+	}
+	large := strings.Replace(plainRequest, "\r\n\r\n", "\r\nA: "+strings.Repeat("x", 3000)+"\r\n\r\n", 1)
+	for _, n := range []int64{4096, 8192} {
+		headerBytes.Store(n)
+		send(t, c, large+plainRequest)
+		for range 2 {
+			if got := readAnswer(r); !strings.Contains(got, " 200 ") {
+				t.Errorf("limit of %d bytes: %.60q", n, got)
+			}
+		}
+	}
+	if n := len(rec.all()); n != 5 {
+		t.Errorf("%d requests were handled", n)
+	}
+	headerBytes.Store(1024)
+	send(t, c, large)
+	if got := readAnswer(r); !strings.Contains(got, " 431 ") {
+		t.Errorf("limit lowered again: %.60q", got)
+	}
+}
--- a/relay/front/parse.go
+++ b/relay/front/parse.go
@@ -28,6 +28,13 @@
 	return &RequestError{Status: fasthttp.StatusBadRequest, Reason: fmt.Sprintf(format, args...)}
 }
 
+var errHeadTooLarge = &RequestError{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: "header is too large"}
+
+// headBytes returns the size of a request's head, apart from the empty line at its end.
+func headBytes(h *fasthttp.RequestHeader) int {
+	return len(h.Method()) + len(h.RequestURI()) + len(h.Protocol()) + len("  \r\n") + len(h.RawHeaders())
+}
+
 var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
 // readRequest reads the header and the whole body of a request.
@@ -35,6 +42,9 @@
 	if err := x.Header.Read(br); err != nil {
 		return headerError(err)
 	}
+	if headBytes(&x.Header) > limits.HeaderBytes {
+		return errHeadTooLarge // the buffer of the connection is as large as the limit once was
+	}
 	if e := validateHeader(&x.Header); e != nil {
 		return e
 	}
@@ -56,7 +66,7 @@
 	var ne net.Error
 	switch {
 	case errors.As(err, &small):
-		return &RequestError{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: "header is too large"}
+		return errHeadTooLarge
 	case errors.As(err, &ne) && ne.Timeout():
 		return &RequestError{Status: fasthttp.StatusRequestTimeout, Reason: "header is too slow"}
 	case errors.As(err, &ne):
