--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sys/unix"
 
 	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/proof/deploy"
@@ -23,6 +24,7 @@
 	awaitTimeout      = 20 * time.Second // for each awaited condition
 	awaitPollInterval = 20 * time.Millisecond
 	maxLogExcerpt     = 3000 // bytes
+	nestedLevels      = 50_000
 )
 
 // scriptState is the state of one script: its deployment and its calls by name.
@@ -77,6 +79,7 @@
 		"relay":    startRelay,
 		"signal":   sendSignal,
 		"ended":    awaitEnd,
+		"files":    limitFiles,
 		"call":     makeCall,
 		"begin":    startCall,
 		"end":      finishCall,
@@ -219,6 +222,21 @@
 	return cmd.relay(cmd.arg(0)).Proc().Signal(sig)
 }
 
+// limitFiles implements the command
+//
+//	files NAME N
+//
+// It limits the descriptors that a relay may open.
+func limitFiles(cmd *command) error {
+	var limit unix.Rlimit
+	pid := cmd.relay(cmd.arg(0)).Proc().PID()
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &limit); err != nil {
+		return fmt.Errorf("read limit: %w", err)
+	}
+	limit.Cur = min(uint64(cmd.intArg(1)), limit.Max)
+	return unix.Prlimit(pid, unix.RLIMIT_NOFILE, &limit, nil)
+}
+
 // awaitEnd implements the command
 //
 //	ended NAME
@@ -318,12 +336,14 @@
 //	entry KEY FILE [address=ENDPOINT]
 //
 // It writes the bytes of a file to the store. With the option address the text
-// ADDRESS is replaced by the address of an endpoint.
+// ADDRESS is replaced by the address of an endpoint. The text NESTED is replaced by lists
+// in lists.
 func putStoreEntry(cmd *command) error {
 	text := cmd.ts.ReadFile(cmd.arg(1))
 	if id := cmd.opts["address"]; id != "" {
 		text = strings.ReplaceAll(text, "ADDRESS", cmd.endpoint(id).Addr)
 	}
+	text = strings.ReplaceAll(text, "NESTED", strings.Repeat("[", nestedLevels)+strings.Repeat("]", nestedLevels))
 	cmd.state.dep.Site.Store.Put(cmd.arg(0), []byte(text))
 	return nil
 }
