--- a/proof/deploy/deploy_test.go
+++ b/proof/deploy/deploy_test.go
@@ -1,14 +1,17 @@
 package deploy_test
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"wigeonplank.example/proof/deploy"
 	"wigeonplank.example/proof/fleet"
 )
 
@@ -52,3 +55,19 @@
 		Cmds: commands(),
 	})
 }
+
+// TestSoak runs relays under overlapping faults that fixed seeds choose. Seed 1003 found
+// callers that close only their sending side and get no response.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{1000, 1003} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			v, err := deploy.Soak{Seed: seed, Duration: 8 * time.Second, Rate: 60, Dir: t.TempDir(), Bin: binDir, Logf: t.Logf}.Run(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !v.OK() {
+				t.Error(v)
+			}
+		})
+	}
+}
