proof/deploy: requests that wait while a configuration replaces what they wait for

config_replaced: two relays with full queues of a stage and requests at plain endpoints get configurations that rename the stage's service, drop it with its routes, take the key away, drop the plain service and lower time-outs and objectives. Each request has to get a whole answer or a refusal within 6 s, of 20 s that it would wait.

Endpoints of stages in the fakes follow their pace, as others do.

--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -473,7 +473,7 @@
 		return
 	}
 	arrivedAt := time.Now()
-	time.Sleep(e.WorkTime)
+	time.Sleep(e.workTime())
 	if e.site.hasPoison(in.Items) {
 		e.crash(arrivedAt)
 		return
--- a/proof/deploy/calls_test.go
+++ b/proof/deploy/calls_test.go
@@ -32,6 +32,7 @@
 	uri          string
 	requestBody  string
 	done         chan struct{}
+	took         time.Duration
 	status       int
 	responseBody string
 	signed       bool
@@ -72,7 +73,9 @@
 	}
 	go func() {
 		defer close(c.done)
+		start := time.Now()
 		c.send(addr, host, fields, name, value)
+		c.took = time.Since(start)
 	}()
 	return nil
 }
@@ -145,6 +148,34 @@
 	return nil
 }
 
+// checkSettled implements the command
+//
+//	settled WITHIN NAME...
+//
+// It waits for the responses of calls, each of which has to be a whole answer or a
+// refusal, and has to come within a time (a duration) of the request.
+func checkSettled(cmd *command) error {
+	within, err := time.ParseDuration(cmd.arg(0))
+	cmd.ts.Check(err)
+	for _, name := range cmd.args[1:] {
+		c := cmd.state.calls[name]
+		if c == nil {
+			return fmt.Errorf("no call %q", name)
+		}
+		<-c.done
+		_, events := site.StreamVersion(c.responseBody, c.uri, 0, cmd.endpoint("g1").EventCount)
+		whole := c.status == fasthttp.StatusOK && c.signed && (events || c.responseBody == site.ResponseBody(c.uri, c.requestBody))
+		refused := c.status == fasthttp.StatusServiceUnavailable && !c.signed
+		if c.err != nil || c.took > within || (!whole && !refused) {
+			return fmt.Errorf("%s: %w, status %d after %v, body %q", name, errors.Join(c.err, errUnsettled), c.status, c.took, c.responseBody)
+		}
+		cmd.ts.Logf("%s: status %d after %v", name, c.status, c.took)
+	}
+	return nil
+}
+
+var errUnsettled = errors.New("neither a whole answer nor a refusal in time")
+
 // makeCall implements the command
 //
 //	call NAME RELAY PATH STATUS [OPTION...]
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -16,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"wigeonplank.example/fakes/site"
+	plat "wigeonplank.example/platform"
 	"wigeonplank.example/proof/deploy"
 	"wigeonplank.example/relay/sets"
 )
@@ -79,6 +82,7 @@
 		"relay":    startRelay,
 		"signal":   sendSignal,
 		"ended":    awaitEnd,
+		"settled":  checkSettled,
 		"files":    limitFiles,
 		"call":     makeCall,
 		"begin":    startCall,
@@ -356,34 +360,53 @@
 
 // publishConfig implements the command
 //
-//	publish VERSION [drop=PREFIX] [key=KEY] [slo=MS] [gap=MS]
+//	publish VERSION [drop=PREFIX] [key=KEY] [slo=MS] [gap=MS] [timeout=MS] [head=BYTES] [rename=SERVICE] [without=SERVICE]
 //
 // It writes a version of the standard configuration to the store, without the route
-// of a prefix, with another API key, or with another latency objective or maximum gap
-// between events for all routes.
+// of a prefix, with another API key, with another latency objective, maximum gap
+// between events or timeout for all routes, or with another limit for headers. rename
+// gives a service a name that no endpoint has; without also drops it, and all routes that
+// use it.
 func publishConfig(cmd *command) error {
 	cfg := site.StandardConfig(cmd.intArg(0))
 	if k := cmd.opts["key"]; k != "" {
 		cfg = site.StandardConfigWithKey(cmd.intArg(0), k)
 	}
-	for _, r := range cfg["routes"].([]any) {
-		if cmd.opts["slo"] != "" {
-			r.(map[string]any)["sloMs"] = cmd.intOpt("slo")
-		}
-		if cmd.opts["gap"] != "" {
-			r.(map[string]any)["maxGapMs"] = cmd.intOpt("gap")
-		}
-	}
-	if p := cmd.opts["drop"]; p != "" {
-		var routes []any
+	for option, field := range map[string]string{"slo": "sloMs", "gap": "maxGapMs", "timeout": "timeoutMs"} {
 		for _, r := range cfg["routes"].([]any) {
-			if r.(map[string]any)["prefix"] != p {
-				routes = append(routes, r)
+			if cmd.opts[option] != "" {
+				r.(map[string]any)[field] = cmd.intOpt(option)
 			}
 		}
-		cfg["routes"] = routes
 	}
-	return cmd.state.dep.Site.PublishConfig(cfg)
+	if cmd.opts["head"] != "" {
+		cfg["limits"].(map[string]any)["maxHeaderBytes"] = cmd.intOpt("head")
+	}
+	if p := cmd.opts["drop"]; p != "" {
+		cfg["routes"] = slices.DeleteFunc(cfg["routes"].([]any), func(r any) bool { return r.(map[string]any)["prefix"] == p })
+	}
+	if name := cmd.opts["without"]; name != "" {
+		cfg["routes"] = slices.DeleteFunc(cfg["routes"].([]any), func(r any) bool { return uses(r.(map[string]any), name) })
+		cfg["services"] = slices.DeleteFunc(cfg["services"].([]any), func(s any) bool { return s.(map[string]any)["name"] == name })
+	}
+	raw, err := json.Marshal(cfg)
+	if err != nil {
+		return fmt.Errorf("encode configuration: %w", err)
+	}
+	if name := cmd.opts["rename"]; name != "" {
+		raw = bytes.ReplaceAll(raw, []byte(strconv.Quote(name)), []byte(strconv.Quote(name+"-renamed")))
+	}
+	cmd.state.dep.Site.Store.Put(plat.ConfigKey, raw)
+	return nil
+}
+
+// uses reports whether a route uses a service.
+func uses(route map[string]any, service string) bool {
+	if route["service"] == service {
+		return true
+	}
+	stages, _ := route["stages"].([]any) // nil: it has none
+	return slices.ContainsFunc(stages, func(s any) bool { return s.(map[string]any)["service"] == service })
 }
 
 // failStore implements the command
