relay/stage: items whose pool's owner is behind stay where they are

The relay that owns a pool returned items with "error" if its own configuration or list had no endpoint for them. The relay that had submitted them sent them there again twice, within milliseconds, and failed the request, though it knew endpoints: a new configuration, or the first endpoint of a zone, reaches relays one after another.

The owner now says that it can't place an item, and the submitting relay schedules it itself. An item that neither can place fails after three attempts as before; a relay of an older version takes the new reason as an error.

--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -39,6 +39,10 @@
 // after they had been in a call that crashed another one.
 const ReasonCrashed plat.Reason = "crashed"
 
+// reasonUnplaced tells the relay that submitted an item that this one, which owns the pool,
+// knows no endpoint for it.
+const reasonUnplaced plat.Reason = "unplaced"
+
 // Health tracks the health and load of endpoints.
 type Health interface {
 	// IsSuspect reports whether an endpoint should get no work now.
@@ -120,10 +124,11 @@
 	replies     []reply
 }
 
-// submission is a set of items to be queued for a pool, at the pool's owner.
+// submission is a set of items to be queued for a pool, at the pool's owner if possible.
 type submission struct {
 	pool  batch.Pool
 	items []*batch.Item
+	here  bool // this relay schedules the items, whoever owns the pool
 }
 
 // reply is the result of an item for the relay that submitted it.
@@ -172,7 +177,7 @@
 	change(&fx)
 	r.mu.Unlock()
 	for _, s := range fx.submissions {
-		if !r.Peers.Submit(s.pool, s.items) {
+		if s.here || !r.Peers.Submit(s.pool, s.items) {
 			r.mu.Lock()
 			r.sched.Add(s.pool, s.items...)
 			r.mu.Unlock()
@@ -199,7 +204,7 @@
 			continue
 		}
 		j.started[i] = true
-		r.submit(j, s.Service, j.newItems(v.Config, i, r.Clock.Now(), zoneFinder(v)), fx)
+		r.submit(j, s.Service, j.newItems(v.Config, i, r.Clock.Now(), zoneFinder(v)), false, fx)
 	}
 	if remaining == 0 {
 		j.finish(nil)
@@ -223,8 +228,8 @@
 }
 
 // submit chooses a pool for items of one stage and adds them to fx. It fails the
-// job if no pool can run them. mu must be held.
-func (r *Runner) submit(j *jobRun, service string, items []*batch.Item, fx *effects) {
+// job if no pool can run them. here keeps the items at this relay. mu must be held.
+func (r *Runner) submit(j *jobRun, service string, items []*batch.Item, here bool, fx *effects) {
 	v := r.View()
 	svc := v.Config.Service(service)
 	if svc == nil || svc.Batch == nil {
@@ -236,7 +241,7 @@
 		j.finish(&FailedError{Stage: items[0].Stage, Reason: plat.ReasonError})
 		return
 	}
-	fx.submissions = append(fx.submissions, submission{pool: batch.Pool{Service: service, Zone: zone}, items: items})
+	fx.submissions = append(fx.submissions, submission{pool: batch.Pool{Service: service, Zone: zone}, items: items, here: here})
 }
 
 // poolChoices returns the pools of a service with their current loads. mu must
@@ -416,7 +421,7 @@
 	}
 	if len(usable) == 0 {
 		for _, it := range r.sched.RemovePool(p) {
-			r.recordResult(it, plat.StageResult{Reason: plat.ReasonError}, fx)
+			r.recordResult(it, plat.StageResult{Reason: reasonUnplaced}, fx)
 		}
 		return
 	}
@@ -497,6 +502,9 @@
 		}
 		return
 	}
+	if res.Reason == reasonUnplaced {
+		res.Reason = plat.ReasonError
+	}
 	key := [2]int{it.Stage, it.Index}
 	// An item for whose result an endpoint had no free memory was not run.
 	if res.Reason != plat.ReasonOutOfMemory {
@@ -506,7 +514,7 @@
 		j.finish(&FailedError{Stage: it.Stage, Reason: res.Reason})
 		return
 	}
-	r.submit(j, j.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, fx)
+	r.submit(j, j.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, false, fx)
 }
 
 // Accept queues items that another relay submitted. reply is called with the
@@ -531,9 +539,16 @@
 }
 
 // HandleResult records the result of an item that this relay submitted to another
-// one.
+// one. An item for which that one knows no endpoint stays here: a new configuration or
+// endpoint reaches relays one after another.
 func (r *Runner) HandleResult(it *batch.Item, res plat.StageResult) {
-	r.update(func(fx *effects) { r.recordResult(it, res, fx) })
+	r.update(func(fx *effects) {
+		if j, ok := it.Data.(*jobRun); ok && !j.finished && res.Reason == reasonUnplaced {
+			r.submit(j, j.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, true, fx)
+			return
+		}
+		r.recordResult(it, res, fx)
+	})
 }
 
 // Resubmit submits items again that were pending at another relay when the link
@@ -542,7 +557,7 @@
 	r.update(func(fx *effects) {
 		for _, it := range items {
 			if j, ok := it.Data.(*jobRun); ok && !j.finished {
-				r.submit(j, j.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, fx)
+				r.submit(j, j.job.Route.Stages[it.Stage].Service, []*batch.Item{it}, false, fx)
 			}
 		}
 	})
--- a/relay/stage/stage_test.go
+++ b/relay/stage/stage_test.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
@@ -108,3 +109,62 @@
 		}
 	}
 }
+
+// outdatedPeers has another relay that owns all pools.
+type outdatedPeers struct {
+	Peers
+	owner *Runner
+	back  *Runner // that submits items
+}
+
+func (p *outdatedPeers) Owns(batch.Pool) bool                   { return false }
+func (p *outdatedPeers) Report(batch.Pool) (batch.Report, bool) { return batch.Report{}, true }
+func (p *outdatedPeers) Cancel(string)                          {}
+
+func (p *outdatedPeers) Submit(pool batch.Pool, items []*batch.Item) bool {
+	sent := make([]*batch.Item, len(items))
+	pending := make(map[*batch.Item]*batch.Item, len(items))
+	for i, it := range items {
+		c := *it
+		sent[i], pending[&c] = &c, it
+	}
+	p.owner.Accept(pool, sent, func(it *batch.Item, res plat.StageResult, _ batch.Report) { p.back.HandleResult(pending[it], res) })
+	return true
+}
+
+// TestOwnerBehind guards against requests that fail because the owner of a pool has not yet
+// got the configuration that adds a service, or the list with its endpoints.
+func TestOwnerBehind(t *testing.T) {
+	for name, outdated := range map[string]func(v fleet.View) fleet.View{
+		"configuration": func(v fleet.View) fleet.View {
+			cfg, err := fleet.NewConfig(0, 0, fleet.Limits{}, fleet.Parts{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v.WithConfig(cfg)
+		},
+		"endpoints": func(v fleet.View) fleet.View { return v.WithChange(fleet.Change{Remove: []string{"e1", "e2"}}) },
+	} {
+		owner, _ := newTestRunner(t, &testHealth{starts: make(chan time.Time, 2)}, &testPeers{})
+		v := outdated(*owner.View())
+		owner.View = func() *fleet.View { return &v }
+		h := &testHealth{starts: make(chan time.Time, 2)}
+		r, route := newTestRunner(t, h, nil)
+		r.Peers = &outdatedPeers{owner: owner, back: r}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			later := time.Now().Add(time.Minute)
+			_, err := r.Run(ctx, Job{ID: "r", Route: route, Items: []int{1}, Due: later, StartBy: later, Deadline: later})
+			ended <- err
+		}()
+		select {
+		case <-h.starts:
+		case err := <-ended:
+			t.Errorf("%s: %v", name, err)
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s: no call has started", name)
+		}
+		cancel()
+	}
+}
