core/roster: an instance that can't be read doesn't hide the others

One invalid instance made an instance list invalid as a whole, so that entries followed no change of the fleet while it was listed: neither new instances nor leaving ones.

Parse still returns an error, so that a damaged list isn't mistaken for a smaller fleet, but also the other instances. Entries apply them and keep the instances that a damaged list doesn't name. An agent's address needs a port and an address of its own.

--- a/base/fetch/fetch.go
+++ b/base/fetch/fetch.go
@@ -76,7 +76,8 @@
 	return n, nil
 }
 
-// ReadList returns the instance list.
+// ReadList returns the instance list. If the error is a *roster.DamageError, the list is
+// returned as well.
 func (p *Platform) ReadList() (roster.List, error) {
 	raw, err := p.get("http://"+p.ListAddr+"/v1/instances", readTimeout, maxListBytes)
 	if err != nil {
@@ -84,7 +85,7 @@
 	}
 	l, err := roster.Parse(raw)
 	if err != nil {
-		return roster.List{}, fmt.Errorf("read instance list: %w", err)
+		return l, fmt.Errorf("read instance list: %w", err)
 	}
 	return l, nil
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -43,24 +44,55 @@
 type List struct {
 	Version   uint64     `json:"version"`
 	Instances []Instance `json:"instances"`
+
+	// Damaged tells that instances were left out that can't be read. The list doesn't show
+	// then that an instance was removed.
+	Damaged bool `json:"-"`
+}
+
+// DamageError reports that instances of a list can't be read.
+type DamageError struct {
+	Version uint64 // of the list
+	Reason  error  // why the instances can't be read
 }
 
-// Parse decodes and validates a list. One invalid instance makes the whole list
-// invalid, so that a damaged list isn't mistaken for a smaller fleet.
+// Error returns the version and the reason.
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("instance list version %d: %v", e.Version, e.Reason)
+}
+
+// Parse decodes and validates a list. If only some of its instances are invalid, it returns
+// a *DamageError and the damaged list without them.
 func Parse(raw []byte) (List, error) {
-	var l List
-	if err := json.Unmarshal(raw, &l); err != nil {
+	var w struct {
+		Version   uint64            `json:"version"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(raw, &w); err != nil {
 		return List{}, fmt.Errorf("decode instance list: %w", err)
 	}
-	seen := make(map[string]bool, len(l.Instances))
-	for _, i := range l.Instances {
-		if err := validate(i); err != nil {
-			return List{}, fmt.Errorf("instance list version %d: %w", l.Version, err)
+	l := List{Version: w.Version}
+	var damage []error
+	seen := make(map[string]bool, len(w.Instances))
+	for _, raw := range w.Instances {
+		var i Instance
+		err := json.Unmarshal(raw, &i)
+		if err == nil {
+			err = validate(i)
+		}
+		if err != nil {
+			damage = append(damage, err)
+			continue
 		}
 		if seen[i.ID] {
 			return List{}, fmt.Errorf("instance list version %d: instance %q is listed twice", l.Version, i.ID)
 		}
 		seen[i.ID] = true
+		l.Instances = append(l.Instances, i)
+	}
+	if damage != nil {
+		l.Damaged = true
+		return l, &DamageError{Version: l.Version, Reason: errors.Join(damage...)}
 	}
 	return l, nil
 }
@@ -72,9 +104,13 @@
 	if i.State != StateLive && i.State != StateLeaving {
 		return fmt.Errorf("instance %q: state %q is neither live nor leaving", i.ID, i.State)
 	}
-	if _, err := netip.ParseAddrPort(i.Agent); err != nil {
+	addr, err := netip.ParseAddrPort(i.Agent)
+	if err != nil {
 		return fmt.Errorf("instance %q: agent address: %w", i.ID, err)
 	}
+	if addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+		return fmt.Errorf("instance %q: %q is not the address of an agent", i.ID, i.Agent)
+	}
 	return nil
 }
 
@@ -139,6 +175,13 @@
 		}
 		next[i.ID] = i
 	}
+	if l.Damaged {
+		for id, i := range r.members {
+			if _, ok := next[id]; !ok {
+				next[id] = i // it may be one of those that can't be read
+			}
+		}
+	}
 	changed := !maps.EqualFunc(r.members, next, equal)
 	for id := range r.leaving {
 		if _, ok := next[id]; !ok && l.Version > r.version {
--- a/entry/ctrl/platform.go
+++ b/entry/ctrl/platform.go
@@ -79,9 +79,14 @@
 func (c *Control) pollList(ctx context.Context) {
 	for ctx.Err() == nil {
 		l, err := c.cfg.Platform.ReadList()
-		if err != nil {
+		var damage *roster.DamageError
+		switch {
+		case errors.As(err, &damage):
+			c.cfg.Log.Warn().Err(err).Msg("some instances can't be read; none counts as removed")
+			c.post(ctx, func() { c.applyList(l) })
+		case err != nil:
 			c.cfg.Log.Warn().Err(err).Msg("reading the instance list failed; keeping the previous one")
-		} else {
+		default:
 			c.post(ctx, func() { c.applyList(l) })
 		}
 		wait.For(ctx, time.Duration(float64(listInterval)*(0.75+rand.Float64()/2)))
