core/batch: a result above the memory of its endpoint doesn't wait in vain

An item whose result is larger than the configured memory for results never got into a call, and waited until its deadline. A configuration that lowers headroomMb below the size of a stage's results made all requests of the route wait so.

Sizes are approximate; such an item now takes all of an endpoint's memory, and runs when no other result is there.

--- a/core/batch/apart_test.go
+++ b/core/batch/apart_test.go
@@ -50,3 +50,27 @@
 		}
 	}
 }
+
+// TestResultAboveMemory guards against an item that waits for its deadline in vain, because
+// a configuration has lowered the memory for results below the size of its own.
+func TestResultAboveMemory(t *testing.T) {
+	var s batch.Scheduler
+	now := time.Unix(0, 0)
+	svc := &fleet.Service{Name: "s", Batch: &fleet.Batch{Slots: 2, MaxItems: 4, MemoryBytes: 1000, Retention: time.Second}}
+	p, e := batch.Pool{Service: "s"}, []*fleet.Endpoint{{ID: "e", Service: "s"}}
+	for i := range 2 {
+		s.Add(p, &batch.Item{Request: "r", Index: i, ResultBytes: 5000, EnqueuedAt: now, Due: now.Add(time.Minute), StartBy: now.Add(time.Minute), Deadline: now.Add(time.Minute)})
+	}
+	c := s.Next(now, svc, p, e)
+	if c == nil || len(c.Items) != 1 {
+		t.Fatalf("first call: %+v, want one item", c)
+	}
+	if other := s.Next(now, svc, p, e); other != nil {
+		t.Errorf("%d items are in a call while another takes all memory", len(other.Items))
+	}
+	s.Finish(now, c, batch.Outcome{Refs: []string{"a"}})
+	s.Released("e", []string{"a"})
+	if c = s.Next(now, svc, p, e); c == nil {
+		t.Error("no second call after the first result was released")
+	}
+}
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -373,7 +373,8 @@
 
 // choose returns the items of the next call to an endpoint in a zone with
 // freeMemory bytes for their results. Items whose results don't fit are left out,
-// unless the configured memory is 0, which means no limit. Items are taken by
+// unless the configured memory is 0, which means no limit; one that is larger than the
+// configured memory takes all of it. Items are taken by
 // priority; within a priority, those that prefer the zone come first, and then the
 // order is by Due time. blocked reports whether the call would get no more items if
 // it started later: it is full or runs apart, or memory is short.
@@ -393,14 +394,15 @@
 			if taken[it] || it.priority(earliestDone) != priority {
 				continue
 			}
-			if b.MemoryBytes > 0 && it.ResultBytes > freeMemory {
+			need := min(it.ResultBytes, b.MemoryBytes) // the sizes of results are approximate
+			if b.MemoryBytes > 0 && need > freeMemory {
 				blocked = true
 				continue
 			}
 			if (sameZone && it.Zone != zone) || !it.mayRunIn(now, b, zone, usableZones, waitFactor) {
 				continue
 			}
-			freeMemory -= it.ResultBytes
+			freeMemory -= need
 			out = append(out, it)
 			taken[it] = true
 		}
