relay/ctrl: removals that a stable store confirms after an outage are obeyed at once

Cause: for 4 s after an outage (recoveryWindow), a removed endpoint only counted as missing and stayed in use for 1.5 s more (missingGrace), then until the next known contact with the store. The store counts as stable 3 s after an outage, so that a removal that it confirms then has to be obeyed within the drain time of 2 s. At relays that don't read the store the next contact comes with a heartbeat, up to 1.5 s later. After a drill the grace period was 2 s, the whole drain time.

Change: entries that lapsed are awaited until 2 s after the end of the outage, at most until the store is stable, whenever they are found missing; later removals are obeyed at once. Before, a removal still is awaited for no longer than an endpoint that shuts down serves. A relay whose read has shown that missing endpoints are gone announces its position. Other relays allow for the error of the time of that contact. Drain time, time until stable and time of return are settings (removal), filled in from the users' bounds.

Tests: TestMissingEndpointIsDroppedInTime played one removal by arithmetic; it now plays removals at all moments of the first 6 s, at a reader and at a relay that learns from it, with 1.9 s allowed (2 s before) and the least time for which a lapsed entry is awaited.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -51,6 +51,9 @@
 	maxResponseBudget    = 16 << 20
 	defaultExpectedPeers = 8 // relays
 	defaultHistory       = 20 * time.Second
+	defaultDrain         = 2 * time.Second
+	defaultStable        = 3 * time.Second
+	defaultReturn        = 2 * time.Second
 	defaultLinkMbps      = 1000
 	defaultRetryRatio    = 0.2 // retries per request
 	defaultStopTimeout   = 8 * time.Second
@@ -123,6 +126,10 @@
 func newControl(live *sets.Live, l *logs.Logger) *ctrl.Control {
 	c := ctrl.New(live.Get().Instance, plat.NewStore(live.Get().Store), clock.System{}, l)
 	c.Retention = func() time.Duration { return cmp.Or(live.Get().History, defaultHistory) }
+	c.Limits = func() ctrl.Limits {
+		r := live.Get().Removal
+		return ctrl.Limits{Drain: cmp.Or(r.Drain, defaultDrain), Stable: cmp.Or(r.Stable, defaultStable), Return: cmp.Or(r.Return, defaultReturn)}
+	}
 	return c
 }
 
@@ -234,7 +241,7 @@
 ) *stage.Runner {
 	r := &stage.Runner{View: c.View, Health: b, Peers: m, Pool: p, Clock: clock.System{}, Log: l, Meters: meters}
 	m.Handler, m.Source, m.Engines = r, c, a
-	c.Reads, c.Size, c.OnRevision = m.Reads, m.Size, m.Announce
+	c.Reads, c.Size, c.Announce = m.Reads, m.Size, m.Announce
 	return r
 }
 
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -17,15 +17,18 @@
 	"wigeonplank.example/relay/logs"
 )
 
-// Timing of missing endpoints.
+// Timing of the control state.
 const (
-	recoveryWindow    = 4 * time.Second         // after an outage; the store may lack entries of healthy endpoints during this period
-	restoredGrace     = 2 * time.Second         // as missingGrace, after the store was restored from a copy
-	goneMemory        = time.Minute             // for which a removed endpoint is remembered, as a restored store may list it again
-	missingGrace      = 1500 * time.Millisecond // a live endpoint is listed again by then; one that shuts down still serves for 2 s
-	controlTimeout    = time.Second             // to hand a query or an update to the control goroutine
-	defaultColdPeriod = 3 * time.Second         // for endpoints of a returned zone whose service isn't configured
-	maxViewAge        = 5 * time.Second         // since the last known contact with the store; a watch without changes takes up to 4 s
+	settlePeriod      = 4 * time.Second        // after the store was restored from a copy, in which operators drain zones again
+	goneMemory        = time.Minute            // for which a removed endpoint is remembered, as a restored store may list it again
+	controlTimeout    = time.Second            // to hand a query or an update to the control goroutine
+	defaultColdPeriod = 3 * time.Second        // for endpoints of a returned zone whose service isn't configured
+	maxViewAge        = 5 * time.Second        // since the last known contact with the store; a watch without changes takes up to 4 s
+	maxContactError   = 200 * time.Millisecond // of the time of a contact that another relay reported
+
+	// dropDelay is the longest time between the end of an endpoint's grace period and the
+	// last request to it: a read, and the news of it at other relays, on a busy machine.
+	dropDelay = missingCoalesceDelay + missingWatchWait + turnInterval + maxContactError
 )
 
 // Control maintains a replica of the platform's store and publishes a view of it.
@@ -37,9 +40,10 @@
 	Log   *logs.Logger
 	// OnViewChange is called from the control goroutine with each new view.
 	OnViewChange func(v *fleet.View)
-	// OnRevision is called from the control goroutine after the replica reached a
-	// higher revision of the store.
-	OnRevision func()
+	// Announce is called from the control goroutine when the replica has reached a
+	// higher revision of the store, or when a contact with the store has shown that
+	// missing endpoints are gone. It tells other relays the position.
+	Announce func()
 	// Reads reports whether this relay reads the store for others, and whether no
 	// relay depends on others for that.
 	Reads func() (reads, alone bool)
@@ -47,6 +51,8 @@
 	Size func() int
 	// Retention returns for how long the store keeps its history.
 	Retention func() time.Duration
+	// Limits returns the time limits of removals.
+	Limits func() Limits
 
 	view     atomic.Pointer[fleet.View]
 	loaded   atomic.Bool // the first update was applied
@@ -63,6 +69,13 @@
 	behindAt  time.Time  // since when the replica lacks changes up to announced; zero: it has them
 }
 
+// Limits are the time limits of removals from the store.
+type Limits struct {
+	Drain  time.Duration // from the confirmation of a removal to the last request to the endpoint
+	Stable time.Duration // from the end of an outage until the store counts as stable
+	Return time.Duration // from the end of an outage until the entries that lapsed during it are back
+}
+
 // state is owned by the control goroutine.
 type state struct {
 	view       fleet.View
@@ -303,12 +316,12 @@
 	}
 	c.applyOperatorEntries(operator, now)
 	c.applyEndpoints(endpoints, now)
-	c.dropOverdue()
+	dropped := c.dropOverdue()
 	c.settleZones(now)
 	c.loaded.Store(true)
 	c.publish()
-	if advanced && c.OnRevision != nil {
-		c.OnRevision()
+	if (advanced || dropped && u.transfer.From == "") && c.Announce != nil {
+		c.Announce()
 	}
 }
 
@@ -446,13 +459,19 @@
 }
 
 // dropOverdue drops the missing endpoints whose grace period was over at the last
-// known contact with the store. While the store is unreachable, nothing shows that
-// missing endpoints have stopped, so they are kept.
-func (c *Control) dropOverdue() {
+// known contact with the store, and reports whether there were any. While the store is
+// unreachable, nothing shows that missing endpoints have stopped, so they are kept.
+func (c *Control) dropOverdue() bool {
 	if !c.state.view.HasMissing() {
-		return
+		return false
+	}
+	contact := c.Position().Contact
+	if contact.Origin != c.follower.Self {
+		// The relay that read the store drops the endpoint at the same contact. The next
+		// one may be known here only after the drain time.
+		contact.At = contact.At.Add(maxContactError)
 	}
-	overdue := c.state.view.Overdue(c.Position().Contact.At)
+	overdue := c.state.view.Overdue(contact.At)
 	for _, id := range overdue {
 		c.rememberGone(c.state.view.Endpoint(id), c.Clock.Now())
 		c.Log.Event(logs.EndpointRemoved).Str("endpoint", id).Msg("")
@@ -460,6 +479,25 @@
 	if len(overdue) > 0 {
 		c.state.view = c.state.view.WithChange(fleet.Change{Remove: overdue})
 	}
+	return len(overdue) > 0
+}
+
+// awaitedUntil returns until when an endpoint whose removal was read at now may be
+// listed again, because its entry may have lapsed in an outage. A removal that the store
+// confirms while it is stable is never awaited. One from before may be that of an
+// endpoint which shuts down, so that it is awaited for no longer than such an endpoint
+// serves.
+func (c *Control) awaitedUntil(now time.Time) time.Time {
+	end := c.Position().OutageEnd
+	if end.IsZero() {
+		return now
+	}
+	l := c.Limits()
+	until := end.Add(min(l.Return, l.Stable))
+	if latest := now.Add(l.Drain - dropDelay); latest.Before(until) && c.state.settleAt.IsZero() {
+		return latest
+	}
+	return until
 }
 
 // removeEndpoint adds the removal of an endpoint to change. Shortly after an
@@ -470,13 +508,9 @@
 	if e == nil {
 		return
 	}
-	if end := c.Position().OutageEnd; !end.IsZero() && now.Sub(end) < recoveryWindow {
-		grace := missingGrace
-		if !c.state.settleAt.IsZero() {
-			grace = restoredGrace
-		}
-		change.Missing[id] = now.Add(grace)
-		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", grace).Msg("")
+	if until := c.awaitedUntil(now); now.Before(until) {
+		change.Missing[id] = until
+		c.Log.Event(logs.EndpointMissing).Str("endpoint", id).Dur("grace_ms", until.Sub(now)).Msg("")
 		return
 	}
 	c.rememberGone(e, now)
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -29,16 +29,65 @@
 	}
 }
 
-// TestMissingEndpointIsDroppedInTime guards against stage calls to an endpoint later than
-// the users' shortest drain time after its removal was read, because the reads that
-// end its grace period were half a second apart.
+// limits are the users' shortest ones.
+var limits = Limits{Drain: 2 * time.Second, Stable: 3 * time.Second, Return: 2 * time.Second}
+
+// worstRead is the longest time between two reads while entries are missing.
+const worstRead = missingCoalesceDelay + missingWatchWait + 100*time.Millisecond
+
+// TestMissingEndpointIsDroppedInTime guards against requests to an endpoint later than
+// the users' shortest drain time after its removal was read, or was confirmed by a stable
+// store, because reads were half a second apart, or because a relay that doesn't read the
+// store waited for the next heartbeat. It checks all moments at which a removal is read.
 func TestMissingEndpointIsDroppedInTime(t *testing.T) {
 	const (
-		shortestDrain = 2 * time.Second
-		responseTime  = 100 * time.Millisecond // of the store, and of a call that is on its way
+		step        = 50 * time.Millisecond
+		heartbeat   = 1500 * time.Millisecond // between two heartbeats of an idle link
+		lastRequest = 100 * time.Millisecond  // on its way when the endpoint is dropped
 	)
-	if worst := missingGrace + missingCoalesceDelay + missingWatchWait + responseTime; worst > shortestDrain {
-		t.Errorf("an endpoint may be used for %s after its removal was read, want at most %s", worst, shortestDrain)
+	for read := time.Duration(0); read < 6*time.Second; read += step {
+		reader, follower := newFixture(), newFixture()
+		follower.follow(reader)
+		reader.read(false, reader.entry("a"), reader.entry("b"))
+		reader.read(true)
+		reader.clock.Advance(read)
+		reader.read(false, reader.removal("a"))
+		first, lag := time.Duration(-1), time.Duration(0)
+		for next := worstRead; ; lag += step {
+			if lag == next {
+				reader.read(false)
+				next += worstRead
+			}
+			if lag%heartbeat == heartbeat-step {
+				reader.Announce()
+			}
+			if lag%turnInterval == 0 {
+				follower.apply(update{recheck: true})
+			}
+			using := len(reader.View().Endpoints("s")) + len(follower.View().Endpoints("s")) - 2
+			if using < 2 && first < 0 {
+				first = lag
+			}
+			if using == 0 {
+				break
+			}
+			reader.clock.Advance(step)
+		}
+		if longest := limits.Drain - lastRequest; lag > longest {
+			t.Errorf("removal read %s after an outage: used for %s more, want at most %s", read, lag, longest)
+		}
+		if shortest := min(limits.Return-read, limits.Drain-dropDelay) - maxContactError; first < shortest {
+			t.Errorf("removal read %s after an outage: dropped %s later, but an entry may take %s to return", read, first, shortest)
+		}
+		if read >= limits.Return && lag > 0 {
+			t.Errorf("removal read %s after an outage: used for %s more, want 0", read, lag)
+		}
+	}
+	// The relay that reads may notice the end of an outage late, but not so late that the
+	// drain time of a removal that a stable store has confirmed is over.
+	lateEnd := longProbeTimeout + maxBackoff
+	if worst := lateEnd + limits.Return + worstRead + turnInterval + lastRequest; worst > limits.Stable+limits.Drain {
+		t.Errorf("an endpoint may be used until %s after an outage, want at most %s", worst, limits.Stable+limits.Drain)
 	}
 	f := newFixture()
 	if got := f.readDelay(); got != coalesceDelay {
@@ -62,9 +111,26 @@
 	clk := clock.NewFake(time.Unix(0, 0))
 	c := New("a", nil, clk, logs.New(io.Discard, clk, "a"))
 	c.state = newState()
+	c.Limits = func() Limits { return limits }
 	return &fixture{Control: c, clock: clk, revision: 1}
 }
 
+// follow makes f learn from reader's announcements what that relay has read.
+func (f *fixture) follow(reader *fixture) {
+	f.Clock, f.clock = reader.clock, reader.clock
+	f.follower.Self, reader.follower.Self = "b", "a"
+	reader.Announce = func() {
+		p := reader.Position()
+		// Changes arrive later than a heartbeat, and with them the grace period begins.
+		p.Contact.At = p.Contact.At.Add(-maxContactError / 2)
+		if f.Announced(p) {
+			after := f.Position().Point
+			u := reader.state.table.Since(after)
+			f.apply(update{Update: u, transfer: repl.Transfer{From: "a"}, position: p})
+		}
+	}
+}
+
 // entry returns an entry that lists a ready endpoint of service s.
 func (f *fixture) entry(id string) plat.Entry {
 	f.revision++
@@ -104,7 +170,7 @@
 	f.read(false, f.entry("a"), f.entry("b"))
 	f.read(true, f.removal("a"), f.removal("b"), f.entry("a"), f.entry("b"))
 	f.check(t, "after the read", 2)
-	f.clock.Advance(2 * missingGrace)
+	f.clock.Advance(2 * limits.Return)
 	f.read(false)
 	f.check(t, "after the grace period", 2)
 }
@@ -117,7 +183,7 @@
 	f.read(false, f.entry("a"), f.entry("b"))
 	f.read(true, f.removal("a"), f.removal("b"))
 	f.check(t, "after the first outage", 2)
-	f.clock.Advance(2 * missingGrace)
+	f.clock.Advance(2 * limits.Return)
 	f.check(t, "during the second outage", 2)
 	f.read(true, f.entry("a"))
 	f.check(t, "after the second outage, with one entry missing", 1)
@@ -250,6 +316,17 @@
 	f.check(t, "2.1 s after the restore", 0)
 }
 
+// TestRemovalAfterRestore guards against an endpoint that is used for the whole drain time
+// after a restored store, which is stable again, has confirmed that it is gone.
+func TestRemovalAfterRestore(t *testing.T) {
+	f := newFixture()
+	f.read(false, endpointEntry("a", "ready", 1, 5, 10))
+	f.restore(1, 5, endpointEntry("a", "ready", 1, 5, 5))
+	f.clock.Advance(limits.Stable)
+	f.watch(1, f.removal("a"))
+	f.check(t, "removed 3 s after the restore", 0)
+}
+
 // TestDrainedZoneOfRestoredStore checks that zones stay drained, or in use, until
 // operators had the time to say so again.
 func TestDrainedZoneOfRestoredStore(t *testing.T) {
--- a/relay/ctrl/restore.go
+++ b/relay/ctrl/restore.go
@@ -19,7 +19,7 @@
 // the endpoint writes again. Drained zones stay as they are until settleZones; a
 // configuration never goes back by its version.
 func (c *Control) keepBelieved(changes []plat.Entry, now time.Time) []plat.Entry {
-	c.state.settleAt = now.Add(recoveryWindow)
+	c.state.settleAt = now.Add(settlePeriod)
 	c.restored.Store(true)
 	return slices.DeleteFunc(changes, func(entry plat.Entry) bool {
 		if _, ok := plat.DrainedZone(entry.Key); ok {
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -18,7 +18,8 @@
 	Peers       Peers         `yaml:"peers"`
 	Store       string        `yaml:"store" validate:"required,ip_port"`        // address of the platform's store, IP:port
 	History     time.Duration `yaml:"store_history,omitempty" validate:"min=0"` // how long the store keeps its history; 0: 20s
-	MemoryBytes int64         `yaml:"memory_bytes,omitempty" validate:"min=0"`  // memory of the instance in bytes; the soft memory limit of the process is 70% of it; 0: no limit
+	Removal     Removal       `yaml:"removal,omitempty"`
+	MemoryBytes int64         `yaml:"memory_bytes,omitempty" validate:"min=0"` // memory of the instance in bytes; the soft memory limit of the process is 70% of it; 0: no limit
 	Capacity    Capacity      `yaml:"capacity,omitempty"`
 	Stop        Stop          `yaml:"stop,omitempty"`
 	Retry       Retry         `yaml:"retry,omitempty"`
@@ -34,6 +35,13 @@
 	ExpectedSize      int           `yaml:"expect,omitempty" validate:"min=0,max=10000"` // minimum number of relays to assume while the others are being discovered; 0: 8
 }
 
+// Removal bounds how soon the removal of an endpoint from the store takes effect.
+type Removal struct {
+	Drain  time.Duration `yaml:"drain,omitempty" validate:"min=0"`  // requests may reach an endpoint for this long after a stable store has confirmed that it is gone; 0: 2s
+	Stable time.Duration `yaml:"stable,omitempty" validate:"min=0"` // the store counts as stable this long after the end of an outage; 0: 3s
+	Return time.Duration `yaml:"return,omitempty" validate:"min=0"` // entries of live endpoints that lapsed in an outage are back this long after its end; 0: 2s
+}
+
 // Capacity describes the machine of the instance. Relays with more of it own more of
 // the work that all relays share.
 type Capacity struct {
