core/repl, relay: the failed read of one relay is no outage of the store

Cause: each relay took its first read after a failed one for the end of an outage of the store, and all others took that over by their heartbeats. A relay that was cut off, paused or lost a connection thus made all relays await the return of endpoints that were gone, though the store was up. A relay whose last failed read was long ago, as another one had read for it, did so as well.

Change: a contact with the store also says since when its relay has read without a failure (StorePosition.since_ms; a relay of the release before neither tells nor reads it). Outages corrects the end of an outage by such reads: a relay that has read since before that end shows that the outage had ended before its first read, or that there was none. So the first of several relays to read again counts, and the others' reads refute the failure of a single one. Endpoints that were missing by a mistake are dropped as soon as that is known.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -97,6 +97,9 @@
 // HasMissing reports whether any endpoint is missing from the store.
 func (v *View) HasMissing() bool { return len(v.missing) > 0 }
 
+// Missing returns the IDs of the endpoints that are missing from the store, in no order.
+func (v *View) Missing() []string { return slices.Collect(maps.Keys(v.missing)) }
+
 // Overdue returns the IDs of the missing endpoints that are overdue at now.
 func (v *View) Overdue(now time.Time) []string {
 	var out []string
--- a/core/repl/contact.go
+++ b/core/repl/contact.go
@@ -20,12 +20,16 @@
 	// probesPerSecond bounds the reads of all processes together that are no readers,
 	// while the store doesn't respond.
 	probesPerSecond = 8
+	// maxReadInterval is the longest time between two reads of a process that reads all
+	// the time. A longer one is due to a pause of the process or of its duty to read.
+	maxReadInterval = 5500 * time.Millisecond
 )
 
 // Contact is the last known contact of any process with the store.
 type Contact struct {
 	At     time.Time // by the clock of this process
 	Origin string    // instance that read the store
+	Since  time.Time // first of the reads of that instance, up to this one, none of which failed; zero: not known
 }
 
 // Transfer describes how changes came from another process.
@@ -56,8 +60,21 @@
 	receivedAt time.Time // when the last part of changes arrived from another process
 }
 
-// RecordOwn records that this process read the store.
-func (f *Follower) RecordOwn(now time.Time) { f.own = Contact{At: now, Origin: f.Self} }
+// RecordOwn records that this process read the store, and returns that contact.
+func (f *Follower) RecordOwn(now time.Time) Contact {
+	if f.own.At.IsZero() || now.Sub(f.own.At) > maxReadInterval {
+		f.own.Since = now
+	}
+	f.own.At, f.own.Origin = now, f.Self
+	return f.own
+}
+
+// Interrupt records that what this process reads from now on doesn't continue its
+// earlier reads, because one has failed or the store was restored from a copy.
+func (f *Follower) Interrupt(now time.Time) { f.own.Since = now }
+
+// ReadSince reports whether another process is known to have read the store after a time.
+func (f *Follower) ReadSince(t time.Time) bool { return f.others.At.After(t) }
 
 // RecordOther records the last contact that another process knows of.
 func (f *Follower) RecordOther(c Contact) {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -64,7 +64,7 @@
 	mu        sync.Mutex // guards the fields below
 	point     repl.Point // of the replica
 	follower  repl.Follower
-	outageEnd time.Time  // end of the last known outage of the store; zero if there was none
+	outages   repl.Outages
 	announced repl.Point // highest point that another relay has announced
 	behindAt  time.Time  // since when the replica lacks changes up to announced; zero: it has them
 }
@@ -93,7 +93,8 @@
 // update is the result of one read from the store, or changes from another relay.
 type update struct {
 	repl.Update
-	outage   bool          // the previous read failed
+	failed   bool          // the previous read failed
+	outage   bool          // the read may be the first one after an outage
 	transfer repl.Transfer // from another relay; zero if the changes were read from the store
 	position repl.Position // of that relay
 	recheck  bool          // there are no changes; only drop the endpoints that are overdue
@@ -165,7 +166,7 @@
 func (c *Control) Position() repl.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return repl.Position{Point: c.point, Contact: c.follower.Last(), OutageEnd: c.outageEnd}
+	return repl.Position{Point: c.point, Contact: c.follower.Last(), OutageEnd: c.outages.End()}
 }
 
 // Announced records the position of another relay, and reports whether it has
@@ -181,6 +182,9 @@
 		if c.behindAt.IsZero() {
 			c.behindAt = c.Clock.Now()
 		}
+		if p.Era == c.point.Era {
+			c.recordReadsLocked(p.Contact)
+		}
 		return true
 	}
 	if p.Era == c.point.Era {
@@ -211,8 +215,15 @@
 // that another relay reported. The caller holds c.mu.
 func (c *Control) recordPositionLocked(p repl.Position) {
 	c.follower.RecordOther(p.Contact)
-	if p.OutageEnd.After(c.outageEnd) {
-		c.outageEnd = p.OutageEnd
+	c.recordReadsLocked(p.Contact)
+	c.outages.RecordEnd(p.OutageEnd)
+}
+
+// recordReadsLocked records what another relay reported of reads of the store. The
+// caller holds c.mu.
+func (c *Control) recordReadsLocked(contact repl.Contact) {
+	if contact.Origin != c.follower.Self {
+		c.outages.RecordContact(contact)
 	}
 }
 
@@ -220,26 +231,26 @@
 func (c *Control) recordContact() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.follower.RecordOwn(c.Clock.Now())
+	c.outages.RecordContact(c.follower.RecordOwn(c.Clock.Now()))
 }
 
 // recordUpdate records the contact with the store that an applied update stands
 // for, and the revision that the replica has reached. It reports whether that is a
-// higher one. Others must never see the contact without the revision.
-func (c *Control) recordUpdate(u update, now time.Time) bool {
+// higher one. Others must never see the contact without the revision. restored tells
+// whether the store was restored from a copy.
+func (c *Control) recordUpdate(u update, restored bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case u.transfer.From != "":
+	if restored || u.failed {
+		c.follower.Interrupt(now)
+	}
+	if restored || u.outage {
+		c.outages.RecordEnd(now)
+	}
+	if u.transfer.From != "" {
 		c.recordPositionLocked(u.position)
-		if u.outage {
-			c.outageEnd = now
-		}
-	case u.outage:
-		c.outageEnd = now
-		fallthrough
-	default:
-		c.follower.RecordOwn(now)
+	} else {
+		c.outages.RecordContact(c.follower.RecordOwn(now))
 	}
 	before := c.point
 	c.point = c.state.table.Point()
@@ -299,9 +310,8 @@
 	if restored {
 		c.Log.Event(logs.StoreRestored).Int64("era", u.Era).Int64("after", before.Revision).Int64("revision", u.To).Str("from", u.transfer.From).Msg("")
 		changes = c.keepBelieved(changes, now)
-		u.outage = true
 	}
-	advanced := c.recordUpdate(u, now)
+	advanced := c.recordUpdate(u, restored, now)
 	if u.transfer.From != "" {
 		c.Log.Event(logs.ViewReceived).Str("from", u.transfer.From).Int("entries", len(u.Entries)).Dur("age_ms", now.Sub(u.position.Contact.At)).
 			Int("bytes", u.transfer.Bytes).Dur("took_ms", u.transfer.Took).Msg("")
@@ -472,6 +482,9 @@
 		contact.At = contact.At.Add(maxContactError)
 	}
 	overdue := c.state.view.Overdue(contact.At)
+	if !contact.At.Before(c.returnDeadline()) {
+		overdue = c.state.view.Missing() // also if the outage has turned out to be a failure of one relay
+	}
 	for _, id := range overdue {
 		c.rememberGone(c.state.view.Endpoint(id), c.Clock.Now())
 		c.Log.Event(logs.EndpointRemoved).Str("endpoint", id).Msg("")
@@ -482,19 +495,21 @@
 	return len(overdue) > 0
 }
 
+// returnDeadline returns the time until which entries that lapsed in the last outage may
+// be listed again. The store counts as stable by then.
+func (c *Control) returnDeadline() time.Time {
+	l := c.Limits()
+	return c.Position().OutageEnd.Add(min(l.Return, l.Stable))
+}
+
 // awaitedUntil returns until when an endpoint whose removal was read at now may be
 // listed again, because its entry may have lapsed in an outage. A removal that the store
 // confirms while it is stable is never awaited. One from before may be that of an
 // endpoint which shuts down, so that it is awaited for no longer than such an endpoint
 // serves.
 func (c *Control) awaitedUntil(now time.Time) time.Time {
-	end := c.Position().OutageEnd
-	if end.IsZero() {
-		return now
-	}
-	l := c.Limits()
-	until := end.Add(min(l.Return, l.Stable))
-	if latest := now.Add(l.Drain - dropDelay); latest.Before(until) && c.state.settleAt.IsZero() {
+	until := c.returnDeadline()
+	if latest := now.Add(c.Limits().Drain - dropDelay); latest.Before(until) && c.state.settleAt.IsZero() {
 		return latest
 	}
 	return until
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -49,6 +49,7 @@
 		reader, follower := newFixture(), newFixture()
 		follower.follow(reader)
 		reader.read(false, reader.entry("a"), reader.entry("b"))
+		reader.clock.Advance(2 * time.Second)
 		reader.read(true)
 		reader.clock.Advance(read)
 		reader.read(false, reader.removal("a"))
@@ -149,7 +150,7 @@
 // read applies entries as one read from the store. The first one is of the whole
 // store. outage means that the previous read failed.
 func (f *fixture) read(outage bool, entries ...plat.Entry) {
-	f.apply(update{outage: outage, Update: repl.Update{
+	f.apply(update{failed: outage, outage: outage, Update: repl.Update{
 		Entries: entries, Full: f.Position().Revision < 0, After: f.Position().Revision, To: f.revision,
 	}})
 }
@@ -189,6 +190,58 @@
 	f.check(t, "after the second outage, with one entry missing", 1)
 }
 
+// TestFailureOfOneRelay guards against endpoints that are used after the store has
+// confirmed their removal, because one relay could not read the store for a while.
+func TestFailureOfOneRelay(t *testing.T) {
+	reader, follower := newFixture(), newFixture()
+	follower.follow(reader)
+	reader.read(false, reader.entry("a"), reader.entry("b"), reader.entry("c"))
+	regained := func() {
+		for _, f := range []*fixture{reader, follower} {
+			now := f.clock.Now()
+			f.Announced(repl.Position{Point: f.Position().Point, Contact: repl.Contact{At: now, Origin: "x", Since: now}, OutageEnd: now})
+		}
+	}
+	reader.clock.Advance(time.Second)
+	regained()
+	reader.clock.Advance(time.Second)
+	reader.read(false, reader.removal("a"))
+	reader.check(t, "at the reader, after the removal", 2)
+	follower.check(t, "at the follower, after the removal", 2)
+
+	regained()
+	follower.apply(update{Update: repl.Update{
+		Entries: []plat.Entry{reader.removal("b")}, After: follower.Position().Revision, To: reader.revision,
+	}, transfer: repl.Transfer{From: "x"}})
+	follower.check(t, "while the follower knows of a failure alone", 2)
+	reader.clock.Advance(200 * time.Millisecond)
+	reader.read(false, plat.Entry{Key: plat.EndpointPrefix + "b", Revision: reader.revision, Removed: true})
+	follower.apply(update{recheck: true})
+	follower.check(t, "after it has learned of the reads of another relay", 1)
+}
+
+// TestFailureLongAgo guards against a relay that takes its read for the first one after an
+// outage, as its last read failed, though another relay has read the store long since. A
+// relay that reads right after an outage may not know of it, as it didn't read before.
+func TestFailureLongAgo(t *testing.T) {
+	f := newFixture()
+	f.read(false, f.entry("a"))
+	failedAt := f.clock.Now()
+	if !f.endsOutage(failedAt) {
+		t.Error("no outage after a failed read, though no other relay has read the store")
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{time.Second, true}, {5 * time.Second, false}} {
+		f.clock.Advance(c.after)
+		f.Announced(repl.Position{Point: f.Position().Point, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}})
+		if got := f.endsOutage(failedAt); got != c.want {
+			t.Errorf("another relay has read the store %s after the failed read: outage %v, want %v", c.after, got, c.want)
+		}
+	}
+}
+
 // TestRemovalWithoutOutage checks that an endpoint is dropped at once if its entry
 // is removed and there was no outage.
 func TestRemovalWithoutOutage(t *testing.T) {
@@ -307,6 +360,7 @@
 func TestNotWrittenAgain(t *testing.T) {
 	f := newFixture()
 	f.read(false, endpointEntry("a", "ready", 1, 5, 10))
+	f.clock.Advance(time.Second)
 	f.restore(1, 5)
 	f.clock.Advance(1900 * time.Millisecond)
 	f.watch(1)
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -37,7 +37,7 @@
 // to the control goroutine. A single watch covers all keys, as one for operators'
 // keys and one for endpoints would double the calls to the store.
 func (c *Control) followStore(ctx context.Context) {
-	failures, lostAt, full := 0, time.Time{}, false
+	failures, lostAt, failedAt, full := 0, time.Time{}, time.Time{}, false
 	for ctx.Err() == nil {
 		if !c.mustRead(failures) {
 			c.awaitTurn(ctx)
@@ -51,8 +51,9 @@
 		}
 		if err != nil {
 			failures++
+			failedAt = c.Clock.Now()
 			if failures == 1 {
-				lostAt = c.Clock.Now()
+				lostAt = failedAt
 				c.Log.Event(logs.StoreLost).Err(err).Msg("")
 			}
 			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: maxBackoff}.Delay(failures, rand.Float64()))
@@ -61,7 +62,9 @@
 		if failures > 0 {
 			c.Log.Event(logs.StoreRegained).Int("failures", failures).Dur("lost_ms", c.Clock.Now().Sub(lostAt)).Msg("")
 		}
-		u.outage = failures > 0
+		if failures > 0 {
+			u.failed, u.outage = true, c.endsOutage(failedAt)
+		}
 		failures, full = 0, false
 		c.submitRead(ctx, u)
 	}
@@ -77,6 +80,15 @@
 	return c.follower.ShouldRead(c.Clock.Now(), reads, size, failures)
 }
 
+// endsOutage reports whether a read may be the first one after an outage of the store,
+// given the time of this relay's last failed read. It isn't if another relay read the
+// store so much later that each one that reads has noticed the end of that outage.
+func (c *Control) endsOutage(failedAt time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.follower.ReadSince(failedAt.Add(longProbeTimeout + maxBackoff))
+}
+
 // awaitTurn waits a moment while other relays read the store. Endpoints that are
 // overdue according to them are dropped.
 func (c *Control) awaitTurn(ctx context.Context) {
@@ -95,7 +107,7 @@
 func (c *Control) submitRead(ctx context.Context, u update) {
 	// While entries are missing, an update without changes still lets the control
 	// goroutine drop those whose grace period is over.
-	if !u.Full && !u.outage && len(u.Entries) == 0 && !c.awaitsReturn() {
+	if !u.Full && !u.failed && len(u.Entries) == 0 && !c.awaitsReturn() {
 		c.recordContact()
 		return
 	}
--- a/relay/peers/mesh_test.go
+++ b/relay/peers/mesh_test.go
@@ -8,6 +8,7 @@
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/peer"
+	"wigeonplank.example/core/repl"
 )
 
 // TestOwnerWithoutLink checks which relay schedules a pool while the link to its
@@ -69,3 +70,21 @@
 		t.Errorf("item %+v, want %+v", got, it)
 	}
 }
+
+// TestPositionOnWire guards against a position that is lost or changed between relays, and
+// against one of an older relay that tells more than it knows.
+func TestPositionOnWire(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	want := repl.Position{
+		Point:     repl.Point{Era: 2, Revision: 7},
+		Contact:   repl.Contact{At: now.Add(-time.Second), Origin: "a", Since: now},
+		OutageEnd: now.Add(-time.Minute),
+	}
+	got := positionFromWire(positionToWire(want, now), now)
+	if got.Contact.Since = got.Contact.Since.Round(10 * time.Millisecond); got != want {
+		t.Errorf("position %+v, want %+v", got, want)
+	}
+	if got := positionFromWire(&StorePosition{Origin: "a", ContactMs: 5}, now); !got.Contact.Since.IsZero() {
+		t.Errorf("position %+v of an older relay, want no first read", got)
+	}
+}
--- a/relay/peers/wire.go
+++ b/relay/peers/wire.go
@@ -82,6 +82,9 @@
 	if !p.Contact.At.IsZero() {
 		w.ContactMs = now.Sub(p.Contact.At).Milliseconds()
 	}
+	if !p.Contact.Since.IsZero() {
+		w.SinceMs = now.Sub(p.Contact.Since).Milliseconds() + 1 // 0 has another meaning
+	}
 	if !p.OutageEnd.IsZero() {
 		w.Outage, w.OutageMs = true, now.Sub(p.OutageEnd).Milliseconds()
 	}
@@ -96,6 +99,9 @@
 	if w.GetOrigin() != "" {
 		p.Contact = repl.Contact{At: now.Add(-time.Duration(w.GetContactMs()) * time.Millisecond), Origin: w.GetOrigin()}
 	}
+	if w.GetSinceMs() > 0 {
+		p.Contact.Since = now.Add(-time.Duration(w.GetSinceMs()) * time.Millisecond)
+	}
 	if w.GetOutage() {
 		p.OutageEnd = now.Add(-time.Duration(w.GetOutageMs()) * time.Millisecond)
 	}
