relay/ctrl: a zone that is drained right after a restore is drained at once

Cause: in the first read of a store that came back from a copy, drained zones are left as they are for 4 s, as the copy may list one that is in use again. That held also for a zone which operators drained after the return of the store and before that read; with a late read, that takes longer than an evacuation may.

Change: a zone that the store lists as drained is left in use only if it was drained before and has returned within the last minute, as removed endpoints are remembered. Others are drained at once.

TestDrainedZoneWrittenAfterRestore failed before: "after the first read: 2 endpoints, want 1".

--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -20,7 +20,7 @@
 // Timing of the control state.
 const (
 	settlePeriod      = 4 * time.Second        // after the store was restored from a copy, in which operators drain zones again
-	goneMemory        = time.Minute            // for which a removed endpoint is remembered, as a restored store may list it again
+	goneMemory        = time.Minute            // for which removed endpoints and returned zones are remembered, as a restored store may list them again
 	controlTimeout    = time.Second            // to hand a query or an update to the control goroutine
 	defaultColdPeriod = 3 * time.Second        // for endpoints of a returned zone whose service isn't configured
 	maxViewAge        = 5 * time.Second        // since the last known contact with the store; a watch without changes takes up to 4 s
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -406,6 +406,16 @@
 	}
 }
 
+// TestDrainedZoneWrittenAfterRestore guards against a zone that is used for 4 s more,
+// because operators drained it between the return of a restored store and its first read.
+func TestDrainedZoneWrittenAfterRestore(t *testing.T) {
+	f := newFixture()
+	a, b := endpointEntry("a", "ready", 1, 5, 2), endpointEntry("b", "ready", 1, 5, 3)
+	f.read(false, a, b)
+	f.restore(1, 4, a, b, plat.Entry{Key: plat.DrainPrefix + "z-a", Revision: 4, Value: []byte("{}")})
+	f.check(t, "after the first read", 1)
+}
+
 // TestFormerEraChangesNothing checks that neither a late answer nor another relay
 // brings a former era back.
 func TestFormerEraChangesNothing(t *testing.T) {
--- a/relay/ctrl/restore.go
+++ b/relay/ctrl/restore.go
@@ -16,14 +16,16 @@
 
 // keepBelieved returns the changes to apply of those that a store which was restored
 // from a copy makes. What is known of an endpoint stays if the copy is older, until
-// the endpoint writes again. Drained zones stay as they are until settleZones; a
-// configuration never goes back by its version.
+// the endpoint writes again. Zones that are in use or drained as far as is known stay so
+// until settleZones, but for those that haven't been drained lately: these are drained
+// since the copy. A configuration never goes back by its version.
 func (c *Control) keepBelieved(changes []plat.Entry, now time.Time) []plat.Entry {
 	c.state.settleAt = now.Add(settlePeriod)
 	c.restored.Store(true)
 	return slices.DeleteFunc(changes, func(entry plat.Entry) bool {
-		if _, ok := plat.DrainedZone(entry.Key); ok {
-			return true
+		if zone, ok := plat.DrainedZone(entry.Key); ok {
+			returned := now.Sub(c.state.returnedAt[zone]) < goneMemory
+			return entry.Removed || returned
 		}
 		id, ok := plat.EndpointID(entry.Key)
 		if !ok || entry.Removed {
