agent/engine: each call to the endpoint has a connection of its own

Cause: the responses of an agent's endpoint have no ID, and its calls shared kept connections. A second copy of a response that came after the next request was sent was taken for that request's response, and each response after it for that of the next call. The copy of a 429 reported a job as not started that was running, so that it was run again at another endpoint or its caller was told that it hadn't run. A result went to another job, and a load report was read as the state of an engine and the other way round.

Change: requests to the endpoint ask to close the connection.

Measured: TestLateCopies failed before, among others with 'encoding job-0: got "", {Failure:endpoint is full NotStarted:true}', 'encoding job-1: got "{"input":"job-0"}"' and 'load {Running:0 Waiting:0}' for 3 and 4.

--- a/agent/engine/client.go
+++ b/agent/engine/client.go
@@ -146,6 +146,13 @@
 	RequestID string `json:"request_id"`
 }
 
+// setTarget makes req a request to a path of the endpoint, on a connection of its own: as
+// responses have no ID, a second copy of one would be taken for the next on its connection.
+func (c *Client) setTarget(req *fasthttp.Request, path string) {
+	req.SetRequestURI("http://" + c.addr + path)
+	req.SetConnectionClose()
+}
+
 // preparePost makes req a POST of body, encoded as JSON, to a path of the
 // endpoint.
 func (c *Client) preparePost(req *fasthttp.Request, path string, body any) error {
@@ -153,7 +160,7 @@
 	if err != nil {
 		return fmt.Errorf("encode body of %s: %w", path, err)
 	}
-	req.SetRequestURI("http://" + c.addr + path)
+	c.setTarget(req, path)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.SetBody(raw)
@@ -165,7 +172,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + c.addr + path)
+	c.setTarget(req, path)
 	if err := c.unary.DoTimeout(req, resp, readTimeout); err != nil {
 		return fmt.Errorf("read %s: %w", path, err)
 	}
