relay/pool, relay/stage: a late second copy is never another call's answer

Cause: a connection went back to its pool before the response to a stage call was decoded. The response to a release, or one without any result, couldn't be told from a second copy of itself. A copy that came where the next response was expected was taken for it, and each response after it for that of the call after. Pieces and requests got results that were made for others.

Change: a call accepts its response once that was judged, and without this its connection is closed. Connections of stage calls know the bodies of all of their responses (1,024 at most), not only the last that names a result; those of releases may equal one another, but a stage call skips them. A response without any result ends its connection, as does one that nobody waited for: a known copy, or a response with another request's ID. Requests have connections of their own.

TestKeptConnections replaces TestNotRunEndsConnection, which had one of these cases. Endpoints of the stand-in now reject inputs that were made for another request.

--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -37,6 +37,7 @@
 	FaultHang      Fault = "mute"     // executes the request and never responds
 	FaultEndless   Fault = "endless"  // executes the request and sends a body until the caller closes the connection
 	FaultPause     Fault = "pause"    // is silent for pauseTime, in the middle of what is left of a stream, then goes on
+	FaultLateCopy  Fault = "copy"     // sends the response again where the next one on its connection is expected; no effect on event streams
 )
 
 const (
@@ -87,16 +88,17 @@
 	resultsMade    int
 	stageCallSizes []int
 	conns          []net.Conn
-	rateLimit      string      // value of the rate limit header of responses; empty: none
-	limitedAt      time.Time   // when rateLimit was first set
-	arrivals       []time.Time // of all requests for this endpoint
-	leaving        bool        // responses say that the endpoint leaves
-	closedFor      string      // retry delay that rejections name, in seconds
-	rejections     int         // number of requests that are still rejected with that delay
-	markedAt       time.Time   // first response that named a retry delay or said that the endpoint leaves
-	startUnixMs    int64       // of this incarnation
-	crashed        bool        // a request has crashed it
-	pace           int         // of its work, in percent of the usual time, which responses report; 0: as usual, and not reported
+	copies         map[net.Conn]string // responses to send again before the next one on their connections
+	rateLimit      string              // value of the rate limit header of responses; empty: none
+	limitedAt      time.Time           // when rateLimit was first set
+	arrivals       []time.Time         // of all requests for this endpoint
+	leaving        bool                // responses say that the endpoint leaves
+	closedFor      string              // retry delay that rejections name, in seconds
+	rejections     int                 // number of requests that are still rejected with that delay
+	markedAt       time.Time           // first response that named a retry delay or said that the endpoint leaves
+	startUnixMs    int64               // of this incarnation
+	crashed        bool                // a request has crashed it
+	pace           int                 // of its work, in percent of the usual time, which responses report; 0: as usual, and not reported
 }
 
 // trackingListener records the accepted connections of an endpoint, so that
@@ -259,13 +261,34 @@
 func (e *Endpoint) takeFault() Fault {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faultsLeft == 0 {
+	if e.faultsLeft == 0 || e.fault == FaultLateCopy {
 		return ""
 	}
 	e.faultsLeft--
 	return e.fault
 }
 
+// sendCopy sends a response again that FaultLateCopy has set aside for the connection.
+func (e *Endpoint) sendCopy(conn net.Conn) {
+	e.mu.Lock()
+	raw := e.copies[conn]
+	delete(e.copies, conn)
+	e.mu.Unlock()
+	_, _ = conn.Write([]byte(raw)) // fails only if the caller has disconnected
+}
+
+// keepCopy sets a response aside for sendCopy if the fault of the response is
+// FaultLateCopy.
+func (e *Endpoint) keepCopy(ctx *fasthttp.RequestCtx) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faultsLeft == 0 || e.fault != FaultLateCopy || ctx.Response.IsBodyStream() {
+		return
+	}
+	e.faultsLeft--
+	e.copies[ctx.Conn()] = ctx.Response.String()
+}
+
 // ExecutedRequests returns the requests that the endpoint has executed. Stage calls aren't
 // among them.
 func (e *Endpoint) ExecutedRequests() []ExecutedRequest {
@@ -289,6 +312,12 @@
 }
 
 func (e *Endpoint) handle(ctx *fasthttp.RequestCtx) {
+	e.sendCopy(ctx.Conn())
+	e.respond(ctx)
+	e.keepCopy(ctx)
+}
+
+func (e *Endpoint) respond(ctx *fasthttp.RequestCtx) {
 	if want := string(ctx.Request.Header.Peek("X-Expect-Instance")); want != "" && want != e.ID {
 		ctx.Response.Header.Set("X-Instance-Id", e.ID)
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
@@ -359,7 +388,8 @@
 		return
 	}
 	if e.Kind == KindEngine {
-		if status := e.site.checkInputs(string(ctx.Request.Header.Peek("X-Inputs"))); status != 0 {
+		id := string(ctx.Request.Header.Peek("X-Attempt-Id"))
+		if status := e.site.checkInputs(id, string(ctx.Request.Header.Peek("X-Inputs"))); status != 0 {
 			reject(ctx, status)
 			return
 		}
@@ -454,8 +484,8 @@
 
 // runStage executes a stage call and responds with a reference to the result of
 // each item, or with the reason "gone" for an item whose inputs are no longer
-// retained. Of the faults only FaultShed and FaultLost apply, the latter before
-// the items are executed.
+// retained and "error" for one with inputs of another request. Of the faults only
+// FaultShed, FaultLost and FaultLateCopy apply, FaultLost before the items are executed.
 func (e *Endpoint) runStage(ctx *fasthttp.RequestCtx) {
 	var in struct {
 		Items []stageItem `json:"items"`
@@ -480,11 +510,14 @@
 	}
 	out := make([]map[string]string, len(in.Items))
 	for i, it := range in.Items {
-		if e.site.checkInputs(strings.Join(it.Inputs, ",")) == fasthttp.StatusConflict {
+		switch e.site.checkInputs(it.ID, strings.Join(it.Inputs, ",")) {
+		case 0:
+			out[i] = map[string]string{"handle": e.retainResult(it)}
+		case fasthttp.StatusConflict:
 			out[i] = map[string]string{"reason": "gone"}
-			continue
+		default:
+			out[i] = map[string]string{"reason": "error"}
 		}
-		out[i] = map[string]string{"handle": e.retainResult(it)}
 	}
 	e.mu.Lock()
 	e.stageCallSizes = append(e.stageCallSizes, len(in.Items))
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", spec.ID, err)
 	}
-	e := &Endpoint{Spec: spec, Addr: ln.Addr().String(), site: s, ln: ln, results: make(map[string]bool), startUnixMs: time.Now().UnixMilli()}
+	e := &Endpoint{Spec: spec, Addr: ln.Addr().String(), site: s, ln: ln, results: make(map[string]bool), copies: make(map[net.Conn]string), startUnixMs: time.Now().UnixMilli()}
 	e.http = &fasthttp.Server{Handler: e.handle, NoDefaultServerHeader: true, Logger: discardLogger{}}
 	s.mu.Lock()
 	s.endpoints[spec.ID], s.endpointsByAddr[e.Addr] = e, e
--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -39,18 +39,22 @@
 	})
 }
 
-// checkInputs returns 409 if a result in a comma-separated list of references is
-// not retained at its endpoint, and 0 otherwise.
-func (s *Site) checkInputs(refs string) int {
+// checkInputs returns the status with which an endpoint rejects a request for its inputs,
+// a comma-separated list of references: 400 if a result was made for another request, 409
+// if one is not retained at its endpoint, and 0 otherwise.
+func (s *Site) checkInputs(attemptID, refs string) int {
 	if refs == "" {
 		return 0
 	}
 	for ref := range strings.SplitSeq(refs, ",") {
-		addr, _, _ := strings.Cut(ref, "/")
+		addr, result, _ := strings.Cut(ref, "/")
 		s.mu.Lock()
 		e := s.endpointsByAddr[addr]
 		s.mu.Unlock()
-		if e == nil || !e.retains(ref) {
+		switch {
+		case !strings.HasPrefix(result, attemptID+"-"):
+			return fasthttp.StatusBadRequest
+		case e == nil || !e.retains(ref):
 			return fasthttp.StatusConflict
 		}
 	}
--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http/httputil"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -45,6 +46,7 @@
 	body     io.Reader
 	chunked  bool         // the body is in chunks, with a trailer after the last
 	complete bool         // the body has been read to its end
+	accepted bool         // see Accept
 	reserved *Reservation // for what is held of the response; nil: none yet
 }
 
@@ -90,6 +92,7 @@
 		if c.Response.ID == "" {
 			return fmt.Errorf("%w: status %d without an id", ErrResponse, c.Response.Status)
 		}
+		c.Conn.surplus = true
 		if err := c.skipBody(); err != nil {
 			return err
 		}
@@ -98,26 +101,47 @@
 }
 
 // ReceiveUnnamed reads the response to a request without an ID, which it blocks for
-// until deadline at the latest. It skips second copies of the response before it on the
-// connection. names reports whether a body names something that no other response
-// names; only such a body can be known as a copy.
-func (c *Call) ReceiveUnnamed(names func(body []byte) bool, deadline time.Time) ([]byte, error) {
+// until deadline at the latest. It skips second copies of the earlier responses on the
+// connection, which it knows by their bodies. unique tells that the caller accepts only a
+// body that no other response has. Without it, a copy of an earlier such response passes,
+// and the response itself is skipped as a copy by a call with unique that follows.
+func (c *Call) ReceiveUnnamed(unique bool, deadline time.Time) ([]byte, error) {
 	for range maxResponseHeads {
 		if err := c.Receive("", deadline); err != nil {
 			return nil, err
 		}
 		body, err := c.ReadAll()
-		if err != nil || !names(body) {
-			return body, err
+		if err != nil {
+			return nil, err
 		}
-		if sum := xxhash.Sum64(body); sum != c.Conn.lastBody {
-			c.Conn.lastBody = sum
+		if !c.isCopy(body, unique) {
 			return body, nil
 		}
+		c.Conn.surplus = true
+	}
+	return nil, fmt.Errorf("%w: copies of earlier answers", ErrResponse)
+}
+
+// isCopy reports whether a body is that of an earlier response on the connection, and
+// remembers it if not.
+func (c *Call) isCopy(body []byte, unique bool) bool {
+	sum := xxhash.Sum64(body)
+	known := slices.Contains(c.Conn.alike, sum)
+	switch {
+	case slices.Contains(c.Conn.unique, sum), known && unique:
+		return true
+	case unique:
+		c.Conn.unique = append(c.Conn.unique, sum)
+	case !known:
+		c.Conn.alike = append(c.Conn.alike, sum)
 	}
-	return nil, fmt.Errorf("%w: copies of an earlier answer", ErrResponse)
+	return false
 }
 
+// Accept records that the response, which was read to its end, is the one to this request.
+// Without it, Finish closes the connection.
+func (c *Call) Accept() { c.accepted = true }
+
 // OnOverdue sets what is done when the read deadline of the call passes: overdue, called in
 // the goroutine that reads, returns the next read deadline, or false to give the response
 // up. It holds until the end of the call.
@@ -249,20 +273,25 @@
 }
 
 // Finish returns the connection to the pool if it can carry another request, and
-// closes it otherwise.
+// closes it otherwise. It must not be called before the response was judged; see Accept.
 func (c *Call) Finish(p *Pool) {
 	if c.reserved != nil {
 		c.reserved.Release()
 	}
-	// A second copy of a not-run response, which may lack an ID, could arrive on the
-	// connection later and be taken for the response to another request.
-	if !c.complete || c.Response.Close || c.Response.NotRun || !c.requestWritten() {
+	if !c.leavesUsable() || !c.requestWritten() {
 		_ = c.Conn.Close() // an error doesn't matter: it isn't used again
 		return
 	}
 	p.Put(c.Conn, c.Response.KeepAlive)
 }
 
+// leavesUsable reports whether no response to this request can be taken for that of
+// another one on the connection, as far as the response tells. A second copy of a not-run
+// response, which may lack an ID, could arrive later.
+func (c *Call) leavesUsable() bool {
+	return c.accepted && c.complete && !c.Response.Close && !c.Response.NotRun && !c.Conn.surplus && len(c.Conn.unique)+len(c.Conn.alike) < maxUnnamedBodies
+}
+
 // requestWritten reports whether the whole request was written. If it wasn't, the
 // endpoint would take the next request on the connection for the rest of it.
 func (c *Call) requestWritten() bool {
--- a/relay/pool/copy_test.go
+++ b/relay/pool/copy_test.go
@@ -5,75 +5,139 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
 	"wigeonplank.example/fakes/site"
-	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/pool"
 )
 
-// TestNotRunEndsConnection guards against a second copy of a not-run response that
-// arrives on a connection which carries the next request. The response may lack an
-// ID, so that the next request would count as not run and be run again elsewhere.
-func TestNotRunEndsConnection(t *testing.T) {
-	addr := serveRaw(t, func(conn net.Conn) {
-		if _, err := conn.Write([]byte(site.NotRunResponse)); err != nil {
-			return
-		}
-		if _, err := bufio.NewReader(conn).ReadByte(); err == nil { // the next request
-			_, _ = conn.Write([]byte(site.NotRunResponse + site.ResponseHead("r1") + "Content-Length: 0\r\n\r\n")) // the call reports a failure
-		}
-	})
-	p := &pool.Pool{}
-	for i := range 2 {
-		conn, err := p.Get(context.Background(), "e", addr, false)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if conn.Reused {
-			t.Errorf("request %d is sent on a connection with a not-run response", i)
-		}
-		c := &pool.Call{Conn: conn}
-		deadline := time.Now().Add(time.Minute)
-		if _, err := c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), nil, deadline); err != nil {
-			t.Fatal(err)
-		}
-		if err := c.Receive("r1", deadline); err != nil || !c.Response.NotRun {
-			t.Errorf("request %d: not run is %v, error %v", i, c.Response.NotRun, err)
-		}
-		if _, err := c.ReadAll(); err != nil {
-			t.Error(err)
-		}
-		c.Finish(p)
+// TestKeptConnections guards against a response that is taken for that to the next request
+// on its connection: a second copy of a not-run response, which may lack an ID, would make
+// the next request count as not run and be run again elsewhere. It also guards against
+// connections that are given up without need.
+func TestKeptConnections(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+	const empty = "Content-Length: 0\r\n\r\n"
+	sound := site.ResponseHead("r1") + empty
+	interim := "HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n\r\n"
+	for name, tc := range map[string]struct {
+		raw      string
+		notRun   bool // the response says so
+		rejected bool // the response isn't accepted
+		kept     bool
+	}{
+		"response":                     {raw: sound, kept: true},
+		"interim response first":       {raw: interim + sound, kept: true},
+		"not run":                      {raw: site.NotRunResponse, notRun: true},
+		"not run with ID":              {raw: notRun + "X-Attempt-Id: r1\r\n" + empty, notRun: true},
+		"not run after interim":        {raw: interim + notRun + empty, notRun: true},
+		"not run after that of others": {raw: notRun + "X-Attempt-Id: r2\r\n" + empty + notRun + empty, notRun: true},
+		"misdirected":                  {raw: "HTTP/1.1 421 Misdirected Request\r\n" + empty, notRun: true},
+		"inputs missing":               {raw: "HTTP/1.1 409 Conflict\r\nX-Not-Executed: 1\r\n" + empty, notRun: true},
+		"not run at another's request": {raw: notRun + "X-Attempt-Id: r2\r\n" + empty + sound},
+		"response to another first":    {raw: site.ResponseHead("r2") + empty + sound},
+		"copy at once":                 {raw: sound + sound},
+		"more bytes at once":           {raw: sound + "x"},
+		"not accepted":                 {raw: sound, rejected: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serveRaw(t, func(conn net.Conn) {
+				if _, err := conn.Write([]byte(tc.raw)); err == nil {
+					_, _ = conn.Read(make([]byte, 1)) // until the call closes the connection
+				}
+			})
+			p := &pool.Pool{}
+			c := &pool.Call{Conn: get(t, p, addr)}
+			deadline := time.Now().Add(time.Minute)
+			if _, err := c.Send([]byte("GET / HTTP/1.1\r\n\r\n"), nil, deadline); err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Receive("r1", deadline); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := c.ReadAll(); err != nil || c.Response.NotRun != tc.notRun {
+				t.Fatalf("not run: %v, error %v", c.Response.NotRun, err)
+			}
+			if !tc.rejected {
+				c.Accept()
+			}
+			c.Finish(p)
+			next := get(t, p, addr)
+			defer func() { _ = next.Close() }()
+			if next.Reused != tc.kept {
+				t.Errorf("the connection is kept: %v, want %v", next.Reused, tc.kept)
+			}
+		})
+	}
+}
+
+func get(t *testing.T, p *pool.Pool, addr string) *pool.Conn {
+	t.Helper()
+	conn, err := p.Get(context.Background(), pool.KindRequest, "e", addr, false)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return conn
 }
 
 // TestCopyBeforeUnnamedResponse guards against a late second copy of a stage call's
-// response that is taken for the response to the next call on the connection. Equal
-// responses without results are no copies.
+// response that is taken for the response to a later call on the connection.
 func TestCopyBeforeUnnamedResponse(t *testing.T) {
-	for name, bodies := range map[string][3]string{
-		"results": {`{"items":[{"handle":"a/1"}]}`, `{"items":[{"handle":"a/1"}]}`, `{"items":[{"handle":"a/2"}]}`},
-		"reasons": {`{"items":[{"handle":"","reason":"gone"}]}`, "", `{"items":[{"handle":"","reason":"gone"}]}`},
+	for name, bodies := range map[string][]string{
+		"last response":    {"a", "a", "b"},
+		"earlier response": {"a", "b", "a", "c"},
+		"two copies":       {"a", "b", "b", "a", "c"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			client, server := net.Pipe()
 			defer func() { _ = client.Close() }()
 			go func() {
 				for _, body := range bodies {
-					if body != "" { // a failed write fails the call
-						_, _ = fmt.Fprintf(server, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-					}
+					// A failed write fails the call.
+					_, _ = fmt.Fprintf(server, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 				}
 			}()
 			conn := &pool.Conn{Conn: client, Reader: bufio.NewReader(client)}
-			for _, want := range []string{bodies[0], bodies[2]} {
+			for _, want := range slices.Compact(slices.Sorted(slices.Values(bodies))) {
 				c := &pool.Call{Conn: conn}
-				if body, err := c.ReceiveUnnamed(plat.HasStageResult, time.Now().Add(10*time.Second)); err != nil || string(body) != want {
+				if body, err := c.ReceiveUnnamed(true, time.Now().Add(10*time.Second)); err != nil || string(body) != want {
 					t.Errorf("got %q, error %v, want %q", body, err, want)
 				}
 			}
 		})
 	}
 }
+
+// TestUnnamedResponsesBounded guards against a connection that remembers more and more
+// responses.
+func TestUnnamedResponsesBounded(t *testing.T) {
+	addr := serveRaw(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		for i := 1000; ; i++ {
+			if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n%d", i); err != nil {
+				return
+			}
+			if _, err := r.ReadString('!'); err != nil {
+				return
+			}
+		}
+	})
+	p := &pool.Pool{}
+	for range 3000 {
+		c := &pool.Call{Conn: get(t, p, addr)}
+		deadline := time.Now().Add(time.Minute)
+		if _, err := c.Send([]byte("GET / !"), nil, deadline); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.ReceiveUnnamed(true, deadline); err != nil {
+			t.Fatal(err)
+		}
+		c.Accept()
+		c.Finish(p)
+	}
+	if n := p.Dials(); n != 3 {
+		t.Errorf("%d connections for 3000 calls, want 3", n)
+	}
+}
--- a/relay/pool/endless_test.go
+++ b/relay/pool/endless_test.go
@@ -56,7 +56,7 @@
 // exchange sends a request and reads the whole response. It returns the size of the
 // body.
 func exchange(p *pool.Pool, addr string, deadline time.Time) (int, error) {
-	conn, err := p.Get(context.Background(), "e", addr, true)
+	conn, err := p.Get(context.Background(), pool.KindRequest, "e", addr, true)
 	if err != nil {
 		return 0, err
 	}
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -23,14 +23,27 @@
 	readBufferBytes    = 8 << 10
 	unackedTimeout     = 2 * time.Second // a connection fails if sent bytes stay unacknowledged for longer
 	sweepInterval      = time.Second     // minimum time between two sweeps for expired connections
+	maxUnnamedBodies   = 1024            // different bodies of responses without an ID on one connection
 )
 
 // ErrUnreachable reports that no connection to an endpoint could be made.
 var ErrUnreachable = errors.New("endpoint is unreachable")
 
+// Kind is a kind of calls. Each has connections of its own.
+type Kind string
+
+// Kinds of calls.
+const (
+	KindRequest Kind = "request" // responses have the ID of the attempt; see Call.Receive
+	KindStage   Kind = "stage"   // responses have no ID; see Call.ReceiveUnnamed
+)
+
 // key identifies the connections of an endpoint. The ID is part of it because
 // another endpoint may take over an address.
-type key struct{ id, addr string }
+type key struct {
+	kind     Kind
+	id, addr string
+}
 
 // Pool holds idle connections to endpoints. The zero value is ready to use. It
 // is safe for concurrent use.
@@ -53,15 +66,17 @@
 	key       key
 	overdue   func() (time.Time, bool) // see Call.OnOverdue
 	budget    *Budget                  // nil: responses are bounded one by one only
-	lastBody  uint64                   // hash of the last body that Call.ReceiveUnnamed knows again
+	unique    []uint64                 // hashes of bodies that no other response has; see Call.ReceiveUnnamed
+	alike     []uint64                 // hashes of bodies that other responses may have
+	surplus   bool                     // the endpoint has sent a response that was not asked for
 	expiresAt time.Time                // an idle connection isn't used from this time on
 }
 
-// Get returns an idle connection to an endpoint, or dials a new one if there is
-// none. If forceNew is set, it always dials. It blocks for at most half a second.
+// Get returns an idle connection to an endpoint for a kind of calls, or dials a new one if
+// there is none. If forceNew is set, it always dials. It blocks for at most half a second.
 // Any error wraps ErrUnreachable.
-func (p *Pool) Get(ctx context.Context, id, addr string, forceNew bool) (*Conn, error) {
-	k := key{id: id, addr: addr}
+func (p *Pool) Get(ctx context.Context, kind Kind, id, addr string, forceNew bool) (*Conn, error) {
+	k := key{kind: kind, id: id, addr: addr}
 	for !forceNew {
 		c := p.takeIdle(k)
 		if c == nil {
@@ -190,9 +205,9 @@
 }
 
 // Check reports whether a new connection to an endpoint can be made, and keeps it for
-// reuse. Any error wraps ErrUnreachable.
+// requests. Any error wraps ErrUnreachable.
 func (p *Pool) Check(ctx context.Context, id, addr string) error {
-	c, err := p.Get(ctx, id, addr, true)
+	c, err := p.Get(ctx, KindRequest, id, addr, true)
 	if err != nil {
 		return err
 	}
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -377,10 +377,12 @@
 		return req.recordFailure(e, attemptFailed, errInvalidResponse)
 	case a.Status >= 500 && req.route.Repeatable() && req.attempts < req.route.MaxAttempts && req.budget(req.service).Balance() >= 1:
 		req.mayHaveRun = true
+		call.Accept()
 		// An endpoint that responds is healthy, even if with a server error.
 		req.recordEnd(e, pick.ResultGood, attemptFailed, "endpoint's own failure")
 		return attemptFailed, "endpoint's own failure"
 	}
+	call.Accept()
 	req.recordEnd(e, pick.ResultGood, attemptDone, "")
 	if a.Status < 300 {
 		req.recordTail()
@@ -423,7 +425,7 @@
 	if req.exchange.CallerLeft() {
 		return nil, attemptCallerGone, errCallerLeft
 	}
-	conn, err := req.Pool.Get(ctx, e.ID, e.Addr, false)
+	conn, err := req.Pool.Get(ctx, pool.KindRequest, e.ID, e.Addr, false)
 	if err != nil {
 		return nil, attemptNotRun, err
 	}
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -215,6 +215,7 @@
 
 // endStream completes the response to the caller after the last event.
 func (req *request) endStream(e *fleet.Endpoint, call *pool.Call) (attemptEnd, string) {
+	call.Accept()
 	req.recordEnd(e, pick.ResultGood, attemptDone, "")
 	req.Guard.Completed(req.suspects)
 	req.outcome = outcomeAnswered
--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -99,10 +99,11 @@
 	if err != nil {
 		return nil, pick.ResultNone, false, err
 	}
-	call, body, err := r.roundTrip(c.Endpoint, msg, deadline)
+	call, body, err := r.roundTrip(c.Endpoint, msg, true, deadline)
 	if err != nil {
 		return nil, pick.ResultFailed, false, err
 	}
+	defer call.Finish(r.Pool)
 	if call.Response.Status != fasthttp.StatusOK {
 		health = pick.ResultFailed
 		if call.Response.NotRun {
@@ -114,24 +115,31 @@
 	if err != nil {
 		return nil, pick.ResultFailed, false, err
 	}
+	// Without any result, a second copy of the response could be taken for the next one.
+	if slices.ContainsFunc(results, func(res plat.StageResult) bool { return res.Ref != "" }) {
+		call.Accept()
+	}
 	return results, pick.ResultGood, false, nil
 }
 
 // roundTrip sends an HTTP request to an endpoint and reads the complete response.
-// It blocks until deadline at the latest.
-func (r *Runner) roundTrip(e *fleet.Endpoint, msg []byte, deadline time.Time) (*pool.Call, []byte, error) {
-	conn, err := r.Pool.Get(context.Background(), e.ID, e.Addr, false)
+// It blocks until deadline at the latest. unique is that of pool.Call.ReceiveUnnamed.
+// Unless roundTrip returns an error, the caller must judge the response and finish the
+// call.
+func (r *Runner) roundTrip(e *fleet.Endpoint, msg []byte, unique bool, deadline time.Time) (*pool.Call, []byte, error) {
+	conn, err := r.Pool.Get(context.Background(), pool.KindStage, e.ID, e.Addr, false)
 	if err != nil {
 		return nil, nil, err
 	}
 	call := &pool.Call{Conn: conn}
-	defer call.Finish(r.Pool)
 	sentAt := r.Clock.Now()
-	if _, err := call.Send(msg, nil, deadline); err != nil {
-		return nil, nil, err
+	_, err = call.Send(msg, nil, deadline)
+	var body []byte
+	if err == nil {
+		body, err = call.ReceiveUnnamed(unique, deadline)
 	}
-	body, err := call.ReceiveUnnamed(plat.HasStageResult, deadline)
 	if err != nil {
+		call.Finish(r.Pool)
 		return nil, nil, err
 	}
 	r.Health.RecordResponse(e, call.Response, sentAt)
@@ -233,7 +241,7 @@
 	r.mu.Unlock()
 	msg, err := plat.AppendReleaseCall(nil, e.Addr, refs)
 	if err == nil {
-		_, _, err = r.roundTrip(e, msg, r.Clock.Now().Add(releaseTimeout))
+		err = r.release(e, msg)
 	}
 	if err != nil {
 		r.Log.Failure(logs.ReleaseFailed).Str("endpoint", e.ID).Int("results", len(refs)).Err(err).Msg("")
@@ -244,3 +252,16 @@
 	r.mu.Unlock()
 	r.dispatch()
 }
+
+// release sends a release call to an endpoint.
+func (r *Runner) release(e *fleet.Endpoint, msg []byte) error {
+	call, _, err := r.roundTrip(e, msg, false, r.Clock.Now().Add(releaseTimeout))
+	if err != nil {
+		return err
+	}
+	defer call.Finish(r.Pool)
+	if call.Response.Status == fasthttp.StatusOK {
+		call.Accept()
+	}
+	return nil
+}
--- a/relay/stage/stage_test.go
+++ b/relay/stage/stage_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
@@ -13,6 +15,7 @@
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
+	"wigeonplank.example/relay/stats"
 )
 
 // testHealth admits all calls and reports their starts.
@@ -28,12 +31,16 @@
 func (h *testHealth) OpensAt(*fleet.Endpoint, bool) (time.Time, bool) { return time.Time{}, true }
 func (h *testHealth) RateLimit(*fleet.Endpoint) (r float64, b bool)   { return }
 func (h *testHealth) End(*fleet.Endpoint, pick.Result)                {}
+func (h *testHealth) MarkUnreachable(*fleet.Endpoint)                 {}
 func (h *testHealth) SharesStage(*fleet.Config, string) bool          { return h.shares }
 func (h *testHealth) Begin(*fleet.Service, *fleet.Endpoint, bool) bool {
 	h.starts <- time.Now()
 	return true
 }
 
+// RecordResponse does nothing.
+func (h *testHealth) RecordResponse(*fleet.Endpoint, plat.Response, time.Time) {}
+
 // testPeers has a relay that owns all pools and reports the same of each, if owned is
 // set.
 type testPeers struct {
@@ -52,6 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = ln.Close() })
 	svc := &fleet.Service{Name: "encode", Batch: &fleet.Batch{Slots: 1, MaxItems: 4, CallOverhead: 150 * time.Millisecond, ItemTime: 10 * time.Millisecond}}
 	route := &fleet.Route{Name: "r", Host: "h", Prefix: "/", Targets: []fleet.Target{{Service: "s"}}, Stages: []fleet.Stage{{Service: "encode"}}}
 	cfg, err := fleet.NewConfig(1, 1, fleet.Limits{}, fleet.Parts{Routes: []*fleet.Route{route}, Services: []*fleet.Service{svc, {Name: "s"}}})
@@ -64,7 +72,7 @@
 	}})
 	return &Runner{
 		View: func() *fleet.View { return &v }, Health: h, Peers: p, Pool: &pool.Pool{}, Clock: clock.System{},
-		Log: logs.New(io.Discard, clock.System{}, "i"), Crashed: func(*fleet.Endpoint) bool { return false },
+		Log: logs.New(io.Discard, clock.System{}, "i"), Meters: &stats.Meters{Registry: metrics.NewRegistry()}, Crashed: func(*fleet.Endpoint) bool { return false },
 	}, route
 }
 
