relay/stage: a release that its endpoint rejects doesn't count as done

Cause: any response to a release counted as success, so that results whose release was rejected no longer counted in the memory of their endpoint. It was sent work for which it had no room.

Change: a status other than 200 is a failed release, as a lost one is: the results count until their retention time ends.

--- a/relay/stage/call.go
+++ b/relay/stage/call.go
@@ -109,7 +109,7 @@
 		if call.Response.NotRun {
 			health = pick.ResultFull
 		}
-		return nil, health, true, fmt.Errorf("endpoint answered with status %d", call.Response.Status)
+		return nil, health, true, statusError(call)
 	}
 	results, err = plat.DecodeStageResults(body, len(c.Items))
 	if err != nil {
@@ -260,8 +260,14 @@
 		return err
 	}
 	defer call.Finish(r.Pool)
-	if call.Response.Status == fasthttp.StatusOK {
-		call.Accept()
+	if call.Response.Status != fasthttp.StatusOK {
+		return statusError(call)
 	}
+	call.Accept()
 	return nil
 }
+
+// statusError reports a response with another status than 200.
+func statusError(call *pool.Call) error {
+	return fmt.Errorf("endpoint answered with status %d", call.Response.Status)
+}
--- a/relay/stage/copy_test.go
+++ b/relay/stage/copy_test.go
@@ -9,6 +9,7 @@
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/fakes/site"
+	plat "wigeonplank.example/platform"
 )
 
 // TestLateCopies guards against the response to a stage call that is taken for that of
@@ -37,22 +38,28 @@
 	}
 }
 
-func runLateCopies(t *testing.T, script string, dials int64) {
+// startEndpoint starts an endpoint of the stage.
+func startEndpoint(t *testing.T) (*site.Endpoint, *fleet.Endpoint) {
+	t.Helper()
 	s, err := site.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() {
+	t.Cleanup(func() {
 		if err := s.Close(); err != nil {
 			t.Error(err)
 		}
-	}()
+	})
 	e, err := s.StartEndpoint(site.Spec{ID: "e1", Service: "encode", Kind: site.KindStage, MaxItems: 4, WorkTime: 5 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
 	}
+	return e, &fleet.Endpoint{ID: e.ID, Addr: e.Addr, Service: "encode"}
+}
+
+func runLateCopies(t *testing.T, script string, dials int64) {
+	e, to := startEndpoint(t)
 	r, _ := newTestRunner(t, &testHealth{}, &testPeers{})
-	to := &fleet.Endpoint{ID: e.ID, Addr: e.Addr, Service: "encode"}
 	for i, call := range script {
 		kind := strings.ToLower(string(call))
 		if string(call) != kind {
@@ -87,3 +94,21 @@
 		t.Errorf("%d connections for %s, want %d", n, script, dials)
 	}
 }
+
+// TestRejectedRelease guards against results that count as released although their endpoint
+// has rejected the release, so that it is sent work for which it has no memory.
+func TestRejectedRelease(t *testing.T) {
+	e, to := startEndpoint(t)
+	r, _ := newTestRunner(t, &testHealth{}, &testPeers{})
+	msg, err := plat.AppendReleaseCall(nil, e.Addr, []string{e.Addr + "/q-0-0-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.release(to, msg); err != nil {
+		t.Errorf("release: %v", err)
+	}
+	e.CloseFor("0", 1)
+	if err := r.release(to, msg); err == nil {
+		t.Error("a rejected release counts as done")
+	}
+}
