--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -403,10 +403,12 @@
 		req.mayHaveRun = true
 		req.failure = &ownFailure{body: body}
 		plat.CopyResponseHeaders(&req.failure.header, &call.Header)
+		call.Accept()
 		// An endpoint that responds is healthy, even if with a server error.
 		req.recordEnd(e, pick.ResultGood, attemptFailed, "endpoint's own failure")
 		return attemptFailed, "endpoint's own failure"
 	}
+	call.Accept()
 	req.recordEnd(e, pick.ResultGood, attemptDone, "")
 	if a.Status < 300 {
 		req.recordTail()
@@ -462,7 +464,7 @@
 	conn := req.conn
 	if req.conn = nil; conn == nil {
 		var err error
-		if conn, err = req.Pool.Get(ctx, e.ID, e.Addr, false); err != nil {
+		if conn, err = req.Pool.Get(ctx, pool.KindRequest, e.ID, e.Addr, false); err != nil {
 			return nil, attemptNotRun, err
 		}
 	}
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -140,7 +140,7 @@
 		return searchFailed, reasonNoEndpoint
 	}
 	s := &successor{choice: c, assignment: a}
-	conn, err := req.Pool.Get(ctx, c.Endpoint.ID, c.Endpoint.Addr, false)
+	conn, err := req.Pool.Get(ctx, pool.KindRequest, c.Endpoint.ID, c.Endpoint.Addr, false)
 	if err != nil {
 		req.Balancer.MarkUnreachable(c.Endpoint)
 		req.abandon(s)
