relay/pool: a refusal of a stage call is no copy of a release's response

Cause: since the responses on a connection are known by their bodies. A refusal has an empty body, as has the response to a release before it on the same connection, so that it was skipped, and the call waited in vain. Change: only successes can have copies, as a connection ends with any other response.

--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -114,7 +114,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if !c.isCopy(body, unique) {
+		// A connection ends with the first response that isn't a success, so that there are
+		// no copies of these.
+		if c.Response.Status != fasthttp.StatusOK || !c.isCopy(body, unique) {
 			return body, nil
 		}
 		c.Conn.surplus = true
--- a/relay/pool/copy_test.go
+++ b/relay/pool/copy_test.go
@@ -110,6 +110,23 @@
 	}
 }
 
+// TestRefusalAfterRelease guards against a refusal of a stage call that is skipped, since its
+// body is empty like that of the response to a release before.
+func TestRefusalAfterRelease(t *testing.T) {
+	client, server := net.Pipe()
+	defer func() { _ = client.Close() }()
+	go func() {
+		_, _ = fmt.Fprint(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"+site.NotRunResponse) // a failed write fails the call
+	}()
+	conn := &pool.Conn{Conn: client, Reader: bufio.NewReader(client)}
+	for _, unique := range []bool{false, true} {
+		c := &pool.Call{Conn: conn}
+		if _, err := c.ReceiveUnnamed(unique, time.Now().Add(10*time.Second)); err != nil || c.Response.NotRun != unique {
+			t.Errorf("not run: %v, error %v", c.Response.NotRun, err)
+		}
+	}
+}
+
 // TestUnnamedResponsesBounded guards against a connection that remembers more and more
 // responses.
 func TestUnnamedResponsesBounded(t *testing.T) {
