--- a/proof/deploy/calls_test.go
+++ b/proof/deploy/calls_test.go
@@ -31,6 +31,8 @@
 	name         string
 	uri          string
 	requestBody  string
+	split        time.Duration    // between the halves of the request body; 0: sent at once
+	client       *fasthttp.Client // that keeps its connection; nil: a new one
 	done         chan struct{}
 	took         time.Duration
 	status       int
@@ -41,10 +43,12 @@
 
 // startCall implements the command
 //
-//	begin NAME RELAY PATH [key=K] [deadline=MS] [body=TEXT] [items=N,N] [last=N] [data=KEY] [set=NAME:VALUE] [host=H]
+//	begin NAME RELAY PATH [key=K] [deadline=MS] [body=TEXT] [split=DURATION] [kept=yes] [items=N,N] [last=N] [data=KEY] [set=NAME:VALUE] [host=H]
 //
 // It sends a request and doesn't wait for the response. The attempt ID of the
-// request is NAME. The option set adds a header.
+// request is NAME. The option set adds a header. With split, the second half of the body
+// is sent that much later. With kept, the request uses the connection of the last such
+// request to the relay.
 func startCall(cmd *command) error {
 	c := &call{name: cmd.arg(0), uri: cmd.arg(2), requestBody: cmd.opts["body"], done: make(chan struct{})}
 	cmd.state.calls[c.name] = c
@@ -63,6 +67,14 @@
 		cmd.ts.Check(err)
 		fields.Deadline = time.Duration(ms) * time.Millisecond
 	}
+	if v := cmd.opts["split"]; v != "" {
+		var err error
+		c.split, err = time.ParseDuration(v)
+		cmd.ts.Check(err)
+	}
+	if cmd.opts["kept"] != "" {
+		c.client = &cmd.state.kept
+	}
 	if strings.HasPrefix(c.uri, "/review/") || strings.HasPrefix(c.uri, "/note/") {
 		fields.PromptParts = []string{"ab12:60", "cd34:40"}
 	}
@@ -97,13 +109,32 @@
 		req.Header.SetMethod(fasthttp.MethodPost)
 		req.SetBodyString(c.requestBody)
 	}
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	if n := len(c.requestBody) / 2; c.split > 0 {
+		rest := &lateReader{r: strings.NewReader(c.requestBody[n:]), wait: c.split}
+		req.SetBodyStream(io.MultiReader(strings.NewReader(c.requestBody[:n]), rest), -1)
+	}
+	client := c.client
+	if client == nil {
+		client = &fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	}
 	if c.err = client.DoTimeout(req, resp, callTimeout); c.err != nil {
 		return
 	}
 	c.status, c.responseBody, c.signed = resp.StatusCode(), string(resp.Body()), site.Signed(&resp.Header)
 }
 
+// lateReader waits before its first read.
+type lateReader struct {
+	r    io.Reader
+	wait time.Duration
+}
+
+func (r *lateReader) Read(p []byte) (int, error) {
+	time.Sleep(r.wait)
+	r.wait = 0
+	return r.r.Read(p)
+}
+
 // finishCall implements the command
 //
 //	end NAME STATUS|broken [answer=whole|events] [from=N]
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
 	"wigeonplank.example/fakes/site"
@@ -34,7 +35,8 @@
 type scriptState struct {
 	dep   *deploy.Deployment
 	calls map[string]*call
-	sound []*call // requests of the command mixed that crash no endpoint, in the order in which they were sent
+	kept  fasthttp.Client // of calls that use one connection after another
+	sound []*call         // requests of the command mixed that crash no endpoint, in the order in which they were sent
 }
 
 type scriptStateKey struct{}
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &scriptState{dep: &deploy.Deployment{Site: s, Dir: dir, Bin: binDir}, calls: make(map[string]*call)}, nil
+	return &scriptState{dep: &deploy.Deployment{Site: s, Dir: dir, Bin: binDir}, calls: make(map[string]*call), kept: fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1}}, nil
 }
 
 // close stops the deployment. It returns an error if that fails or if the log of a
