core/origin: versions of streams by what was listed together

After a loss of all relays, the version at which a stream began is computed again from the store's change log. Each version's weight was bounded by itself over the whole time in which the stream may have begun: after a scale-in of 12 endpoints to four, half of them without draining, each of two versions had from two to eight, so that three fifths of the streams were refused.

A view is complete up to some revision. So a stream now counts as begun at a version if that version is its choice in each state through which the list went, with endpoints of unknown versions (removed, and not written in the period) counted for any of them. New streams are chosen as before, so relays of both releases agree.

Three things that the bounds covered by chance are explicit: - Endpoints that an outage has removed from the store don't count for the choice. Relays keep them for a while, and the log doesn't show for how long. - What was listed under an ID before an incarnation's first write is unknown. Before, an endpoint that had started at another version under its ID counted as listed all along. - An entry that can't be read counts as a removal, as it does in the view.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -97,6 +97,12 @@
 // HasMissing reports whether any endpoint is missing from the store.
 func (v *View) HasMissing() bool { return len(v.missing) > 0 }
 
+// IsMissing reports whether an endpoint of the view is missing from the store.
+func (v *View) IsMissing(id string) bool {
+	_, ok := v.missing[id]
+	return ok
+}
+
 // Overdue returns the IDs of the missing endpoints that are overdue at now.
 func (v *View) Overdue(now time.Time) []string {
 	var out []string
--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -1,6 +1,8 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"wigeonplank.example/core/fleet"
@@ -51,41 +53,70 @@
 	return false
 }
 
-// variation is what a period shows beside the endpoints that are listed at its end.
-type variation struct {
-	partly   map[incarnation]bool            // accepted work, but maybe not all the time
-	gone     map[incarnation]*fleet.Endpoint // may have accepted work, and isn't listed as doing so any more
-	vanished int                             // endpoints of unknown services and versions that were removed
-}
+// unknown stands for what was listed under an ID before a period if the period doesn't
+// show it: an endpoint of any service and version, ready or not.
+var unknown = &fleet.Endpoint{}
 
-// after returns how the list varied since a time.
-func (h History) after(from time.Time) variation {
-	first := h.Added.Before(from)
-	out := variation{partly: make(map[incarnation]bool), gone: make(map[incarnation]*fleet.Endpoint)}
-	newest := make(map[string]*fleet.Endpoint) // by ID, as last written
-	for _, c := range h.Changes {
-		before := newest[c.ID]
-		if c.Endpoint != nil {
-			newest[c.ID] = c.Endpoint
-		}
+// before returns what was listed by ID before the period. view is a later one.
+func (h History) before(view *fleet.View) map[string]*fleet.Endpoint {
+	out := maps.Clone(view.All())
+	for _, c := range slices.Backward(h.Changes) {
+		later := view.Endpoint(c.ID)
 		switch {
-		case c.Revision <= first:
-		case c.Endpoint == nil && before == nil:
-			out.vanished++
-		case c.Endpoint == nil && before.State != fleet.StateReady:
+		case c.Endpoint == nil && later != nil && later.Revision < c.Revision:
+			out[c.ID] = later
 		case c.Endpoint == nil:
-			out.partly[incarnationOf(before)] = true
-			out.gone[incarnationOf(before)] = before
-		default:
-			in := incarnationOf(c.Endpoint)
-			if c.Endpoint.State != fleet.StateReady || before == nil && c.Created > first || before != nil && incarnationOf(before) != in {
-				out.partly[in] = true
-			}
-			out.gone[in] = c.Endpoint
-			if before != nil {
-				out.gone[incarnationOf(before)] = before
-			}
+			out[c.ID] = unknown
+		case c.Created == c.Revision:
+			delete(out, c.ID)
+		case c.Endpoint.Seq < 2 && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack)):
+			out[c.ID] = unknown // maybe another incarnation
+		default: // incarnations are ready until they drain
+			ready := *c.Endpoint
+			ready.State = fleet.StateReady
+			out[c.ID] = &ready
+		}
+	}
+	return out
+}
+
+// moments returns what was listed of a service at each moment from a time to the end of
+// the period. view is a later one. A view is always complete up to some revision, so
+// that changes without a time still bound what was listed together.
+func (h History) moments(from time.Time, service string, view *fleet.View) []moment {
+	listed := h.before(view)
+	m := moment{least: make(map[string]int), doubtful: make(map[string]int)}
+	count := func(e *fleet.Endpoint, n int) {
+		switch {
+		case e == unknown:
+			m.unknown += n
+		case e == nil || e.Service != service:
+		case e.State != fleet.StateReady:
+			m.least[e.Version] += 0 // one of the versions that were listed
+		case h.Zones[e.Zone]:
+			m.doubtful[e.Version] += n
+		case !view.Drained(e.Zone):
+			m.least[e.Version] += n
 		}
 	}
+	for _, e := range listed {
+		count(e, 1)
+	}
+	apply := func(c Change) {
+		count(listed[c.ID], -1)
+		count(c.Endpoint, 1)
+		listed[c.ID] = c.Endpoint
+	}
+	first := h.Added.Before(from)
+	changes := h.Changes
+	for ; len(changes) > 0 && changes[0].Revision <= first; changes = changes[1:] {
+		apply(changes[0])
+	}
+	maps.DeleteFunc(m.least, func(_ string, n int) bool { return n == 0 })
+	out := append(make([]moment, 0, 1+len(changes)), m.clone())
+	for _, c := range changes {
+		apply(c)
+		out = append(out, m.clone())
+	}
 	return out
 }
--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -51,12 +51,18 @@
 }
 
 // add starts an endpoint of one of the newest two versions.
-func (m *listModel) add() {
+func (m *listModel) add() { m.start(fmt.Sprint("v", m.newest-m.rng.IntN(2))) }
+
+func (m *listModel) start(version string) {
 	m.next++
 	id := fmt.Sprint("e", m.next)
-	m.write(id, &fleet.Endpoint{
-		ID: id, Service: "s", Version: fmt.Sprint("v", m.newest-m.rng.IntN(2)), State: fleet.StateReady, StartUnixMs: m.now.UnixMilli(),
-	})
+	m.write(id, &fleet.Endpoint{ID: id, Service: "s", Version: version, State: fleet.StateReady, StartUnixMs: m.now.UnixMilli()})
+}
+
+func (m *listModel) drain(e *fleet.Endpoint) {
+	cp := *e
+	cp.State = fleet.StateDraining
+	m.write(e.ID, &cp)
 }
 
 // remove lets an endpoint leave. It drains first if that is its habit.
@@ -64,9 +70,7 @@
 	for id, e := range m.live {
 		if e.State == fleet.StateReady && (m.rng.IntN(4) > 0 || !m.soleOfItsVersion(e)) {
 			if m.rng.IntN(4) > 0 || m.soleOfItsVersion(e) {
-				cp := *e
-				cp.State = fleet.StateDraining
-				m.write(id, &cp)
+				m.drain(e)
 			}
 			m.write(id, nil)
 			return
@@ -174,3 +178,80 @@
 	}
 	t.Logf("%d streams known, %d unknown", known, unknown)
 }
+
+// leave lets an endpoint leave, with or without draining first.
+func (m *listModel) leave(id string, silently bool) {
+	if silently {
+		m.write(id, nil)
+	} else {
+		m.drain(m.live[id])
+	}
+}
+
+// TestStreamsKnownAfterChanges guards against streams that are refused after a loss of all
+// relays for what changes without a time may have changed before. Half of the endpoints
+// that leave don't drain. The store keeps 20 s.
+func TestStreamsKnownAfterChanges(t *testing.T) {
+	const seeds, streams = 100, 50
+	for name, c := range map[string]struct {
+		change func(m *listModel)
+		killed time.Duration // after the last change
+		atAge  time.Duration // of streams
+		least  float64       // share of the streams whose version must be known
+	}{
+		"eight of twelve leave": {func(m *listModel) {
+			for _, n := range m.rng.Perm(8) {
+				m.leave(fmt.Sprint("e", n+1), n/2%2 == 0)
+			}
+		}, 8 * time.Second, 8 * time.Second, 0.55},
+		"half are replaced": {func(m *listModel) {
+			for n := range 6 {
+				m.start("v2")
+				m.now = m.now.Add(400 * time.Millisecond)
+				m.leave(fmt.Sprint("e", 2*n+1), n%2 == 0)
+			}
+			m.now = m.now.Add(2 * time.Second)
+			for n := range 6 { // no longer cold
+				e := *m.live[fmt.Sprint("e", 13+n)]
+				e.Seq = 5
+				m.write(e.ID, &e)
+			}
+		}, 18 * time.Second, 6 * time.Second, 0.75},
+	} {
+		t.Run(name, func(t *testing.T) {
+			known := 0
+			for seed := range uint64(seeds) {
+				m := &listModel{
+					rng: rand.New(rand.NewPCG(seed, 2)), now: start,
+					live: make(map[string]*fleet.Endpoint), created: make(map[string]int64),
+				}
+				for i := range 12 {
+					m.start(fmt.Sprint("v", i%2))
+				}
+				m.now = start.Add(30 * time.Second)
+				c.change(m)
+				m.now = m.now.Add(c.killed)
+				var before, after origin.Versions
+				before.Observe(m.now, m.seenAt(m.now.Add(-c.atAge)))
+				after.Observe(m.now, m.seenAt(m.now))
+				after.Recall(m.history(20 * time.Second))
+				for i := range streams {
+					stream := fmt.Sprint(seed, "/", i)
+					version, _ := before.Choose("s", stream)
+					got, ok := after.Began(m.now, "s", stream, c.atAge)
+					if ok && got != version {
+						t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, version, got)
+					}
+					if ok {
+						known++
+					}
+				}
+			}
+			share := float64(known) / (seeds * streams)
+			t.Logf("%.3f of the streams are known", share)
+			if share < c.least {
+				t.Errorf("%.3f of the streams are known, want %.2f", share, c.least)
+			}
+		})
+	}
+}
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -1,8 +1,8 @@
 package origin
 
 import (
+	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -16,126 +16,112 @@
 
 // Versions decides at which software version of a service a stream begins, and computes
 // this again for a stream whose origin no relay remembers. The choice is a weighted
-// rendezvous hash of the stream over the versions, weighted by the endpoints that accept
-// work. What varied while a stream may have begun makes weights uncertain: a version
-// counts as the origin only if every weight within the bounds gives it. The zero value is
-// ready to use. It is not safe for concurrent use.
+// rendezvous hash of the stream over the versions, weighted by the endpoints that the
+// store lists as accepting work. A version counts as the origin only if it is the choice
+// at every moment at which the stream may have begun. The zero value is ready to use. It
+// is not safe for concurrent use.
 type Versions struct {
-	firstAt time.Time // of the first observation; zero: none
-	present map[incarnation]*presence
-	past    []presence                // that ended within Lifetime
-	counts  map[string]map[string]int // endpoints that accept work now, by service and version
-	history History                   // of the time before firstAt
+	first   *fleet.View // of the first observation; nil: none
+	firstAt time.Time
+	seen    map[string][]observation // by service, in the order of time
+	history History                  // of the time before firstAt
 }
 
-// incarnation is an endpoint between two starts.
-type incarnation struct {
-	id          string
-	startUnixMs int64
-	version     string
+// observation is the number of endpoints by version since a time.
+type observation struct {
+	at     time.Time
+	counts map[string]int
 }
 
-func incarnationOf(e *fleet.Endpoint) incarnation {
-	return incarnation{id: e.ID, startUnixMs: e.StartUnixMs, version: e.Version}
-}
-
-// presence is a period in which an endpoint accepted work.
-type presence struct {
-	incarnation
-	service  string
-	zone     string
-	since    time.Time
-	until    time.Time // zero: it still does
-	observed time.Time // last observation
-}
-
-// Observe records the endpoints that accept work from now on.
+// Observe records the endpoints that accept work from now on. Those that are missing from
+// the store don't count, as its change log has them as removed.
 func (v *Versions) Observe(now time.Time, view *fleet.View) {
-	if v.present == nil {
-		v.present, v.firstAt = make(map[incarnation]*presence), now
+	if v.first == nil {
+		v.first, v.firstAt, v.seen = view, now, make(map[string][]observation)
+	}
+	counts := make(map[string]map[string]int)
+	for service := range v.seen {
+		counts[service] = make(map[string]int)
 	}
-	v.counts = make(map[string]map[string]int)
 	for _, e := range view.All() {
-		if !view.Accepts(e) {
+		if !view.Accepts(e) || view.IsMissing(e.ID) {
 			continue
 		}
-		if v.counts[e.Service] == nil {
-			v.counts[e.Service] = make(map[string]int)
+		if counts[e.Service] == nil {
+			counts[e.Service] = make(map[string]int)
 		}
-		v.counts[e.Service][e.Version]++
-		in := incarnationOf(e)
-		p := v.present[in]
-		if p == nil {
-			p = &presence{incarnation: in, service: e.Service, zone: e.Zone, since: now}
-			v.present[in] = p
-		}
-		p.observed = now
+		counts[e.Service][e.Version]++
 	}
-	for in, p := range v.present {
-		if p.observed.Before(now) {
-			delete(v.present, in)
-			p.until = now
-			v.past = append(v.past, *p)
+	for service, c := range counts {
+		list := v.seen[service]
+		for len(list) > 1 && list[1].at.Before(Window(now, Lifetime)) {
+			list = list[1:]
+		}
+		if n := len(list); n == 0 || !maps.Equal(list[n-1].counts, c) {
+			list = append(list, observation{at: now, counts: c})
 		}
+		v.seen[service] = list
 	}
-	v.past = slices.DeleteFunc(v.past, func(p presence) bool { return now.Sub(p.until) > Lifetime })
 }
 
 // Recall sets what the change log of the list tells of the time before this process
 // observed it.
 func (v *Versions) Recall(h History) { v.history = h }
 
-// bounds are the least and the greatest number of endpoints at any moment of a period.
-type bounds struct{ least, most int }
+// moment is what may have been listed of a service at some time, in endpoints that accept
+// work.
+type moment struct {
+	least    map[string]int // by version; 0: listed, but not as accepting work
+	doubtful map[string]int // by version: in addition, endpoints of zones that were drained or returned
+	unknown  int            // in addition, endpoints of any version
+}
 
-// weights returns the bounds of each version of a service between from and now. An
-// endpoint that vanished from the list without being written in that period may have had
-// any of the versions.
-func (v *Versions) weights(from time.Time, service string) map[string]bounds {
-	var before variation
-	if from.Before(v.firstAt) {
-		before = v.history.after(from)
-	}
-	out := make(map[string]bounds)
-	add := func(version string, least, most int) {
-		b := out[version]
-		out[version] = bounds{least: b.least + least, most: b.most + most}
-	}
-	for in, p := range v.present {
-		delete(before.gone, in)
-		if p.service != service {
-			continue
+func (m moment) clone() moment {
+	m.least, m.doubtful = maps.Clone(m.least), maps.Clone(m.doubtful)
+	return m
+}
+
+// choice returns the version at which a stream began at that moment, and false if more
+// than one is possible. draws are by version.
+func (m moment) choice(draws map[string]float64) (string, bool) {
+	for version, draw := range draws {
+		won := m.least[version] > 0
+		for other, d := range draws {
+			most := m.least[other] + m.doubtful[other] + m.unknown
+			won = won && (other == version || score(d, most) > score(draw, m.least[version]))
 		}
-		always := !p.since.After(from) || p.since.Equal(v.firstAt) && !before.partly[in] && !v.history.Zones[p.zone]
-		if always {
-			add(p.version, 1, 1)
-		} else {
-			add(p.version, 0, 1)
+		if won {
+			return version, true
 		}
 	}
-	for _, p := range v.past {
-		delete(before.gone, p.incarnation)
-		if p.service == service && !p.until.Before(from) {
-			add(p.version, 0, 1)
-		}
+	return "", false
+}
+
+// moments returns what may have been listed of a service from a time on.
+func (v *Versions) moments(from time.Time, service string) []moment {
+	var out []moment
+	if from.Before(v.firstAt) {
+		out = v.history.moments(from, service, v.first)
 	}
-	for _, e := range before.gone {
-		if e.Service == service {
-			add(e.Version, 0, 1)
+	list := v.seen[service]
+	for i, o := range list {
+		if i == len(list)-1 || list[i+1].at.After(from) {
+			out = append(out, moment{least: o.counts})
 		}
 	}
-	for version := range out {
-		add(version, 0, before.vanished)
-	}
 	return out
 }
 
-// Choose returns the version at which a new stream begins, and false if no endpoint of the
-// service accepts work.
+// Choose returns the version at which a new stream begins, and false if the store lists no
+// endpoint of the service that accepts work.
 func (v *Versions) Choose(service, stream string) (string, bool) {
+	list := v.seen[service]
+	if len(list) == 0 {
+		return "", false
+	}
 	best, least, found := "", 0.0, false
-	for version, n := range v.counts[service] {
-		if s := score(stream, version, n); !found || s < least {
+	for version, n := range list[len(list)-1].counts {
+		if s := score(draw(stream, version), n); !found || s < least {
 			best, least, found = version, s, true
 		}
 	}
@@ -150,7 +136,7 @@
 // have begun that is no older than age.
 func (v *Versions) Covers(now time.Time, age time.Duration) bool {
 	from := Window(now, age)
-	return v.present != nil && (!v.firstAt.After(from) || !v.history.Since.IsZero() && !v.history.Since.After(from))
+	return v.first != nil && (!v.firstAt.After(from) || !v.history.Since.IsZero() && !v.history.Since.After(from))
 }
 
 // Began returns the version at which a stream began that is no older than age, and false
@@ -159,30 +145,36 @@
 	if !v.Covers(now, age) {
 		return "", false
 	}
-	weights := v.weights(Window(now, age), service)
-	for version, b := range weights {
-		if len(weights) == 1 {
-			return version, true
-		}
-		if stream == "" || b.least == 0 {
-			continue
-		}
-		certain := true
-		for other, o := range weights {
-			if other != version && score(stream, other, o.most) <= score(stream, version, b.least) {
-				certain = false
+	moments := v.moments(Window(now, age), service)
+	draws := make(map[string]float64) // of the versions that are possible
+	for _, m := range moments {
+		for _, counts := range []map[string]int{m.least, m.doubtful} {
+			for version := range counts {
+				draws[version] = draw(stream, version)
 			}
 		}
-		if certain {
+	}
+	for version := range draws {
+		if len(draws) == 1 {
 			return version, true
 		}
 	}
-	return "", false
+	if stream == "" {
+		return "", false
+	}
+	began := ""
+	for _, m := range moments {
+		version, ok := m.choice(draws)
+		if !ok || began != "" && version != began {
+			return "", false
+		}
+		began = version
+	}
+	return began, began != ""
 }
 
-// score returns the score of a version in the weighted rendezvous hash of a stream. The
-// least score wins.
-func score(stream, version string, weight int) float64 {
+// draw returns the exponentially distributed number that a stream draws for a version.
+func draw(stream, version string) float64 {
 	var d xxhash.Digest
 	d.Reset()
 	_, _ = d.WriteString(stream) // never fails
@@ -190,5 +182,9 @@
 	_, _ = d.WriteString(version)
 	const bits = 53 // of a float64's precision
 	u := (float64(d.Sum64()>>(64-bits)) + 0.5) / (1 << bits)
-	return -math.Log(u) / float64(weight)
+	return -math.Log(u)
 }
+
+// score returns the score of a version in the weighted rendezvous hash. The least score
+// wins.
+func score(draw float64, weight int) float64 { return draw / float64(weight) }
--- a/core/origin/versions_test.go
+++ b/core/origin/versions_test.go
@@ -86,6 +86,7 @@
 		"restarted at another":       {"a:v2:1m b:v2:2s", "b:v1:1m b:v2:2s", "some"},
 		"three versions":             {"a:v1:1m b:v2:1m c:v3:1m", "", "some"},
 		"the same again":             {"a:v2:1m b:v2:1m", "a:v2:1m b:v2:1m", "all"},
+		"before a restart unknown":   {"a:v1:1m b:v2:2s", "b:v2:2s", "none"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var v origin.Versions
@@ -117,6 +118,20 @@
 	}
 }
 
+// TestMissingEndpointsDontCount guards against streams that go on at another version after
+// an outage of the store and a loss of all relays: its change log doesn't show for how long
+// relays still counted endpoints that it had lost.
+func TestMissingEndpointsDontCount(t *testing.T) {
+	view := viewOf(t, "a:v1:1m b:v2:1m").WithChange(fleet.Change{Missing: map[string]time.Time{"b": start.Add(time.Second)}})
+	var v origin.Versions
+	v.Observe(start, &view)
+	for i := range 100 {
+		if version, ok := v.Choose("s", fmt.Sprint(i)); !ok || version != "v1" {
+			t.Fatalf("a stream begins at %q while the store lists v1 alone", version)
+		}
+	}
+}
+
 // TestChooseByWeight checks that streams begin at versions in proportion to the endpoints.
 func TestChooseByWeight(t *testing.T) {
 	var v origin.Versions
--- a/relay/ctrl/history.go
+++ b/relay/ctrl/history.go
@@ -114,12 +114,8 @@
 		return
 	}
 	change := origin.Change{ID: id, Revision: entry.Revision, Created: entry.Created}
-	if !entry.Removed {
-		e, err := plat.DecodeEndpoint(entry, c.Clock.Now())
-		if err != nil {
-			return
-		}
-		change.Endpoint = e
+	if e, err := plat.DecodeEndpoint(entry, c.Clock.Now()); err == nil && !entry.Removed {
+		change.Endpoint = e // none if it can't be read: it names no endpoint to use
 	}
 	h.Changes = append(h.Changes, change)
 }
--- a/relay/ctrl/history_test.go
+++ b/relay/ctrl/history_test.go
@@ -18,10 +18,11 @@
 	for name, c := range map[string]struct {
 		change func(s *site.Site)
 		age    time.Duration        // of what is asked for
-		want   []string             // changed endpoints, in order
+		want   []string             // changed endpoints, in order; with a minus if removed
 		fails  func(err error) bool // nil: must not fail
 	}{
-		"nothing forgotten": {func(*site.Site) {}, period, []string{"a", "b", "a", "a"}, nil},
+		"nothing forgotten": {func(*site.Site) {}, period, []string{"a", "b", "a", "-a"}, nil},
+		"unreadable":        {func(s *site.Site) { s.Store.Put(plat.EndpointPrefix+"b", []byte("{")) }, period, []string{"a", "b", "a", "-a", "-b"}, nil},
 		"forgotten, one is recent": {func(s *site.Site) { s.Store.Compact() }, period, nil, func(err error) bool {
 			return errors.Is(err, errForgotten)
 		}},
@@ -56,6 +57,9 @@
 			}
 			got := make([]string, 0, len(h.Changes))
 			for _, change := range h.Changes {
+				if change.Endpoint == nil {
+					change.ID = "-" + change.ID
+				}
 				got = append(got, change.ID)
 			}
 			if !slices.Equal(got, c.want) {
