--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -64,6 +64,18 @@
 	}
 }
 
+// Mixed reports whether endpoints of more than one version of a service are listed.
+func Mixed(view *fleet.View) bool {
+	versions := make(map[string]string) // by service
+	for _, e := range view.All() {
+		if version, ok := versions[e.Service]; ok && version != e.Version {
+			return true
+		}
+		versions[e.Service] = e.Version
+	}
+	return false
+}
+
 // Recall sets what the change log of the list tells of the time before this process
 // observed it.
 func (v *Versions) Recall(h History) { v.history = h }
