core/origin: what other relays may have observed between two observations

Since the version of a stream is computed state by state, a relay that received several changes in one step took the states before and after it for all that there were. Another relay may have received them one by one, and a stream may have begun there in between. Such a stream could go on at another version. Between two observations, each version now has from the least to the greatest of both numbers.

TestChangesAtOnce failed before: "stream 8 began at v2 and goes on at v1".

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -84,7 +84,7 @@
 // work.
 type moment struct {
 	least    map[string]int // by version; 0: listed, but not as accepting work
-	doubtful map[string]int // by version: in addition, endpoints of zones that were drained or returned
+	doubtful map[string]int // by version: in addition, those that may have been listed
 	unknown  int            // in addition, endpoints of any version
 }
 
@@ -117,13 +117,29 @@
 	}
 	list := v.seen[service]
 	for i, o := range list {
-		if i == len(list)-1 || list[i+1].at.After(from) {
+		switch {
+		case i == len(list)-1:
 			out = append(out, moment{least: o.counts})
+		case list[i+1].at.After(from):
+			out = append(out, moment{least: o.counts}, between(o.counts, list[i+1].counts))
 		}
 	}
 	return out
 }
 
+// between returns what other relays may have observed between two observations of this
+// one.
+func between(a, b map[string]int) moment {
+	m := moment{least: make(map[string]int), doubtful: make(map[string]int)}
+	for _, counts := range []map[string]int{a, b} {
+		for version := range counts {
+			m.least[version] = min(a[version], b[version])
+			m.doubtful[version] = max(a[version], b[version]) - m.least[version]
+		}
+	}
+	return m
+}
+
 // Choose returns the version at which a new stream begins, and false if the store lists no
 // endpoint of the service that accepts work.
 func (v *Versions) Choose(service, stream string) (string, bool) {
--- a/core/origin/versions_test.go
+++ b/core/origin/versions_test.go
@@ -118,6 +118,31 @@
 	}
 }
 
+// TestChangesAtOnce guards against streams that go on at another version because this relay
+// received in one step what another one, at which they began, received in several.
+func TestChangesAtOnce(t *testing.T) {
+	var here, there origin.Versions
+	here.Observe(start, viewOf(t, "a:v1:1m b:v1:1m c:v2:1m d:v2:1m"))
+	now := start.Add(time.Minute)
+	there.Observe(now, viewOf(t, "a:v1:1m c:v2:1m d:v2:1m"))
+	here.Observe(now, viewOf(t, "a:v1:1m c:v2:1m"))
+	known := 0
+	for i := range 1000 {
+		stream := fmt.Sprint(i)
+		version, _ := there.Choose("s", stream)
+		got, ok := here.Began(now.Add(time.Second), "s", stream, streamAge)
+		if ok && got != version {
+			t.Fatalf("stream %s began at %s and goes on at %s", stream, version, got)
+		}
+		if ok {
+			known++
+		}
+	}
+	if known < 600 {
+		t.Errorf("%d of 1000 streams are known, want two thirds", known)
+	}
+}
+
 // TestMissingEndpointsDontCount guards against streams that go on at another version after
 // an outage of the store and a loss of all relays: its change log doesn't show for how long
 // relays still counted endpoints that it had lost.
