--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -100,6 +100,12 @@
 // Missing returns the IDs of the endpoints that are missing from the store, in no order.
 func (v *View) Missing() []string { return slices.Collect(maps.Keys(v.missing)) }
 
+// IsMissing reports whether an endpoint of the view is missing from the store.
+func (v *View) IsMissing(id string) bool {
+	_, ok := v.missing[id]
+	return ok
+}
+
 // Overdue returns the IDs of the missing endpoints that are overdue at now.
 func (v *View) Overdue(now time.Time) []string {
 	var out []string
--- a/core/origin/versions_test.go
+++ b/core/origin/versions_test.go
@@ -86,6 +86,7 @@
 		"restarted at another":       {"a:v2:1m b:v2:2s", "b:v1:1m b:v2:2s", "some"},
 		"three versions":             {"a:v1:1m b:v2:1m c:v3:1m", "", "some"},
 		"the same again":             {"a:v2:1m b:v2:1m", "a:v2:1m b:v2:1m", "all"},
+		"before a restart unknown":   {"a:v1:1m b:v2:2s", "b:v2:2s", "none"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var v origin.Versions
@@ -117,6 +118,45 @@
 	}
 }
 
+// TestChangesAtOnce guards against streams that go on at another version because this relay
+// received in one step what another one, at which they began, received in several.
+func TestChangesAtOnce(t *testing.T) {
+	var here, there origin.Versions
+	here.Observe(start, viewOf(t, "a:v1:1m b:v1:1m c:v2:1m d:v2:1m"))
+	now := start.Add(time.Minute)
+	there.Observe(now, viewOf(t, "a:v1:1m c:v2:1m d:v2:1m"))
+	here.Observe(now, viewOf(t, "a:v1:1m c:v2:1m"))
+	known := 0
+	for i := range 1000 {
+		stream := fmt.Sprint(i)
+		version, _ := there.Choose("s", stream)
+		got, ok := here.Began(now.Add(time.Second), "s", stream, streamAge)
+		if ok && got != version {
+			t.Fatalf("stream %s began at %s and goes on at %s", stream, version, got)
+		}
+		if ok {
+			known++
+		}
+	}
+	if known < 600 {
+		t.Errorf("%d of 1000 streams are known, want two thirds", known)
+	}
+}
+
+// TestMissingEndpointsDontCount guards against streams that go on at another version after
+// an outage of the store and a loss of all relays: its change log doesn't show for how long
+// relays still counted endpoints that it had lost.
+func TestMissingEndpointsDontCount(t *testing.T) {
+	view := viewOf(t, "a:v1:1m b:v2:1m").WithChange(fleet.Change{Missing: map[string]time.Time{"b": start.Add(time.Second)}})
+	var v origin.Versions
+	v.Observe(start, &view)
+	for i := range 100 {
+		if version, ok := v.Choose("s", fmt.Sprint(i)); !ok || version != "v1" {
+			t.Fatalf("a stream begins at %q while the store lists v1 alone", version)
+		}
+	}
+}
+
 // TestChooseByWeight checks that streams begin at versions in proportion to the endpoints.
 func TestChooseByWeight(t *testing.T) {
 	var v origin.Versions
