relay/proxy: a stream nobody remembers is taken up by a current view only

A relay that doesn't learn where a stream began concludes the version from what its view listed. The view counted as recent for 5 s after the last contact with the store. A relay that was paused or cut off for less may lack a version that joined since: it took a stream of that version for one of the only version it knew.

The relay reads the store now before it concludes, as of a time after the request (one read for all that wait, at most two a second), and answers 503 if the store doesn't respond. Changes that it reads are applied first.

Script stream_taken_up_out_of_step: relay b is paused and cut off from the store while h2 (v2) joins, h1 (v1) leaves and a stream begins at h2 through relay a, which is killed.

The stand-in of the platform serves the store on a second address, which a script can cut off.

--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -15,8 +15,9 @@
 // endpoints that are registered in it. New returns a running site, Close ends
 // it.
 type Site struct {
-	Store     Store
-	StoreAddr string
+	Store      Store
+	StoreAddr  string
+	RemoteAddr string // of the store too, unless CutRemote has cut it off
 
 	mu              sync.Mutex
 	endpoints       map[string]*Endpoint // by endpoint ID
@@ -26,9 +27,9 @@
 	poisonedBody    string
 	poisonedKey     string // key of the items that crash endpoints of stages; empty: none
 	exposures       []Exposure
+	remoteCut       bool // RemoteAddr doesn't respond
 	closed          chan struct{}
-	storeServer     *fasthttp.Server
-	storeListener   net.Listener
+	storeListeners  []net.Listener
 }
 
 // discardLogger discards the log lines of fasthttp about connections that an
@@ -40,17 +41,41 @@
 
 // New starts a site that has a store and no endpoints.
 func New() (*Site, error) {
+	s := &Site{endpoints: make(map[string]*Endpoint), endpointsByAddr: make(map[string]*Endpoint), closed: make(chan struct{})}
+	var err error
+	if s.StoreAddr, err = s.serveStore(s.Store.Handler); err != nil {
+		return nil, err
+	}
+	s.RemoteAddr, err = s.serveStore(func(ctx *fasthttp.RequestCtx) {
+		s.Store.Handler(ctx)
+		s.mu.Lock()
+		cut := s.remoteCut
+		s.mu.Unlock()
+		if cut {
+			time.Sleep(hangTime)
+			_ = ctx.Conn().Close() // the caller has timed out
+		}
+	})
+	return s, err
+}
+
+// serveStore serves requests to the store on an address, which it returns.
+func (s *Site) serveStore(handle fasthttp.RequestHandler) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("listen for the store: %w", err)
-	}
-	s := &Site{
-		StoreAddr: ln.Addr().String(), endpoints: make(map[string]*Endpoint), endpointsByAddr: make(map[string]*Endpoint),
-		closed: make(chan struct{}), storeListener: ln,
+		return "", fmt.Errorf("listen for the store: %w", err)
 	}
-	s.storeServer = &fasthttp.Server{Handler: s.Store.Handler, Logger: discardLogger{}}
-	go func() { _ = s.storeServer.Serve(ln) }() // returns when Close closes the listener
-	return s, nil
+	s.storeListeners = append(s.storeListeners, ln)
+	srv := &fasthttp.Server{Handler: handle, Logger: discardLogger{}}
+	go func() { _ = srv.Serve(ln) }() // returns when Close closes the listener
+	return ln.Addr().String(), nil
+}
+
+// CutRemote lets requests to RemoteAddr go without a response, or ends that.
+func (s *Site) CutRemote(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remoteCut = cut
 }
 
 // StartEndpoint starts an endpoint and registers it in the store as ready.
@@ -58,7 +83,16 @@
 	if spec.Version == "" {
 		spec.Version = DefaultVersion
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	e, err := s.startAt("127.0.0.1:0", spec)
+	if err != nil {
+		return nil, err
+	}
+	return e, s.Register(spec.ID, "ready")
+}
+
+// startAt starts an endpoint at an address.
+func (s *Site) startAt(addr string, spec Spec) (*Endpoint, error) {
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", spec.ID, err)
 	}
@@ -68,7 +102,20 @@
 	s.endpoints[spec.ID], s.endpointsByAddr[e.Addr] = e, e
 	s.mu.Unlock()
 	go func() { _ = e.http.Serve(&trackingListener{Listener: ln, endpoint: e}) }() // returns when the endpoint stops
-	return e, s.Register(spec.ID, "ready")
+	return e, nil
+}
+
+// StartAgain starts a crashed endpoint again at its address, with another software version.
+// Its store entry stays as it is.
+func (s *Site) StartAgain(id, version string) error {
+	former := s.Endpoint(id)
+	if former == nil {
+		return fmt.Errorf("no endpoint %q", id)
+	}
+	spec := former.Spec
+	spec.Version = version
+	_, err := s.startAt(former.Addr, spec)
+	return err
 }
 
 // Register writes the store entry of an endpoint with the given state.
@@ -135,6 +182,8 @@
 	for _, e := range endpoints {
 		errs = append(errs, e.stop())
 	}
-	errs = append(errs, s.storeListener.Close())
+	for _, ln := range s.storeListeners {
+		errs = append(errs, ln.Close())
+	}
 	return errors.Join(errs...)
 }
--- a/proof/deploy/notices_test.go
+++ b/proof/deploy/notices_test.go
@@ -66,6 +66,16 @@
 	return cmd.state.dep.Site.Register(cmd.arg(0), "ready")
 }
 
+// startAgain implements the command
+//
+//	again ENDPOINT VERSION
+//
+// It starts a crashed endpoint again at its address, with a software version, and leaves
+// its store entry.
+func startAgain(cmd *command) error {
+	return cmd.state.dep.Site.StartAgain(cmd.arg(0), cmd.arg(1))
+}
+
 const (
 	arrivalWindow = 4 * time.Second
 	limitGrace    = 3 * time.Second // after a limit is first named, before arrivals count
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -89,6 +89,7 @@
 		"closed":   closeEndpoint,
 		"arrived":  checkArrived,
 		"restart":  restartEndpoint,
+		"again":    startAgain,
 		"crash":    crashEndpoint,
 		"poison":   poisonPart,
 		"mixed":    sendMixed,
@@ -229,7 +230,8 @@
 //
 //	set NAME KEY VALUE [raw=TEXT]
 //
-// It changes a key in the settings file of a relay. With the option raw it replaces
+// It changes a key in the settings file of a relay. The only value of the key store is
+// "remote", the store's remote address. With the option raw it replaces
 // the file by a text.
 func changeSettings(cmd *command) error {
 	r := cmd.relay(cmd.arg(0))
@@ -245,6 +247,8 @@
 		r.Settings.Policy.Schedule = sets.Schedule(cmd.arg(2))
 	case "zone":
 		r.Settings.Zone = cmd.arg(2)
+	case "store":
+		r.Settings.Store = cmd.state.dep.Site.RemoteAddr
 	default:
 		return fmt.Errorf("no key %q", cmd.arg(1))
 	}
@@ -368,14 +372,17 @@
 
 // failStore implements the command
 //
-//	store up|busy|down|mute|compact|copy|restore
+//	store up|busy|down|mute|compact|copy|restore|cut
 //
 // It ends an outage of the store (up), begins one (busy, down, mute), compacts the
-// store's history, takes a copy, or restores the copy that was taken last.
+// store's history, takes a copy, restores the copy that was taken last, or cuts the
+// store's remote address off.
 func failStore(cmd *command) error {
 	switch cmd.arg(0) {
 	case "up":
 		cmd.state.dep.Site.Store.SetOutage(site.OutageNone)
+	case "cut":
+		cmd.state.dep.Site.CutRemote(true)
 	case "compact":
 		cmd.state.dep.Site.Store.Compact()
 	case "copy":
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -265,7 +265,7 @@
 	m *peers.Mesh, g *guard.Guard,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
-		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
+		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
 		Policy: policyFunc(live),
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -54,6 +54,7 @@
 	updates  chan update
 	queries  chan query
 	state    state
+	contacts contacts
 
 	mu        sync.Mutex // guards the fields below
 	point     repl.Point // of the replica
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -53,6 +53,7 @@
 			failures++
 			if failures == 1 {
 				lostAt = c.Clock.Now()
+				c.contacts.recordLoss(lostAt)
 				c.Log.Event(logs.StoreLost).Err(err).Msg("")
 			}
 			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: maxBackoff}.Delay(failures, rand.Float64()))
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -60,17 +60,20 @@
 	View  func() *fleet.View    // returns the current view of the deployment
 	Ready func() (bool, string) // reports whether View can be served from, and the reason if not
 	// Confirmed reports whether View is recent enough to conclude from what it doesn't
-	// list: that a route or key doesn't exist, or that a service has no other version.
+	// list that a route or key doesn't exist.
 	Confirmed func() bool
-	Balancer  *Balancer
-	Pool      *pool.Pool
-	Stages    *stage.Runner
-	Engines   *assign.Assigner
-	Origins   Origins
-	Guard     *guard.Guard
-	Clock     clock.Clock
-	Log       *logs.Logger
-	Meters    *stats.Meters
+	// Refresh brings View up to date as of a time that is at most maxAge before the call, and
+	// reports false if that isn't possible. It blocks for a read from the store.
+	Refresh  func(ctx context.Context, maxAge time.Duration) bool
+	Balancer *Balancer
+	Pool     *pool.Pool
+	Stages   *stage.Runner
+	Engines  *assign.Assigner
+	Origins  Origins
+	Guard    *guard.Guard
+	Clock    clock.Clock
+	Log      *logs.Logger
+	Meters   *stats.Meters
 	// OverShare reports whether the team of a job uses more than its share of a crowded pool.
 	// nil: no team ever does.
 	OverShare func(job stage.Job) bool
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -52,7 +52,7 @@
 			req.service, req.version = o.Service, &o.Version
 		}
 		return true
-	case req.Confirmed():
+	case req.Refresh(ctx, 0): // an older view may lack the version
 		if v, ok := req.Balancer.OriginVersion(req.service, req.headers.Resumes, req.maxStreamAge()); ok {
 			req.version = &v
 			return true
