relay: streams go on only where the incarnation is known

The version of an endpoint was that of its listed entry. While the store is down, an endpoint that has crashed comes back under its ID and maybe with another version, and the store lists the former incarnation until it is back. Streams went on there, also at relays that knew of the crash, and streams that began there were recorded under the version of the entry.

A stream goes on at an endpoint now only if a kept connection leads to what lived 2 s before a contact with the store (relay/pool joins connections that overlap), or if the store has responded within 0.5 s and nothing is known of an end. Refused connections, a foreign endpoint at the address and crash probes are ends that relays tell one another (relay/life, core/lives); timeouts and idle connections that were closed early are doubts of one relay. A relay that was paused, or whose store is lost or back for less than 2 s, relies on kept connections alone. New streams may begin anywhere; if the incarnation is doubted, they are recorded as of unknown version and go on nowhere else. A caller that takes a stream up gets 503 before its stages run if there is no such endpoint.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -12,7 +12,8 @@
 // dropped first.
 const maxStreams = 50_000
 
-// Origin is where a stream began.
+// Origin is where a stream began. The zero Origin is that of a stream whose version can't
+// be known.
 type Origin struct {
 	Service string
 	Version string // of the software of the endpoint
@@ -31,10 +32,15 @@
 	at     time.Time
 }
 
-// Put records the origin of a stream. The first record of a stream stays.
+// Put records the origin of a stream. The first record of a stream stays, unless it turns
+// out that the version can't be known.
 func (t *Table) Put(now time.Time, stream string, o Origin) {
 	t.expire(now)
-	if _, ok := t.records[stream]; ok {
+	if r, ok := t.records[stream]; ok {
+		if o == (Origin{}) {
+			r.origin = o
+			t.records[stream] = r
+		}
 		return
 	}
 	if t.records == nil {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -19,6 +19,11 @@
 	if v, ok := table.Get(start.Add(origin.Lifetime), "a"); v.Version != "v1" || !ok {
 		t.Errorf("got %q, %v, want v1", v, ok)
 	}
+	table.Put(start, "b", origin.Origin{Version: "v1"})
+	table.Put(start, "b", origin.Origin{}) // the version can't be known after all
+	if v, ok := table.Get(start, "b"); v != (origin.Origin{}) || !ok {
+		t.Errorf("got %v, %v, want the zero origin", v, ok)
+	}
 	if v, ok := table.Get(start.Add(origin.Lifetime+time.Millisecond), "a"); ok {
 		t.Errorf("got %q after its lifetime", v)
 	}
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -34,6 +34,7 @@
 	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/guard"
+	"wigeonplank.example/relay/life"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/peers"
 	"wigeonplank.example/relay/pool"
@@ -87,6 +88,7 @@
 		newAssigner,
 		newStages,
 		newGuard,
+		newLedger,
 		start.NewIncarnation,
 		newForwarder,
 		newFront,
@@ -219,11 +221,12 @@
 	}
 }
 
-func newAssigner(l *logs.Logger, c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh) *assign.Assigner {
+func newAssigner(l *logs.Logger, c *ctrl.Control, b *proxy.Balancer, m *peers.Mesh, lives *life.Ledger) *assign.Assigner {
 	a := &assign.Assigner{View: c.View, Health: b, Timing: b, Peers: m, Clock: clock.System{}, Log: l}
 	m.Topics = append(m.Topics, a)
 	c.OnViewChange = func(v *fleet.View) {
 		b.Observe(v)
+		lives.Prune(v)
 		a.Prune(v)
 	}
 	return a
@@ -249,11 +252,21 @@
 	}
 }
 
+func newLedger(l *logs.Logger, m *peers.Mesh) *life.Ledger {
+	lives := &life.Ledger{Announce: m.Announce, Clock: clock.System{}, Log: l}
+	m.Topics = append(m.Topics, lives)
+	return lives
+}
+
 func newGuard(
-	l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, p *pool.Pool, r *stage.Runner, m *peers.Mesh,
+	l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, p *pool.Pool, r *stage.Runner, m *peers.Mesh, lives *life.Ledger,
 ) *guard.Guard {
+	onCrash := func(e *fleet.Endpoint) {
+		b.MarkUnreachable(e)
+		lives.Ended(e)
+	}
 	g := &guard.Guard{
-		View: c.View, Rank: m.Rank, Announce: m.Announce, OnCrash: b.MarkUnreachable, Clock: clock.System{}, Log: l, Meters: meters, Pool: p,
+		View: c.View, Rank: m.Rank, Announce: m.Announce, OnCrash: onCrash, Clock: clock.System{}, Log: l, Meters: meters, Pool: p,
 	}
 	m.Topics = append(m.Topics, g)
 	r.Crashed = g.Crashed
@@ -262,11 +275,12 @@
 
 func newForwarder(
 	live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, b *proxy.Balancer, a *assign.Assigner, p *pool.Pool, r *stage.Runner,
-	m *peers.Mesh, g *guard.Guard,
+	m *peers.Mesh, g *guard.Guard, lives *life.Ledger,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
 		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
-		Policy: policyFunc(live),
+		Policy:       policyFunc(live),
+		Incarnations: &proxy.Incarnations{Ledger: lives, ListedUntil: c.ListedUntil, Current: c.Current, Since: p.Since},
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
 			ratio := s.Retry.Ratio
@@ -364,7 +378,7 @@
 	go func() { failed <- srv.Serve(ln) }()
 	go func() { failed <- adm.Serve(adminLn) }()
 	go c.Run(ctx)
-	go runTicks(ctx, r)
+	go runTicks(ctx, r, c)
 	l.Event(logs.Started).Str("zone", s.Zone).Str("store", s.Store).Str("settings", live.File()).Msg("")
 	if err := waitForStop(failed, func() { reload(live, l, f) }); err != nil {
 		return err
@@ -398,8 +412,9 @@
 	l.Event(logs.SettingsApplied).Str("settings", live.File()).Strs("keys", keys).Msg("")
 }
 
-// runTicks calls the Tick method of a stage runner periodically until ctx ends.
-func runTicks(ctx context.Context, r *stage.Runner) {
+// runTicks calls the Tick methods of a stage runner and of the control state periodically
+// until ctx ends.
+func runTicks(ctx context.Context, r *stage.Runner, c *ctrl.Control) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
@@ -407,6 +422,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+			c.Tick()
 			r.Tick()
 		}
 	}
--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -11,14 +11,26 @@
 	plat "wigeonplank.example/platform"
 )
 
-// refreshInterval is the least time between the beginnings of two refreshes.
-const refreshInterval = 500 * time.Millisecond
+const (
+	// registrationTime is how long it takes until the store lists an endpoint that has
+	// started, or that lives when the store is back.
+	registrationTime = 2 * time.Second
+	// maxTickGap is the time between two ticks above which this process was paused.
+	maxTickGap = 500 * time.Millisecond
+	// wakeTime is how long after a pause this process may read messages from before it.
+	wakeTime = time.Second
+	// refreshInterval is the least time between the beginnings of two refreshes.
+	refreshInterval = 500 * time.Millisecond
+)
 
 // contacts tells what the contacts with the store prove of the view. It is safe for
 // concurrent use.
 type contacts struct {
-	mu     sync.Mutex
-	lostAt time.Time // when a read failed first after one that didn't; zero: never
+	mu          sync.Mutex
+	tickedAt    time.Time // last tick
+	wokeAt      time.Time // end of the last pause of this process; zero: none
+	lostAt      time.Time // when a read failed first after one that didn't; zero: never
+	listedUntil time.Time // see Control.ListedUntil
 
 	refreshing  sync.Mutex // held while Refresh reads; guards refreshedAt and triedAt
 	refreshedAt time.Time  // beginning of the last read that succeeded
@@ -31,6 +43,47 @@
 	t.lostAt = now
 }
 
+// proves reports whether a contact shows what has registered since the end of an outage
+// and of a pause. The caller holds t.mu.
+func (t *contacts) proves(p repl.Position) bool {
+	at := p.Contact.At
+	return !at.IsZero() && (t.wokeAt.IsZero() || at.Sub(t.wokeAt) > wakeTime) &&
+		(p.OutageEnd.IsZero() || at.Sub(p.OutageEnd) >= registrationTime)
+}
+
+// Tick records that this process runs. It must be called several times in maxTickGap.
+func (c *Control) Tick() {
+	p, now, t := c.Position(), c.Clock.Now(), &c.contacts
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.tickedAt.IsZero() && now.Sub(t.tickedAt) > maxTickGap {
+		t.wokeAt = now
+	}
+	t.tickedAt = now
+	if until := p.Contact.At.Add(-registrationTime); t.proves(p) && until.After(t.listedUntil) {
+		t.listedUntil = until
+	}
+}
+
+// ListedUntil returns the latest time for which the view certainly lists each incarnation
+// of an endpoint that lived then and still does; zero if there is none. What responds on a
+// connection that was dialed by then is the listed incarnation.
+func (c *Control) ListedUntil() time.Time {
+	c.contacts.mu.Lock()
+	defer c.contacts.mu.Unlock()
+	return c.contacts.listedUntil
+}
+
+// Current reports whether the view lists the incarnations that live now, as far as this
+// process can tell: it wasn't paused, and the store responds and did so for long enough
+// that all endpoints have registered.
+func (c *Control) Current() bool {
+	p, now, t := c.Position(), c.Clock.Now(), &c.contacts
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.tickedAt) <= maxTickGap && t.proves(p) && now.Sub(p.Contact.At) <= maxViewAge && p.Contact.At.After(t.lostAt)
+}
+
 // Refresh brings the view up to date with the store as of a time that is at most maxAge
 // before the call. It reports false if that isn't possible. It blocks for refreshInterval
 // and a read from the store at most.
@@ -62,7 +115,8 @@
 	last := c.Position().Contact.At
 	c.contacts.mu.Lock()
 	defer c.contacts.mu.Unlock()
-	return !last.After(c.contacts.lostAt)
+	lostAt := c.contacts.lostAt
+	return !lostAt.IsZero() && !last.After(lostAt)
 }
 
 // readChanges reads the changes to the store that the replica lacks, and applies them.
@@ -78,7 +132,9 @@
 		}
 		return false
 	}
-	if to != after {
+	if to == after {
+		c.recordContact()
+	} else {
 		c.send(ctx, update{Update: repl.Update{Entries: entries, After: after.Revision, To: to.Revision, Era: to.Era}})
 		c.send(ctx, update{recheck: true}) // taken once the changes are applied
 	}
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -146,6 +146,7 @@
 		follower: repl.Follower{Self: instance, Started: clk.Now(), Jitter: rand.Float64()},
 	}
 	c.point.Revision = -1
+	c.contacts.tickedAt = clk.Now()
 	return c
 }
 
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,6 +40,7 @@
 
 	mu        sync.Mutex
 	idle      map[key][]*Conn // the connection returned last is at the end
+	lives     map[key][]*life // of the connections that were used lately
 	dials     int64
 	lastSweep time.Time
 }
@@ -49,8 +51,12 @@
 	net.Conn
 	Reader *bufio.Reader // reads from Conn
 	Reused bool          // it has carried an earlier request
+	// Replaced tells that the endpoint had closed an idle connection before its time, for
+	// which this one was dialed.
+	Replaced bool
 
 	key       key
+	life      *life
 	overdue   func() (time.Time, bool) // see Call.OnOverdue
 	budget    *Budget                  // nil: responses are bounded one by one only
 	lastBody  uint64                   // hash of the last body that Call.ReceiveUnnamed knows again
@@ -62,6 +68,7 @@
 // Any error wraps ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, id, addr string, forceNew bool) (*Conn, error) {
 	k := key{id: id, addr: addr}
+	replaced := false
 	for !forceNew {
 		c := p.takeIdle(k)
 		if c == nil {
@@ -71,9 +78,52 @@
 			c.Reused = true
 			return c, nil
 		}
+		replaced = replaced || time.Now().Before(c.expiresAt)
 		_ = c.Close() // expired or broken
 	}
-	return p.dial(ctx, k)
+	c, err := p.dial(ctx, k)
+	if err != nil {
+		return nil, err
+	}
+	c.Replaced = replaced
+	return c, nil
+}
+
+// GetKept returns an idle connection to an endpoint on which what responds has lived since
+// at, or nil if there is none. It doesn't block.
+func (p *Pool) GetKept(id, addr string, at time.Time) *Conn {
+	k := key{id: id, addr: addr}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[k]
+	i := p.findKeptLocked(k, at)
+	if i < 0 {
+		return nil
+	}
+	c := list[i]
+	p.idle[k] = slices.Delete(list, i, i+1)
+	c.Reused = true
+	return c
+}
+
+// HasKept reports whether GetKept would return a connection now.
+func (p *Pool) HasKept(id, addr string, at time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.findKeptLocked(key{id: id, addr: addr}, at) >= 0
+}
+
+// findKeptLocked returns the index of the idle connection that was returned last among
+// those that can be used and on which what responds has lived since at, or -1. The caller
+// holds p.mu.
+func (p *Pool) findKeptLocked(k key, at time.Time) int {
+	now := time.Now()
+	for i, c := range slices.Backward(p.idle[k]) {
+		if !p.sinceLocked(c).After(at) && c.usable(now) {
+			return i
+		}
+	}
+	return -1
 }
 
 // takeIdle removes and returns the connection of k that was returned last, or
@@ -95,6 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
+	dialedAt := time.Now()
 	raw, err := d.DialContext(ctx, "tcp", k.addr)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -105,7 +156,7 @@
 	if t, ok := raw.(*net.TCPConn); ok {
 		setUnackedTimeout(t)
 	}
-	c := &Conn{Conn: raw, key: k, budget: &p.Budget}
+	c := &Conn{Conn: raw, key: k, budget: &p.Budget, life: p.addLife(k, dialedAt)}
 	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -115,6 +166,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.life.extend(time.Now())
+		}
 		if n > 0 || c.overdue == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -171,6 +225,7 @@
 // sweepLocked closes idle connections that have expired. The caller holds p.mu.
 func (p *Pool) sweepLocked(now time.Time) {
 	p.lastSweep = now
+	p.sweepLivesLocked(now)
 	for k, list := range p.idle {
 		n := 0
 		for _, c := range list {
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -42,7 +42,7 @@
 
 // criteria describes the endpoint for the next attempt.
 func (req *request) criteria() pick.Criteria {
-	c := pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.tried, Version: req.version}
+	c := pick.Criteria{Zone: req.Zone, Affinity: req.promptAffinity(), Exclude: req.excluded(), Version: req.version}
 	if c.Version == nil && req.route.Kind == fleet.KindStream && req.route.Resumable {
 		c.Version = req.Balancer.ChooseVersion(req.service, req.headers.ID)
 	}
@@ -63,6 +63,10 @@
 	if svc == nil {
 		return pick.Choice{}, nil
 	}
+	if req.version != nil {
+		req.refresh(ctx)
+		v = req.View()
+	}
 	if !req.assignable(svc) {
 		return req.Balancer.Acquire(svc, v.Endpoints(req.service), req.criteria()), nil
 	}
@@ -123,7 +127,7 @@
 		if end == attemptNoInputs {
 			delete(req.tried, c.Endpoint.ID) // it can run the request once the stages have run again
 		}
-		if next == nil && (!req.allowRetry(end, *lastEvent) || !req.rerunStages(ctx, end)) {
+		if next == nil && (!req.allowRetry(ctx, end, *lastEvent) || !req.rerunStages(ctx, end)) {
 			req.abortStream(reason)
 			return
 		}
@@ -188,10 +192,13 @@
 // allowRetry reports whether another attempt may follow one that ended with end,
 // and withdraws it from the retry budget if so. lastEvent is the ID of the last
 // event that the caller has; -1: none.
-func (req *request) allowRetry(end attemptEnd, lastEvent int64) bool {
+func (req *request) allowRetry(ctx context.Context, end attemptEnd, lastEvent int64) bool {
 	b := req.budget(req.service)
 	balance := b.Balance()
 	reason := req.retryObstacle(end)
+	if reason == "" && !req.confirmBeginning(ctx) {
+		reason = reasonUnknownVersion
+	}
 	if reason == "" && !b.Withdraw(0) {
 		reason = reasonBudgetSpent
 	}
@@ -204,12 +211,17 @@
 	return reason == ""
 }
 
-const reasonBudgetSpent = "retry budget is spent"
+const (
+	reasonBudgetSpent    = "retry budget is spent"
+	reasonUnknownVersion = "version at which the stream began is unknown"
+)
 
 // retryObstacle returns why no other attempt may follow one that ended with end, or "". The
 // retry budget is left aside.
 func (req *request) retryObstacle(end attemptEnd) string {
 	switch {
+	case req.unsure:
+		return reasonUnknownVersion
 	case end == attemptFailed && !req.route.Repeatable():
 		return "it may have run and must not run twice"
 	case end == attemptFailed && req.attempts >= req.route.MaxAttempts:
@@ -334,7 +346,7 @@
 	if err := call.Receive(req.headers.ID, deadline); err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
-	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
+	req.recordResponse(e, call)
 	body, err := call.ReadAll()
 	if err != nil {
 		return req.recordFailure(e, attemptFailed, err)
@@ -345,6 +357,14 @@
 	return req.handleResponse(e, call, body)
 }
 
+// recordResponse records what the header of a response tells of an endpoint.
+func (req *request) recordResponse(e *fleet.Endpoint, call *pool.Call) {
+	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
+	if !call.Response.Misdirected {
+		req.Incarnations.recordLife(e, call.Conn)
+	}
+}
+
 // recordAnswerTime records the time that a complete answer took, and the predicted one.
 func (req *request) recordAnswerTime(c pick.Choice, r plat.Response) {
 	took := req.Clock.Now().Sub(req.attemptAt)
@@ -367,6 +387,7 @@
 	case a.Misdirected:
 		req.attempts--
 		req.Balancer.MarkUnreachable(e)
+		req.Incarnations.Ended(e)
 		req.recordEnd(e, pick.ResultNone, attemptNotRun, "another endpoint has its address")
 		return attemptNotRun, "another endpoint has its address"
 	case a.NotRun:
@@ -423,8 +444,11 @@
 	if req.exchange.CallerLeft() {
 		return nil, attemptCallerGone, errCallerLeft
 	}
-	conn, err := req.Pool.Get(ctx, e.ID, e.Addr, false)
+	conn, err := req.connect(ctx, e)
 	if err != nil {
+		if errors.Is(err, pool.ErrUnreachable) {
+			req.recordUnreached(ctx, e, err)
+		}
 		return nil, attemptNotRun, err
 	}
 	call := &pool.Call{Conn: conn}
@@ -471,6 +495,8 @@
 	case errors.Is(err, pool.ErrUnreachable):
 		req.Balancer.MarkUnreachable(e)
 		result = pick.ResultNone // it is suspect already
+	case errors.Is(err, errDoubted):
+		result = pick.ResultNone // the request was not sent
 	case end == attemptFailed && pool.IsBrokenOff(err):
 		req.awaitProbe(e)
 	}
--- /dev/null
+++ b/relay/proxy/incarnation.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"syscall"
+	"time"
+
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
+	"wigeonplank.example/relay/life"
+	"wigeonplank.example/relay/pool"
+)
+
+// Incarnations tells whether endpoints are still the incarnations that the view lists. The
+// software version of an endpoint is known only then.
+type Incarnations struct {
+	*life.Ledger
+	// ListedUntil returns the latest time for which the view lists each incarnation that
+	// lived then and still does.
+	ListedUntil func() time.Time
+	// Current reports whether the view lists the incarnations that live now, as far as this
+	// relay can tell.
+	Current func() bool
+	// Since returns a time since which what responds on a connection has lived.
+	Since func(c *pool.Conn) time.Time
+}
+
+// errDoubted reports that the incarnation of an endpoint, and thus its version, isn't known.
+var errDoubted = errors.New("not known to be the incarnation that is listed")
+
+// beginning is where a stream began.
+type beginning struct {
+	endpoint  *fleet.Endpoint
+	conn      *pool.Conn
+	checkedAt time.Time
+}
+
+const (
+	// maxRefreshAge is the age of a view at which streams go on over new connections.
+	maxRefreshAge = 500 * time.Millisecond
+	// beginningInterval is the time between two checks of where a stream began.
+	beginningInterval = 500 * time.Millisecond
+)
+
+// presumed reports whether a new connection to an endpoint leads to its listed incarnation,
+// as far as this relay can tell.
+func (in *Incarnations) presumed(e *fleet.Endpoint) bool { return in.Current() && !in.Doubted(e) }
+
+// isListed reports whether what responds on a connection is certainly the incarnation that
+// the view lists.
+func (in *Incarnations) isListed(c *pool.Conn) bool { return !in.Since(c).After(in.ListedUntil()) }
+
+// recordLife records that an endpoint has responded on a connection.
+func (in *Incarnations) recordLife(e *fleet.Endpoint, c *pool.Conn) {
+	if in.Doubted(e) && in.isListed(c) {
+		in.Lived(e)
+	}
+}
+
+// refresh brings the view up to date before an attempt at which a stream goes on.
+func (req *request) refresh(ctx context.Context) { req.fresh = req.Refresh(ctx, maxRefreshAge) }
+
+// checkBeginning finds out from time to time whether the stream certainly began at its
+// version.
+func (req *request) checkBeginning() {
+	if b := req.beginning; b != nil && req.lastEventAt.Sub(b.checkedAt) >= beginningInterval {
+		b.checkedAt = req.lastEventAt
+		if req.isStillListed(b.endpoint) && req.Incarnations.isListed(b.conn) {
+			req.beginning = nil
+		}
+	}
+}
+
+// confirmBeginning reports whether the stream began at its version, before it goes on
+// elsewhere. If that can't be known, no other relay lets it go on either.
+func (req *request) confirmBeginning(ctx context.Context) bool {
+	b := req.beginning
+	if b == nil {
+		return !req.unsure
+	}
+	req.refresh(ctx)
+	listed := req.isStillListed(b.endpoint)
+	req.beginning = nil
+	if listed && (req.Incarnations.isListed(b.conn) || req.fresh && req.Incarnations.Current()) {
+		return true
+	}
+	req.unsure = true
+	req.recordOrigin(origin.Origin{})
+	return false
+}
+
+// isStillListed reports whether the view lists the incarnation of an endpoint.
+func (req *request) isStillListed(e *fleet.Endpoint) bool {
+	now := req.View().Endpoint(e.ID)
+	return now != nil && now.StartUnixMs == e.StartUnixMs
+}
+
+// mayGoOnAt reports whether a stream may go on at an endpoint, as its version is known.
+func (req *request) mayGoOnAt(e *fleet.Endpoint) bool {
+	return req.fresh && req.Incarnations.presumed(e) || req.Pool.HasKept(e.ID, e.Addr, req.Incarnations.ListedUntil())
+}
+
+// canGoOn reports whether there is an endpoint at which the stream may go on.
+func (req *request) canGoOn() bool {
+	for _, e := range req.View().Endpoints(req.service) {
+		if e.Version == *req.version && req.mayGoOnAt(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// excluded returns the IDs of the endpoints to which the request must not be sent: those
+// that were tried, and those whose version isn't known if a stream goes on.
+func (req *request) excluded() map[string]bool {
+	if req.version == nil {
+		return req.tried
+	}
+	var out map[string]bool
+	for _, e := range req.View().Endpoints(req.service) {
+		if e.Version != *req.version || req.tried[e.ID] || req.mayGoOnAt(e) {
+			continue
+		}
+		if out == nil {
+			out = maps.Clone(req.tried)
+		}
+		out[e.ID] = true
+	}
+	if out == nil {
+		return req.tried
+	}
+	return out
+}
+
+// connect returns a connection to an endpoint. If a stream goes on, it leads to the listed
+// incarnation.
+func (req *request) connect(ctx context.Context, e *fleet.Endpoint) (*pool.Conn, error) {
+	if req.version == nil {
+		return req.Pool.Get(ctx, e.ID, e.Addr, false)
+	}
+	if c := req.Pool.GetKept(e.ID, e.Addr, req.Incarnations.ListedUntil()); c != nil {
+		return c, nil
+	}
+	if !req.fresh || !req.Incarnations.presumed(e) {
+		return nil, errDoubted
+	}
+	c, err := req.Pool.Get(ctx, e.ID, e.Addr, false)
+	if err != nil {
+		return nil, err
+	}
+	if c.Replaced || !req.Incarnations.presumed(e) {
+		req.Incarnations.Doubt(e)
+		req.Pool.Put(c, 0)
+		return nil, errDoubted
+	}
+	return c, nil
+}
+
+// recordUnreached records what an error of a connection tells of the incarnation of an
+// endpoint.
+func (req *request) recordUnreached(ctx context.Context, e *fleet.Endpoint, err error) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		req.Incarnations.Ended(e)
+	case ctx.Err() == nil:
+		req.Incarnations.Doubt(e)
+	}
+}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -71,9 +71,11 @@
 	Engines  *assign.Assigner
 	Origins  Origins
 	Guard    *guard.Guard
-	Clock    clock.Clock
-	Log      *logs.Logger
-	Meters   *stats.Meters
+	// Incarnations tells at which endpoints streams may go on.
+	Incarnations *Incarnations
+	Clock        clock.Clock
+	Log          *logs.Logger
+	Meters       *stats.Meters
 	// OverShare reports whether the team of a job uses more than its share of a crowded pool.
 	// nil: no team ever does.
 	OverShare func(job stage.Job) bool
@@ -119,6 +121,9 @@
 	lastEventAt    time.Time          // when the last event was forwarded
 	longestGap     time.Duration      // between two events that were forwarded
 	version        *string            // software version at which the stream began; nil: it has not begun
+	beginning      *beginning         // of the stream, if it isn't certain yet that it began at version; nil: it is, or is unsure
+	unsure         bool               // the version at which the stream began can't be known; it can't go on elsewhere
+	fresh          bool               // the view was refreshed for the current attempt
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
 	outcome        string
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -97,6 +97,9 @@
 	if reason := req.retryObstacle(attemptFailed); reason != "" {
 		return reason
 	}
+	if !req.confirmBeginning(ctx) {
+		return reasonUnknownVersion
+	}
 	if req.budget(req.service).Balance() < 1 {
 		return reasonBudgetSpent
 	}
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -38,28 +38,41 @@
 }
 
 // bindToOrigin binds the request to the service and the software version at which the
-// stream that the caller takes up began. If no relay remembers them and the stream may
-// have begun at more than one version, it rejects the request and returns false. A service that the route no longer has doesn't bind: its versions
-// mean nothing to another service.
+// stream that the caller takes up began. If the version isn't known, or no endpoint is
+// certainly of that version, it rejects the request and returns false. A service that the
+// route no longer has doesn't bind: its versions mean nothing to another service.
 func (req *request) bindToOrigin(ctx context.Context) bool {
-	o, known := origin.Origin{}, false
-	if stream := req.headers.Resumes; stream != "" {
-		o, known = req.Origins.FindOrigin(ctx, stream)
+	o, known := req.findOrigin(ctx)
+	if !known {
+		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
+		return false
 	}
-	switch {
-	case known:
-		if slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
-			req.service, req.version = o.Service, &o.Version
-		}
+	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
 		return true
-	case req.Refresh(ctx, 0): // an older view may lack the version
-		if v, ok := req.Balancer.OriginVersion(req.service, req.headers.Resumes, req.maxStreamAge()); ok {
-			req.version = &v
-			return true
+	}
+	req.service, req.version = o.Service, &o.Version
+	req.refresh(ctx)
+	if !req.canGoOn() {
+		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "no endpoint is certainly of the stream's version")
+		return false
+	}
+	return true
+}
+
+// findOrigin returns where the stream began that the caller takes up, and false if its
+// version isn't known. If no relay remembers it, the version is concluded from what was
+// listed until now: a view that is older may lack the version.
+func (req *request) findOrigin(ctx context.Context) (origin.Origin, bool) {
+	if stream := req.headers.Resumes; stream != "" {
+		if o, ok := req.Origins.FindOrigin(ctx, stream); ok {
+			return o, o != origin.Origin{}
 		}
 	}
-	req.reject(fasthttp.StatusServiceUnavailable, 0, "version at which the stream began is unknown")
-	return false
+	if !req.Refresh(ctx, 0) {
+		return origin.Origin{}, false
+	}
+	v, ok := req.Balancer.OriginVersion(req.service, req.headers.Resumes, req.maxStreamAge())
+	return origin.Origin{Service: req.service, Version: v}, ok
 }
 
 // maxStreamAge returns how old the stream is at most that the caller takes up. Callers of
@@ -69,9 +82,23 @@
 }
 
 // recordVersion binds the request to the software version of the endpoint that sent
-// its first event, and remembers it for callers that take the stream up.
-func (req *request) recordVersion(e *fleet.Endpoint) {
+// its first event over a connection, and remembers it for callers that take the stream up.
+// A stream whose version can't be known can't go on elsewhere.
+func (req *request) recordVersion(e *fleet.Endpoint, c *pool.Conn) {
+	o := origin.Origin{Service: e.Service, Version: e.Version}
+	switch {
+	case req.version != nil || req.Incarnations.isListed(c):
+	case req.Incarnations.presumed(e) && !c.Replaced:
+		req.beginning = &beginning{endpoint: e, conn: c, checkedAt: req.firstEventAt}
+	default:
+		req.unsure, o = true, origin.Origin{}
+	}
 	req.version = &e.Version
+	req.recordOrigin(o)
+}
+
+// recordOrigin remembers where the stream began for callers that take it up.
+func (req *request) recordOrigin(o origin.Origin) {
 	if !req.route.Resumable {
 		return
 	}
@@ -80,7 +107,7 @@
 		stream = req.headers.Resumes
 	}
 	if stream != "" {
-		req.Origins.RecordOrigin(stream, origin.Origin{Service: e.Service, Version: e.Version})
+		req.Origins.RecordOrigin(stream, o)
 	}
 }
 
@@ -113,7 +140,7 @@
 	if err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
-	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
+	req.recordResponse(e, call)
 	if a := call.Response; a.NotRun || a.Status != fasthttp.StatusOK {
 		body, err := call.ReadAll()
 		if err != nil {
@@ -163,7 +190,7 @@
 				pace = l.Pace
 			}
 			req.startAssignment(pace)
-			req.recordVersion(e)
+			req.recordVersion(e, call.Conn)
 			first = false
 		}
 		if errors.Is(err, io.EOF) {
@@ -183,6 +210,7 @@
 		progress = !event.IsComment(raw)
 		if progress {
 			req.events++
+			req.checkBeginning()
 			req.endSilence()
 		}
 	}
