--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -60,6 +60,7 @@
 	updates  chan update
 	queries  chan query
 	state    state
+	contacts contacts
 
 	mu        sync.Mutex // guards the fields below
 	point     repl.Point // of the replica
@@ -159,6 +160,7 @@
 		follower: repl.Follower{Self: instance, Started: clk.Now(), Jitter: rand.Float64()},
 	}
 	c.point.Revision = -1
+	c.contacts.tickedAt = clk.Now()
 	return c
 }
 
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -54,6 +54,7 @@
 			failedAt = c.Clock.Now()
 			if failures == 1 {
 				lostAt = failedAt
+				c.contacts.recordLoss(lostAt)
 				c.Log.Event(logs.StoreLost).Err(err).Msg("")
 			}
 			wait.For(ctx, retry.Backoff{Base: backoffBase, Max: maxBackoff}.Delay(failures, rand.Float64()))
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -111,6 +111,8 @@
 		return searchFailed, reason
 	case req.exchange.ResponseStarted() && req.deadline.Sub(req.Clock.Now()) < req.firstEventLatency():
 		return searchFailed, "no time left for another endpoint"
+	case !req.confirmBeginning(ctx):
+		return searchFailed, reasonUnknownVersion
 	case req.budget(req.service).Balance() < 1:
 		return searchFailed, reasonBudgetSpent
 	}
@@ -140,9 +142,12 @@
 		return searchFailed, reasonNoEndpoint
 	}
 	s := &successor{choice: c, assignment: a}
-	conn, err := req.Pool.Get(ctx, pool.KindRequest, c.Endpoint.ID, c.Endpoint.Addr, false)
+	conn, err := req.connect(ctx, c.Endpoint)
 	if err != nil {
-		req.Balancer.MarkUnreachable(c.Endpoint)
+		if errors.Is(err, pool.ErrUnreachable) {
+			req.recordUnreached(ctx, c.Endpoint, err)
+			req.Balancer.MarkUnreachable(c.Endpoint)
+		}
 		req.abandon(s)
 		return searchFailed, err.Error()
 	}
