--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -134,11 +134,13 @@
 	c.Retention = func() time.Duration { return cmp.Or(live.Get().History, defaultHistory) }
 	c.Limits = func() ctrl.Limits {
 		r := live.Get().Removal
-		return ctrl.Limits{Drain: cmp.Or(r.Drain, defaultDrain), Stable: cmp.Or(r.Stable, defaultStable), Return: cmp.Or(r.Return, defaultReturn)}
+		return ctrl.Limits{Drain: cmp.Or(millis(r.DrainMs), defaultDrain), Stable: cmp.Or(millis(r.StableMs), defaultStable), Return: cmp.Or(r.Return, defaultReturn)}
 	}
 	return c
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // weight returns the weight of this relay among those that own shared work.
 func weight(c sets.Capacity) float64 {
 	cores, share, link := c.Cores, c.CPUShare, c.LinkMbps
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -37,9 +37,9 @@
 
 // Removal bounds how soon the removal of an endpoint from the store takes effect.
 type Removal struct {
-	Drain  time.Duration `yaml:"drain,omitempty" validate:"min=0"`  // requests may reach an endpoint for this long after a stable store has confirmed that it is gone; 0: 2s
-	Stable time.Duration `yaml:"stable,omitempty" validate:"min=0"` // the store counts as stable this long after the end of an outage; 0: 3s
-	Return time.Duration `yaml:"return,omitempty" validate:"min=0"` // entries of live endpoints that lapsed in an outage are back this long after its end; 0: 2s
+	DrainMs  float64       `yaml:"drain_ms,omitempty" validate:"min=0"`  // requests may reach an endpoint for this long, in ms, after a stable store has confirmed that it is gone; 0: 2000
+	StableMs float64       `yaml:"stable_ms,omitempty" validate:"min=0"` // the store counts as stable this long, in ms, after the end of an outage; 0: 3000
+	Return   time.Duration `yaml:"return,omitempty" validate:"min=0"`    // entries of live endpoints that lapsed in an outage are back this long after its end; 0: 2s
 }
 
 // Capacity describes the machine of the instance. Relays with more of it own more of
