--- a/fakes/site/caller.go
+++ b/fakes/site/caller.go
@@ -71,6 +71,17 @@
 	return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Server-Stamp: s\r\n"
 }
 
+// RefusalHead returns the head of a response with a status that says that the endpoint didn't
+// run the request, to an attempt; without an ID if it is empty. The empty line that ends the
+// headers is missing.
+func RefusalHead(status, id string) string {
+	head := "HTTP/1.1 " + status + "\r\nX-Not-Executed: 1\r\n"
+	if id != "" {
+		head += "X-Attempt-Id: " + id + "\r\n"
+	}
+	return head
+}
+
 // NotRunResponse is a response that says that the endpoint didn't run the request, without
 // an attempt ID.
 const NotRunResponse = "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
--- a/relay/pool/copy_test.go
+++ b/relay/pool/copy_test.go
@@ -18,10 +18,10 @@
 // the next request count as not run and be run again elsewhere. It also guards against
 // connections that are given up without need.
 func TestKeptConnections(t *testing.T) {
-	const notRun = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
-	const empty = "Content-Length: 0\r\n\r\n"
+	const full, empty = "503 Service Unavailable", "Content-Length: 0\r\n\r\n"
+	notRun := site.RefusalHead(full, "")
 	sound := site.ResponseHead("r1") + empty
-	interim := "HTTP/1.1 103 Early Hints\r\nX-Not-Executed: 1\r\n\r\n"
+	interim := site.RefusalHead("103 Early Hints", "") + "\r\n"
 	for name, tc := range map[string]struct {
 		raw      string
 		notRun   bool // the response says so
@@ -31,12 +31,12 @@
 		"response":                     {raw: sound, kept: true},
 		"interim response first":       {raw: interim + sound, kept: true},
 		"not run":                      {raw: site.NotRunResponse, notRun: true},
-		"not run with ID":              {raw: notRun + "X-Attempt-Id: r1\r\n" + empty, notRun: true},
+		"not run with ID":              {raw: site.RefusalHead(full, "r1") + empty, notRun: true},
 		"not run after interim":        {raw: interim + notRun + empty, notRun: true},
-		"not run after that of others": {raw: notRun + "X-Attempt-Id: r2\r\n" + empty + notRun + empty, notRun: true},
+		"not run after that of others": {raw: site.RefusalHead(full, "r2") + empty + notRun + empty, notRun: true},
 		"misdirected":                  {raw: "HTTP/1.1 421 Misdirected Request\r\n" + empty, notRun: true},
-		"inputs missing":               {raw: "HTTP/1.1 409 Conflict\r\nX-Not-Executed: 1\r\n" + empty, notRun: true},
-		"not run at another's request": {raw: notRun + "X-Attempt-Id: r2\r\n" + empty + sound},
+		"inputs missing":               {raw: site.RefusalHead("409 Conflict", "") + empty, notRun: true},
+		"not run at another's request": {raw: site.RefusalHead(full, "r2") + empty + sound},
 		"response to another first":    {raw: site.ResponseHead("r2") + empty + sound},
 		"copy at once":                 {raw: sound + sound},
 		"more bytes at once":           {raw: sound + "x"},
