relay: a panic in the handler of one request doesn't end the others

What callers saw: nothing yet; every request in flight at the relay would have ended without an answer, as the process ended. Cause: nothing recovered a panic of front.Server.Handle. Change: front recovers it, logs handler_panicked with the stack, answers 502 unless the response has begun, and closes the connection. forward gives back the endpoint that the attempt had acquired, which would count as busy for good. Evidence: TestPanicEndsOneRequest ended the test process before the change, TestPanicReleasesEndpoint left a load; both pass under the race detector. Mutants panic-answered and panic-releases fail them. Goroutines of stage calls, links and the store's reader are not covered.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"wigeonplank.example/core/fleet"
+	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 )
 
@@ -34,6 +36,7 @@
 	lingerTimeout         = 500 * time.Millisecond // to discard input after the last response
 	drainPeriod           = 200 * time.Millisecond // at a stop, for connections and requests that callers have sent already
 	handlerEndTimeout     = 200 * time.Millisecond // for handlers to return once a stop is out of time
+	maxStackBytes         = 4 << 10                // of a logged stack trace
 	answerPeriod          = 100 * time.Millisecond // part of handlerEndTimeout in which they may still respond
 )
 
@@ -278,7 +281,7 @@
 		}
 		next <- peekResult{err: err}
 	}()
-	s.Handle(x)
+	s.handle(x)
 	if !x.complete || x.close {
 		_ = c.Close() // ends the goroutine that reads from it
 		<-next
@@ -287,6 +290,25 @@
 	return true
 }
 
+// handle calls Handle. A panic ends the request, and its connection after the response, but not
+// the process with all other requests.
+func (s *Server) handle(x *Exchange) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		stack := debug.Stack()
+		s.Log.Failure(logs.HandlerPanicked).Str("request", plat.AttemptID(&x.Header)).Str("error", fmt.Sprint(v)).
+			Str("stack", string(stack[:min(len(stack), maxStackBytes)])).Msg("")
+		x.close = true
+		if !x.started {
+			x.Reject(fasthttp.StatusBadGateway, 0) // an endpoint may have run it
+		}
+	}()
+	s.Handle(x)
+}
+
 // lingeringClose closes the write side of a TCP connection, then discards input
 // until the caller closes its side or lingerTimeout has passed. Closing with
 // unread input would reset the connection, and the caller might lose the response.
--- a/relay/front/front_test.go
+++ b/relay/front/front_test.go
@@ -312,3 +312,43 @@
 		t.Errorf("limit lowered again: %.60q", got)
 	}
 }
+
+// TestPanicEndsOneRequest guards against a request whose handling panics and that ends the
+// process with the requests of all other callers.
+func TestPanicEndsOneRequest(t *testing.T) {
+	began, proceed := make(chan struct{}), make(chan struct{})
+	var h fasthttp.ResponseHeader
+	h.SetStatusCode(fasthttp.StatusOK)
+	srv, addr, open := startServer(t, func(x *front.Exchange) {
+		switch string(x.Header.RequestURI()) {
+		case "/other":
+			close(began)
+			<-proceed
+			x.Respond(&h, []byte("ok"))
+			return
+		case "/stream":
+			if err := x.BeginStream(&h, []byte("a")); err != nil {
+				t.Error(err)
+			}
+		}
+		panic("handler of " + string(x.Header.RequestURI()))
+	})
+	close(open)
+	_, other := dial(t, addr, "GET /other HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	for uri, want := range map[string]string{"/unary": "HTTP/1.1 502 Bad Gateway", "/stream": "HTTP/1.1 200 OK"} {
+		_, r := dial(t, addr, "GET "+uri+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		got, err := io.ReadAll(r)
+		if err != nil || !strings.HasPrefix(string(got), want) || strings.Contains(string(got), "\r\n0\r\n") {
+			t.Errorf("%s: got %q, error %v, want %s on a connection that ends", uri, got, err, want)
+		}
+	}
+	close(proceed)
+	if got := readAnswer(other); !strings.Contains(got, "200 OK") {
+		t.Errorf("the other caller got %q", got)
+	}
+	<-stopAccepting(srv, time.Second)
+	if n := srv.Active(); n != 0 {
+		t.Errorf("%d requests count as in flight", n)
+	}
+}
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -70,6 +70,7 @@
 	KnowledgeRejected = newEventType("knowledge_rejected", log.ErrorLevel, changeRate, "Knowledge that relays share could not be encoded, or that of another relay could not be decoded.", "kind", "from", "error")
 
 	RequestRejected = newEventType("request_rejected", log.InfoLevel, changeRate, "A caller sent an invalid HTTP request.", "caller", "status", "reason")
+	HandlerPanicked = newEventType("handler_panicked", log.ErrorLevel, changeRate, "The code that handles a request has panicked. This is the last line of the request, whose caller got 502 unless its response had begun.", "request", "error", "stack")
 	RequestDone     = newEventType("request_done", log.InfoLevel, requestRate, "A request has ended. This is the last line of a request.",
 		"request", "route", "service", "team", "version", "status", "outcome", "attempts", "took_ms", "left_ms", "retry_after_ms",
 		"first_event_ms", "longest_gap_ms", "resumes")
@@ -170,6 +171,7 @@
 	"slack_ms":         {"ms", "time until the stages must be done to meet the objective"},
 	"source":           {"", "relay that learned it from a response; empty: this one"},
 	"speed":            {"", "estimated speed of the endpoint, in multiples of the median of its service; 0: not selected by time"},
+	"stack":            {"", "stack trace, cut at 4 KB"},
 	"state":            {"", "ready or draining"},
 	"status":           {"", "HTTP status of the response; 0: the connection was closed"},
 	"store":            {"", "IP:port"},
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -125,6 +125,7 @@
 // makes one of them. lastEvent is the ID of the last event that the caller has; -1: none.
 func (req *request) forward(ctx context.Context, attempt func(c pick.Choice) (attemptEnd, string), lastEvent *int64) {
 	req.budget(req.service).Deposit()
+	defer req.releaseAcquired()
 	var next *successor
 	silent := "" // ID of the endpoint that the current attempt replaces
 	for {
@@ -132,6 +133,7 @@
 		if !ok {
 			return
 		}
+		req.acquired = c.Endpoint
 		req.tried[c.Endpoint.ID] = true
 		req.logAttemptStarted(c, *lastEvent)
 		end, reason := attempt(c)
@@ -162,6 +164,17 @@
 	}
 }
 
+// releaseAcquired ends an attempt that a panic has cut short, so that its endpoint and those that
+// were acquired to follow don't count as busy for good.
+func (req *request) releaseAcquired() {
+	if req.acquired == nil {
+		return
+	}
+	req.recordEnd(req.acquired, pick.ResultNone, attemptFailed, "panic")
+	req.endAssignment()
+	req.endSilence()
+}
+
 // assignable reports whether an engine of a service is chosen by prompts.
 func (req *request) assignable(svc *fleet.Service) bool {
 	p := req.Policy()
@@ -545,6 +558,7 @@
 // recordEnd reports the end of an attempt to the balancer, the metrics and the
 // log.
 func (req *request) recordEnd(e *fleet.Endpoint, r pick.Result, end attemptEnd, reason string) {
+	req.acquired = nil
 	req.Balancer.End(e, r)
 	req.Meters.RecordAttempt(req.service, string(end))
 	ev := req.Log.Event
--- /dev/null
+++ b/relay/proxy/panic_test.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/pick"
+	"wigeonplank.example/core/retry"
+	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/guard"
+	"wigeonplank.example/relay/logs"
+	"wigeonplank.example/relay/sets"
+	"wigeonplank.example/relay/stats"
+)
+
+// TestPanicReleasesEndpoint guards against an endpoint that counts as busy for good after the
+// code that handles a request at it has panicked.
+func TestPanicReleasesEndpoint(t *testing.T) {
+	e := &fleet.Endpoint{ID: "i-1", Service: "s", Zone: "z", Slots: 1, State: fleet.StateReady}
+	cfg, err := fleet.NewConfig(1, 1, fleet.Limits{}, fleet.Parts{Services: []*fleet.Service{{Name: "s"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := fleet.View{}.WithConfig(cfg).WithChange(fleet.Change{Put: []*fleet.Endpoint{e}})
+	f := &Forwarder{
+		View: func() *fleet.View { return &v }, Balancer: &Balancer{Clock: clock.System{}}, Guard: &guard.Guard{}, Clock: clock.System{},
+		Log: logs.New(io.Discard, clock.System{}, "a"), Meters: &stats.Meters{Registry: metrics.NewRegistry()},
+		NewBudget: func() *retry.Budget { return &retry.Budget{} }, Policy: func() sets.Policy { return sets.Policy{} },
+	}
+	req := &request{
+		Forwarder: f, exchange: &front.Exchange{}, route: &fleet.Route{}, service: "s", config: cfg, tried: make(map[string]bool),
+		deadline: time.Now().Add(time.Minute),
+	}
+	func() {
+		defer func() { _ = recover() }() // the panic below
+		noEvent := int64(-1)
+		req.forward(context.Background(), func(pick.Choice) (attemptEnd, string) {
+			if f.Balancer.Load(e) == 0 {
+				t.Error("the endpoint doesn't count as busy in an attempt")
+			}
+			panic("attempt")
+		}, &noEvent)
+	}()
+	if load := f.Balancer.Load(e); load != 0 {
+		t.Errorf("load %v is left", load)
+	}
+}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -108,6 +108,7 @@
 	attempts       int                // number of attempts in which an endpoint may have run the request
 	tried          map[string]bool    // IDs of endpoints that are not tried again
 	attemptAt      time.Time          // start of the current attempt
+	acquired       *fleet.Endpoint    // of the current attempt; nil: it has ended
 	firstEventAt   time.Time          // first event of the current attempt; zero: none yet
 	events         int                // of the current attempt
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
