relay/front: a request that arrives whole too late in a stop is rejected

Cause: whether a request still belongs to the time in which a stop takes requests was decided by its first byte. Change: the moment counts at which the request has arrived whole. Requests that are still arriving when the stop takes no more get 503 at once, instead of being read on. request_rejected and request_done say how long reading took (read_ms), which tells such requests from those that were read in time and last too long.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -53,8 +53,9 @@
 
 	ln       net.Listener
 	mu       sync.Mutex
-	conns    map[net.Conn]context.CancelCauseFunc // open connections; cancels the request in flight, nil: none
+	conns    map[net.Conn]context.CancelCauseFunc // open connections; cancels the request in flight, nil: none was received
 	drainEnd time.Time                            // from then on no request is taken; zero: Stop has not got that far
+	stopEnd  time.Time                            // when Stop cancels requests in flight; zero: it wasn't called, or its context has no deadline
 	stopping atomic.Bool
 	active   atomic.Int64
 	wg       sync.WaitGroup // Serve and connections
@@ -101,12 +102,15 @@
 // Stop shuts the server down. It continues to accept requests until accept is
 // done, so that the load balancer can notice that the relay isn't ready. Requests
 // that callers have sent by then are still served, also those on connections that
-// were not accepted yet. Then it closes the listener and idle connections, and
-// waits for requests in flight. When ctx is done, it cancels them, and closes their
-// connections after answerPeriod, in which handlers respond to callers that have no
-// response yet. It blocks until all connections are closed, and no longer than
-// handlerEndTimeout after ctx is done.
+// were not accepted yet; those that have not arrived whole are rejected. Then it closes
+// the listener and idle connections, and waits for requests in flight. When ctx is done,
+// it cancels them, and closes their connections after answerPeriod, in which handlers
+// respond to callers that have no response yet. It blocks until all connections are
+// closed, and no longer than handlerEndTimeout after ctx is done.
 func (s *Server) Stop(ctx, accept context.Context) {
+	s.mu.Lock()
+	s.stopEnd, _ = ctx.Deadline()
+	s.mu.Unlock()
 	s.stopping.Store(true)
 	<-accept.Done()
 	s.drain()
@@ -145,8 +149,8 @@
 	}
 }
 
-// drain ends the listener and idle connections after drainPeriod. Closing them at
-// once would reset those on which a request has arrived that was not read yet.
+// drain ends the listener, idle connections and the reading of requests after drainPeriod.
+// Closing them at once would reset those on which a request has arrived that was not read yet.
 func (s *Server) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,14 +168,16 @@
 	}
 }
 
-// drainedBy reports whether a request that begins at t comes too late to be served before
-// the server stops. It can still come on a connection whose last response had begun before.
-func (s *Server) drainedBy(t time.Time) bool {
+// isDrained reports whether requests are no longer taken, as the server stops.
+func (s *Server) isDrained() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.drainEnd.IsZero() && t.After(s.drainEnd)
+	return s.drainEndPassed()
 }
 
+// drainEndPassed is isDrained for callers that hold s.mu.
+func (s *Server) drainEndPassed() bool { return !s.drainEnd.IsZero() && time.Now().After(s.drainEnd) }
+
 // limits returns the current limits, with defaults for those that aren't set.
 func (s *Server) limits() fleet.Limits {
 	l := s.Limits()
@@ -193,20 +199,35 @@
 // setIdle records that no request is in flight on a connection, and sets the time
 // by which the next one must begin.
 func (s *Server) setIdle(c net.Conn, timeout time.Duration) {
+	s.mu.Lock()
+	s.conns[c] = nil
+	s.mu.Unlock()
+	s.limitRead(c, timeout)
+}
+
+// limitRead sets the time by which what is read next from a connection must arrive. It is
+// drainPeriod at most once requests are no longer taken.
+func (s *Server) limitRead(c net.Conn, timeout time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.drainEnd.IsZero() {
 		timeout = min(timeout, drainPeriod)
 	}
-	s.conns[c] = nil
 	_ = c.SetReadDeadline(time.Now().Add(timeout)) // fails only on a closed connection
 }
 
-// setBusy records that a request is in flight on a connection, which cancel ends.
-func (s *Server) setBusy(c net.Conn, cancel context.CancelCauseFunc) {
+// beginRequest records that a request was received on a connection, which cancel ends. It
+// returns false if the request is not taken: it has arrived so late in a stop that the rest of
+// the time may not be enough for it.
+func (s *Server) beginRequest(c net.Conn, cancel context.CancelCauseFunc) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.drainEndPassed() {
+		return false
+	}
 	s.conns[c] = cancel
+	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	return true
 }
 
 // removeConn closes a connection and removes it from the open connections.
@@ -233,7 +254,6 @@
 		limits = s.limits()
 		br = bufio.NewReaderSize(br, limits.HeaderBytes) // br itself if it is large enough
 		ctx, cancel := context.WithCancelCause(context.Background())
-		s.setBusy(c, cancel)
 		s.active.Add(1)
 		keepAlive := s.serveRequest(ctx, cancel, c, br, limits, next)
 		s.active.Add(-1)
@@ -253,25 +273,25 @@
 	ctx context.Context, cancel context.CancelCauseFunc, c net.Conn, br *bufio.Reader, limits fleet.Limits, next chan peekResult,
 ) bool {
 	x := &Exchange{Context: ctx, StartedAt: time.Now(), conn: c, server: s}
-	_ = c.SetReadDeadline(x.StartedAt.Add(limits.HeaderTimeout)) // fails only on a closed connection
-	if reqErr := x.readRequest(c, br, limits); reqErr != nil {
+	s.limitRead(c, limits.HeaderTimeout)
+	reqErr := x.readRequest(c, br, limits)
+	x.ReceivedAt = time.Now()
+	switch {
+	case reqErr == nil && !s.beginRequest(c, cancel):
+		reqErr = errStopping
+	case reqErr != nil && reqErr.Status == fasthttp.StatusRequestTimeout && s.isDrained():
+		reqErr = errStopping // its time was cut short
+	}
+	if reqErr != nil {
 		if reqErr.Status != 0 {
 			s.Log.Failure(logs.RequestRejected).Str("caller", c.RemoteAddr().String()).
-				Int("status", reqErr.Status).Str("reason", reqErr.Reason).Msg("")
+				Int("status", reqErr.Status).Str("reason", reqErr.Reason).Dur("read_ms", x.ReceivedAt.Sub(x.StartedAt)).Msg("")
 			x.close = true
 			x.Reject(reqErr.Status, 0)
 			lingeringClose(c)
 		}
 		return false
 	}
-	if s.drainedBy(x.StartedAt) {
-		// The rest of the time for the stop may not be enough for it.
-		x.close = true
-		x.Reject(fasthttp.StatusServiceUnavailable, 0)
-		lingeringClose(c)
-		return false
-	}
-	_ = c.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	go func() {
 		// Peek returns when the caller sends its next request or disconnects. In
 		// the second case it returns an error, and the request is cancelled.
@@ -333,6 +353,8 @@
 	StartedAt time.Time       // when the first byte of the request was available
 	Header    fasthttp.RequestHeader
 	Body      []byte
+	// ReceivedAt is when the whole request had arrived.
+	ReceivedAt time.Time
 
 	conn     net.Conn
 	server   *Server
@@ -356,6 +378,18 @@
 	return x.Context != nil && errors.Is(context.Cause(x.Context), ErrStopped)
 }
 
+// MustEndBy returns the time at which a request is cancelled that is still in flight, and false
+// unless the server is stopping.
+func (x *Exchange) MustEndBy() (time.Time, bool) {
+	s := x.server
+	if s == nil || !s.Stopping() {
+		return time.Time{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopEnd, !s.stopEnd.IsZero()
+}
+
 // CallerLeft reports whether the caller has disconnected, also if that was not
 // noticed yet: the connection may have been closed before the request was read.
 func (x *Exchange) CallerLeft() bool {
--- a/relay/front/parse.go
+++ b/relay/front/parse.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"strings"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -28,6 +27,8 @@
 	return &RequestError{Status: fasthttp.StatusBadRequest, Reason: fmt.Sprintf(format, args...)}
 }
 
+var errStopping = &RequestError{Status: fasthttp.StatusServiceUnavailable, Reason: "stopping: the request has not arrived in time"}
+
 var errHeadTooLarge = &RequestError{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: "header is too large"}
 
 // headBytes returns the size of a request's head, apart from the empty line at its end.
@@ -51,7 +52,7 @@
 	if x.Header.ContentLength() > limits.BodyBytes {
 		return &RequestError{Status: fasthttp.StatusRequestEntityTooLarge, Reason: "body is too large"}
 	}
-	_ = c.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
+	x.server.limitRead(c, bodyTimeout)
 	if strings.EqualFold(string(x.Header.Peek("Expect")), "100-continue") {
 		if _, err := c.Write(continueLine); err != nil {
 			return &RequestError{Reason: err.Error()}
--- a/relay/front/stop_test.go
+++ b/relay/front/stop_test.go
@@ -200,3 +200,38 @@
 	}
 	<-stopped
 }
+
+// TestStopRejectsSlowRequests guards against a request that has begun to arrive before a stop
+// takes no more, is taken once its last byte has come, and is cut off at the end of the stop.
+func TestStopRejectsSlowRequests(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"length": {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd"},
+		"chunks": {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab", "cd\r\n0\r\n\r\n"},
+		"head":   {"POST /a HTTP/1.1\r\nHost: h\r\nContent-", "Length: 4\r\n\r\nabcd"},
+	} {
+		for when, rest := range map[string]string{"comes late": parts[1], "never comes": ""} {
+			t.Run(name+", rest "+when, func(t *testing.T) {
+				var rec recorder
+				srv, addr, open := startServer(t, rec.handle)
+				close(open)
+				c, r := dial(t, addr, parts[0])
+				for srv.Active() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				stopped := stopAccepting(srv, 5*time.Second)
+				if rest != "" {
+					time.Sleep(300 * time.Millisecond) // longer than what callers have sent already is waited for
+					send(t, c, rest)
+				}
+				var resp fasthttp.Response
+				if err := resp.Read(r); err != nil || resp.StatusCode() != fasthttp.StatusServiceUnavailable || !resp.ConnectionClose() {
+					t.Errorf("response: %v, %d", err, resp.StatusCode())
+				}
+				if served := rec.all(); len(served) > 0 {
+					t.Errorf("served %q", served)
+				}
+				<-stopped
+			})
+		}
+	}
+}
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -69,11 +69,11 @@
 	QuarantineEnded   = newEventType("quarantine_ended", log.InfoLevel, changeRate, "Requests with a subject are sent to endpoints again, as one came to a good end, or none crashed an endpoint for long.", "subject")
 	KnowledgeRejected = newEventType("knowledge_rejected", log.ErrorLevel, changeRate, "Knowledge that relays share could not be encoded, or that of another relay could not be decoded.", "kind", "from", "error")
 
-	RequestRejected = newEventType("request_rejected", log.InfoLevel, changeRate, "A caller sent an invalid HTTP request.", "caller", "status", "reason")
+	RequestRejected = newEventType("request_rejected", log.InfoLevel, changeRate, "A caller sent an invalid HTTP request.", "caller", "status", "reason", "read_ms")
 	HandlerPanicked = newEventType("handler_panicked", log.ErrorLevel, changeRate, "The code that handles a request has panicked. This is the last line of the request, whose caller got 502 unless its response had begun.", "request", "error", "stack")
 	RequestDone     = newEventType("request_done", log.InfoLevel, requestRate, "A request has ended. This is the last line of a request.",
 		"request", "route", "service", "team", "version", "status", "outcome", "attempts", "took_ms", "left_ms", "retry_after_ms",
-		"first_event_ms", "longest_gap_ms", "resumes")
+		"first_event_ms", "longest_gap_ms", "resumes", "read_ms")
 	StagesEstimated = newEventType("stages_estimated", log.InfoLevel, requestRate, "The time until a request's stages are done was estimated, with the current queues and with empty ones. The request is rejected if it, or more urgent ones that use the same stage services, can't meet their objectives because of the queues.",
 		"request", "now_ms", "idle_ms", "slack_ms", "expected_ms", "limit_ms", "limited_by", "decided_by", "admitted")
 	StagesDone     = newEventType("stages_done", log.InfoLevel, requestRate, "The stages of a request have returned all results or have failed.", "request", "took_ms", "results", "error")
@@ -151,6 +151,7 @@
 	"predicted_ms":     {"ms", "predicted time to the end of the answer, or to the first event at an engine chosen by prompts; 0: not predicted"},
 	"rate_limit":       {"requests/s", "requests that the endpoint takes from all relays together"},
 	"prompt_tokens":    {"tokens", "size of the prompt"},
+	"read_ms":          {"ms", "time from the first byte of the request to its last; in request_done left out below 1 ms"},
 	"reason":           {"", "reason, as text"},
 	"request":          {"", "ID of the caller's attempt"},
 	"requests":         {"", "IDs of the callers' attempts"},
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -190,6 +190,9 @@
 	if req.retryAfter > 0 {
 		line.Dur("retry_after_ms", req.retryAfter)
 	}
+	if d := req.exchange.ReceivedAt.Sub(req.startedAt); d >= time.Millisecond {
+		line.Dur("read_ms", d)
+	}
 	if req.firstEventIn > 0 {
 		line.Dur("first_event_ms", req.firstEventIn).Dur("longest_gap_ms", req.longestGap)
 	}
