relay: a stopping relay rejects at once what will outlast its stop

What callers saw: requests taken in the first seconds of a planned stop that usually take longer than the rest of it were passed on, and cut off at its end; their callers could have had a whole answer from another relay. Cause: a stopping relay took every request that came in time, without looking at how long such requests take. Change: core/share keeps how long the requests of a route took in the last minute.

--- a/core/share/history.go
+++ b/core/share/history.go
@@ -17,10 +17,11 @@
 	// is late has taken capacity from others, while a rejected one may come back.
 	risingQuantile = 0.8
 	tailWindow     = 10 * time.Second
-	minTailSamples = 5   // below this, the fallback is used
+	minSamples     = 5   // below this, nothing is concluded from times
 	maxTailShare   = 0.5 // of the objective, so that slow engines alone don't reject all requests
 	itemsWeight    = 0.1 // of the newest request in the mean numbers of items
 	windowSize     = 64
+	durationWindow = time.Minute
 )
 
 // Quantiles of the time from the end of the stages to the first event.
@@ -74,6 +75,7 @@
 	delays window[float64]       // actual delays by queued items, in multiples of the estimated ones
 	tails  window[time.Duration] // times from the end of the stages to the first event
 	items  []float64             // mean numbers of items, by stage
+	whole  window[time.Duration] // times from the beginning of a request to the end of its response
 }
 
 // RecordItems records the numbers of items of a request, by stage.
@@ -148,8 +150,28 @@
 	h.mu.Lock()
 	tails := h.tails.since(now.Add(-tailWindow), make([]time.Duration, 0, windowSize))
 	h.mu.Unlock()
-	if len(tails) < minTailSamples {
+	if len(tails) < minSamples {
 		return fallback
 	}
 	return min(quantile(tails, q), time.Duration(maxTailShare*float64(objective)))
 }
+
+// RecordDuration records the time from the beginning of a request to the end of its complete
+// response.
+func (h *History) RecordDuration(now time.Time, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.whole.add(now, d)
+}
+
+// Duration returns the quantile q of the recent times from the beginning of a request to the
+// end of its response, and false if there are too few of them.
+func (h *History) Duration(now time.Time, q float64) (time.Duration, bool) {
+	h.mu.Lock()
+	durations := h.whole.since(now.Add(-durationWindow), make([]time.Duration, 0, windowSize))
+	h.mu.Unlock()
+	if len(durations) < minSamples {
+		return 0, false
+	}
+	return quantile(durations, q), true
+}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -155,6 +155,7 @@
 		}
 	}
 	req.recordDone()
+	req.recordDuration()
 	if !x.ResponseStarted() {
 		req.answerCancelled() // the caller may have closed only its sending side
 	}
@@ -239,6 +240,9 @@
 		return
 	}
 	req.setDeadline()
+	if req.rejectOutlasting() {
+		return
+	}
 	req.suspects = req.findSuspects()
 	if !req.passGuard() {
 		return
