core/event, relay/front: no other response becomes a part of a stream

Cause: in a response without framing, a line that is no field of an event, such as a status line, was forwarded as part of one. Besides, Exchange.Respond would have written a second head into a stream that has begun; each of its callers had to know that. Change: such a line ends the attempt, so that the stream goes on elsewhere or breaks off. Respond writes nothing once a response has started, and closes the connection. No way to the second one is known in the relay, whose callers all look first.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 )
 
@@ -17,6 +18,10 @@
 // ErrTooLarge is returned for an event that is larger than MaxBytes.
 var ErrTooLarge = errors.New("event is too large")
 
+// ErrMalformed is returned for a line that is neither a field of an event nor a comment, such as
+// the status line of another response.
+var ErrMalformed = errors.New("line is no field of an event")
+
 // OrderError reports an event whose ID doesn't follow that of the previous one.
 type OrderError struct {
 	Last, Got int64
@@ -53,6 +58,9 @@
 		if len(line) == 0 {
 			return r.finish(id)
 		}
+		if !isField(line) {
+			return nil, 0, ErrMalformed
+		}
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
 			if err != nil {
@@ -111,3 +119,20 @@
 	}
 	return true
 }
+
+// isField reports whether a line that isn't empty is a field or a comment. Of the lines without
+// a colon, only the names that the format of event streams defines are fields.
+func isField(line []byte) bool {
+	name, _, ok := bytes.Cut(line, []byte{':'})
+	if !ok {
+		return slices.Contains(fieldNames, string(name))
+	}
+	for _, b := range name {
+		if !(b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '-' || b == '_') {
+			return false
+		}
+	}
+	return true
+}
+
+var fieldNames = []string{"data", "event", "id", "retry"}
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -45,6 +45,9 @@
 		"":                            io.EOF,
 		"id: 0\ndata: a\n":            io.ErrUnexpectedEOF,
 		"id: 0\ndata: a\n\nid: 1\nda": io.ErrUnexpectedEOF,
+		"id: 0\nretry\nweight-versions: 3\n: c\n\n":  io.EOF,
+		"id: 0\ndata: a\n\nHTTP/1.1 500 x: y\n\n":    event.ErrMalformed,
+		"id: 0\ndata: a\n\nfailed\n\n":               event.ErrMalformed,
 		strings.Repeat(":", event.MaxBytes+1) + "\n": event.ErrTooLarge,
 	} {
 		r := event.Reader{R: bufio.NewReader(strings.NewReader(text)), LastID: -1}
--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -37,6 +37,8 @@
 	FaultHang      Fault = "mute"     // executes the request and never responds
 	FaultEndless   Fault = "endless"  // executes the request and sends a body until the caller closes the connection
 	FaultPause     Fault = "pause"    // is silent for pauseTime, in the middle of what is left of a stream, then goes on
+	FaultNoEvents  Fault = "empty"    // executes the request and ends the connection after the head of an event stream without framing
+	FaultInline    Fault = "inline"   // writes the response of a failure into an event stream without framing, after half of the events
 	FaultLateCopy  Fault = "copy"     // sends the response again where the next one on its connection is expected; no effect on event streams
 )
 
@@ -436,6 +438,10 @@
 	}
 	ctx.SetStatusCode(status)
 	if e.Kind == KindEngine && status == fasthttp.StatusOK {
+		if fault == FaultNoEvents || fault == FaultInline {
+			e.sendRaw(ctx, e.unframedStream(ctx, id, fault))
+			return
+		}
 		e.stream(ctx, fault)
 		return
 	}
--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -9,12 +9,32 @@
 	"github.com/valyala/fasthttp"
 )
 
-// stream sends the events after the one that Last-Event-Id names, or all events.
-func (e *Endpoint) stream(ctx *fasthttp.RequestCtx, fault Fault) {
-	from := 0
+// firstEvent returns the ID of the first event to send: the one after that which Last-Event-Id
+// names.
+func firstEvent(ctx *fasthttp.RequestCtx) int {
 	if n, err := strconv.Atoi(string(ctx.Request.Header.Peek("Last-Event-Id"))); err == nil {
-		from = n + 1
+		return n + 1
+	}
+	return 0
+}
+
+// unframedStream returns a response without a length and chunks that FaultNoEvents or
+// FaultInline breaks off.
+func (e *Endpoint) unframedStream(ctx *fasthttp.RequestCtx, id string, fault Fault) string {
+	raw := ResponseHead(id) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	if fault == FaultNoEvents {
+		return raw
 	}
+	from := firstEvent(ctx)
+	for i := from; i < (from+e.EventCount)/2; i++ {
+		raw += formatEvent(string(ctx.RequestURI()), i, e.Version)
+	}
+	return raw + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed"
+}
+
+// stream sends the events from firstEvent on.
+func (e *Endpoint) stream(ctx *fasthttp.RequestCtx, fault Fault) {
+	from := firstEvent(ctx)
 	uri := string(ctx.RequestURI())
 	conn := ctx.Conn()
 	ctx.SetContentType("text/event-stream")
--- a/relay/front/answer.go
+++ b/relay/front/answer.go
@@ -20,8 +20,13 @@
 }
 
 // Respond writes a whole response. It returns no error if the write fails, as
-// the caller has then disconnected; the connection is closed after Handle.
+// the caller has then disconnected; the connection is closed after Handle. If a response
+// has started, Respond writes nothing, and the caller sees that it is incomplete.
 func (x *Exchange) Respond(h *fasthttp.ResponseHeader, body []byte) {
+	if x.started {
+		x.close = true
+		return
+	}
 	x.status = h.StatusCode()
 	h.SetContentLength(len(body))
 	x.out = x.appendHeader(x.out[:0], h)
--- a/relay/front/front_test.go
+++ b/relay/front/front_test.go
@@ -352,3 +352,25 @@
 		t.Errorf("%d requests count as in flight", n)
 	}
 }
+
+// TestOneResponseHead guards against a refusal that becomes a part of a stream which has begun.
+func TestOneResponseHead(t *testing.T) {
+	srv, addr, open := startServer(t, func(x *front.Exchange) {
+		var h fasthttp.ResponseHeader
+		h.SetStatusCode(fasthttp.StatusOK)
+		if err := x.BeginStream(&h, []byte("data: 1\n\n")); err != nil {
+			t.Error(err)
+		}
+		x.Reject(fasthttp.StatusServiceUnavailable, time.Second)
+		if x.Complete() {
+			t.Error("the stream counts as complete")
+		}
+	})
+	close(open)
+	_, r := dial(t, addr, plainRequest)
+	got, err := io.ReadAll(r)
+	if err != nil || strings.Count(string(got), "HTTP/1.1 ") != 1 || !strings.HasSuffix(string(got), "data: 1\n\n\r\n") {
+		t.Errorf("got %q, error %v, want one head and no last chunk", got, err)
+	}
+	<-stopAccepting(srv, time.Second)
+}
