relay: a response without framing that ends before any event is no end of a stream

Cause: a response with neither a length nor chunks ends with its connection. An endpoint that ended after the head, before any event, was taken for the regular end of the whole stream, also of one that had begun elsewhere. Change: such an end counts as broken off. With a length or chunks, a stream without further events still ends regularly. Evidence: TestDeploy/stream_errors got status 200 with an empty body before.

--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -149,6 +149,10 @@
 // up. It holds until the end of the call.
 func (c *Call) OnOverdue(overdue func() (time.Time, bool)) { c.Conn.overdue = overdue }
 
+// IsFramed reports whether the response says where its body ends. Otherwise it ends with its
+// connection, whether it is whole or not.
+func (c *Call) IsFramed() bool { return c.chunked || c.Header.ContentLength() >= 0 }
+
 // openBody prepares reading the body of the response whose header was read last.
 func (c *Call) openBody() {
 	c.complete, c.chunked = false, false
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -194,7 +194,7 @@
 			req.recordVersion(e, call.Conn)
 			first = false
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && (req.events > 0 || call.IsFramed()) {
 			return req.endStream(e, call)
 		}
 		if err != nil {
