--- a/core/event/event.go
+++ b/core/event/event.go
@@ -10,6 +10,7 @@
 	"io"
 	"slices"
 	"strconv"
+	"unicode"
 )
 
 // MaxBytes is the maximum size of one event.
@@ -127,12 +128,9 @@
 	if !ok {
 		return slices.Contains(fieldNames, string(name))
 	}
-	for _, b := range name {
-		if !(b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '-' || b == '_') {
-			return false
-		}
-	}
-	return true
+	return bytes.IndexFunc(name, func(r rune) bool {
+		return r != '-' && r != '_' && (r > unicode.MaxASCII || !unicode.IsLetter(r) && !unicode.IsDigit(r))
+	}) < 0
 }
 
 var fieldNames = []string{"data", "event", "id", "retry"}
