relay/pool: the head of a response without framing alone is no whole response

Cause: a response with neither a length nor chunks ends with its connection, so that one which ended right after its head passed as an empty body. Change: such a success without any byte of a body counts as broken off. Refusals, which tell by their head alone, and 204 are left as they are. Evidence: TestAnswers, case "header alone", failed before. TestTruncatedHeads: no proper prefix of five heads is accepted, before and after the change. A short body without framing is still passed on; nothing tells it apart.

--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -151,7 +151,9 @@
 
 // IsFramed reports whether the response says where its body ends. Otherwise it ends with its
 // connection, whether it is whole or not.
-func (c *Call) IsFramed() bool { return c.chunked || c.Header.ContentLength() >= 0 }
+func (c *Call) IsFramed() bool {
+	return c.chunked || c.Header.ContentLength() >= 0 || c.Response.Status == fasthttp.StatusNoContent
+}
 
 // openBody prepares reading the body of the response whose header was read last.
 func (c *Call) openBody() {
@@ -263,6 +265,9 @@
 			return nil, err
 		case size > maxResponseBytes:
 			return nil, fmt.Errorf("%w: larger than %d bytes", ErrResponse, maxResponseBytes)
+		case err != nil && size == 0 && !c.IsFramed() && c.Response.Status < fasthttp.StatusMultipleChoices:
+			// An endpoint that stopped after the head looks the same. A refusal is told by its head alone.
+			return nil, fmt.Errorf("%w: no body: %w", ErrResponse, io.ErrUnexpectedEOF)
 		case err != nil:
 			return joinChunks(full, size), nil
 		}
--- a/relay/pool/call_test.go
+++ b/relay/pool/call_test.go
@@ -45,6 +45,11 @@
 		"interim response first":         {"HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
 		"late response to another first": {other + "Content-Length: 3\r\n\r\nold" + ok + "Content-Length: 5\r\n\r\nhello", "hello", true},
 		"truncated header":               {ok[:20], "", false},
+		"header alone":                   {ok + "\r\n", "", false},
+		"no content":                     {strings.Replace(ok, "200", "204", 1) + "\r\n", "", true},
+		"header of a refusal alone":      {strings.Replace(ok, "200", "503", 1) + "X-Not-Executed: 1\r\n\r\n", "", true},
+		"interim response alone":         {"HTTP/1.1 100 Continue\r\n\r\n", "", false},
+		"truncated after an interim one": {"HTTP/1.1 100 Continue\r\n\r\n" + ok, "", false},
 		"truncated body":                 {ok + "Content-Length: 5\r\n\r\nhel", "", false},
 		"last chunk missing":             {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "", false},
 		"end of trailer missing":         {ok + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", "", false},
@@ -61,6 +66,24 @@
 	}
 }
 
+// TestTruncatedHeads guards against a response that counts as whole although its endpoint ended
+// within its header.
+func TestTruncatedHeads(t *testing.T) {
+	for _, raw := range []string{
+		site.ResponseHead("r1") + "Content-Length: 0\r\n\r\n",
+		site.ResponseHead("r1") + "Transfer-Encoding: chunked\r\n\r\n",
+		site.ResponseHead("r1") + "Connection: close\r\n\r\n",
+		strings.ReplaceAll(site.ResponseHead("r1")+"Content-Length: 0\r\n\r\n", "\r", ""),
+		"HTTP/1.1 100 Continue\r\n\r\n" + site.ResponseHead("r1") + "Content-Length: 0\r\n\r\n",
+	} {
+		for n := range len(raw) {
+			if body, err := receive(raw[:n]); err == nil {
+				t.Errorf("accepted body %q of %q", body, raw[:n])
+			}
+		}
+	}
+}
+
 // FuzzAnswers checks for arbitrary bytes from an endpoint that the body of an
 // accepted response was among them. It compares the first byte of the body.
 func FuzzAnswers(f *testing.F) {
