agent/engine: a response without framing is whole only if its content shows it

Cause: an endpoint's response with neither a length nor chunks ends with its connection. One that was cut off, or ended after its head, was taken for a whole result. Change: such a response is a result only if it is a JSON object, array or string, no part of which is one. Otherwise the job ends as failed, and may have run. Endpoints of agents that send other bodies must frame them.

--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -14,7 +14,10 @@
 	"wigeonplank.example/core/conf"
 )
 
-const maxResumes = 2 // maximum number of resumes of one token stream
+const (
+	maxResumes    = 2  // maximum number of resumes of one token stream
+	lengthUnknown = -2 // content length of a response that ends with its connection
+)
 
 // Call is a call to the endpoint.
 type Call struct {
@@ -101,16 +104,47 @@
 		return Outcome{Failure: err.Error(), NotStarted: true}
 	}
 	req.Header.Set("Request-Id", call.RequestID)
-	if err := c.unary.DoTimeout(req, resp, call.Timeout); err != nil {
+	if err := c.stream.DoTimeout(req, resp, call.Timeout); err != nil {
 		return Outcome{Failure: fmt.Sprintf("call endpoint: %v", err), NotStarted: errors.Is(err, fasthttp.ErrDialTimeout)}
 	}
+	defer func() { _ = resp.CloseBodyStream() }() // the connection isn't used again
 	if out, failed := checkStatus(call.Stage, resp.StatusCode()); failed {
 		return out
 	}
-	emit(resp.Body())
+	answer, err := readBody(resp)
+	if err != nil {
+		return Outcome{Failure: err.Error()}
+	}
+	emit(answer)
 	return Outcome{Units: 1}
 }
 
+// errNoFraming reports a response that may be incomplete.
+var errNoFraming = errors.New("answer has neither a length nor chunks, and may not be whole")
+
+// readBody reads the whole body of a response. One that ends with its connection, without a
+// length or chunks, may have been cut off, unless its content shows where it ends.
+func readBody(resp *fasthttp.Response) ([]byte, error) {
+	framed := resp.Header.ContentLength() != lengthUnknown
+	var body []byte
+	if r := resp.BodyStream(); r != nil {
+		var err error
+		if body, err = io.ReadAll(r); err != nil {
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
+	}
+	if !framed && !isDelimitedJSON(body) {
+		return nil, errNoFraming
+	}
+	return body, nil
+}
+
+// isDelimitedJSON reports whether b is an object, an array or a string, which no part of it is.
+func isDelimitedJSON(b []byte) bool {
+	b = bytes.TrimSpace(b)
+	return len(b) > 0 && bytes.IndexByte([]byte(`{["`), b[0]) >= 0 && json.Valid(b)
+}
+
 // checkStatus returns the outcome of a call that ended with an error status, and
 // whether the status is one. Only the protocol of model engines and pools
 // guarantees that 429 means "not started"; a plain service may respond with 429
