base/fetch: a document without framing is not the whole one

What operators would see: entries that serve by a part of a configuration, as the service that sends it stopped before its end. Cause: the same as in agent/engine: a response with neither a length nor chunks ends with its connection. A part of a YAML document may be a valid one, with the same revision. Change: such a response fails the read. base/body tells whether a response is framed, for agents and reads.

--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -11,13 +11,11 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/body"
 	"wigeonplank.example/core/conf"
 )
 
-const (
-	maxResumes    = 2  // maximum number of resumes of one token stream
-	lengthUnknown = -2 // content length of a response that ends with its connection
-)
+const maxResumes = 2 // maximum number of resumes of one token stream
 
 // Call is a call to the endpoint.
 type Call struct {
@@ -99,8 +97,8 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	path, body := unaryRequest(call.Stage, in)
-	if err := c.preparePost(req, path, body); err != nil {
+	path, content := unaryRequest(call.Stage, in)
+	if err := c.preparePost(req, path, content); err != nil {
 		return Outcome{Failure: err.Error(), NotStarted: true}
 	}
 	req.Header.Set("Request-Id", call.RequestID)
@@ -111,7 +109,7 @@
 	if out, failed := checkStatus(call.Stage, resp.StatusCode()); failed {
 		return out
 	}
-	answer, err := readBody(resp)
+	answer, err := readAnswer(resp)
 	if err != nil {
 		return Outcome{Failure: err.Error()}
 	}
@@ -122,21 +120,14 @@
 // errNoFraming reports a response that may be incomplete.
 var errNoFraming = errors.New("answer has neither a length nor chunks, and may not be whole")
 
-// readBody reads the whole body of a response. One that ends with its connection, without a
+// readAnswer reads the whole body of a response. One that ends with its connection, without a
 // length or chunks, may have been cut off, unless its content shows where it ends.
-func readBody(resp *fasthttp.Response) ([]byte, error) {
-	framed := resp.Header.ContentLength() != lengthUnknown
-	var body []byte
-	if r := resp.BodyStream(); r != nil {
-		var err error
-		if body, err = io.ReadAll(r); err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
-		}
-	}
-	if !framed && !isDelimitedJSON(body) {
-		return nil, errNoFraming
+func readAnswer(resp *fasthttp.Response) ([]byte, error) {
+	b, framed, err := body.Read(resp)
+	if err == nil && !framed && !isDelimitedJSON(b) {
+		err = errNoFraming
 	}
-	return body, nil
+	return b, err
 }
 
 // isDelimitedJSON reports whether b is an object, an array or a string, which no part of it is.
--- a/base/fetch/fetch.go
+++ b/base/fetch/fetch.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/body"
 	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/roster"
 )
@@ -95,9 +96,11 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI(url)
+	resp.StreamBody = true
 	if err := p.client.DoTimeout(req, resp, timeout); err != nil {
 		return nil, fmt.Errorf("read %s: %w", url, err)
 	}
+	defer func() { _ = resp.CloseBodyStream() }() // what is left unread doesn't matter
 	switch resp.StatusCode() {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusNoContent:
@@ -105,8 +108,14 @@
 	default:
 		return nil, &StatusError{URL: url, Status: resp.StatusCode()}
 	}
-	if n := len(resp.Body()); n > maxBytes {
-		return nil, fmt.Errorf("read %s: body of %d bytes exceeds the limit of %d", url, n, maxBytes)
+	b, framed, err := body.Read(resp)
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("read %s: %w", url, err)
+	case !framed: // a part of a document may be a valid one
+		return nil, fmt.Errorf("read %s: body has neither a length nor chunks", url)
+	case len(b) > maxBytes:
+		return nil, fmt.Errorf("read %s: body of %d bytes exceeds the limit of %d", url, len(b), maxBytes)
 	}
-	return append([]byte(nil), resp.Body()...), nil
+	return b, nil
 }
