relay/pool: the test of endless responses dials again on a busy machine

Cause: TestEndlessResponsesTogether counted a sound call as given up for others if its connection was not accepted within 500 ms. Traced: all 67 such calls of 12 runs, 6 at a time, ended with a dial timeout; none was given up. Change: a call that reached nobody is made again; every sound call still has to be answered.

--- a/relay/pool/endless_test.go
+++ b/relay/pool/endless_test.go
@@ -154,7 +154,11 @@
 				}
 				return
 			}
-			if n, err := exchange(p, soundAddr, deadline); err == nil && n == soundBytes {
+			n, err := exchange(p, soundAddr, deadline)
+			for errors.Is(err, pool.ErrUnreachable) { // a busy machine accepts late; nothing was sent
+				n, err = exchange(p, soundAddr, deadline)
+			}
+			if err == nil && n == soundBytes {
 				served.Add(1)
 			}
 		})
