relay/front: large bodies of requests share a memory budget

What callers could have seen: a relay killed for its memory with all requests in flight, by few callers that send or only announce bodies of the allowed size. Change: bodies of 64 KB and more count for as long as their request is in flight. One that has no room is rejected with 503 and a delay before it is read; one alone always has room. The budget is a quarter of the instance's memory, 64 MB at most. The copy is gone. Peak memory was not measured.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -48,6 +48,8 @@
 	tickInterval         = 25 * time.Millisecond // interval at which delayed stage calls are started and results are released
 	memoryLimitRatio     = 0.7                   // soft memory limit of the process as a ratio of the instance's memory
 	gcPercent            = 200
+	bodyMemoryShare      = 4 // one part in this many of the instance's memory is for large bodies of requests in flight
+	maxBodyBudget        = 64 << 20
 	responseMemoryShare  = 8 // one part in this many of the instance's memory is for responses in flight
 	maxResponseBudget    = 16 << 20
 	defaultExpectedPeers = 8 // relays
@@ -114,15 +116,16 @@
 }
 
 func newPool(live *sets.Live) *pool.Pool {
-	return &pool.Pool{Budget: pool.Budget{Limit: func() int64 { return responseBudget(live.Get().MemoryBytes) }}}
+	return &pool.Pool{Budget: pool.Budget{Limit: func() int64 { return memoryShare(live.Get().MemoryBytes, responseMemoryShare, maxResponseBudget) }}}
 }
 
-// responseBudget returns the memory for the responses that a relay holds at the same time.
-func responseBudget(memoryBytes int64) int64 {
-	if memoryBytes == 0 {
-		return maxResponseBudget
+// memoryShare returns one part in share of the instance's memory, and most at most. A memory of 0
+// is unknown.
+func memoryShare(memoryBytes, share, most int64) int64 {
+	if memoryBytes <= 0 {
+		return most
 	}
-	return min(maxResponseBudget, memoryBytes/responseMemoryShare)
+	return min(most, memoryBytes/share)
 }
 
 func newControl(live *sets.Live, l *logs.Logger) *ctrl.Control {
@@ -308,7 +311,7 @@
 	}
 }
 
-func newFront(l *logs.Logger, c *ctrl.Control, f *proxy.Forwarder) *front.Server {
+func newFront(live *sets.Live, l *logs.Logger, c *ctrl.Control, f *proxy.Forwarder) *front.Server {
 	return &front.Server{
 		Handle: f.Serve,
 		Limits: func() fleet.Limits {
@@ -317,7 +320,8 @@
 			}
 			return fleet.Limits{}
 		},
-		Log: l,
+		BodyBudget: func() int64 { return memoryShare(live.Get().MemoryBytes, bodyMemoryShare, maxBodyBudget) },
+		Log:        l,
 	}
 }
 
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -49,7 +49,10 @@
 	Handle func(x *Exchange)
 	// Limits returns the current limits. Defaults replace zero values.
 	Limits func() fleet.Limits
-	Log    *logs.Logger
+	// BodyBudget returns the number of bytes that the large bodies of requests in flight may
+	// have together. nil: 64 MB.
+	BodyBudget func() int64
+	Log        *logs.Logger
 
 	ln       net.Listener
 	mu       sync.Mutex
@@ -58,6 +61,7 @@
 	stopEnd  time.Time                            // when Stop cancels requests in flight; zero: it wasn't called, or its context has no deadline
 	stopping atomic.Bool
 	active   atomic.Int64
+	bodies   bodyBudget
 	wg       sync.WaitGroup // Serve and connections
 }
 
@@ -273,6 +277,7 @@
 	ctx context.Context, cancel context.CancelCauseFunc, c net.Conn, br *bufio.Reader, limits fleet.Limits, next chan peekResult,
 ) bool {
 	x := &Exchange{Context: ctx, StartedAt: time.Now(), conn: c, server: s}
+	defer x.releaseBody()
 	s.limitRead(c, limits.HeaderTimeout)
 	reqErr := x.readRequest(c, br, limits)
 	x.ReceivedAt = time.Now()
@@ -287,7 +292,7 @@
 			s.Log.Failure(logs.RequestRejected).Str("caller", c.RemoteAddr().String()).
 				Int("status", reqErr.Status).Str("reason", reqErr.Reason).Dur("read_ms", x.ReceivedAt.Sub(x.StartedAt)).Msg("")
 			x.close = true
-			x.Reject(reqErr.Status, 0)
+			x.Reject(reqErr.Status, reqErr.RetryAfter)
 			lingeringClose(c)
 		}
 		return false
@@ -363,6 +368,7 @@
 	close    bool // the connection is closed after this response
 	status   int
 	out      []byte // write buffer
+	reserved int64  // for the body, in bytes
 }
 
 // Status returns the status code of the response, or 0 if none was started.
--- a/relay/front/parse.go
+++ b/relay/front/parse.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -16,8 +17,9 @@
 // RequestError is the reason why a request can't be read. Status is the status
 // code of the response, or 0 if the connection has failed and none can be sent.
 type RequestError struct {
-	Status int
-	Reason string
+	Status     int
+	Reason     string
+	RetryAfter time.Duration // 0: none is sent to the caller
 }
 
 // Error returns the status and the reason.
@@ -52,6 +54,9 @@
 	if x.Header.ContentLength() > limits.BodyBytes {
 		return &RequestError{Status: fasthttp.StatusRequestEntityTooLarge, Reason: "body is too large"}
 	}
+	if !x.reserveBody(x.Header.ContentLength()) {
+		return errNoRoomForBody
+	}
 	x.server.limitRead(c, bodyTimeout)
 	if strings.EqualFold(string(x.Header.Peek("Expect")), "100-continue") {
 		if _, err := c.Write(continueLine); err != nil {
@@ -91,7 +96,10 @@
 	var ne net.Error
 	switch {
 	case err == nil:
-		x.Body = append([]byte(nil), req.Body()...)
+		x.Body = req.SwapBody(nil)
+		if isChunked(&x.Header) && !x.reserveBody(len(x.Body)) {
+			return errNoRoomForBody
+		}
 		return nil
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return &RequestError{Status: fasthttp.StatusRequestEntityTooLarge, Reason: "body is too large"}
