--- a/relay/front/stop_test.go
+++ b/relay/front/stop_test.go
@@ -235,3 +235,24 @@
 		}
 	}
 }
+
+// TestStopOutOfTimeTakesNone guards against a request that is taken after a stop has cancelled
+// those in flight: nothing cancels it, and its connection closes without a response.
+func TestStopOutOfTimeTakesNone(t *testing.T) {
+	srv, addr, open := startServer(t, func(x *front.Exchange) {
+		<-x.Context.Done()
+		x.Reject(fasthttp.StatusBadGateway, 0)
+	})
+	close(open)
+	c, r := dial(t, addr, "GET /a HTTP/1.1\r\n") // arrives whole once the stop is out of time
+	for srv.Active() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := stopAccepting(srv, 0)
+	send(t, c, "Host: h\r\n\r\n")
+	var resp fasthttp.Response
+	if err := resp.Read(r); err != nil {
+		t.Errorf("no response: %v", err)
+	}
+	<-stopped
+}
