--- a/agent/engine/head_test.go
+++ b/agent/engine/head_test.go
@@ -70,3 +70,13 @@
 		}
 	}
 }
+
+// TestResponseWithoutContent guards against a status that has no body by definition (204) and
+// counts as a truncated response, so that a call that has run ends as failed.
+func TestResponseWithoutContent(t *testing.T) {
+	c := NewClient(serveRaw(t, func() string { return "HTTP/1.1 204 No Content\r\n\r\n" }))
+	call := Call{RequestID: "r", Stage: &conf.Stage{Kind: conf.KindService, Path: "/"}, Timeout: time.Second, Body: []byte(`{"input":"a"}`)}
+	if out := c.Do(call, func([]byte) {}); out.Failure != "" {
+		t.Errorf("got %+v", out)
+	}
+}
