--- a/relay/pool/call_test.go
+++ b/relay/pool/call_test.go
@@ -109,3 +109,27 @@
 	}
 	return true
 }
+
+// TestAnswersToHead guards against a whole response to a HEAD request that counts as truncated,
+// as it has no body.
+func TestAnswersToHead(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = bufio.NewReader(server).ReadString('\n')
+			_, _ = io.WriteString(server, site.ResponseHead("r1")+framing+"\r\n")
+			_ = server.Close()
+		}()
+		c := &pool.Call{Conn: &pool.Conn{Conn: client, Reader: bufio.NewReader(client)}}
+		if _, err := c.Send([]byte("HEAD / HTTP/1.1\r\n"), nil, time.Now().Add(time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Receive("r1", time.Now().Add(time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+		if body, err := c.ReadAll(); err != nil || len(body) > 0 {
+			t.Errorf("%q: got %q, %v", framing, body, err)
+		}
+		_ = client.Close()
+	}
+}
