--- a/relay/proxy/panic_test.go
+++ b/relay/proxy/panic_test.go
@@ -51,3 +51,40 @@
 		t.Errorf("load %v is left", load)
 	}
 }
+
+// TestPanicReleasesSuccessor guards against an endpoint that was acquired to follow a silent one
+// and counts as busy for good after a panic between the end of the attempt and the next one.
+func TestPanicReleasesSuccessor(t *testing.T) {
+	e := &fleet.Endpoint{ID: "i-1", Service: "s", Zone: "z", Slots: 1, State: fleet.StateReady}
+	follower := &fleet.Endpoint{ID: "i-2", Service: "s", Zone: "z", Slots: 1, State: fleet.StateReady}
+	svc := &fleet.Service{Name: "s"}
+	cfg, err := fleet.NewConfig(1, 1, fleet.Limits{}, fleet.Parts{Services: []*fleet.Service{svc}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := fleet.View{}.WithConfig(cfg).WithChange(fleet.Change{Put: []*fleet.Endpoint{e}})
+	f := &Forwarder{
+		View: func() *fleet.View { return &v }, Balancer: &Balancer{Clock: clock.System{}}, Guard: &guard.Guard{}, Clock: clock.System{},
+		Log: logs.New(io.Discard, clock.System{}, "a"), Meters: &stats.Meters{Registry: metrics.NewRegistry()},
+		NewBudget: func() *retry.Budget { return &retry.Budget{} }, Policy: func() sets.Policy { return sets.Policy{} },
+	}
+	req := &request{
+		Forwarder: f, exchange: &front.Exchange{}, route: &fleet.Route{}, service: "s", config: cfg, tried: make(map[string]bool),
+		deadline: time.Now().Add(time.Minute),
+	}
+	func() {
+		defer func() { _ = recover() }() // the panic below
+		noEvent := int64(-1)
+		req.forward(context.Background(), func(c pick.Choice) (attemptEnd, string) {
+			if !f.Balancer.Begin(svc, follower, false) {
+				t.Error("the follower isn't acquired")
+			}
+			req.silence.successor = &successor{choice: pick.Choice{Endpoint: follower}}
+			req.recordEnd(c.Endpoint, pick.ResultFailed, attemptFailed, "silent")
+			panic("after the end of the attempt")
+		}, &noEvent)
+	}()
+	if load := f.Balancer.Load(follower); load != 0 {
+		t.Errorf("load %v is left", load)
+	}
+}
