--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -71,3 +71,20 @@
 		}
 	}
 }
+
+// TestLegalLines guards against the rejection of lines that the format of event streams allows:
+// a byte order mark before the first line, and fields of unknown names, which readers ignore.
+func TestLegalLines(t *testing.T) {
+	for _, text := range []string{
+		"\ufeffdata: a\nid: 0\n\n",
+		"id: 0\nx.y: 1\ndata: a\n\n",
+		"weight-versions: 3\nid: 0\ndata: a\n\n",
+		"id: 0\r\ndata: a\r\n\r\n",
+		"id: 0\ndata\n\n",
+	} {
+		r := event.Reader{R: bufio.NewReader(strings.NewReader(text)), LastID: -1}
+		if _, id, err := r.Next(); err != nil || id != 0 {
+			t.Errorf("%q: got event %d, error %v", text, id, err)
+		}
+	}
+}
