--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -88,3 +88,21 @@
 		}
 	}
 }
+
+// TestErrorText guards against the text or the header of an error that becomes a part of a stream,
+// as its lines look like fields.
+func TestErrorText(t *testing.T) {
+	for _, text := range []string{
+		"error: out of memory\n\n",
+		"Content-Type: text/plain\r\nContent-Length: 5\r\n\r\n",
+		"id: 1\ndata: bHTTP/1.1 500 Oops\r\nContent-Length: 5\r\n\r\n", // begins within an event
+	} {
+		r := event.Reader{R: bufio.NewReader(strings.NewReader("id: 0\ndata: a\n\n" + text)), LastID: -1}
+		if _, _, err := r.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if raw, _, err := r.Next(); err == nil {
+			t.Errorf("accepted %q", raw)
+		}
+	}
+}
