core/event: the text of an error is no event

Cause: each line was judged by its shape alone, and legal lines were refused: a byte order mark, names with a dot. Change: a name of a field has no capitals, and an event has one of the fields that the format defines, unless it is all comments. Evidence: TestErrorText and TestLegalLines failed before. A response without header lines that begins within a line of data can't be told.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"slices"
 	"strconv"
 	"unicode"
 )
@@ -19,9 +18,11 @@
 // ErrTooLarge is returned for an event that is larger than MaxBytes.
 var ErrTooLarge = errors.New("event is too large")
 
-// ErrMalformed is returned for a line that is neither a field of an event nor a comment, such as
-// the status line of another response.
-var ErrMalformed = errors.New("line is no field of an event")
+// ErrMalformed is returned for lines that are no event, such as another response or the text of an
+// error.
+var ErrMalformed = errors.New("not an event")
+
+var byteOrderMark = []byte("\ufeff")
 
 // OrderError reports an event whose ID doesn't follow that of the previous one.
 type OrderError struct {
@@ -41,6 +42,7 @@
 
 	buf      []byte // the current event
 	reserved int    // bytes that Grow has allowed
+	begun    bool   // a line was read
 }
 
 // Next returns the next complete event, including its closing empty line, and
@@ -51,17 +53,28 @@
 func (r *Reader) Next() ([]byte, int64, error) {
 	r.buf = r.buf[:0]
 	id := int64(-1)
+	standard, comments := false, true
 	for {
 		line, err := r.readLine()
 		if err != nil {
 			return nil, 0, err
 		}
 		if len(line) == 0 {
+			if !standard && !comments {
+				return nil, 0, ErrMalformed
+			}
 			return r.finish(id)
 		}
-		if !isField(line) {
+		if !r.begun {
+			line = bytes.TrimPrefix(line, byteOrderMark)
+			r.begun = true
+		}
+		name, _, colon := bytes.Cut(line, []byte{':'})
+		if !isField(name, colon) {
 			return nil, 0, ErrMalformed
 		}
+		comments = comments && len(name) == 0
+		standard = standard || isStandardField(name)
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
 			if err != nil {
@@ -121,16 +134,21 @@
 	return true
 }
 
-// isField reports whether a line that isn't empty is a field or a comment. Of the lines without
-// a colon, only the names that the format of event streams defines are fields.
-func isField(line []byte) bool {
-	name, _, ok := bytes.Cut(line, []byte{':'})
-	if !ok {
-		return slices.Contains(fieldNames, string(name))
+// isField reports whether a line with the given field name is a field or a comment, whose name is
+// empty. Names are in lower case, unlike those of the headers of a response, and of names without
+// a colon only those are fields that the format of event streams defines.
+func isField(name []byte, colon bool) bool {
+	if !colon {
+		return isStandardField(name)
 	}
-	return bytes.IndexFunc(name, func(r rune) bool {
-		return r != '-' && r != '_' && (r > unicode.MaxASCII || !unicode.IsLetter(r) && !unicode.IsDigit(r))
-	}) < 0
+	return bytes.IndexFunc(name, func(r rune) bool { return unicode.IsUpper(r) || unicode.IsControl(r) || r == ' ' || r == '/' }) < 0
 }
 
-var fieldNames = []string{"data", "event", "id", "retry"}
+// isStandardField reports whether the format of event streams defines a field.
+func isStandardField(name []byte) bool {
+	switch string(name) {
+	case "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
