relay/pool: a response to HEAD has no body

What callers would see: 502 for HEAD requests, after waiting for a body that never comes (found by the review). Cause: a Call didn't know the method. Besides, a success without framing and body failed calls that need its status alone, such as releases. Change: Send remembers HEAD. Only responses to attempts, which are named, need a body without framing. Evidence: TestAnswersToHead failed before.

--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -46,6 +47,8 @@
 	body     io.Reader
 	chunked  bool         // the body is in chunks, with a trailer after the last
 	complete bool         // the body has been read to its end
+	bodiless bool         // the request was HEAD
+	named    bool         // the response has the ID of an attempt, or is a refusal
 	accepted bool         // see Accept
 	reserved *Reservation // for what is held of the response; nil: none yet
 }
@@ -56,6 +59,7 @@
 // read all of it.
 func (c *Call) Send(head, body []byte, deadline time.Time) (sent bool, err error) {
 	_ = c.Conn.SetDeadline(deadline) // fails only on a closed connection
+	c.bodiless = bytes.HasPrefix(head, []byte("HEAD "))
 	if len(head)+len(body) > asyncWriteBytes {
 		c.written = make(chan error, 1)
 		go func() {
@@ -76,6 +80,7 @@
 // it accepts any final response. It blocks until deadline at the latest.
 func (c *Call) Receive(id string, deadline time.Time) error {
 	_ = c.Conn.SetReadDeadline(deadline) // fails only on a closed connection
+	c.named = id != ""
 	for range maxResponseHeads {
 		c.Header.Reset()
 		if err := c.Header.Read(c.Conn.Reader); err != nil {
@@ -152,7 +157,13 @@
 // IsFramed reports whether the response says where its body ends. Otherwise it ends with its
 // connection, whether it is whole or not.
 func (c *Call) IsFramed() bool {
-	return c.chunked || c.Header.ContentLength() >= 0 || c.Response.Status == fasthttp.StatusNoContent
+	return c.chunked || c.Header.ContentLength() >= 0 || c.hasNoBody()
+}
+
+// hasNoBody reports whether the response ends with its head, whatever that says.
+func (c *Call) hasNoBody() bool {
+	s := c.Response.Status
+	return c.bodiless || s < fasthttp.StatusOK || s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified
 }
 
 // openBody prepares reading the body of the response whose header was read last.
@@ -160,8 +171,8 @@
 	c.complete, c.chunked = false, false
 	n := c.Header.ContentLength()
 	switch {
-	case c.Response.Status < fasthttp.StatusOK, c.Response.Status == fasthttp.StatusNoContent, c.Response.Status == fasthttp.StatusNotModified:
-		c.body = &io.LimitedReader{R: c.Conn.Reader} // these have no body
+	case c.hasNoBody():
+		c.body = &io.LimitedReader{R: c.Conn.Reader}
 	case n >= 0:
 		c.body = &io.LimitedReader{R: c.Conn.Reader, N: int64(n)}
 	case n == -1:
@@ -265,7 +276,7 @@
 			return nil, err
 		case size > maxResponseBytes:
 			return nil, fmt.Errorf("%w: larger than %d bytes", ErrResponse, maxResponseBytes)
-		case err != nil && size == 0 && !c.IsFramed() && c.Response.Status < fasthttp.StatusMultipleChoices:
+		case err != nil && size == 0 && c.named && !c.IsFramed() && c.Response.Status < fasthttp.StatusMultipleChoices:
 			// An endpoint that stopped after the head looks the same. A refusal is told by its head alone.
 			return nil, fmt.Errorf("%w: no body: %w", ErrResponse, io.ErrUnexpectedEOF)
 		case err != nil:
