--- a/base/body/body.go
+++ b/base/body/body.go
@@ -15,7 +15,7 @@
 // received. framed reports whether the response says where its body ends. Otherwise the body ends
 // with its connection, also if the server has stopped before its end.
 func Read(resp *fasthttp.Response) (b []byte, framed bool, err error) {
-	framed = resp.Header.ContentLength() != lengthUnknown
+	framed = resp.Header.ContentLength() != lengthUnknown || resp.StatusCode() == fasthttp.StatusNoContent
 	r := resp.BodyStream()
 	if r == nil { // it is empty
 		return nil, framed, nil
