relay/front: no request is taken after a stop has cancelled those in flight

Cause: a request that arrived whole after Stop had cancelled the others was registered too late to be cancelled. Change: it is rejected. Evidence: TestStopOutOfTimeTakesNone failed before.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -59,10 +59,12 @@
 	conns    map[net.Conn]context.CancelCauseFunc // open connections; cancels the request in flight, nil: none was received
 	drainEnd time.Time                            // from then on no request is taken; zero: Stop has not got that far
 	stopEnd  time.Time                            // when Stop cancels requests in flight; zero: it wasn't called, or its context has no deadline
-	stopping atomic.Bool
-	active   atomic.Int64
-	bodies   bodyBudget
-	wg       sync.WaitGroup // Serve and connections
+	// outOfTime tells that Stop has cancelled the requests in flight. Guarded by mu.
+	outOfTime bool
+	stopping  atomic.Bool
+	active    atomic.Int64
+	bodies    bodyBudget
+	wg        sync.WaitGroup // Serve and connections
 }
 
 // Active returns the number of requests in flight.
@@ -128,6 +130,9 @@
 		return
 	case <-ctx.Done():
 	}
+	s.mu.Lock()
+	s.outOfTime = true
+	s.mu.Unlock()
 	s.forEachConn(func(_ net.Conn, cancel context.CancelCauseFunc) {
 		if cancel != nil {
 			cancel(ErrStopped)
@@ -226,7 +231,7 @@
 func (s *Server) beginRequest(c net.Conn, cancel context.CancelCauseFunc) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.drainEndPassed() {
+	if s.drainEndPassed() || s.outOfTime {
 		return false
 	}
 	s.conns[c] = cancel
