relay/proxy: a panic after the end of an attempt gives back what was acquired to follow

Cause: releaseAcquired did nothing once the attempt had ended (found by the review). Change: only the attempt's own end depends on that.

--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -164,15 +164,18 @@
 	}
 }
 
-// releaseAcquired ends an attempt that a panic has cut short, so that its endpoint and those that
-// were acquired to follow don't count as busy for good.
+// releaseAcquired gives back what a panic has left acquired, so that no endpoint counts as busy
+// for good. After a request that ended without one, there is nothing left.
 func (req *request) releaseAcquired() {
-	if req.acquired == nil {
-		return
+	if req.acquired != nil {
+		req.recordEnd(req.acquired, pick.ResultNone, attemptFailed, "panic")
 	}
-	req.recordEnd(req.acquired, pick.ResultNone, attemptFailed, "panic")
 	req.endAssignment()
-	req.endSilence()
+	if s := req.takeSuccessor(); s != nil {
+		req.abandon(s)
+		req.budget(req.service).Return()
+	}
+	req.dropRerun()
 }
 
 // assignable reports whether an engine of a service is chosen by prompts.
