relay/proxy: the time that a caller takes to send a request isn't time that it has run

What callers would see: slowly sent requests that a stopping relay takes although they outlast it (found by the review). Cause: durations counted from the first byte. Besides, five samples made the 0.9 quantile that of a single request, and failures counted as short ones. Change: durations count from the moment at which a request has arrived whole, of successes alone, from ten of them on. Evidence: TestStopCountsReading failed before; it records 20 samples in place of 9, as ten are needed now.

--- a/core/share/history.go
+++ b/core/share/history.go
@@ -17,11 +17,12 @@
 	// is late has taken capacity from others, while a rejected one may come back.
 	risingQuantile = 0.8
 	tailWindow     = 10 * time.Second
-	minSamples     = 5   // below this, nothing is concluded from times
+	minTailSamples = 5   // below this, the fallback is used
 	maxTailShare   = 0.5 // of the objective, so that slow engines alone don't reject all requests
 	itemsWeight    = 0.1 // of the newest request in the mean numbers of items
 	windowSize     = 64
 	durationWindow = time.Minute
+	minDurations   = 10 // below this, a high quantile is that of a single request
 )
 
 // Quantiles of the time from the end of the stages to the first event.
@@ -150,7 +151,7 @@
 	h.mu.Lock()
 	tails := h.tails.since(now.Add(-tailWindow), make([]time.Duration, 0, windowSize))
 	h.mu.Unlock()
-	if len(tails) < minSamples {
+	if len(tails) < minTailSamples {
 		return fallback
 	}
 	return min(quantile(tails, q), time.Duration(maxTailShare*float64(objective)))
@@ -170,7 +171,7 @@
 	h.mu.Lock()
 	durations := h.whole.since(now.Add(-durationWindow), make([]time.Duration, 0, windowSize))
 	h.mu.Unlock()
-	if len(durations) < minSamples {
+	if len(durations) < minDurations {
 		return 0, false
 	}
 	return quantile(durations, q), true
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -303,14 +303,14 @@
 func TestDuration(t *testing.T) {
 	var h share.History
 	now := time.Unix(1000, 0)
-	for i := range 9 {
-		if _, known := h.Duration(now, 0.5); known != (i >= 5) {
+	for i := range 11 {
+		if _, known := h.Duration(now, 0.5); known != (i >= 10) {
 			t.Errorf("known after %d requests: %v", i, known)
 		}
 		h.RecordDuration(now, time.Duration(i)*time.Second)
 	}
-	if d, _ := h.Duration(now, 0.5); d != 4*time.Second {
-		t.Errorf("median %v, want 4s", d)
+	if d, _ := h.Duration(now, 0.5); d != 5*time.Second {
+		t.Errorf("median %v, want 5s", d)
 	}
 	if _, known := h.Duration(now.Add(2*time.Minute), 0.5); known {
 		t.Error("known from old requests")
--- a/relay/proxy/stop.go
+++ b/relay/proxy/stop.go
@@ -21,19 +21,20 @@
 		q = repeatableDuration
 	}
 	d, known := req.routeState().Duration(req.Clock.Now(), q)
-	if !known || req.startedAt.Add(d).Before(end) {
+	if !known || req.exchange.ReceivedAt.Add(d).Before(end) {
 		return false
 	}
 	req.reject(fasthttp.StatusServiceUnavailable, 0, "not run: the relay stops before the request is likely to end")
 	return true
 }
 
-// recordDuration records how long the request took. Streams that were taken up are left out, as
-// they are only a part of one.
+// recordDuration records how long the request took, if it succeeded. Streams that were taken up
+// are left out, as they are only a part of one.
 func (req *request) recordDuration() {
-	if req.route == nil || req.outcome != outcomeAnswered || !req.exchange.Complete() || req.takesUpStream() {
+	x := req.exchange
+	if req.route == nil || req.outcome != outcomeAnswered || !x.Complete() || x.Status() >= fasthttp.StatusMultipleChoices || req.takesUpStream() {
 		return
 	}
 	now := req.Clock.Now()
-	req.routeState().RecordDuration(now, now.Sub(req.startedAt))
+	req.routeState().RecordDuration(now, now.Sub(x.ReceivedAt))
 }
--- a/relay/proxy/stop_test.go
+++ b/relay/proxy/stop_test.go
@@ -31,7 +31,7 @@
 		now := time.Now()
 		x.StartedAt, x.ReceivedAt = now.Add(-time.Hour), now
 		req := &request{Forwarder: f, exchange: x, startedAt: x.StartedAt, route: route, config: cfg, deadline: now.Add(3 * time.Hour)}
-		for range 9 {
+		for range 20 {
 			req.routeState().RecordDuration(now, time.Hour)
 		}
 		if !req.rejectOutlasting() {
