entry/front: a stop answers requests that are still being read

What callers saw: a request whose head or body was still on its way when an entry's stop was out of time ended with the process, without a response. Nothing had run; the caller couldn't know that.

Cause: Stop waits for open connections until its context ends; fasthttp reads a request for up to 10 s.

The request is refused with 503, `not_run`, cause `stopping`; a ticket in its head is voided, else the outcome is `unknown`, as for any refusal.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -64,6 +64,7 @@
 	rejecting  atomic.Bool  // new requests are rejected
 	inFlight   atomic.Int64 // handlers, and executions and writers of streams, in flight
 	queries    lifetime     // of queries to agents about tickets
+	active     sync.Map     // net.Conn of which a request is read, handled or answered, without value
 }
 
 // lifetime is a context that ends once. Its zero value has not ended.
@@ -119,7 +120,8 @@
 		Concurrency:           maxConns,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		ErrorHandler:          writeReadError,
+		ErrorHandler:          s.writeReadError,
+		ConnState:             s.trackConn,
 	}
 	s.httpServer.Store(srv)
 	if err := srv.Serve(ln); err != nil {
@@ -128,10 +130,29 @@
 	return nil
 }
 
-// writeReadError answers a request that isn't valid HTTP or exceeds a limit.
-func writeReadError(ctx *fasthttp.RequestCtx, err error) {
+// trackConn maintains the active connections.
+func (s *Server) trackConn(c net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateActive {
+		s.active.Store(c, nil)
+		return
+	}
+	s.active.Delete(c)
+}
+
+// endReads ends the reading of requests that have not arrived whole.
+func (s *Server) endReads() {
+	s.active.Range(func(c, _ any) bool {
+		_ = c.(net.Conn).SetReadDeadline(time.Now()) // fails only on a closed connection
+		return true
+	})
+}
+
+// writeReadError answers a request that isn't valid HTTP, exceeds a limit, or has not arrived
+// whole in time.
+func (s *Server) writeReadError(ctx *fasthttp.RequestCtx, err error) {
 	p := problem{Status: fasthttp.StatusBadRequest, Title: "the request can't be read", Outcome: stage.OutcomeNotRun}
 	var smallBuffer *fasthttp.ErrSmallBuffer
+	var netErr net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		p.Status = fasthttp.StatusRequestEntityTooLarge
@@ -139,6 +160,12 @@
 	case errors.As(err, &smallBuffer):
 		p.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
 		p.Title = "the headers are too large"
+	case errors.As(err, &netErr) && netErr.Timeout() && s.stopping.Load():
+		p.Status = fasthttp.StatusServiceUnavailable
+		p.Title = "this entry is stopping"
+		p.Cause = string(stage.CauseStopping)
+		p.RetryAfter = stoppingRetryAfter
+		s.voidTicket(ctx, &p, time.Time{})
 	}
 	p.write(ctx)
 }
@@ -160,11 +187,13 @@
 // accepts requests for acceptPeriod so that the load balancer can notice, then
 // rejects new ones and waits for those in flight until ctx ends. Executions end
 // answerPeriod before the deadline of ctx, so that each request gets its final answer,
-// and requests whose estimates exceed that time are not started. It blocks.
+// and requests whose estimates exceed that time are not started; those that have not arrived
+// whole by then are rejected. It blocks.
 func (s *Server) Stop(ctx context.Context, acceptPeriod time.Duration) error {
 	s.stopping.Store(true)
 	if end, ok := ctx.Deadline(); ok {
 		s.Executor.StopBy(end.Add(-answerPeriod))
+		defer time.AfterFunc(time.Until(end.Add(-answerPeriod)), s.endReads).Stop()
 		defer time.AfterFunc(time.Until(end.Add(-writePeriod)), s.queries.end).Stop()
 	}
 	wait.For(ctx, acceptPeriod)
