entry/front: a panic ends one request, not the process

What callers saw: a panic while one request was handled ended the entry, and all requests in flight with it, without a response. What triggers it once may trigger it at every entry that it's sent to.

Cause: fasthttp doesn't recover panics of handlers, and executions and writers of streams run in goroutines of their own.

Change: the handler, the execution of a streamed request and the writer of its events recover, log the panic with its stack, and answer 504 with outcome `unknown`, since a stage may have run; a stream that has begun ends with an `error` event. The connection is closed. An execution that panics detaches its attempt, so that the endpoint isn't counted as busy.

Evidence: TestPanicEndsOneRequest and TestPanicEndsOneStream. Before, both: the test process ended with "panic: runtime error: invalid memory address". Now both pass, 2 of 2 under -race. Goroutines that receive messages from agents are not covered.

--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -119,6 +119,7 @@
 	}
 	e.flow = &stage.Flow{Stages: x.stageSpecs(routes), Deadline: req.Deadline, WithdrawRetry: x.Retry.Withdraw, IgnoreEstimates: x.IgnoreEstimates}
 	defer close(e.done)
+	defer e.detachAttempt()
 	x.Retry.Deposit()
 	return e.run(callerGone)
 }
--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -17,6 +17,9 @@
 	"wigeonplank.example/entry/exec"
 )
 
+// panicProblem is the answer to a request whose handling has panicked: a stage may have run.
+var panicProblem = problem{Status: fasthttp.StatusGatewayTimeout, Title: "whether the request ran is not known", Outcome: stage.OutcomeUnknown}
+
 // problem is the answer to a request that has no result: an RFC 9457 problem
 // document with additional members.
 type problem struct {
@@ -228,6 +231,12 @@
 	s.beginWork()
 	go func() {
 		defer s.endWork()
+		defer func() {
+			if v := recover(); v != nil {
+				s.logPanic(v)
+				f.End(exec.Result{End: stage.End{Outcome: stage.OutcomeUnknown}})
+			}
+		}()
 		f.End(s.execute(c, callerGone, f.Append))
 	}()
 	if _, end := awaitData(f, 0); end != nil {
@@ -259,8 +268,15 @@
 
 // writeEvents writes the answer as events until the request has ended. It closes
 // callerGone if a write fails, which is the only way to detect that the caller
-// has disconnected.
+// has disconnected, or if writing panics.
 func (s *Server) writeEvents(w *bufio.Writer, c *call, f *feed.Feed[exec.Result], callerGone chan struct{}) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.logPanic(v)
+			close(callerGone)
+			_ = writeEvent(w, "error", panicProblem) // fails only if the caller has disconnected
+		}
+	}()
 	offset := 0
 	for {
 		data, end := awaitData(f, offset)
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,7 @@
 	stoppingRetryAfter = time.Second            // sent to callers while the entry is stopping, and when an unanswered request has no delay of its own
 	idleCheckInterval  = 20 * time.Millisecond  // between checks for requests in flight during a shutdown
 	answerPeriod       = 300 * time.Millisecond // at the end of a shutdown: executions have ended, their tickets are voided and responses written
+	maxStackBytes      = 4 << 10                // of a logged stack trace
 	writePeriod        = 100 * time.Millisecond // part of answerPeriod in which responses are written
 )
 
@@ -111,7 +113,7 @@
 		maxConns = DefaultMaxConns
 	}
 	srv := &fasthttp.Server{
-		Handler:               r.Handler,
+		Handler:               s.recoverPanics(r.Handler),
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
@@ -228,6 +230,28 @@
 	}
 }
 
+// recoverPanics wraps a handler so that a panic ends the request, and its connection after the
+// response, but not the process with all other requests.
+func (s *Server) recoverPanics(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if v := recover(); v != nil {
+				s.logPanic(v)
+				ctx.Response.Reset()
+				ctx.SetConnectionClose()
+				panicProblem.write(ctx)
+			}
+		}()
+		h(ctx)
+	}
+}
+
+// logPanic logs a recovered panic. It must be called by the function that has recovered it.
+func (s *Server) logPanic(v any) {
+	stack := debug.Stack()
+	s.Log.Error().Str("error", fmt.Sprint(v)).Str("stack", string(stack[:min(len(stack), maxStackBytes)])).Msg("panic: a request was ended")
+}
+
 func (s *Server) beginWork() { s.inFlight.Add(1) }
 
 func (s *Server) endWork() { s.inFlight.Add(-1) }
