agent/engine: a panic ends one job, not the process

What callers saw: a panic during the call of one job ended the agent, and with it all jobs of its endpoint; their outcomes were unknown and the tickets of its incarnation lost. The entry's retry carries the trigger to the next agent.

Cause: runJob runs in a goroutine of its own, and nothing recovers it.

Change: the call recovers, logs the panic with its stack, and the job ends with a failure, as one that may have run.

Evidence: TestPanicEndsOneJob. Before: the test process ended with "panic: runtime error: invalid memory address" in runJob. Now it passes under -race. The agent's control goroutine is not covered: its state after a panic can't be trusted.

--- a/agent/engine/driver.go
+++ b/agent/engine/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -18,6 +19,7 @@
 	unitsPerProgress = 8                      // output units between two progress records of a job
 	maxOrderAge      = 500 * time.Millisecond // an older decision isn't carried out
 	ticketTimeout    = 30 * time.Second       // timeout of a job that isn't idempotent (has a serial), whatever its budget
+	maxStackBytes    = 4 << 10                // of a logged stack trace
 	budgetMargin     = 200 * time.Millisecond // added to a job's budget to get its timeout: the answer may be that late
 )
 
@@ -50,14 +52,7 @@
 		Priority:  int(j.Dispatch.GetPriority()),
 		Timeout:   timeout,
 	}
-	units := 0
-	out := d.Client.Do(call, func(p []byte) {
-		units++
-		if units == 1 || units%unitsPerProgress == 0 {
-			d.Control.RecordProgress(j, units)
-		}
-		j.Output.Append(p)
-	})
+	out := d.do(call, j)
 	d.Log.Debug().Str("request", j.Dispatch.GetRequest()).Str("stage", j.Stage.Name).
 		Uint64("attempt", j.ID.Seq).Str("failure", out.Failure).Int("units", out.Units).Msg("job ended")
 	d.Control.Finish(j, ctrl.JobOutcome{
@@ -68,6 +63,27 @@
 	})
 }
 
+// do makes the call of a job. A panic ends the job, which may have run, but not the process with
+// all other jobs.
+func (d *Driver) do(call Call, j *ctrl.Job) (out Outcome) {
+	units := 0
+	defer func() {
+		if v := recover(); v != nil {
+			stack := debug.Stack()
+			d.Log.Error().Str("request", j.Dispatch.GetRequest()).Str("error", fmt.Sprint(v)).
+				Str("stack", string(stack[:min(len(stack), maxStackBytes)])).Msg("panic: a job was ended")
+			out = Outcome{Failure: "the agent failed during the call", Units: units}
+		}
+	}()
+	return d.Client.Do(call, func(p []byte) {
+		units++
+		if units == 1 || units%unitsPerProgress == 0 {
+			d.Control.RecordProgress(j, units)
+		}
+		j.Output.Append(p)
+	})
+}
+
 // CancelJob cancels a running job at a model engine. It does nothing for other
 // endpoints, whose protocol has no cancel request.
 func (d *Driver) CancelJob(j *ctrl.Job) {
