--- a/entry/front/answer.go
+++ b/entry/front/answer.go
@@ -17,6 +17,9 @@
 	"wigeonplank.example/entry/exec"
 )
 
+// panicProblem is the answer to a request whose handling has panicked: a stage may have run.
+var panicProblem = problem{Status: fasthttp.StatusGatewayTimeout, Title: "whether the request ran is not known", Outcome: stage.OutcomeUnknown}
+
 // problem is the answer to a request that has no result: an RFC 9457 problem
 // document with additional members.
 type problem struct {
@@ -127,7 +130,7 @@
 // writeResult writes the end of a request that isn't streamed.
 func (s *Server) writeResult(ctx *fasthttp.RequestCtx, c *call, res exec.Result, body []byte) {
 	if res.End.Outcome != stage.OutcomeAnswered {
-		s.resultProblem(ctx, c, res).write(ctx)
+		s.resultProblem(c, res).write(ctx)
 		return
 	}
 	writeJSON(ctx, fasthttp.StatusOK, newCallAnswer(c, res, body))
@@ -146,7 +149,7 @@
 
 // resultProblem returns the problem for a request that ended without an answer. If
 // its ticket was voided, the problem has a new one, if one can be issued.
-func (s *Server) resultProblem(ctx *fasthttp.RequestCtx, c *call, res exec.Result) problem {
+func (s *Server) resultProblem(c *call, res exec.Result) problem {
 	p := newProblem(c, res)
 	p.TicketState = res.TicketState
 	if res.Err != nil {
@@ -156,7 +159,7 @@
 		p.RetryAfter = stoppingRetryAfter
 	}
 	if res.End.Settle && res.End.Outcome != stage.OutcomeUnknown {
-		if text, err := s.Tickets.Issue(ctx, c.routes, c.req.Team); err == nil {
+		if text, err := s.Tickets.Issue(s.queries.get(), c.routes, c.req.Team); err == nil {
 			p.Ticket = text
 		}
 	}
@@ -228,6 +231,12 @@
 	s.beginWork()
 	go func() {
 		defer s.endWork()
+		defer func() {
+			if v := recover(); v != nil {
+				s.logPanic(v)
+				f.End(exec.Result{End: stage.End{Outcome: stage.OutcomeUnknown}})
+			}
+		}()
 		f.End(s.execute(c, callerGone, f.Append))
 	}()
 	if _, end := awaitData(f, 0); end != nil {
@@ -259,8 +268,15 @@
 
 // writeEvents writes the answer as events until the request has ended. It closes
 // callerGone if a write fails, which is the only way to detect that the caller
-// has disconnected.
+// has disconnected, or if writing panics.
 func (s *Server) writeEvents(w *bufio.Writer, c *call, f *feed.Feed[exec.Result], callerGone chan struct{}) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.logPanic(v)
+			close(callerGone)
+			_ = writeEvent(w, "error", panicProblem) // fails only if the caller has disconnected
+		}
+	}()
 	offset := 0
 	for {
 		data, end := awaitData(f, offset)
@@ -291,6 +307,7 @@
 		err = writeEvent(w, "done", streamEnd{Request: c.req.ID, Outcome: res.End.Outcome, Length: length})
 	} else {
 		p := newProblem(c, res)
+		p.TicketState = res.TicketState
 		p.RetryMS = p.RetryAfter.Milliseconds()
 		err = writeEvent(w, "error", p)
 	}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,9 @@
 	notReadyRetryAfter = 500 * time.Millisecond // sent to callers while the view is not confirmed
 	stoppingRetryAfter = time.Second            // sent to callers while the entry is stopping, and when an unanswered request has no delay of its own
 	idleCheckInterval  = 20 * time.Millisecond  // between checks for requests in flight during a shutdown
+	answerPeriod       = 300 * time.Millisecond // at the end of a shutdown: executions have ended, their tickets are voided and responses written
+	maxStackBytes      = 4 << 10                // of a logged stack trace
+	writePeriod        = 100 * time.Millisecond // part of answerPeriod in which responses are written
 )
 
 // TicketHeader is the request header that carries a ticket.
@@ -61,6 +65,27 @@
 	stopping   atomic.Bool  // reported as not ready
 	rejecting  atomic.Bool  // new requests are rejected
 	inFlight   atomic.Int64 // handlers, and executions and writers of streams, in flight
+	queries    lifetime     // of queries to agents about tickets
+	active     sync.Map     // net.Conn of which a request is read, handled or answered, without value
+}
+
+// lifetime is a context that ends once. Its zero value has not ended.
+type lifetime struct {
+	once   sync.Once
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// get returns the context.
+func (l *lifetime) get() context.Context {
+	l.once.Do(func() { l.ctx, l.cancel = context.WithCancel(context.Background()) })
+	return l.ctx
+}
+
+// end ends the context.
+func (l *lifetime) end() {
+	l.get()
+	l.cancel()
 }
 
 // Serve serves callers on ln until Stop. It blocks.
@@ -88,7 +113,7 @@
 		maxConns = DefaultMaxConns
 	}
 	srv := &fasthttp.Server{
-		Handler:               r.Handler,
+		Handler:               s.recoverPanics(r.Handler),
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
@@ -97,7 +122,8 @@
 		Concurrency:           maxConns,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		ErrorHandler:          writeReadError,
+		ErrorHandler:          s.writeReadError,
+		ConnState:             s.trackConn,
 	}
 	s.httpServer.Store(srv)
 	if err := srv.Serve(ln); err != nil {
@@ -106,10 +132,29 @@
 	return nil
 }
 
-// writeReadError answers a request that isn't valid HTTP or exceeds a limit.
-func writeReadError(ctx *fasthttp.RequestCtx, err error) {
+// trackConn maintains the active connections.
+func (s *Server) trackConn(c net.Conn, state fasthttp.ConnState) {
+	if state == fasthttp.StateActive {
+		s.active.Store(c, nil)
+		return
+	}
+	s.active.Delete(c)
+}
+
+// endReads ends the reading of requests that have not arrived whole.
+func (s *Server) endReads() {
+	s.active.Range(func(c, _ any) bool {
+		_ = c.(net.Conn).SetReadDeadline(time.Now()) // fails only on a closed connection
+		return true
+	})
+}
+
+// writeReadError answers a request that isn't valid HTTP, exceeds a limit, or has not arrived
+// whole in time.
+func (s *Server) writeReadError(ctx *fasthttp.RequestCtx, err error) {
 	p := problem{Status: fasthttp.StatusBadRequest, Title: "the request can't be read", Outcome: stage.OutcomeNotRun}
 	var smallBuffer *fasthttp.ErrSmallBuffer
+	var netErr net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		p.Status = fasthttp.StatusRequestEntityTooLarge
@@ -117,6 +162,12 @@
 	case errors.As(err, &smallBuffer):
 		p.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
 		p.Title = "the headers are too large"
+	case errors.As(err, &netErr) && netErr.Timeout() && s.stopping.Load():
+		p.Status = fasthttp.StatusServiceUnavailable
+		p.Title = "this entry is stopping"
+		p.Cause = string(stage.CauseStopping)
+		p.RetryAfter = stoppingRetryAfter
+		s.voidTicket(ctx, &p, time.Time{})
 	}
 	p.write(ctx)
 }
@@ -136,9 +187,17 @@
 
 // Stop shuts the server down gracefully. It reports the server as not ready, still
 // accepts requests for acceptPeriod so that the load balancer can notice, then
-// rejects new ones and waits for those in flight until ctx ends. It blocks.
+// rejects new ones and waits for those in flight until ctx ends. Executions end
+// answerPeriod before the deadline of ctx, so that each request gets its final answer,
+// and requests whose estimates exceed that time are not started; those that have not arrived
+// whole by then are rejected. It blocks.
 func (s *Server) Stop(ctx context.Context, acceptPeriod time.Duration) error {
 	s.stopping.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		s.Executor.StopBy(end.Add(-answerPeriod))
+		defer time.AfterFunc(time.Until(end.Add(-answerPeriod)), s.endReads).Stop()
+		defer time.AfterFunc(time.Until(end.Add(-writePeriod)), s.queries.end).Stop()
+	}
 	wait.For(ctx, acceptPeriod)
 	s.rejecting.Store(true)
 	if err := s.awaitIdle(ctx); err != nil {
@@ -171,6 +230,28 @@
 	}
 }
 
+// recoverPanics wraps a handler so that a panic ends the request, and its connection after the
+// response, but not the process with all other requests.
+func (s *Server) recoverPanics(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		defer func() {
+			if v := recover(); v != nil {
+				s.logPanic(v)
+				ctx.Response.Reset()
+				ctx.SetConnectionClose()
+				panicProblem.write(ctx)
+			}
+		}()
+		h(ctx)
+	}
+}
+
+// logPanic logs a recovered panic. It must be called by the function that has recovered it.
+func (s *Server) logPanic(v any) {
+	stack := debug.Stack()
+	s.Log.Error().Str("error", fmt.Sprint(v)).Str("stack", string(stack[:min(len(stack), maxStackBytes)])).Msg("panic: a request was ended")
+}
+
 func (s *Server) beginWork() { s.inFlight.Add(1) }
 
 func (s *Server) endWork() { s.inFlight.Add(-1) }
@@ -234,7 +315,7 @@
 	switch {
 	case s.rejecting.Load():
 		p.Title = "this entry is stopping"
-		p.Cause = "stopping"
+		p.Cause = string(stage.CauseStopping)
 		p.RetryAfter = stoppingRetryAfter
 		return p
 	case !s.Control.ViewConfirmed():
@@ -273,7 +354,7 @@
 	}
 	p.TicketState = string(ticket.StateVoided)
 	if p.routes != nil && p.Ticket == "" {
-		if text, err := s.Tickets.Issue(ctx, p.routes, p.team); err == nil {
+		if text, err := s.Tickets.Issue(s.queries.get(), p.routes, p.team); err == nil {
 			p.Ticket = text
 		}
 	}
@@ -320,10 +401,10 @@
 		return
 	}
 	if s.rejecting.Load() {
-		problem{Status: fasthttp.StatusServiceUnavailable, Title: "this entry is stopping", Cause: "stopping", RetryAfter: stoppingRetryAfter}.write(ctx)
+		problem{Status: fasthttp.StatusServiceUnavailable, Title: "this entry is stopping", Cause: string(stage.CauseStopping), RetryAfter: stoppingRetryAfter}.write(ctx)
 		return
 	}
-	text, err := s.Tickets.Issue(ctx, routes, body.Team)
+	text, err := s.Tickets.Issue(s.queries.get(), routes, body.Team)
 	if err != nil {
 		s.ticketProblem(err).write(ctx)
 		return
@@ -356,7 +437,7 @@
 		fieldProblem("ticket", err.Error()).write(ctx)
 		return
 	}
-	settleCtx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	settleCtx, cancel := context.WithTimeout(s.queries.get(), settleTimeout)
 	defer cancel()
 	settled, err := s.Tickets.Settle(settleCtx, body)
 	if err != nil {
