--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -52,13 +52,13 @@
 }
 
 // close stops the deployment. It returns an error if that fails or if the log of a
-// relay contains a data race or a panic.
+// relay contains a data race or a panic, recovered or not.
 func (s *scriptState) close() error {
 	errs := []error{s.dep.Stop()}
 	for _, r := range s.dep.Relays {
 		raw, err := os.ReadFile(r.LogFile)
 		errs = append(errs, err)
-		for _, text := range []string{"DATA RACE", "panic:", "fatal error:"} {
+		for _, text := range []string{"DATA RACE", "panic:", "fatal error:", "handler_panicked"} {
 			if i := bytes.Index(raw, []byte(text)); i >= 0 {
 				errs = append(errs, fmt.Errorf("%s: %s", r.Name, raw[i:min(i+maxLogExcerpt, len(raw))]))
 			}
