proof/deploy: slow callers beside planned stops in the soak

Change: a fault stops a relay with SIGTERM while 12 callers send it requests in two parts, the second up to 2 s later, in two of three cases beside a new configuration. Each request is judged by itself: something has to arrive, and one that is whole only after the time to accept gets a whole response or a refusal. Such requests count in the other checks too.

--- a/proof/deploy/soak.go
+++ b/proof/deploy/soak.go
@@ -52,6 +52,7 @@
 	lastEndpoint int               // number in the ID of the last replacement endpoint
 	oddEntries   int               // number of entries of other writers so far
 	interrupted  interruptions
+	slowStops    []*slowStop
 
 	mu         sync.Mutex
 	halfClosed []string // callers that closed their sending side and got no response; guarded by mu
@@ -102,9 +103,12 @@
 	if err := sr.awaitRecovery(); err != nil {
 		return nil, err
 	}
-	v := d.Verify(all)
 	sr.callers.Wait()
+	v := d.Verify(append(sr.slowReplies(), all...))
 	v.Unanswered = append(sr.interrupted.unanswered(all), sr.halfClosed...)
+	for _, s := range sr.slowStops {
+		v.Unanswered = append(v.Unanswered, s.unserved()...)
+	}
 	return v, nil
 }
 
@@ -154,7 +158,7 @@
 
 // injectFault injects one random fault.
 func (sr *soakRun) injectFault() error {
-	switch sr.rng.IntN(19) {
+	switch sr.rng.IntN(21) {
 	case 0, 1, 2:
 		return sr.failResponses()
 	case 3:
@@ -189,6 +193,8 @@
 	case 17:
 		sr.putOddEntry()
 		return nil
+	case 18, 19:
+		return sr.stopBesideSlowCallers()
 	default:
 		return sr.drainZone()
 	}
@@ -419,16 +425,35 @@
 }
 
 // endRelay sends SIGKILL or SIGTERM to a relay and starts it again once it has ended.
-// It does nothing if the relay is already ending or isn't ready: SIGTERM makes such
-// a relay exit with an error, which is correct but would fail the run.
 func (sr *soakRun) endRelay() error {
 	r, sig := sr.randomRelay(), syscall.SIGKILL
 	if sr.rng.IntN(2) == 0 {
 		sig = syscall.SIGTERM
 	}
-	if sr.ending[r.Name] || !r.proc.Running() || !r.Ready() {
+	if !sr.mayEnd(r) {
 		return nil
 	}
+	return sr.signalEnd(r, sig)
+}
+
+// mayEnd reports whether a relay is ready and not ending. SIGTERM makes one that isn't
+// ready exit with an error, which is correct but would fail the run.
+func (sr *soakRun) mayEnd(r *Relay) bool {
+	return !sr.ending[r.Name] && r.proc.Running() && r.Ready()
+}
+
+// relayThatMayEnd returns the first relay from a number on for which mayEnd is true, or nil.
+func (sr *soakRun) relayThatMayEnd(first int) *Relay {
+	for i := range soakRelayCount {
+		if r := sr.dep.Relays[(first+i)%soakRelayCount]; sr.mayEnd(r) {
+			return r
+		}
+	}
+	return nil
+}
+
+// signalEnd sends a signal to a relay and starts it again once it has ended.
+func (sr *soakRun) signalEnd(r *Relay, sig syscall.Signal) error {
 	sr.ending[r.Name] = true
 	restarted := sr.interrupted.begin(r.Name, sig == syscall.SIGTERM)
 	sr.Logf("%s gets %s", r.Name, sig)
@@ -475,7 +500,13 @@
 }
 
 func (sr *soakRun) publishConfig() error {
-	sr.version += 1 + sr.rng.IntN(3)
+	sr.version += sr.rng.IntN(3)
+	return sr.publishNext()
+}
+
+// publishNext publishes the configuration under the next version.
+func (sr *soakRun) publishNext() error {
+	sr.version++
 	sr.Logf("configuration version %d is published", sr.version)
 	return sr.dep.Site.PublishConfig(site.StandardConfig(sr.version))
 }
