--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -106,7 +106,7 @@
 }
 
 // StartAgain starts a crashed endpoint again at its address, with another software version.
-// Its store entry stays as it is.
+// Its store entry stays as it is. What the crashed one has executed counts as executed by it.
 func (s *Site) StartAgain(id, version string) error {
 	former := s.Endpoint(id)
 	if former == nil {
@@ -114,8 +114,15 @@
 	}
 	spec := former.Spec
 	spec.Version = version
-	_, err := s.startAt(former.Addr, spec)
-	return err
+	e, err := s.startAt(former.Addr, spec)
+	if err != nil {
+		return err
+	}
+	executed := former.ExecutedRequests()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.executed = append(executed, e.executed...)
+	return nil
 }
 
 // Register writes the store entry of an endpoint with the given state.
