proof: the callers of the platform demo follow readiness

Cause: the callers of `make demo PLATFORM=1` sent requests to the relays in turn, also to the one that was down for a stop. What they lost was counted as broken, together with answers that broke off.

Change: a Balancer chooses the relay of each new connection as a load balancer does: in turn among relays whose readiness check answered 200, out after two misses in a row, all if none is ready. Half of the requests end their connection; otherwise two or three connections carry everything, and a stop met one request. Streams of the demo take half a second, so that some are in flight. Relays have 8 s for a stop, as on the platform. A connection that the relay has closed while it was idle isn't used. Each attempt is recorded with its relay and how it ended; the report tells connections that nobody accepted, requests without a response and responses broken off. The demo fails if one of the last two happened at the relay that was stopped, during its stop. Load of the soak is as before.

--- a/proof/cmds/platform.go
+++ b/proof/cmds/platform.go
@@ -27,12 +27,16 @@
 const (
 	demoSteps      = 6 // equal intervals that the duration is divided into
 	exitTimeout    = 10 * time.Second
-	minServedRatio = 0.9 // requests sent to the stopped relay are lost
+	minServedRatio = 0.9
+	// A relay accepts requests for a third of this time, and a balancer needs up to 2 s to notice a stop.
+	demoStopTimeout = 8 * time.Second
+	demoEventTime   = 60 * time.Millisecond // between two events of a stream, so that some are in flight at the stop
 )
 
 // Execute runs relays on the stand-in while zones, the store, an endpoint and a
 // relay are drained, stopped or crash. It returns an error if a reply was wrong,
-// duplicate or false, or if too few requests were served.
+// duplicate or false, if a relay left a request without a complete response in a planned
+// stop, or if too few requests were served.
 func (p *Platform) Execute([]string) error {
 	dir, err := os.MkdirTemp("", "wigeonplank-platform-")
 	if err != nil {
@@ -51,7 +55,12 @@
 	if err != nil {
 		return err
 	}
-	d := &deploy.Deployment{Site: s, Dir: dir, Bin: dir}
+	for _, e := range s.Endpoints() {
+		if e.Kind == site.KindEngine {
+			e.WorkTime = demoEventTime
+		}
+	}
+	d := &deploy.Deployment{Site: s, Dir: dir, Bin: dir, StopTimeout: demoStopTimeout}
 	err = p.runLoad(d)
 	fmt.Println("stopping all relays with SIGTERM")
 	return errors.Join(err, d.Stop())
@@ -72,28 +81,34 @@
 		}
 	}
 	fmt.Printf("3 relays serve %d endpoints\n", len(d.Site.Endpoints()))
+	stop := deploy.PlannedStop{Relay: d.Relay("relay-3")}
 	operateDone := make(chan error, 1)
-	go func() { operateDone <- p.operate(d, zones[0]) }()
-	replies := d.SendLoad(ctx, deploy.Load{Rate: p.Rate, Duration: p.Duration, Seed: p.Seed})
+	go func() { operateDone <- p.operate(d, zones[0], &stop) }()
+	replies := d.SendLoad(ctx, deploy.Load{Rate: p.Rate, Duration: p.Duration, Seed: p.Seed, Balanced: true})
 	if err := <-operateDone; err != nil {
 		return err
 	}
 	printReplies(replies)
 	v := d.Verify(replies)
 	fmt.Println(v)
+	cut := printFailures(replies, stop)
 	if !v.OK() {
 		return errVerdict
 	}
+	if cut > 0 {
+		return fmt.Errorf("%s left %d requests without a complete response in a planned stop", stop.Relay.Name, cut)
+	}
 	if float64(v.Served) < minServedRatio*float64(v.Sent) {
 		return fmt.Errorf("only %d of %d requests were served", v.Served, v.Sent)
 	}
 	return nil
 }
 
-// operate carries out planned changes and failures, one at a time.
-func (p *Platform) operate(d *deploy.Deployment, zone string) error {
+// operate carries out planned changes and failures, one at a time. It records the stop of
+// the relay of stop.
+func (p *Platform) operate(d *deploy.Deployment, zone string, stop *deploy.PlannedStop) error {
 	step := p.Duration / demoSteps
-	last := d.Relay("relay-3")
+	last := stop.Relay
 	for _, s := range []struct {
 		text string
 		run  func() error
@@ -108,11 +123,15 @@
 			d.Site.Store.SetOutage(site.OutageNone)
 			return d.Site.CrashEndpoint("g1")
 		}},
-		{"relay-3 receives SIGTERM", func() error { return last.Proc().Signal(syscall.SIGTERM) }},
+		{"relay-3 receives SIGTERM", func() error {
+			stop.SignalAt = time.Now()
+			return last.Proc().Signal(syscall.SIGTERM)
+		}},
 		{"relay-3 restarts", func() error {
 			if err := last.Proc().Wait(exitTimeout); err != nil {
 				return err
 			}
+			stop.EndAt = time.Now()
 			_, err := d.StartRelay(last.Name, zone)
 			return err
 		}},
@@ -126,6 +145,31 @@
 	return nil
 }
 
+// printFailures prints the attempts that have no complete response. It returns the number
+// of those that were cut off by the stop.
+func printFailures(replies []*deploy.Reply, stop deploy.PlannedStop) int {
+	byEnd := make(map[deploy.AttemptEnd]int)
+	met, cut := 0, 0
+	for _, r := range replies {
+		for _, a := range r.Attempts {
+			byEnd[a.End]++
+			if stop.Meets(a) {
+				met++
+			}
+			if stop.Cuts(a) {
+				cut++
+			}
+			if a.End != deploy.EndComplete {
+				fmt.Printf("  %s %s, %s after the signal: %s\n", r.ID, r.URI, formatDuration(a.EndedAt.Sub(stop.SignalAt)), a)
+			}
+		}
+	}
+	fmt.Printf("connections that no relay accepted %d, requests without a response %d, responses broken off %d\n",
+		byEnd[deploy.EndNotAccepted], byEnd[deploy.EndNoResponse], byEnd[deploy.EndBrokenOff])
+	fmt.Printf("the stop of %s met %d requests and cut off %d\n", stop.Relay.Name, met, cut)
+	return cut
+}
+
 // printReplies prints the number of requests and the longest latency of each
 // route.
 func printReplies(replies []*deploy.Reply) {
--- a/proof/deploy/deploy.go
+++ b/proof/deploy/deploy.go
@@ -3,6 +3,7 @@
 package deploy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -49,6 +50,9 @@
 	Bin    string // directory with the built programs
 	Relays []*Relay
 
+	// StopTimeout is the time that relays have from SIGTERM to the end of the process; 0: 4s.
+	StopTimeout time.Duration
+
 	client fasthttp.Client // of the callers of SendLoad
 }
 
@@ -76,7 +80,7 @@
 	s := sets.Settings{
 		Instance: name, Zone: zone, HTTP: base.Listen{Listen: addrs[0]}, Admin: base.Listen{Listen: addrs[1]},
 		Peers: sets.Peers{Listen: addrs[2], ExpectedSize: 1}, Store: d.Site.StoreAddr,
-		Stop: sets.Stop{Timeout: relayStopTimeout}, Retry: sets.Retry{Slack: retryBudgetSlack},
+		Stop: sets.Stop{Timeout: cmp.Or(d.StopTimeout, relayStopTimeout)}, Retry: sets.Retry{Slack: retryBudgetSlack},
 	}
 	for _, other := range d.Relays[:min(len(d.Relays), maxSeeds)] {
 		s.Peers.Seeds = append(s.Peers.Seeds, other.Settings.Peers.Listen)
--- a/proof/deploy/drive.go
+++ b/proof/deploy/drive.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -22,7 +23,8 @@
 	maxTakeUps         = 2               // of a stream that breaks off, by its caller
 	takeUpDelay        = 50 * time.Millisecond
 	eventEnd           = "\n\n"
-	maxPrintedFindings = 5 // findings printed for each kind of violation
+	maxPrintedFindings = 5       // findings printed for each kind of violation
+	maxConnsPerRelay   = 1 << 14 // of all callers together; never reached
 )
 
 // Route is a route of the standard site that callers use.
@@ -57,7 +59,9 @@
 	StartedAt    time.Time
 	EndedAt      time.Time
 
-	Relay        string    // that got the first attempt
+	Attempts []Attempt // in the order of their sending
+
+	Relay        string    // that got the first attempt; empty: a balancer chose it
 	FirstError   error     // why nothing of a response to it arrived; nil: something did
 	FirstEndedAt time.Time // when the first attempt ended
 }
@@ -67,9 +71,10 @@
 	Rate     float64 // requests per second
 	Duration time.Duration
 	Seed     uint64
+	Balanced bool // a Balancer chooses the relay of each connection; otherwise requests go to the relays in turn
 }
 
-// SendLoad sends requests to the relays in turn and returns all replies. Arrivals
+// SendLoad sends requests to the relays and returns all replies. Arrivals
 // are random at the given mean rate and don't wait for earlier responses. The seed
 // determines the sequence of requests. SendLoad blocks until the last request has
 // ended.
@@ -77,7 +82,13 @@
 	rng := rand.New(rand.NewPCG(l.Seed, 0))
 	ctx, cancel := context.WithTimeout(ctx, l.Duration)
 	defer cancel()
-	d.client.MaxIdemponentCallAttempts, d.client.MaxConnsPerHost = 1, 1<<14
+	d.client.MaxIdemponentCallAttempts, d.client.MaxConnsPerHost = 1, maxConnsPerRelay
+	client := &d.client
+	if l.Balanced {
+		balanced, stop := d.balance(context.WithoutCancel(ctx)) // requests outlast the load
+		defer stop()
+		client = balanced
+	}
 	var wg sync.WaitGroup
 	var out []*Reply
 	for n := 0; ; n++ {
@@ -98,10 +109,16 @@
 		for i := range maxTakeUps + 1 {
 			addrs = append(addrs, d.Relays[(n+i)%len(d.Relays)].Settings.HTTP.Listen)
 		}
+		if l.Balanced {
+			if rng.IntN(2) == 0 {
+				req.SetConnectionClose() // otherwise few connections, all to the same relays, carry everything
+			}
+			r.Relay, addrs = "", slices.Repeat([]string{balancerAddr}, len(addrs))
+		}
 		out = append(out, r)
 		wg.Go(func() {
 			defer fasthttp.ReleaseRequest(req)
-			r.send(&d.client, addrs, req)
+			r.send(client, addrs, req)
 		})
 	}
 }
@@ -176,10 +193,13 @@
 	req.UseHostHeader = true
 	req.Header.SetHost(site.StandardHost)
 	r.Status = 0
+	sentAt := time.Now()
 	if err := client.DoTimeout(req, resp, requestDeadline+responseGrace); err != nil {
+		r.Attempts = append(r.Attempts, newAttempt(resp, sentAt, false, err))
 		return "", fmt.Errorf("send request: %w", err)
 	}
 	body, err := io.ReadAll(resp.BodyStream())
+	r.Attempts = append(r.Attempts, newAttempt(resp, sentAt, true, err))
 	_ = resp.CloseBodyStream() // fails only after a failed read
 	if err != nil {
 		return string(body), fmt.Errorf("read body: %w", err)
