core/stage: an attempt whose agent did not reply goes on if no other can follow

Cause: an entry that loses the link to an agent asks it to void the attempt. If no reply came within 300 ms, an idempotent attempt was given up before it was known that another one follows: the retry budget may be spent, the time left too short for the estimate, or no other endpoint there. The caller got a refusal with time left, although the agent still ran the attempt and kept its result.

Change: such an attempt is left only for another one that has an endpoint and a retry. Otherwise its agent is asked again for RelinkTimeout, half a second. The executor ends the current attempt only once another endpoint is selected.

--- a/core/stage/flow.go
+++ b/core/stage/flow.go
@@ -81,7 +81,7 @@
 // Actions that a Flow requests.
 const (
 	ActionWait      ActionKind = "wait"       // wait for the next event
-	ActionDispatch  ActionKind = "dispatch"   // send the stage to an endpoint that was not tried before
+	ActionDispatch  ActionKind = "dispatch"   // send the stage to an endpoint that was not tried before; if there is none, the newest attempt stays
 	ActionAwaitLink ActionKind = "await_link" // wait for a link to the agent of the attempt that was not sent
 	ActionVoid      ActionKind = "void"       // ask the agent to void the attempt, over a new link if needed
 	ActionResume    ActionKind = "resume"     // ask the agent for the rest of the result
@@ -113,8 +113,9 @@
 // became of an attempt in flight.
 const DeadlineMargin = 100 * time.Millisecond
 
-// RelinkTimeout bounds how long a request waits in total for links to agents that
-// alone can run its non-idempotent stages.
+// RelinkTimeout bounds how long a request waits in total for links to agents: those that
+// alone can run its non-idempotent stages, and those that may be running an idempotent
+// stage while no other attempt can follow.
 const RelinkTimeout = 500 * time.Millisecond
 
 // phase is the state of the newest attempt.
@@ -143,6 +144,8 @@
 	mayHaveSideEffects bool      // a non-idempotent attempt may have run without a known result; for completed ones see End.Settle
 	nearDeadline       bool      // EventDeadlineNear was received
 	relinkUntil        time.Time // end of the wait for links; zero before the first wait
+	replacing          bool      // the last action dispatches a stage whose previous attempt may still be running
+	unusedRetry        bool      // a retry was withdrawn that found no endpoint
 	retryAfter         time.Duration
 }
 
@@ -158,10 +161,16 @@
 	if ev.RetryAfter > 0 {
 		f.retryAfter = ev.RetryAfter
 	}
+	replacing := f.replacing
+	f.replacing = false
 	switch ev.Kind {
 	case EventStart:
 		return f.dispatch(now)
 	case EventNoEndpoint:
+		if replacing {
+			f.unusedRetry = true
+			return f.voidAgain(now, CauseNoEndpoint)
+		}
 		return f.finish(CauseNoEndpoint)
 	case EventUnsent:
 		return f.handleUnsent(now)
@@ -182,8 +191,10 @@
 		return f.voidAttempt()
 	case EventRunning:
 		return f.handleRunning(now)
-	case EventAttemptUnknown, EventUnreachable:
+	case EventAttemptUnknown:
 		return f.handleLost(now)
+	case EventUnreachable:
+		return f.handleUnreachable(now)
 	case EventDeadlineNear:
 		return f.handleDeadlineNear()
 	case EventDeadline:
@@ -208,13 +219,18 @@
 // remaining stages can't be done before the deadline.
 func (f *Flow) dispatch(now time.Time) Action {
 	budget := f.Deadline.Sub(now) - DeadlineMargin
-	if f.nearDeadline || budget <= 0 || (!f.IgnoreEstimates && budget < f.remainingEstimate()) {
+	if !f.inTime(budget) {
 		return f.finish(CauseLate)
 	}
 	f.phase = phaseDispatched
 	return Action{Kind: ActionDispatch, Stage: f.current, Budget: budget}
 }
 
+// inTime reports whether the remaining stages can be done within a budget.
+func (f *Flow) inTime(budget time.Duration) bool {
+	return !f.nearDeadline && budget > 0 && (f.IgnoreEstimates || budget >= f.remainingEstimate())
+}
+
 // remainingEstimate returns the sum of the estimates of the current and all later
 // stages. Stages without an estimate count as zero.
 func (f *Flow) remainingEstimate() time.Duration {
@@ -234,13 +250,25 @@
 	if f.nearDeadline {
 		return f.finish(CauseLate)
 	}
-	if f.WithdrawRetry == nil || !f.WithdrawRetry(f.retries) {
+	if !f.withdrawRetry() {
 		return f.finish(c)
 	}
-	f.retries++
 	return f.dispatch(now)
 }
 
+// withdrawRetry reports whether the retry budget allows another attempt.
+func (f *Flow) withdrawRetry() bool {
+	if f.unusedRetry {
+		f.unusedRetry = false
+		return true
+	}
+	if f.WithdrawRetry == nil || !f.WithdrawRetry(f.retries) {
+		return false
+	}
+	f.retries++
+	return true
+}
+
 // handleUnsent handles a dispatch that never left this process. At a
 // non-idempotent stage the request waits for a new link: only the agent that
 // issued the serial can run the stage, so a retry at another agent is impossible.
@@ -312,8 +340,34 @@
 	return Action{Kind: ActionResume, Stage: f.current, Budget: f.Deadline.Sub(now) - DeadlineMargin}
 }
 
-// handleLost handles an attempt whose state the agent doesn't know or can't
-// report: it may have run.
+// handleUnreachable handles an agent that did not reply. The attempt of an idempotent stage
+// may still be running: it is given up only for another attempt, or after RelinkTimeout.
+func (f *Flow) handleUnreachable(now time.Time) Action {
+	if !f.currentStage().Idempotent || f.nearDeadline {
+		return f.handleLost(now)
+	}
+	f.mayHaveStarted = true
+	if f.inTime(f.Deadline.Sub(now)-DeadlineMargin) && f.withdrawRetry() {
+		f.replacing = true
+		return f.dispatch(now)
+	}
+	return f.voidAgain(now, CauseLost)
+}
+
+// voidAgain requests once more that the agent voids the attempt, or ends the request with
+// cause c if the wait for links is over.
+func (f *Flow) voidAgain(now time.Time, c Cause) Action {
+	if f.relinkUntil.IsZero() {
+		f.relinkUntil = now.Add(RelinkTimeout)
+	}
+	if !now.Before(f.relinkUntil) {
+		return f.finish(c)
+	}
+	f.phase = phaseVoiding
+	return Action{Kind: ActionVoid, Stage: f.current}
+}
+
+// handleLost handles an attempt whose state the agent doesn't know: it may have run.
 func (f *Flow) handleLost(now time.Time) Action {
 	f.mayHaveStarted = true
 	if !f.currentStage().Idempotent {
--- a/core/stage/flow_test.go
+++ b/core/stage/flow_test.go
@@ -352,3 +352,81 @@
 		t.Fatalf("got %+v, want the end with cause %s", a, stage.CauseLost)
 	}
 }
+
+// TestUnreachedAttemptGoesOn guards against an idempotent attempt that is given up because
+// its agent didn't reply, although it runs and no other attempt can follow.
+func TestUnreachedAttemptGoesOn(t *testing.T) {
+	start := time.Unix(1000, 0)
+	fast := func() time.Duration { return 100 * time.Millisecond }
+	slow := func() time.Duration { return 900 * time.Millisecond }
+	tests := map[string]struct {
+		retries  int
+		estimate func() time.Duration
+		replies  []stage.EventKind // from the loss of the link on
+	}{
+		"retry budget is spent": {
+			estimate: fast,
+			replies:  []stage.EventKind{stage.EventLinkLost, stage.EventUnreachable, stage.EventRunning},
+		},
+		"no other endpoint": {
+			retries: 1, estimate: fast,
+			replies: []stage.EventKind{stage.EventLinkLost, stage.EventUnreachable, stage.EventNoEndpoint, stage.EventRunning},
+		},
+		"no other endpoint, twice": {
+			retries: 1, estimate: fast,
+			replies: []stage.EventKind{stage.EventLinkLost, stage.EventUnreachable, stage.EventNoEndpoint, stage.EventUnreachable, stage.EventNoEndpoint, stage.EventRunning},
+		},
+		"no time for another attempt": {
+			retries: 1, estimate: slow,
+			replies: []stage.EventKind{stage.EventLinkLost, stage.EventUnreachable, stage.EventRunning},
+		},
+		"no reply to a resume": {
+			estimate: fast,
+			replies:  []stage.EventKind{stage.EventLinkLost, stage.EventRunning, stage.EventUnreachable, stage.EventRunning},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := &stage.Flow{
+				Stages: []stage.Spec{{Name: "encode", Idempotent: true, Estimate: test.estimate}}, Deadline: start.Add(1100 * time.Millisecond),
+				WithdrawRetry: func(done int) bool { return done < test.retries },
+			}
+			now := start
+			f.Handle(now, stage.Event{Kind: stage.EventStart})
+			var a stage.Action
+			for _, k := range test.replies {
+				if k == stage.EventUnreachable {
+					now = now.Add(150 * time.Millisecond)
+				}
+				a = f.Handle(now, stage.Event{Kind: k})
+			}
+			if a.Kind != stage.ActionResume {
+				t.Fatalf("got %+v, want a resume", a)
+			}
+			if a := f.Handle(now, stage.Event{Kind: stage.EventDone}); a.End.Outcome != stage.OutcomeAnswered {
+				t.Fatalf("got %+v, want an answer", a)
+			}
+		})
+	}
+}
+
+// TestUnreachedAttemptEnds guards against a request that is held until its deadline by an
+// agent that is gone.
+func TestUnreachedAttemptEnds(t *testing.T) {
+	start := time.Unix(1000, 0)
+	f := &stage.Flow{Stages: []stage.Spec{{Name: "encode", Idempotent: true}}, Deadline: start.Add(time.Minute)}
+	f.Handle(start, stage.Event{Kind: stage.EventStart})
+	now := start
+	a := f.Handle(now, stage.Event{Kind: stage.EventLinkLost})
+	for a.Kind == stage.ActionVoid {
+		if now.Sub(start) > 2*stage.RelinkTimeout {
+			t.Fatalf("the agent is still asked after %v", now.Sub(start))
+		}
+		now = now.Add(150 * time.Millisecond)
+		a = f.Handle(now, stage.Event{Kind: stage.EventUnreachable})
+	}
+	want := stage.End{Outcome: stage.OutcomePartial, Cause: stage.CauseLost, Stage: "encode"}
+	if a.Kind != stage.ActionFinish || a.End != want {
+		t.Fatalf("got %+v, want %+v", a, want)
+	}
+}
--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -217,19 +217,23 @@
 	return stage.Event{}, nil
 }
 
-// dispatch starts a new attempt of a stage.
+// dispatch starts a new attempt of a stage. If there is no endpoint for it, the current
+// attempt of the stage stays.
 func (e *execution) dispatch(a stage.Action) stage.Event {
-	e.detachAttempt()
-	if a.Stage != e.stageIndex || e.assembler == nil {
+	retry := a.Stage == e.stageIndex && e.assembler != nil
+	if !retry {
+		e.detachAttempt()
 		e.beginStage(a.Stage)
-	} else {
-		e.beginRetry()
 	}
 	s := e.routes.Stages[a.Stage]
 	ep, serial, err := e.selectTarget(s)
 	if err != nil {
 		return e.handleNoTarget(err)
 	}
+	if retry {
+		e.detachAttempt()
+		e.beginRetry()
+	}
 	e.tried = append(e.tried, ep)
 	e.current = &attempt{
 		seq:         e.executor.lastSeq.Add(1),
