--- a/core/share/history.go
+++ b/core/share/history.go
@@ -76,7 +76,7 @@
 	delays window[float64]       // actual delays by queued items, in multiples of the estimated ones
 	tails  window[time.Duration] // times from the end of the stages to the first event
 	items  []float64             // mean numbers of items, by stage
-	whole  window[time.Duration] // times from the beginning of a request to the end of its response
+	whole  window[time.Duration] // times from the arrival of a whole request to the end of its response
 }
 
 // RecordItems records the numbers of items of a request, by stage.
@@ -157,7 +157,7 @@
 	return min(quantile(tails, q), time.Duration(maxTailShare*float64(objective)))
 }
 
-// RecordDuration records the time from the beginning of a request to the end of its complete
+// RecordDuration records the time from the arrival of a whole request to the end of its
 // response.
 func (h *History) RecordDuration(now time.Time, d time.Duration) {
 	h.mu.Lock()
@@ -165,8 +165,8 @@
 	h.whole.add(now, d)
 }
 
-// Duration returns the quantile q of the recent times from the beginning of a request to the
-// end of its response, and false if there are too few of them.
+// Duration returns the quantile q of the recent times from the arrival of a whole request to
+// the end of its response, and false if there are too few of them.
 func (h *History) Duration(now time.Time, q float64) (time.Duration, bool) {
 	h.mu.Lock()
 	durations := h.whole.since(now.Add(-durationWindow), make([]time.Duration, 0, windowSize))
--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -48,7 +48,7 @@
 	chunked  bool         // the body is in chunks, with a trailer after the last
 	complete bool         // the body has been read to its end
 	bodiless bool         // the request was HEAD
-	named    bool         // the response has the ID of an attempt, or is a refusal
+	named    bool         // the response is to an attempt with an ID
 	accepted bool         // see Accept
 	reserved *Reservation // for what is held of the response; nil: none yet
 }
