proof/deploy: the process of a relay may be replaced while it is waited for

Cause: the soak waits for a restarted relay in a goroutine of its own, and starts the relay again meanwhile if it was killed at once. Change: Relay holds its process in an atomic pointer.

--- a/proof/deploy/deploy.go
+++ b/proof/deploy/deploy.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -36,11 +37,11 @@
 	SettingsFile string // path of the settings file
 	LogFile      string // path of the log
 
-	proc *fleet.Proc
+	proc atomic.Pointer[fleet.Proc] // of the last start
 }
 
 // Proc returns the process, or nil if it was never started.
-func (r *Relay) Proc() *fleet.Proc { return r.proc }
+func (r *Relay) Proc() *fleet.Proc { return r.proc.Load() }
 
 // Deployment is a site with relays in front of it. Site, Dir and Bin have to be set
 // before its first use.
@@ -109,7 +110,7 @@
 
 func (d *Deployment) startProc(r *Relay) error {
 	p, err := fleet.StartProc(r.Name, r.LogFile, filepath.Join(d.Bin, "relay"), "--settings", r.SettingsFile)
-	r.proc = p
+	r.proc.Store(p)
 	return err
 }
 
@@ -128,7 +129,7 @@
 		if r.Ready() {
 			return nil
 		}
-		if !r.proc.Running() {
+		if !r.Proc().Running() {
 			return fmt.Errorf("relay %s has exited; its log is %s", r.Name, r.LogFile)
 		}
 		select {
@@ -143,8 +144,8 @@
 func (d *Deployment) Stop() error {
 	var errs []error
 	for _, r := range d.Relays {
-		if r.proc != nil && r.proc.Running() {
-			errs = append(errs, r.proc.Stop(stopTimeout))
+		if r.Proc() != nil && r.Proc().Running() {
+			errs = append(errs, r.Proc().Stop(stopTimeout))
 		}
 	}
 	return errors.Join(append(errs, d.Site.Close())...)
--- a/proof/deploy/soak.go
+++ b/proof/deploy/soak.go
@@ -460,7 +460,7 @@
 // mayEnd reports whether a relay is ready, not ending and not about to be lost. SIGTERM makes one that isn't
 // ready exit with an error, which is correct but would fail the run.
 func (sr *soakRun) mayEnd(r *Relay) bool {
-	return !sr.losing && !sr.ending[r.Name] && r.proc.Running() && r.Ready()
+	return !sr.losing && !sr.ending[r.Name] && r.Proc().Running() && r.Ready()
 }
 
 // relayThatMayEnd returns the first relay from a number on for which mayEnd is true, or nil.
@@ -478,11 +478,11 @@
 	sr.ending[r.Name] = true
 	restarted := sr.interrupted.begin(r.Name, sig == syscall.SIGTERM)
 	sr.Logf("%s gets %s", r.Name, sig)
-	if err := errors.Join(r.proc.Signal(syscall.SIGCONT), r.proc.Signal(sig)); err != nil {
+	if err := errors.Join(r.Proc().Signal(syscall.SIGCONT), r.Proc().Signal(sig)); err != nil {
 		return err
 	}
 	go func() {
-		err := r.proc.Wait(relayEndTimeout)
+		err := r.Proc().Wait(relayEndTimeout)
 		sr.pending <- func() error {
 			if sig == syscall.SIGTERM && err != nil {
 				return fmt.Errorf("%s failed to stop after SIGTERM: %w", r.Name, err)
@@ -506,14 +506,14 @@
 // relay is ending, as the pause would delay the end beyond its timeout.
 func (sr *soakRun) pauseRelay() error {
 	r, d := sr.randomRelay(), sr.randomDuration()
-	if sr.isCalm() || sr.ending[r.Name] || !r.proc.Running() {
+	if sr.isCalm() || sr.ending[r.Name] || !r.Proc().Running() {
 		return nil
 	}
 	sr.Logf("%s is paused for %s", r.Name, d)
 	resumed := sr.interrupted.begin(r.Name, false)
-	_ = r.proc.Signal(syscall.SIGSTOP) // fails only if the process has ended
+	_ = r.Proc().Signal(syscall.SIGSTOP) // fails only if the process has ended
 	sr.schedule(d, func() error {
-		_ = r.proc.Signal(syscall.SIGCONT) // fails only if the process has ended
+		_ = r.Proc().Signal(syscall.SIGCONT) // fails only if the process has ended
 		resumed()
 		return nil
 	})
