core/fleet, relay/ctrl: a missing endpoint stays missing when its zone returns

Cause: an endpoint that is removed shortly after an outage counts as missing until it is dropped. If its zone returned to use meanwhile, the view replaced it, as it counts as cold, in the way of an endpoint that the store has listed again, so that it was no longer missing and never dropped. Change: fleet.Change has Update beside Put; returning zones use it.

--- a/core/fleet/view.go
+++ b/core/fleet/view.go
@@ -26,7 +26,8 @@
 
 // Change is a set of updates to a view.
 type Change struct {
-	Put     []*Endpoint          // added, or replaced by ID
+	Put     []*Endpoint          // added, or replaced by ID; the store lists them
+	Update  []*Endpoint          // replaced by ID; those that are missing stay so
 	Remove  []string             // IDs of removed endpoints
 	Missing map[string]time.Time // by ID: endpoints missing from the store, and when they are overdue
 	Drained map[string]bool      // all zones that are drained; nil: unchanged
@@ -41,6 +42,9 @@
 		v.endpoints[e.ID] = e
 		delete(v.missing, e.ID)
 	}
+	for _, e := range c.Update {
+		v.endpoints[e.ID] = e
+	}
 	for _, id := range c.Remove {
 		delete(v.endpoints, id)
 		delete(v.missing, id)
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -417,7 +417,7 @@
 		c.state.returnedAt[z] = now
 		for _, e := range c.state.view.All() {
 			if e.Zone == z {
-				change.Put = append(change.Put, c.withZoneColdPeriod(e, now))
+				change.Update = append(change.Update, c.withZoneColdPeriod(e, now))
 			}
 		}
 	}
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -406,6 +406,24 @@
 	}
 }
 
+// TestReturnedZoneKeepsMissing guards against a removed endpoint that is used for good, as its
+// zone returns to use while the endpoint only counts as missing after an outage.
+func TestReturnedZoneKeepsMissing(t *testing.T) {
+	f := newFixture()
+	zone := func(removed bool) plat.Entry {
+		f.revision++
+		return plat.Entry{Key: plat.DrainPrefix + "z", Revision: f.revision, Removed: removed, Value: []byte("{}")}
+	}
+	f.read(false, f.entry("a"), f.entry("b"), zone(false))
+	f.read(true, f.removal("a"))
+	f.clock.Advance(100 * time.Millisecond)
+	f.read(false, zone(true))
+	f.check(t, "zone in use again, entry awaited", 2)
+	f.clock.Advance(limits.Stable)
+	f.read(false)
+	f.check(t, "once the store counts as stable", 1)
+}
+
 // TestDrainedZoneWrittenAfterRestore guards against a zone that is used for 4 s more,
 // because operators drained it between the return of a restored store and its first read.
 func TestDrainedZoneWrittenAfterRestore(t *testing.T) {
