relay: log standstills of the process, and how long a configuration took

The hypotheses of docs/incidents/stalled_deadlines.md can't be told apart by the logs: a standstill of the process leaves no line, nor does a configuration say how long it kept the control state busy. process_stalled is logged when two ticks of the control state are over 200 ms apart (they are due every 25 ms), config_applied has took_ms, and read_late will tell of callers' bytes that a timeout would have hidden.

--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -9,6 +9,7 @@
 	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/repl"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 )
 
 const (
@@ -17,6 +18,8 @@
 	registrationTime = 2 * time.Second
 	// maxTickGap is the time between two ticks above which this process was paused.
 	maxTickGap = 500 * time.Millisecond
+	// loggedTickGap is the time between two ticks from which on it is logged.
+	loggedTickGap = 200 * time.Millisecond
 	// wakeTime is how long after a pause this process may read messages from before it.
 	wakeTime = time.Second
 	// refreshInterval is the least time between the beginnings of two refreshes.
@@ -56,9 +59,13 @@
 	p, now, t := c.Position(), c.Clock.Now(), &c.contacts
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.tickedAt.IsZero() && now.Sub(t.tickedAt) > maxTickGap {
+	gap := now.Sub(t.tickedAt)
+	if !t.tickedAt.IsZero() && gap > maxTickGap {
 		t.wokeAt = now
 	}
+	if !t.tickedAt.IsZero() && gap > loggedTickGap {
+		c.Log.Event(logs.ProcessStalled).Dur("took_ms", gap).Msg("")
+	}
 	t.tickedAt = now
 	if until := p.Contact.At.Add(-registrationTime); t.proves(p) && until.After(t.listedUntil) {
 		t.listedUntil = until
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -379,6 +379,7 @@
 // applyConfig replaces the active configuration, unless the new one is invalid or
 // its version isn't higher.
 func (c *Control) applyConfig(entry plat.Entry) {
+	begun := c.Clock.Now()
 	cfg, err := plat.DecodeConfig(entry)
 	old := c.state.view.Config
 	if old != nil && (err != nil || cfg.Version <= old.Version) {
@@ -395,7 +396,8 @@
 	}
 	c.state.config = entry.Value
 	c.state.view = c.state.view.WithConfig(cfg)
-	c.Log.Event(logs.ConfigApplied).Int64("version", cfg.Version).Int64("revision", entry.Revision).Int("routes", cfg.NumRoutes()).Msg("")
+	c.Log.Event(logs.ConfigApplied).Int64("version", cfg.Version).Int64("revision", entry.Revision).Int("routes", cfg.NumRoutes()).
+		Dur("took_ms", c.Clock.Now().Sub(begun)).Msg("")
 }
 
 // applyDrainedZones replaces the set of drained zones. Endpoints of a zone that
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -34,6 +34,9 @@
 	LinesOmitted     = newEventType("lines_omitted", log.WarnLevel, changeRate, "Lines were omitted since the last line of this kind, because an event exceeded its rate or standard output was blocked.", "kind", "lines")
 	AcceptFailed     = newEventType("accept_failed", log.WarnLevel, changeRate, "A connection can't be accepted, as descriptors or memory are short. It is tried again.", "addr", "error")
 
+	ProcessStalled = newEventType("process_stalled", log.WarnLevel, changeRate, "The process didn't run for a while: it was paused, or got no processor time.", "took_ms")
+	ReadLate       = newEventType("read_late", log.WarnLevel, changeRate, "Bytes of a caller were read after the time for them had passed, as the process had not looked before.", "caller")
+
 	StoreLost         = newEventType("store_lost", log.WarnLevel, changeRate, "A read from the platform's store failed; the last snapshot stays active.", "error")
 	StoreRegained     = newEventType("store_regained", log.WarnLevel, changeRate, "The store responds again.", "failures", "lost_ms")
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
@@ -41,7 +44,7 @@
 	VersionsRecalled  = newEventType("versions_recalled", log.InfoLevel, changeRate, "The history of the store was read for a stream whose origin no relay remembers; software versions are known from since on.", "since", "changes", "error")
 	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms", "bytes", "took_ms")
 	ChangesOverdue    = newEventType("changes_overdue", log.WarnLevel, changeRate, "Changes to the store that were requested from another relay have not arrived in time; they are requested again.", "from", "took_ms", "behind_ms")
-	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes")
+	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes", "took_ms")
 	ConfigRejected    = newEventType("config_rejected", log.ErrorLevel, changeRate, "A configuration is invalid; the previous one stays active.", "revision", "error")
 	ZoneDrained       = newEventType("zone_drained", log.InfoLevel, changeRate, "An availability zone was drained; its endpoints get no new requests.", "zone")
 	ZoneReturned      = newEventType("zone_returned", log.InfoLevel, changeRate, "A drained availability zone is in use again; its endpoints count as cold for a period.", "zone")
