relay/front: a request that arrived while the process stood still is read

Callers saw a kept connection closed without an answer or a refusal although their request had arrived 200 ms into an idle time of 500 ms, and a 408 for a header that came in time. The read deadline of a connection is a timer. If the process doesn't run until it has passed (paused, or starved of its share of a core), the deadline and the bytes are both due, and a read that begins then returns the timeout without a look at the bytes. The connection was closed as idle.

base/stall reads connections that look once, without waiting, for what had arrived when the timeout is noticed. What arrives later doesn't count, so that a peer which never stops sending doesn't outlast its deadline. Callers' connections use it, and log read_late.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/core/fleet"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
@@ -252,7 +253,9 @@
 type peekResult struct{ err error }
 
 // serveConn serves the requests of one connection until it ends.
-func (s *Server) serveConn(c net.Conn) {
+func (s *Server) serveConn(accepted net.Conn) {
+	c := stall.New(accepted)
+	c.OnLate = func() { s.Log.Event(logs.ReadLate).Str("caller", c.RemoteAddr().String()).Msg("") }
 	defer s.removeConn(c)
 	limits := s.limits()
 	br := bufio.NewReaderSize(c, limits.HeaderBytes)
@@ -343,7 +346,7 @@
 // until the caller closes its side or lingerTimeout has passed. Closing with
 // unread input would reset the connection, and the caller might lose the response.
 func lingeringClose(c net.Conn) {
-	t, ok := c.(*net.TCPConn)
+	t, ok := c.(interface{ CloseWrite() error })
 	if !ok || t.CloseWrite() != nil {
 		return
 	}
