--- a/relay/front/stall_test.go
+++ b/relay/front/stall_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"wigeonplank.example/base/accept"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/relay/front"
 )
@@ -107,6 +108,25 @@
 		}
 		<-stopped
 	})
+	t.Run("not accepted yet", func(t *testing.T) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var rec recorder
+		srv, open := newServer(rec.handle), make(chan struct{})
+		go func() { // returns when the server stops
+			_ = srv.Serve(&accept.Listener{Listener: &gatedListener{TCPListener: ln.(*net.TCPListener), open: open}})
+		}()
+		_, r := dial(t, ln.Addr().String(), plainRequest)
+		stopped := stopAccepting(srv, 5*time.Second)
+		time.Sleep(300 * time.Millisecond)
+		close(open)
+		if got := readAnswer(r); !strings.Contains(got, "HTTP/1.1 ") || !strings.Contains(got, "Connection: close") {
+			t.Errorf("got %q, want a response that ends the connection", got)
+		}
+		<-stopped
+	})
 }
 
 // TestIdleLimitRaised guards against a kept connection that is closed by a limit which has been
