relay/pool: a response that arrived while the process stood still is read

A call whose response had arrived 300 ms before its deadline, and which is read 200 ms after it as the process didn't run meanwhile, failed as a timeout: the stage's items ran again, the endpoint counted as failed, and attempts at endpoints looked for a successor first.

Connections to endpoints are now read through base/stall, before a call is asked whether to wait for longer.

--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"wigeonplank.example/base/stall"
 )
 
 const (
@@ -23,7 +25,6 @@
 	idleMargin         = 700 * time.Millisecond // an idle connection expires this long before its endpoint closes it
 	readBufferBytes    = 8 << 10
 	unackedTimeout     = 2 * time.Second // a connection fails if sent bytes stay unacknowledged for longer
-	arrivedTimeout     = time.Millisecond
 	sweepInterval      = time.Second // minimum time between two sweeps for expired connections
 	maxUnnamedBodies   = 1024        // different bodies of responses without an ID on one connection
 )
@@ -173,7 +174,7 @@
 	if t, ok := raw.(*net.TCPConn); ok {
 		setUnackedTimeout(t)
 	}
-	c := &Conn{Conn: raw, key: k, budget: &p.Budget, life: p.addLife(k, dialedAt)}
+	c := &Conn{Conn: stall.New(raw), key: k, budget: &p.Budget, life: p.addLife(k, dialedAt)}
 	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -181,8 +182,8 @@
 // LastRead returns when bytes were last read from the connection.
 func (c *Conn) LastRead() time.Time { return c.lastRead }
 
-// Read reads from the connection. When the read deadline passes, it asks the current call
-// whether to wait for longer.
+// Read reads from the connection. When the read deadline passes and nothing has arrived, it asks
+// the current call whether to wait for longer.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
@@ -268,7 +269,7 @@
 // readArrived reads what has arrived while the call decided to give the response up. If
 // nothing has, it returns err.
 func (c *Conn) readArrived(p []byte, err error) (int, error) {
-	if c.SetReadDeadline(time.Now().Add(arrivedTimeout)) != nil {
+	if c.SetReadDeadline(time.Now()) != nil { // Conn.Conn looks again at what has arrived
 		return 0, err
 	}
 	n, _ := c.Conn.Read(p)
