base/link: a standstill of this process doesn't make a link silent

What callers saw: nothing by itself, but a link that counts as silent makes entries ask agents again and give attempts up, and relays run the items of a link again and move shared work. A receive with a time limit returned its timeout after a standstill although the message was on its way through the session: the deadline of the stream fires before the session's reader has run.

A timeout that is noticed over 30 ms late shows that the process stood still; the receive then waits for another 100 ms, up to three times in a row. A limit that is noticed in time isn't prolonged.

--- a/base/link/link.go
+++ b/base/link/link.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +31,12 @@
 	maxPartBytes     = 32 << 10
 	maxStreamWindow  = 256 << 10 // bytes; a ping may wait behind as many of every other stream
 	acceptBacklog    = 1024      // streams
+
+	// A timeout that is noticed by more than stallMargin after its time shows that this
+	// process stood still. What arrived meanwhile is still on its way through the session.
+	stallMargin       = 30 * time.Millisecond
+	stallGrace        = 100 * time.Millisecond
+	maxStallExtension = 3 // in a row
 )
 
 // SessionConfig returns the yamux configuration of a link's session. It disables
@@ -55,11 +62,13 @@
 	// the stream was opened by a Peer.
 	Silent <-chan struct{}
 
-	conn    net.Conn
-	r       *bufio.Reader
-	limit   time.Duration // without progress, of the current ReceiveWithin; 0: none
-	mu      sync.Mutex    // serializes writes
-	aborted atomic.Bool   // the stream was closed, or its Session has ended
+	conn     net.Conn
+	r        *bufio.Reader
+	limit    time.Duration // without progress, of the current ReceiveWithin; 0: none
+	deadline time.Time     // end of limit
+	extended int           // number of extensions since the last progress
+	mu       sync.Mutex    // serializes writes
+	aborted  atomic.Bool   // the stream was closed, or its Session has ended
 }
 
 // NewStream returns a Stream over a connection or a yamux stream.
@@ -101,13 +110,40 @@
 type progressReader Stream
 
 func (r *progressReader) Read(p []byte) (int, error) {
+	s := (*Stream)(r)
 	n, err := r.conn.Read(p)
+	for n == 0 && isTimeout(err) && s.extendLimit() {
+		n, err = r.conn.Read(p)
+	}
 	if n > 0 && err == nil && r.limit > 0 {
-		err = (*Stream)(r).setReadDeadline(time.Now().Add(r.limit))
+		err = s.startLimit()
 	}
 	return n, err
 }
 
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
+
+// startLimit begins the time within which something must arrive.
+func (s *Stream) startLimit() error {
+	s.deadline, s.extended = time.Now().Add(s.limit), 0
+	return s.setReadDeadline(s.deadline)
+}
+
+// extendLimit prolongs the time within which something must arrive, if its end was noticed so
+// late that this process must have stood still. Otherwise it returns false.
+func (s *Stream) extendLimit() bool {
+	now := time.Now()
+	if s.limit == 0 || s.aborted.Load() || s.extended == maxStallExtension || now.Sub(s.deadline) < stallMargin {
+		return false
+	}
+	s.extended++
+	s.deadline = now.Add(stallGrace)
+	return s.setReadDeadline(s.deadline) == nil
+}
+
 // Receive reads the next message into m. It blocks until one arrives or the
 // stream ends.
 func (s *Stream) Receive(m proto.Message) error { return wire.Read(s.r, m) }
@@ -117,7 +153,7 @@
 func (s *Stream) ReceiveWithin(m proto.Message, d time.Duration) error {
 	s.limit = d
 	defer func() { s.limit = 0 }()
-	if err := s.setReadDeadline(time.Now().Add(d)); err != nil {
+	if err := s.startLimit(); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
 	err := wire.Read(s.r, m)
--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -158,8 +158,7 @@
 
 // controlError returns errSilent for a timeout, else err with context.
 func controlError(err error) error {
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if isTimeout(err) {
 		return errSilent
 	}
 	return fmt.Errorf("control stream: %w", err)
