relay/peers: a standstill of this relay doesn't count as a missing heartbeat

The dialer of a link checks at a tick for how long a heartbeat has been unanswered. After a standstill the tick comes first and the answer, which has arrived, second: the link was closed, its items ran again, and the other relay counted as suspect.

Time beyond the interval of two checks no longer counts.

--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -59,8 +59,8 @@
 	ln       net.Listener
 	mu       sync.Mutex
 	conns    map[net.Conn]connState // open connections
-	drainEnd time.Time                            // from then on no request is taken; zero: Stop has not got that far
-	stopEnd  time.Time                            // when Stop cancels requests in flight; zero: it wasn't called, or its context has no deadline
+	drainEnd time.Time              // from then on no request is taken; zero: Stop has not got that far
+	stopEnd  time.Time              // when Stop cancels requests in flight; zero: it wasn't called, or its context has no deadline
 	// outOfTime tells that Stop has cancelled the requests in flight. Guarded by mu.
 	outOfTime bool
 	stopping  atomic.Bool
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -56,6 +56,9 @@
 	return defaultActiveInterval
 }
 
+// checkInterval is the time between two checks whether a heartbeat is due.
+func (t Timing) checkInterval() time.Duration { return t.active() / 2 }
+
 func (t Timing) idle() time.Duration { return idleFactor * t.active() }
 
 // itemKey identifies a pending item on a link.
@@ -89,7 +92,8 @@
 
 	mu        sync.Mutex
 	closed    bool
-	waiting   time.Time                 // when the oldest unanswered heartbeat was sent; zero: none; for the dialer
+	waiting   time.Time                 // when the oldest unanswered heartbeat was sent, without standstills of this process; zero: none; for the dialer
+	checkedAt time.Time                 // when heartbeatDue was called last
 	pending   map[itemKey]*batch.Item   // submitted items without a result
 	reports   map[batch.Pool]poolReport // last reports of the other relay's pools
 	submitted map[batch.Pool]int        // items submitted since that report
@@ -198,7 +202,7 @@
 	var state heartbeatState
 	var tick <-chan time.Time
 	if s.dialer {
-		t := time.NewTicker(s.mesh.Timing.active() / 2)
+		t := time.NewTicker(s.mesh.Timing.checkInterval())
 		defer t.Stop()
 		tick = t.C
 		s.requestHeartbeat()
@@ -244,10 +248,16 @@
 }
 
 // heartbeatDue reports whether the dialer should send the next heartbeat, or
-// errSilent if the other relay didn't answer one in time.
+// errSilent if the other relay didn't answer one in time. It must be called at each
+// checkInterval: an answer may have arrived while this process stood still, so that time
+// beyond the interval doesn't count.
 func (s *session) heartbeatDue(now, lastSent time.Time) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if stalled := now.Sub(s.checkedAt) - s.mesh.Timing.checkInterval(); stalled > 0 && !s.checkedAt.IsZero() && !s.waiting.IsZero() {
+		s.waiting = s.waiting.Add(min(stalled, now.Sub(s.waiting)))
+	}
+	s.checkedAt = now
 	if !s.waiting.IsZero() && now.Sub(s.waiting) > heartbeatTimeout {
 		return false, errSilent
 	}
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -25,8 +25,8 @@
 	idleMargin         = 700 * time.Millisecond // an idle connection expires this long before its endpoint closes it
 	readBufferBytes    = 8 << 10
 	unackedTimeout     = 2 * time.Second // a connection fails if sent bytes stay unacknowledged for longer
-	sweepInterval      = time.Second // minimum time between two sweeps for expired connections
-	maxUnnamedBodies   = 1024        // different bodies of responses without an ID on one connection
+	sweepInterval      = time.Second     // minimum time between two sweeps for expired connections
+	maxUnnamedBodies   = 1024            // different bodies of responses without an ID on one connection
 )
 
 // ErrUnreachable reports that no connection to an endpoint could be made.
