base/budget: an endpoint that never ends goes before a sound one

The budget for responses in flight gave the largest response up. A hundred endless responses of 100 kB each next to one sound response of 2 MB ended the sound one, which counted as its endpoint's failure.

The package moves to base, so that agents can use it.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -21,6 +21,7 @@
 
 	"wigeonplank.example/base/accept"
 	"wigeonplank.example/base/admin"
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
@@ -116,7 +117,7 @@
 }
 
 func newPool(live *sets.Live) *pool.Pool {
-	return &pool.Pool{Budget: pool.Budget{Limit: func() int64 { return memoryShare(live.Get().MemoryBytes, responseMemoryShare, maxResponseBudget) }}}
+	return &pool.Pool{Budget: budget.Budget{Limit: func() int64 { return memoryShare(live.Get().MemoryBytes, responseMemoryShare, maxResponseBudget) }}}
 }
 
 // memoryShare returns one part in share of the instance's memory, and most at most. A memory of 0
--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/budget"
 	plat "wigeonplank.example/platform"
 )
 
@@ -45,12 +46,12 @@
 
 	written  chan error // result of an asynchronous write; nil if the request was written synchronously
 	body     io.Reader
-	chunked  bool         // the body is in chunks, with a trailer after the last
-	complete bool         // the body has been read to its end
-	bodiless bool         // the request was HEAD
-	named    bool         // the response is to an attempt with an ID
-	accepted bool         // see Accept
-	reserved *Reservation // for what is held of the response; nil: none yet
+	chunked  bool                // the body is in chunks, with a trailer after the last
+	complete bool                // the body has been read to its end
+	bodiless bool                // the request was HEAD
+	named    bool                // the response is to an attempt with an ID
+	accepted bool                // see Accept
+	reserved *budget.Reservation // for what is held of the response; nil: none yet
 }
 
 // Send writes a request. sent reports whether any byte may have left: if not,
@@ -194,7 +195,7 @@
 		return n, nil
 	}
 	if c.reserved != nil && c.reserved.Ended() {
-		return 0, ErrOverBudget
+		return 0, budget.ErrOver
 	}
 	if !errors.Is(err, io.EOF) {
 		return 0, fmt.Errorf("%w: %w", ErrResponse, err)
@@ -239,14 +240,14 @@
 	return nil
 }
 
-// Grow reserves memory for n more bytes of the response. It returns ErrOverBudget if the
+// Grow reserves memory for n more bytes of the response. It returns budget.ErrOver if the
 // response has to be given up. The memory is released by Finish.
 func (c *Call) Grow(n int) error {
 	if c.Conn.budget == nil {
 		return nil
 	}
 	if c.reserved == nil {
-		c.reserved = c.Conn.budget.Reserve(func() { _ = c.Conn.Close() }) // ends a blocked read
+		c.reserved = c.Conn.budget.Reserve(c.Conn.key.id, func() { _ = c.Conn.Close() }) // ends a blocked read
 	}
 	return c.reserved.Grow(n)
 }
--- a/relay/pool/endless_test.go
+++ b/relay/pool/endless_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/relay/pool"
 )
@@ -149,7 +150,7 @@
 		wg.Go(func() {
 			deadline := time.Now().Add(time.Minute)
 			if i%endlessOf == 0 {
-				if _, err := exchange(p, endlessAddr, deadline); errors.Is(err, pool.ErrOverBudget) {
+				if _, err := exchange(p, endlessAddr, deadline); errors.Is(err, budget.ErrOver) {
 					overBudget.Add(1)
 				}
 				return
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/stall"
 )
 
@@ -51,7 +52,7 @@
 // Pool holds idle connections to endpoints. The zero value is ready to use. It
 // is safe for concurrent use.
 type Pool struct {
-	Budget Budget // for the responses on all connections
+	Budget budget.Budget // for the responses on all connections
 
 	mu        sync.Mutex
 	idle      map[key][]*Conn // the connection returned last is at the end
@@ -74,7 +75,7 @@
 	life      *life
 	overdue   func() (time.Time, bool) // see Call.OnOverdue
 	lastRead  time.Time                // see LastRead
-	budget    *Budget                  // nil: responses are bounded one by one only
+	budget    *budget.Budget           // nil: responses are bounded one by one only
 	unique    []uint64                 // hashes of bodies that no other response has; see Call.ReceiveUnnamed
 	alike     []uint64                 // hashes of bodies that other responses may have
 	surplus   bool                     // the endpoint has sent a response that was not asked for
