agent, base: responses without end are bounded

Other operators reported a machine that ran out of memory, with all of its requests, under a faulty server that sent bytes without end until the caller closed. It could happen at our agents: load and placement reads had no limit, bodies of calls were read whole before anything was compared, and one head with a large Content-Length allocated that much at once; a larger number ended the process. base/fetch compared its limit only after the whole body was read, for up to 25 s.

base/body collects a body in parts and stops at the limit, and refuses a larger length at once. The relay's calls use the same code. Connections to the endpoint are read through base/stall.

--- a/agent/engine/client.go
+++ b/agent/engine/client.go
@@ -7,11 +7,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/budget"
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/core/place"
 )
 
@@ -19,10 +22,15 @@
 	readTimeout  = 800 * time.Millisecond // limit for status reads and cancels
 	orderTimeout = 2 * time.Second
 	maxConns     = 4096
+
+	maxStatusBytes = 256 << 10 // of a response to a status read, an order or a cancel
+	maxAnswerBytes = 16 << 20  // of the answer to a call
 )
 
 // Client is an HTTP client of one endpoint. It is safe for concurrent use.
 type Client struct {
+	Budget budget.Budget // for the answers to all calls
+
 	addr   string
 	unary  *fasthttp.HostClient // reads whole responses
 	stream *fasthttp.HostClient // leaves the response body to be read as a stream
@@ -42,6 +50,8 @@
 func newHostClient(addr string, stream bool) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                          addr,
+		DialTimeout:                   dial,
+		MaxResponseBodySize:           maxStatusBytes, // of whole responses only
 		MaxConns:                      maxConns,
 		StreamResponseBody:            stream,
 		MaxIdemponentCallAttempts:     1,
@@ -51,6 +61,15 @@
 	}
 }
 
+// dial opens a connection. A response that arrives while this process stands still isn't late.
+func dial(addr string, timeout time.Duration) (net.Conn, error) {
+	c, err := fasthttp.DialTimeout(addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	return stall.New(c), nil
+}
+
 // Load is an endpoint's load report.
 type Load struct {
 	Running int   `json:"running"`
--- a/agent/engine/run.go
+++ b/agent/engine/run.go
@@ -109,7 +109,9 @@
 	if out, failed := checkStatus(call.Stage, resp.StatusCode()); failed {
 		return out
 	}
-	answer, err := readAnswer(resp)
+	held := c.Budget.Reserve(c.addr, nil)
+	defer held.Release()
+	answer, err := readAnswer(resp, held.Grow)
 	if err != nil {
 		return Outcome{Failure: err.Error()}
 	}
@@ -120,10 +122,10 @@
 // errNoFraming reports a response that may be incomplete.
 var errNoFraming = errors.New("answer has neither a length nor chunks, and may not be whole")
 
-// readAnswer reads the whole body of a response. One that ends with its connection, without a
+// readAnswer reads the whole body of a response. grow is that of body.Collect. A body that ends with its connection, without a
 // length or chunks, may have been cut off, unless its content shows where it ends.
-func readAnswer(resp *fasthttp.Response) ([]byte, error) {
-	b, framed, err := body.Read(resp)
+func readAnswer(resp *fasthttp.Response, grow func(n int) error) ([]byte, error) {
+	b, framed, err := body.Read(resp, maxAnswerBytes, grow)
 	if err == nil && !framed && !isDelimitedJSON(b) {
 		err = errNoFraming
 	}
@@ -229,7 +231,7 @@
 	if out, failed := checkStatus(call.Stage, resp.StatusCode()); failed {
 		return 0, out, false
 	}
-	return readTokens(resp.BodyStream(), body.ResumeFrom, emit)
+	return readTokens(resp.BodyStream(), body.ResumeFrom, call.Stage.MaxTokens, emit)
 }
 
 var (
@@ -238,10 +240,11 @@
 )
 
 // readTokens reads server-sent events from r and emits the tokens from index
-// next on. It drops duplicates, which have a lower index, and fails on a gap. It
+// next on. It drops duplicates, which have a lower index, and fails on a gap and
+// on a token beyond limit, the number that the stage allows (0: any). It
 // returns the number of tokens emitted and whether the stream is complete, that
 // is, ended with the done marker.
-func readTokens(r io.Reader, next int, emit func([]byte)) (int, Outcome, bool) {
+func readTokens(r io.Reader, next, limit int, emit func([]byte)) (int, Outcome, bool) {
 	sc := bufio.NewScanner(r)
 	n := 0
 	for sc.Scan() {
@@ -261,6 +264,8 @@
 			continue // duplicate
 		case ev.Index > next:
 			return n, Outcome{Failure: fmt.Sprintf("engine skipped from token %d to %d", next, ev.Index)}, false
+		case limit > 0 && next == limit:
+			return n, Outcome{Failure: fmt.Sprintf("engine sent more than the %d tokens that the stage allows", limit)}, false
 		}
 		emit([]byte(ev.Text))
 		next++
--- a/agent/engine/tokens_test.go
+++ b/agent/engine/tokens_test.go
@@ -5,9 +5,11 @@
 	"testing"
 )
 
+const testMaxTokens = 8
+
 func read(stream string, next int) (text string, n int, out Outcome, complete bool) {
 	var b strings.Builder
-	n, out, complete = readTokens(strings.NewReader(stream), next, func(p []byte) { b.Write(p) })
+	n, out, complete = readTokens(strings.NewReader(stream), next, testMaxTokens, func(p []byte) { b.Write(p) })
 	return b.String(), n, out, complete
 }
 
--- a/base/fetch/fetch.go
+++ b/base/fetch/fetch.go
@@ -108,14 +108,12 @@
 	default:
 		return nil, &StatusError{URL: url, Status: resp.StatusCode()}
 	}
-	b, framed, err := body.Read(resp)
+	b, framed, err := body.Read(resp, maxBytes, nil)
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("read %s: %w", url, err)
 	case !framed: // a part of a document may be a valid one
 		return nil, fmt.Errorf("read %s: body has neither a length nor chunks", url)
-	case len(b) > maxBytes:
-		return nil, fmt.Errorf("read %s: body of %d bytes exceeds the limit of %d", url, len(b), maxBytes)
 	}
 	return b, nil
 }
--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -7,13 +7,13 @@
 	"io"
 	"net/http/httputil"
 	"slices"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/body"
 	"wigeonplank.example/base/budget"
 	plat "wigeonplank.example/platform"
 )
@@ -32,7 +32,6 @@
 	maxResponseBytes = 16 << 20 // size of the body
 	maxLateBytes     = 1 << 20  // size of a late response to another request, which is skipped
 	maxTrailerBytes  = 8 << 10
-	chunkBytes       = 32 << 10 // a body is collected in chunks of this size
 	maxResponseHeads = 4        // read for one request, including interim responses and late ones to earlier requests
 	asyncWriteBytes  = 16 << 10 // larger requests are written while the response is read
 )
@@ -252,47 +251,21 @@
 	return c.reserved.Grow(n)
 }
 
-// chunks holds buffers of chunkBytes.
-var chunks = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
-
 // ReadAll reads the complete body, of at most maxResponseBytes. A length that the
 // response names is not trusted: memory is used for what has arrived.
 func (c *Call) ReadAll() ([]byte, error) {
-	var full []*[chunkBytes]byte
-	defer func() {
-		for _, b := range full {
-			chunks.Put(b)
-		}
-	}()
-	for {
-		b := chunks.Get().(*[chunkBytes]byte)
-		full = append(full, b)
-		n, err := io.ReadFull(c, b[:])
-		if growErr := c.Grow(n); growErr != nil {
-			return nil, growErr
-		}
-		size := (len(full)-1)*chunkBytes + n
-		switch {
-		case err != nil && !c.complete:
-			return nil, err
-		case size > maxResponseBytes:
-			return nil, fmt.Errorf("%w: larger than %d bytes", ErrResponse, maxResponseBytes)
-		case err != nil && size == 0 && c.named && !c.IsFramed() && c.Response.Status < fasthttp.StatusMultipleChoices:
-			// An endpoint that stopped after the head looks the same. A refusal is told by its head alone.
-			return nil, fmt.Errorf("%w: no body: %w", ErrResponse, io.ErrUnexpectedEOF)
-		case err != nil:
-			return joinChunks(full, size), nil
-		}
-	}
-}
-
-// joinChunks returns the first size bytes of chunks.
-func joinChunks(list []*[chunkBytes]byte, size int) []byte {
-	out := make([]byte, 0, size)
-	for _, b := range list {
-		out = append(out, b[:min(chunkBytes, size-len(out))]...)
+	b, err := body.Collect(c, maxResponseBytes, c.Grow)
+	var large *body.TooLargeError
+	switch {
+	case errors.As(err, &large):
+		return nil, fmt.Errorf("%w: %w", ErrResponse, err)
+	case err != nil:
+		return nil, err
+	case len(b) == 0 && c.named && !c.IsFramed() && c.Response.Status < fasthttp.StatusMultipleChoices:
+		// An endpoint that stopped after the head looks the same. A refusal is told by its head alone.
+		return nil, fmt.Errorf("%w: no body: %w", ErrResponse, io.ErrUnexpectedEOF)
 	}
-	return out
+	return b, nil
 }
 
 // Finish returns the connection to the pool if it can carry another request, and
