wpctl/load, proof/deploy: a load run bounds the responses that it keeps

A load run read whole responses without a limit, and collected the text of streams without one, as did the driver of proof/deploy. Both stop at 16 MB now.

--- a/proof/deploy/drive.go
+++ b/proof/deploy/drive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,8 +26,11 @@
 	eventEnd           = "\n\n"
 	maxPrintedFindings = 5       // findings printed for each kind of violation
 	maxConnsPerRelay   = 1 << 14 // of all callers together; never reached
+	maxBodyBytes       = 16 << 20
 )
 
+var errBodyTooLarge = errors.New("body is too large")
+
 // Route is a route of the standard site that callers use.
 type Route struct {
 	Prefix     string
@@ -198,7 +202,10 @@
 		r.Attempts = append(r.Attempts, newAttempt(resp, sentAt, false, err))
 		return "", fmt.Errorf("send request: %w", err)
 	}
-	body, err := io.ReadAll(resp.BodyStream())
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), maxBodyBytes))
+	if err == nil && len(body) == maxBodyBytes {
+		err = errBodyTooLarge
+	}
 	r.Attempts = append(r.Attempts, newAttempt(resp, sentAt, true, err))
 	_ = resp.CloseBodyStream() // fails only after a failed read
 	if err != nil {
--- a/wpctl/load/client.go
+++ b/wpctl/load/client.go
@@ -10,8 +10,12 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"wigeonplank.example/base/body"
 )
 
+const maxResponseBytes = 16 << 20
+
 // EndState is the state in which a request ended, as seen by its caller.
 type EndState string
 
@@ -220,14 +224,15 @@
 	if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
 		return o, fmt.Errorf("query ticket outcome: %w", err)
 	}
-	body, err := resp.BodyUncompressed()
+	defer func() { _ = resp.CloseBodyStream() }() // what is left unread doesn't matter
+	b, _, err := body.Read(resp, maxResponseBytes, nil)
 	if err != nil {
 		return o, fmt.Errorf("read ticket outcome: %w", err)
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return o, fmt.Errorf("query ticket outcome: status %d", resp.StatusCode())
 	}
-	if err := json.Unmarshal(body, &o); err != nil {
+	if err := json.Unmarshal(b, &o); err != nil {
 		return o, fmt.Errorf("decode ticket outcome: %w", err)
 	}
 	return o, nil
@@ -265,7 +270,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	body, err := json.Marshal(requestBody{
+	raw, err := json.Marshal(requestBody{
 		Team:       s.Kind.Team,
 		Class:      s.Kind.Class,
 		DeadlineMS: s.Kind.Deadline.Milliseconds(),
@@ -281,7 +286,7 @@
 	if s.ticket != "" {
 		req.Header.Set("Wigeonplank-Ticket", s.ticket)
 	}
-	req.SetBody(body)
+	req.SetBody(raw)
 	if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
 		return reply{err: fmt.Errorf("call entry: %w", err)}
 	}
@@ -294,12 +299,12 @@
 
 func readWhole(resp *fasthttp.Response) reply {
 	r := reply{status: resp.StatusCode()}
-	body, err := resp.BodyUncompressed()
+	b, _, err := body.Read(resp, maxResponseBytes, nil)
 	if err != nil {
 		return reply{err: fmt.Errorf("read response: %w", err)}
 	}
 	if r.status != fasthttp.StatusOK {
-		if err := json.Unmarshal(body, &r.problem); err != nil {
+		if err := json.Unmarshal(b, &r.problem); err != nil {
 			r.err = fmt.Errorf("status %d with a body that is not a JSON problem: %w", r.status, err)
 		}
 		return r
@@ -308,7 +313,7 @@
 		Text   string          `json:"text"`
 		Result json.RawMessage `json:"result"`
 	}
-	if err := json.Unmarshal(body, &answer); err != nil {
+	if err := json.Unmarshal(b, &answer); err != nil {
 		r.err = fmt.Errorf("decode response: %w", err)
 		return r
 	}
@@ -374,6 +379,9 @@
 			return reply{err: fmt.Errorf("event at offset %d, expected %d", d.Offset, st.text.Len())}, true
 		}
 		st.recordToken(time.Now())
+		if st.text.Len()+len(d.Text) > maxResponseBytes {
+			return reply{err: &body.TooLargeError{Limit: maxResponseBytes}}, true
+		}
 		st.text.WriteString(d.Text)
 		return reply{}, false
 	case "done":
--- a/wpctl/load/run.go
+++ b/wpctl/load/run.go
@@ -23,13 +23,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &client{plan: p, http: &fasthttp.Client{
-		MaxConnsPerHost:           maxConnsPerTarget,
-		StreamResponseBody:        true,
-		ReadTimeout:               headerTimeout,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}}
+	c := &client{plan: p, http: newHTTPClient()}
 	rep := newReport()
 	var wg sync.WaitGroup
 	start := time.Now()
@@ -49,6 +43,17 @@
 	return rep, nil
 }
 
+// newHTTPClient returns a client that leaves retries to its caller.
+func newHTTPClient() *fasthttp.Client {
+	return &fasthttp.Client{
+		MaxConnsPerHost:           maxConnsPerTarget,
+		StreamResponseBody:        true,
+		ReadTimeout:               headerTimeout,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
+
 // sleepUntil blocks until the time at or until ctx ends. It reports whether the
 // time was reached.
 func sleepUntil(ctx context.Context, at time.Time) bool {
