base/stall: a dial that timed out while the process stood still is made again

A dial of 0.5 s whose time passed in a standstill of the relay fails although the connection was made meanwhile: the endpoint counts as unreachable, the store as lost, another relay as down. If the timeout is noticed over 150 ms late, the dial is made once more; an endpoint that is really away is found out 0.5 s later then, and only then. A heartbeat's check excludes standstills from 150 ms on, too, so that a relay with a small share of a core finds silent links as fast as before.

--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/yamux"
 
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/retry"
 	"wigeonplank.example/core/wire"
@@ -95,8 +96,7 @@
 }
 
 func (p *Peer) dial(ctx context.Context) (*yamux.Session, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", p.Addr)
+	conn, err := stall.Dial(ctx, &net.Dialer{}, p.Addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("dial agent: %w", err)
 	}
--- a/base/stall/stall.go
+++ b/base/stall/stall.go
@@ -35,17 +35,6 @@
 // New returns a Conn over c.
 func New(c net.Conn) *Conn { return &Conn{Conn: c} }
 
-// Dialer returns a dial function whose connections are Conns.
-func Dialer(dial func(addr string) (net.Conn, error)) func(addr string) (net.Conn, error) {
-	return func(addr string) (net.Conn, error) {
-		c, err := dial(addr)
-		if err != nil {
-			return nil, err
-		}
-		return New(c), nil
-	}
-}
-
 // SetDeadline sets the read and write deadlines.
 func (c *Conn) SetDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wigeonplank.example/base/link"
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/retry"
@@ -80,8 +81,7 @@
 	if m.Dial != nil {
 		return m.Dial(ctx, addr)
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", addr)
+	return stall.Dial(ctx, &net.Dialer{}, addr, dialTimeout)
 }
 
 // serveLink serves a link that another relay dialed, until it fails.
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -23,6 +23,9 @@
 	// objective of a request is about one second, so a broken link has to be
 	// detected in less.
 	heartbeatTimeout = 800 * time.Millisecond
+	// minStall is the delay of a check from which on this process stood still. It is more than a
+	// process waits for its next turn on a small share of a core.
+	minStall = 150 * time.Millisecond
 	// defaultActiveInterval is the time between two heartbeats while items are
 	// pending on a link.
 	defaultActiveInterval = 500 * time.Millisecond
@@ -254,7 +257,7 @@
 func (s *session) heartbeatDue(now, lastSent time.Time) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if stalled := now.Sub(s.checkedAt) - s.mesh.Timing.checkInterval(); stalled > 0 && !s.checkedAt.IsZero() && !s.waiting.IsZero() {
+	if stalled := now.Sub(s.checkedAt) - s.mesh.Timing.checkInterval(); stalled > minStall && !s.checkedAt.IsZero() && !s.waiting.IsZero() {
 		s.waiting = s.waiting.Add(min(stalled, now.Sub(s.waiting)))
 	}
 	s.checkedAt = now
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -83,7 +83,8 @@
 }
 
 // Get returns an idle connection to an endpoint for a kind of calls, or dials a new one if
-// there is none. If forceNew is set, it always dials. It blocks for at most half a second.
+// there is none. If forceNew is set, it always dials. It blocks for about half a second at most, and
+// once more if this process stood still.
 // Any error wraps ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, kind Kind, id, addr string, forceNew bool) (*Conn, error) {
 	k := key{kind: kind, id: id, addr: addr}
@@ -161,14 +162,14 @@
 }
 
 func (p *Pool) dial(ctx context.Context, k key) (*Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	var d net.Dialer
 	dialedAt := time.Now()
-	raw, err := d.DialContext(ctx, "tcp", k.addr)
+	raw, err := stall.Dial(ctx, &net.Dialer{}, k.addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
+	if earliest := time.Now().Add(-dialTimeout); dialedAt.Before(earliest) {
+		dialedAt = earliest // it was dialed again
+	}
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
