--- a/relay/front/stall_test.go
+++ b/relay/front/stall_test.go
@@ -47,19 +47,19 @@
 
 // startStalledServer serves on loopback. The given read of each connection begins when the
 // returned channel is closed.
-func startStalledServer(t *testing.T, stalled int32) (srv *front.Server, rec *recorder, addr string, run chan struct{}) {
+func startStalledServer(t *testing.T, stalled int32) (srv *front.Server, addr string, run chan struct{}) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	rec, run = &recorder{}, make(chan struct{})
-	srv = newServer(rec.handle)
+	run = make(chan struct{})
+	srv = newServer((&recorder{}).handle)
 	srv.Limits = func() fleet.Limits {
 		return fleet.Limits{HeaderBytes: 1024, BodyBytes: 64, HeaderTimeout: stallLimit, IdleTimeout: stallLimit}
 	}
 	go func() { _ = srv.Serve(&stallListener{TCPListener: ln.(*net.TCPListener), stalled: stalled, run: run}) }() // returns when the server stops
-	return srv, rec, ln.Addr().String(), run
+	return srv, ln.Addr().String(), run
 }
 
 // TestRequestsDuringStall guards against a whole request that gets neither an answer nor a
@@ -75,7 +75,7 @@
 		"rest of the header": {2, []string{plainRequest[:20], plainRequest[20:]}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			srv, _, addr, run := startStalledServer(t, tc.stalled)
+			srv, addr, run := startStalledServer(t, tc.stalled)
 			c, r := dial(t, addr, tc.parts[0])
 			if tc.parts[0] == plainRequest {
 				readAnswer(r)
@@ -96,7 +96,7 @@
 // stands still while a stop takes the last ones.
 func TestStopAnswersDuringStall(t *testing.T) {
 	t.Run("kept connection", func(t *testing.T) {
-		srv, _, addr, run := startStalledServer(t, 2)
+		srv, addr, run := startStalledServer(t, 2)
 		c, r := dial(t, addr, plainRequest)
 		readAnswer(r)
 		stopped := stopAccepting(srv, 5*time.Second)
