entry/front: answer requests that arrive while the entry stands still

What callers saw: beside a standstill of the entry, a whole request on a kept connection was closed without a response, and a new one, or one whose header or body was still arriving, got 400 although it came in time. At a stop, a request on a kept connection, or on one that waited in the listener's queue, was reset without a response.

Cause: as at the relays, a read deadline that passed while the process didn't run was taken for the caller's silence. The server's own shutdown closes the listener and idle connections at once, without a look at what has arrived.

Now callers' connections, also under TLS, are read through base/stall. A stop sets a time for the listener and all connections, takes what has arrived by then, also from the queue, answers it (503 while requests are rejected) and waits until all connections are closed. Deadlines that the server sets later don't outlast that time. All responses of that period close their connection, also those of the status pages.

--- a/entry/cmds/cmds.go
+++ b/entry/cmds/cmds.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
-	"net"
 	"os"
 	"time"
 
@@ -110,7 +108,11 @@
 	return components{Control: executor.Control, Executor: executor, Tickets: &exec.Tickets{Control: executor.Control, Router: executor.Router}}, nil
 }
 
-func newFront(s sets.Settings, l *logs.Set, c *ctrl.Control, executor *exec.Executor, t *exec.Tickets) *front.Server {
+func newFront(s sets.Settings, l *logs.Set, c *ctrl.Control, executor *exec.Executor, t *exec.Tickets) (*front.Server, error) {
+	cfg, err := certs.ServerConfig(s.HTTP.Cert, s.HTTP.Key, "")
+	if err != nil {
+		return nil, fmt.Errorf("set up TLS to callers: %w", err)
+	}
 	return &front.Server{
 		Control:      c,
 		Executor:     executor,
@@ -118,8 +120,9 @@
 		Log:          l.Logger(logs.LayerHTTP),
 		MaxBodyBytes: s.HTTP.MaxBodyBytes,
 		MaxConns:     s.HTTP.MaxConns,
+		TLS:          cfg,
 		NoFairShare:  s.Policy.NoAdmission,
-	}
+	}, nil
 }
 
 // newAdmin creates the HTTP server for operators and registers the metrics.
@@ -159,22 +162,6 @@
 	admin.WriteJSON(ctx, fasthttp.StatusOK, lines)
 }
 
-// listenCallers opens the listener for callers, with TLS if it is configured.
-func listenCallers(s sets.Settings, onShortage func(addr string, err error)) (net.Listener, error) {
-	ln, err := accept.Listen(s.HTTP.Listen, onShortage)
-	if err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
-	}
-	cfg, err := certs.ServerConfig(s.HTTP.Cert, s.HTTP.Key, "")
-	if err != nil {
-		return nil, fmt.Errorf("set up TLS to callers: %w", err)
-	}
-	if cfg == nil {
-		return ln, nil
-	}
-	return tls.NewListener(ln, cfg), nil
-}
-
 // serveUntilStopped serves callers and operators until a signal or a failed
 // listener stops the entry.
 func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, executor *exec.Executor, f *front.Server, adm *admin.Server) error {
@@ -183,9 +170,9 @@
 	onShortage := func(addr string, err error) {
 		l.Logger(logs.LayerControl).Warn().Str("addr", addr).Err(err).Msg("a connection can't be accepted yet")
 	}
-	ln, err := listenCallers(s, onShortage)
+	ln, err := accept.Listen(s.HTTP.Listen, onShortage)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen for callers: %w", err)
 	}
 	adminLn, err := accept.Listen(s.Admin.Listen, onShortage)
 	if err != nil {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -43,6 +44,7 @@
 	stoppingRetryAfter = time.Second            // sent to callers while the entry is stopping, and when an unanswered request has no delay of its own
 	idleCheckInterval  = 20 * time.Millisecond  // between checks for requests in flight during a shutdown
 	answerPeriod       = 300 * time.Millisecond // at the end of a shutdown: executions have ended, their tickets are voided and responses written
+	drainPeriod        = 200 * time.Millisecond // at the end of a shutdown, for connections and requests that callers have sent already
 	maxStackBytes      = 4 << 10                // of a logged stack trace
 	writePeriod        = 100 * time.Millisecond // part of answerPeriod in which responses are written
 )
@@ -58,15 +60,16 @@
 	Log          *log.Logger
 	MaxBodyBytes int
 	MaxConns     int
-	NoFairShare  bool // baseline for measurements: no admission control by team shares
-
-	httpServer atomic.Pointer[fasthttp.Server]
-	limiters   sync.Map     // *admit.Limiter by pipeline name
-	stopping   atomic.Bool  // reported as not ready
-	rejecting  atomic.Bool  // new requests are rejected
-	inFlight   atomic.Int64 // handlers, and executions and writers of streams, in flight
-	queries    lifetime     // of queries to agents about tickets
-	active     sync.Map     // net.Conn of which a request is read, handled or answered, without value
+	TLS          *tls.Config // nil: plain TCP
+	NoFairShare  bool        // baseline for measurements: no admission control by team shares
+
+	callers   atomic.Pointer[callers]
+	served    chan struct{} // closed when no connection is accepted any more; set with callers
+	limiters  sync.Map      // *admit.Limiter by pipeline name
+	stopping  atomic.Bool   // reported as not ready
+	rejecting atomic.Bool   // new requests are rejected
+	inFlight  atomic.Int64  // handlers, and executions and writers of streams, in flight
+	queries   lifetime      // of queries to agents about tickets
 }
 
 // lifetime is a context that ends once. Its zero value has not ended.
@@ -113,7 +116,7 @@
 		maxConns = DefaultMaxConns
 	}
 	srv := &fasthttp.Server{
-		Handler:               s.recoverPanics(r.Handler),
+		Handler:               s.closeRejected(s.recoverPanics(r.Handler)),
 		ReadTimeout:           readTimeout,
 		WriteTimeout:          writeTimeout,
 		IdleTimeout:           idleTimeout,
@@ -121,34 +124,22 @@
 		MaxRequestBodySize:    maxBody,
 		Concurrency:           maxConns,
 		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
 		ErrorHandler:          s.writeReadError,
-		ConnState:             s.trackConn,
 	}
-	s.httpServer.Store(srv)
+	l := &callers{Listener: ln, OnLate: func() { s.Log.Info().Msg("bytes of a caller were read after their time") }}
+	s.served = make(chan struct{})
+	defer close(s.served)
+	s.callers.Store(l)
+	ln = l
+	if s.TLS != nil {
+		ln = tls.NewListener(ln, s.TLS)
+	}
 	if err := srv.Serve(ln); err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
 }
 
-// trackConn maintains the active connections.
-func (s *Server) trackConn(c net.Conn, state fasthttp.ConnState) {
-	if state == fasthttp.StateActive {
-		s.active.Store(c, nil)
-		return
-	}
-	s.active.Delete(c)
-}
-
-// endReads ends the reading of requests that have not arrived whole.
-func (s *Server) endReads() {
-	s.active.Range(func(c, _ any) bool {
-		_ = c.(net.Conn).SetReadDeadline(time.Now()) // fails only on a closed connection
-		return true
-	})
-}
-
 // writeReadError answers a request that isn't valid HTTP, exceeds a limit, or has not arrived
 // whole in time.
 func (s *Server) writeReadError(ctx *fasthttp.RequestCtx, err error) {
@@ -189,13 +180,14 @@
 // accepts requests for acceptPeriod so that the load balancer can notice, then
 // rejects new ones and waits for those in flight until ctx ends. Executions end
 // answerPeriod before the deadline of ctx, so that each request gets its final answer,
-// and requests whose estimates exceed that time are not started; those that have not arrived
-// whole by then are rejected. It blocks.
+// and requests whose estimates exceed that time are not started. Requests that have arrived by
+// then, or by drainPeriod after the last one in flight, are answered, also those on connections
+// that were not accepted yet; those that have not arrived whole are rejected. It blocks.
 func (s *Server) Stop(ctx context.Context, acceptPeriod time.Duration) error {
 	s.stopping.Store(true)
 	if end, ok := ctx.Deadline(); ok {
 		s.Executor.StopBy(end.Add(-answerPeriod))
-		defer time.AfterFunc(time.Until(end.Add(-answerPeriod)), s.endReads).Stop()
+		defer time.AfterFunc(time.Until(end.Add(-answerPeriod)), func() { s.drain(time.Now()) }).Stop()
 		defer time.AfterFunc(time.Until(end.Add(-writePeriod)), s.queries.end).Stop()
 	}
 	wait.For(ctx, acceptPeriod)
@@ -203,29 +195,45 @@
 	if err := s.awaitIdle(ctx); err != nil {
 		return err
 	}
-	srv := s.httpServer.Load()
-	if srv == nil {
+	s.drain(time.Now().Add(drainPeriod))
+	l := s.callers.Load()
+	if l == nil {
 		return nil
 	}
-	if err := srv.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("close callers' connections: %w", err)
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+	}
+	return l.awaitClosed(ctx)
+}
+
+// drain ends the taking of requests that have not arrived whole by end.
+func (s *Server) drain(end time.Time) {
+	if l := s.callers.Load(); l != nil {
+		l.drain(end)
 	}
-	return nil
 }
 
 // Active returns the number of handlers, executions and response writers in flight.
 // A streamed request counts once for its execution and once for its writer.
 func (s *Server) Active() int64 { return s.inFlight.Load() }
 
-// countInFlight wraps a handler so that its requests are counted in inFlight. While
-// new requests are rejected, it also closes the connection after the response.
-func (s *Server) countInFlight(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+// closeRejected wraps a handler so that the connection is closed after the response while new
+// requests are rejected.
+func (s *Server) closeRejected(h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		s.beginWork()
-		defer s.endWork()
+		h(ctx)
 		if s.rejecting.Load() {
 			ctx.SetConnectionClose()
 		}
+	}
+}
+
+// countInFlight wraps a handler so that its requests are counted in inFlight.
+func (s *Server) countInFlight(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		s.beginWork()
+		defer s.endWork()
 		h(ctx)
 	}
 }
