entry/exec: results without end are bounded

Nothing at an entry counted the bytes of a result. A generation that goes on past its stage's max_tokens at an agent of an earlier version, or an endpoint whose result doesn't end, was collected and passed on until the caller's deadline; several such requests use up the memory of the entry, and all other requests end with it.

A result may have 16 MB (stage.MaxResultBytes, as at agents). The results of all requests in flight share 64 MB (exec.MaxResultsBytes), weighed by instance, so that a sound one is not given up for others that never end; a result that is given up ends its request at once, not with its next bytes. The attempt counts as failed after its start: an idempotent stage may be tried elsewhere, else the caller gets partial, or unknown if the stage is not idempotent. It is cancelled at the agent.

Not counted: copies for callers that read slowly once the result is complete, and the results of earlier stages, of which a message of 2 MB holds all that is passed on.

--- a/core/stage/assemble.go
+++ b/core/stage/assemble.go
@@ -5,8 +5,20 @@
 	"fmt"
 )
 
-// MaxEarlyBytes limits the bytes buffered from chunks that arrive ahead of a gap.
-const MaxEarlyBytes = 1 << 20
+const (
+	// MaxEarlyBytes limits the bytes buffered from chunks that arrive ahead of a gap.
+	MaxEarlyBytes = 1 << 20
+	// MaxResultBytes limits the result of a stage.
+	MaxResultBytes = 16 << 20
+)
+
+// TooLongError reports a chunk that ends beyond MaxResultBytes.
+type TooLongError struct{ Offset int }
+
+// Error returns the message with the offset of the chunk and the limit.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("chunk at offset %d ends beyond the %d bytes that a result may have", e.Offset, MaxResultBytes)
+}
 
 // DivergedError reports that a repeated attempt produced other bytes than those
 // already returned to the caller. Offset is the position in the result of the
@@ -54,9 +66,13 @@
 
 // Add accepts a chunk and returns the bytes that it newly brings into order. The
 // returned slice is valid until the next call. Add returns *DivergedError if the
-// chunk contradicts bytes that were already returned, and an error that wraps
-// *IncompleteError if buffering the chunk would exceed MaxEarlyBytes.
+// chunk contradicts bytes that were already returned, *TooLongError if it ends beyond
+// MaxResultBytes, and an error that wraps *IncompleteError if buffering it would
+// exceed MaxEarlyBytes.
 func (a *Assembler) Add(offset int, data []byte) ([]byte, error) {
+	if offset < 0 || offset > MaxResultBytes-len(data) {
+		return nil, &TooLongError{Offset: offset}
+	}
 	before := len(a.assembled)
 	if err := a.addChunk(offset, data); err != nil {
 		return nil, err
--- a/entry/cmds/cmds.go
+++ b/entry/cmds/cmds.go
@@ -15,6 +15,7 @@
 
 	"wigeonplank.example/base/accept"
 	"wigeonplank.example/base/admin"
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/certs"
 	"wigeonplank.example/base/fetch"
 	"wigeonplank.example/base/logs"
@@ -93,6 +94,7 @@
 		IgnoreEstimates: s.Policy.NoAdmission,
 		NoAffinity:      s.Policy.NoAffinity,
 		Log:             l.Logger(logs.LayerRequest),
+		Results:         budget.Budget{Limit: func() int64 { return exec.MaxResultsBytes }},
 	}
 	executor.Control = ctrl.New(ctrl.Config{
 		Instance:    s.Instance,
--- a/entry/exec/attempt.go
+++ b/entry/exec/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/meter"
 	"wigeonplank.example/core/route"
@@ -161,6 +162,11 @@
 // handleChunk adds output to the result and emits what is new and in order, if the
 // stage is the last one.
 func (e *execution) handleChunk(c *wire.Chunk) stage.Event {
+	if end := c.GetOffset() + uint64(len(c.GetData())); end > uint64(e.assembler.Offset()) {
+		if err := e.current.held.Grow(len(c.GetData())); err != nil {
+			return e.handleInvalidOutput(err)
+		}
+	}
 	newData, err := e.assembler.Add(int(c.GetOffset()), c.GetData())
 	if err != nil {
 		return e.handleInvalidOutput(err)
@@ -173,14 +179,19 @@
 
 // handleInvalidOutput handles output that can't be part of the answer. Output that
 // differs from what was already sent to the caller rejects the request, because
-// a retry can't take back those bytes; other output errors count as a lost
-// attempt.
+// a retry can't take back those bytes. Output that is too large counts as a failure of the
+// endpoint, and other output errors as a lost attempt.
 func (e *execution) handleInvalidOutput(err error) stage.Event {
 	e.err = err
 	var diverged *stage.DivergedError
-	if errors.As(err, &diverged) {
+	var tooLong *stage.TooLongError
+	switch {
+	case errors.As(err, &diverged):
 		e.cancelAttempt(e.current)
 		return stage.Event{Kind: stage.EventRejected}
+	case errors.As(err, &tooLong), errors.Is(err, budget.ErrOver):
+		e.cancelAttempt(e.current)
+		return stage.Event{Kind: stage.EventFailed}
 	}
 	return stage.Event{Kind: stage.EventLinkLost}
 }
@@ -280,6 +291,7 @@
 		e.current.stream.Close()
 	}
 	e.current.endpoint.Load.EndDispatch()
+	e.current.held.Release()
 	e.current = nil
 }
 
--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/admit"
 	"wigeonplank.example/core/conf"
@@ -29,6 +30,10 @@
 const (
 	affinityPrefixBytes = 256 // bytes at the start of the input that prompt affinity hashes
 
+	// MaxResultsBytes limits what an entry holds of the results of all requests in flight:
+	// 8 kB for each of front.DefaultMaxConns requests. Copies for callers come on top.
+	MaxResultsBytes = 64 << 20
+
 	// idempotentVoidTimeout bounds the wait for the agent's answer about a lost
 	// attempt of an idempotent stage, which may be retried without that answer.
 	idempotentVoidTimeout = 300 * time.Millisecond
@@ -65,6 +70,7 @@
 	IgnoreEstimates bool   // baseline for measurements: start stages that can't meet the deadline
 	NoAffinity      bool   // baseline for measurements: ignore prompt prefixes
 	Log             *log.Logger
+	Results         budget.Budget // for the results of all requests in flight, by instance
 
 	lastSeq atomic.Uint64
 
@@ -180,6 +186,8 @@
 	stream      *link.Stream
 	streamGen   int // number of streams opened for the attempt
 	sentAt      time.Time
+	held        *budget.Reservation // for what was received of the result
+	evicted     chan struct{}       // closed when the result has to be given up in favour of others
 }
 
 // cost is the engine work of one attempt.
@@ -238,6 +246,10 @@
 
 // nextEvent waits for the next event that concerns the flow.
 func (e *execution) nextEvent(t *interrupts) stage.Event {
+	var evicted <-chan struct{}
+	if e.current != nil {
+		evicted = e.current.evicted
+	}
 	for {
 		select {
 		case ev := <-e.events:
@@ -247,6 +259,8 @@
 			if out := e.handleProgress(ev); out.Kind != "" {
 				return out
 			}
+		case <-evicted:
+			return e.handleInvalidOutput(budget.ErrOver)
 		case <-t.stopped:
 			t.stopped = nil
 			stopBy, _ := e.executor.stop()
@@ -301,15 +315,23 @@
 		e.detachAttempt()
 		e.beginRetry()
 	}
+	e.beginAttempt(ep)
+	e.current.peer = e.executor.Control.Peer(ep.Instance.ID)
+	return e.sendDispatch(s, a.Budget, serial)
+}
+
+// beginAttempt makes an attempt at ep the current one.
+func (e *execution) beginAttempt(ep *route.Endpoint) {
+	evicted := make(chan struct{})
 	e.tried = append(e.tried, ep)
 	e.current = &attempt{
 		seq:         e.executor.lastSeq.Add(1),
 		endpoint:    ep,
-		peer:        e.executor.Control.Peer(ep.Instance.ID),
 		incarnation: ep.Load.Incarnation(),
 		sentAt:      time.Now(),
+		held:        e.executor.Results.Reserve(ep.Instance.ID, func() { close(evicted) }),
+		evicted:     evicted,
 	}
-	return e.sendDispatch(s, a.Budget, serial)
 }
 
 // beginStage prepares for the first attempt of a stage.
