base/link: a link outlasts a standstill while it sends

What callers saw: after a standstill of over 500 ms of an entry, an agent or a relay, links failed and messages could not be sent, although the other side had taken everything; the calls on them were asked for again or run again.

Cause: three timers that pass during a standstill win over what has arrived: the limit for opening a stream closes the whole session before the confirmation is read; the limit for a write of the session fails although the bytes were written; the write deadline of a stream passes before the other side's window update is read.

yamux's own limits can't tell a standstill, so they are now 10 s, as a last resort. Writes to a connection are limited to 500 ms without progress below the session and below TLS, and those to a stream as before; a timeout that is noticed over 30 ms late is prolonged by 100 ms, three times in a row at most, as received messages are. A connection that really takes nothing for 500 ms now ends its session, with all sends on it, rather than one send.

--- a/base/link/link.go
+++ b/base/link/link.go
@@ -28,6 +28,7 @@
 	dialTimeout      = 500 * time.Millisecond
 	handshakeTimeout = 500 * time.Millisecond
 	writeTimeout     = 500 * time.Millisecond // of a part of a message
+	sessionTimeout   = 10 * time.Second       // of yamux, whose timers don't notice a standstill; others end a link earlier
 	maxPartBytes     = 32 << 10
 	maxStreamWindow  = 256 << 10 // bytes; a ping may wait behind as many of every other stream
 	acceptBacklog    = 1024      // streams
@@ -39,15 +40,15 @@
 	maxStallExtension = 3 // in a row
 )
 
-// SessionConfig returns the yamux configuration of a link's session. It disables
-// the keep-alive of yamux and limits the waits for writes and for opening streams
-// to 500 ms.
+// SessionConfig returns the yamux configuration of a link's session. It disables the
+// keep-alive of yamux. Its limits for writes and for opening streams are above what pings and
+// limitedConn allow.
 func SessionConfig() *yamux.Config {
 	cfg := yamux.DefaultConfig()
 	cfg.EnableKeepAlive = false // the control stream has its own pings
 	cfg.AcceptBacklog = acceptBacklog
-	cfg.ConnectionWriteTimeout = writeTimeout
-	cfg.StreamOpenTimeout = writeTimeout
+	cfg.ConnectionWriteTimeout = sessionTimeout
+	cfg.StreamOpenTimeout = sessionTimeout
 	cfg.StreamCloseTimeout = 5 * time.Second
 	cfg.MaxStreamWindowSize = maxStreamWindow
 	cfg.LogOutput = io.Discard
@@ -93,10 +94,7 @@
 func (w *partWriter) Write(p []byte) (int, error) {
 	written := 0
 	for written < len(p) {
-		if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return written, fmt.Errorf("set write deadline: %w", err)
-		}
-		n, err := w.conn.Write(p[written:min(written+maxPartBytes, len(p))])
+		n, err := writeWithin(w.conn, p[written:min(written+maxPartBytes, len(p))])
 		written += n
 		if err != nil {
 			return written, err
@@ -105,6 +103,38 @@
 	return written, nil
 }
 
+// limitedConn ends a connection of a session that takes nothing for writeTimeout. It belongs
+// below TLS, which allows no write after a timeout.
+type limitedConn struct{ net.Conn }
+
+// Write writes to the connection.
+func (c *limitedConn) Write(p []byte) (int, error) { return writeWithin(c.Conn, p) }
+
+// writeWithin writes p to c. It returns a timeout error if c takes nothing for writeTimeout. A
+// timeout that is noticed so late that this process must have stood still is prolonged.
+func writeWithin(c net.Conn, p []byte) (int, error) {
+	written, extended, limit := 0, 0, writeTimeout
+	for {
+		deadline := time.Now().Add(limit)
+		if err := c.SetWriteDeadline(deadline); err != nil {
+			return written, fmt.Errorf("set write deadline: %w", err)
+		}
+		n, err := c.Write(p[written:])
+		written += n
+		switch {
+		case !isTimeout(err):
+			return written, err
+		case n > 0:
+			extended, limit = 0, writeTimeout
+		case extended < maxStallExtension && time.Since(deadline) >= stallMargin:
+			extended++
+			limit = stallGrace
+		default:
+			return written, err
+		}
+	}
+}
+
 // progressReader reads from the connection of a Stream. What arrives extends the time
 // limit of ReceiveWithin.
 type progressReader Stream
--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -100,6 +100,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial agent: %w", err)
 	}
+	conn = &limitedConn{Conn: conn}
 	if p.TLS != nil {
 		cfg := p.TLS.Clone()
 		cfg.ServerName, _, _ = net.SplitHostPort(p.Addr)
--- a/base/link/server.go
+++ b/base/link/server.go
@@ -80,6 +80,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
+	conn = &limitedConn{Conn: conn}
 	if s.TLS != nil {
 		conn = tls.Server(conn, s.TLS)
 	}
--- a/base/link/session.go
+++ b/base/link/session.go
@@ -57,7 +57,7 @@
 // newSession returns a session over conn. It closes conn if that fails.
 func newSession(conn net.Conn, open func(c io.ReadWriteCloser, cfg *yamux.Config) (*yamux.Session, error)) (*Session, error) {
 	s := &Session{}
-	y, err := open(&guardedConn{Conn: conn, abort: s.abort}, SessionConfig())
+	y, err := open(&guardedConn{Conn: &limitedConn{Conn: conn}, abort: s.abort}, SessionConfig())
 	if err != nil {
 		_ = conn.Close() // nothing was sent on it
 		return nil, fmt.Errorf("open session: %w", err)
--- a/base/link/stall_test.go
+++ b/base/link/stall_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
+
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/wire"
 )
@@ -84,3 +86,98 @@
 		far.Close()
 	}
 }
+
+// lateConn is a connection of which one write begins late, as if the process had not run since
+// the deadline for it was set.
+type lateConn struct {
+	net.Conn
+	writes, late int // late: number of the write, from 1
+	atLate       func()
+}
+
+func (c *lateConn) Write(p []byte) (int, error) {
+	if c.writes++; c.writes == c.late {
+		time.Sleep(600 * time.Millisecond) // more than any write may take
+		c.atLate()
+	}
+	return c.Conn.Write(p)
+}
+
+// TestSendsDuringStall guards against a link that fails, or a message that can't be sent, because
+// this process stood still although the other side has taken everything.
+func TestSendsDuringStall(t *testing.T) {
+	const windows = 400 << 10 // bytes; more than a stream may send before the other side reads
+	for name, tc := range map[string]struct {
+		lateWrite int // on the connection of the session
+		latePart  int // of the message on its stream
+		reads     time.Duration
+	}{
+		"stream opened":      {reads: 600 * time.Millisecond},
+		"write of a session": {lateWrite: 6},
+		"window used up":     {latePart: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := tcpPair(t)
+			run := make(chan struct{})
+			goOn := func() { time.AfterFunc(20*time.Millisecond, func() { close(run) }) }
+			switch {
+			case tc.reads > 0:
+				time.AfterFunc(tc.reads, func() { close(run) })
+			case tc.lateWrite > 0:
+				close(run)
+				goOn = func() {}
+			}
+			conn := &lateConn{Conn: &stalledConn{Conn: a, run: run}, late: tc.lateWrite, atLate: goOn}
+			far, err := link.NewServer(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer far.Close()
+			received := make(chan error, 1)
+			go func() {
+				st, err := far.AcceptStream()
+				if err == nil {
+					err = st.Receive(&wire.Control{})
+				}
+				if err == nil {
+					err = st.Send(&wire.Ping{Revision: 7})
+				}
+				received <- err
+			}()
+			var st *link.Stream
+			if tc.latePart > 0 {
+				near, err := yamux.Client(conn, link.SessionConfig())
+				if err != nil {
+					t.Fatal(err)
+				}
+				c, err := near.Open()
+				if err != nil {
+					t.Fatal(err)
+				}
+				st = link.NewStream(&lateConn{Conn: c, late: tc.latePart, atLate: goOn})
+			} else {
+				near, err := link.NewClient(conn)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if st, err = near.OpenStream(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			size := windows
+			if tc.reads > 0 {
+				size = 1
+			}
+			if err := st.Send(&wire.Control{Kind: &wire.Control_Published{Published: &wire.Published{Document: make([]byte, size)}}}); err != nil {
+				t.Fatalf("Send: %v", err)
+			}
+			if err := <-received; err != nil {
+				t.Errorf("the other side: %v", err)
+			}
+			var got wire.Ping
+			if err := st.Receive(&got); err != nil || got.GetRevision() != 7 {
+				t.Errorf("got %v, %v", &got, err)
+			}
+		})
+	}
+}
