entry/exec: answers that arrive during a standstill win over the deadline

What callers saw: after a standstill of the entry, requests whose answer or refusal had arrived ended as late, with partial or unknown for an outcome, although the agent had said more. The deadline, the time before it at which the agent is asked, and the agent's messages were chosen from at random, and the messages had to pass the link first.

A deadline that is noticed over 30 ms late is now put off once: the agent's messages get 100 ms, then the agent is asked as usual, within DeadlineMargin. A message that is ready when a deadline fires goes first.

--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -34,6 +34,11 @@
 	// 8 kB for each of front.DefaultMaxConns requests. Copies for callers come on top.
 	MaxResultsBytes = 64 << 20
 
+	// A deadline that is noticed by more than stallMargin after its time shows that this process
+	// stood still. What arrived meanwhile may take stallGrace.
+	stallMargin = 30 * time.Millisecond
+	stallGrace  = 100 * time.Millisecond
+
 	// idempotentVoidTimeout bounds the wait for the agent's answer about a lost
 	// attempt of an idempotent stage, which may be retried without that answer.
 	idempotentVoidTimeout = 300 * time.Millisecond
@@ -234,6 +239,7 @@
 	deadline     *time.Timer
 	stopped      <-chan struct{} // closed by StopBy; nil once that was handled
 	callerGone   <-chan struct{}
+	extended     bool // by outlastStall
 }
 
 // limitDeadline brings the deadline forward to t if it is later.
@@ -244,6 +250,42 @@
 	}
 }
 
+// outlastStall sets both timers anew if one that was due at a time was noticed so late that this
+// process stood still: what arrived meanwhile is still on its way through the link. It does so only
+// once.
+func (t *interrupts) outlastStall(due time.Time) bool {
+	if t.extended || time.Since(due) < stallMargin {
+		return false
+	}
+	t.extended = true
+	t.deadlineNear.Reset(stallGrace)
+	t.deadline.Reset(stallGrace + stage.DeadlineMargin)
+	return true
+}
+
+// handleEvent converts an event of an attempt to an event of the flow. The result is empty if the
+// flow has nothing to decide.
+func (e *execution) handleEvent(ev event) stage.Event {
+	if e.current == nil || ev.seq != e.current.seq || ev.streamGen != e.current.streamGen {
+		return stage.Event{} // belongs to an abandoned attempt or stream
+	}
+	return e.handleProgress(ev)
+}
+
+// arrivedOr returns the event that has arrived when a timer fires, which then fires again, or else
+// one of the given kind.
+func (e *execution) arrivedOr(fired *time.Timer, kind stage.EventKind) stage.Event {
+	select {
+	case ev := <-e.events:
+		if out := e.handleEvent(ev); out.Kind != "" {
+			fired.Reset(0)
+			return out
+		}
+	default:
+	}
+	return stage.Event{Kind: kind}
+}
+
 // nextEvent waits for the next event that concerns the flow.
 func (e *execution) nextEvent(t *interrupts) stage.Event {
 	var evicted <-chan struct{}
@@ -253,10 +295,7 @@
 	for {
 		select {
 		case ev := <-e.events:
-			if e.current == nil || ev.seq != e.current.seq || ev.streamGen != e.current.streamGen {
-				continue // belongs to an abandoned attempt or stream
-			}
-			if out := e.handleProgress(ev); out.Kind != "" {
+			if out := e.handleEvent(ev); out.Kind != "" {
 				return out
 			}
 		case <-evicted:
@@ -268,9 +307,15 @@
 			t.deadlineNear.Reset(time.Until(e.deadline.Add(-stage.DeadlineMargin)))
 			t.deadline.Reset(time.Until(e.deadline))
 		case <-t.deadlineNear.C:
-			return stage.Event{Kind: stage.EventDeadlineNear}
+			if t.outlastStall(e.deadline.Add(-stage.DeadlineMargin)) {
+				continue
+			}
+			return e.arrivedOr(t.deadlineNear, stage.EventDeadlineNear)
 		case <-t.deadline.C:
-			return stage.Event{Kind: stage.EventDeadline}
+			if t.outlastStall(e.deadline) {
+				continue
+			}
+			return e.arrivedOr(t.deadline, stage.EventDeadline)
 		case <-t.callerGone:
 			return stage.Event{Kind: stage.EventCallerGone}
 		}
