--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/core/admit"
 	"wigeonplank.example/core/conf"
@@ -29,6 +30,15 @@
 const (
 	affinityPrefixBytes = 256 // bytes at the start of the input that prompt affinity hashes
 
+	// MaxResultsBytes limits what an entry holds of the results of all requests in flight:
+	// 8 kB for each of front.DefaultMaxConns requests. Copies for callers come on top.
+	MaxResultsBytes = 64 << 20
+
+	// A deadline that is noticed by more than stallMargin after its time shows that this process
+	// stood still. What arrived meanwhile may take stallGrace.
+	stallMargin = 30 * time.Millisecond
+	stallGrace  = 100 * time.Millisecond
+
 	// idempotentVoidTimeout bounds the wait for the agent's answer about a lost
 	// attempt of an idempotent stage, which may be retried without that answer.
 	idempotentVoidTimeout = 300 * time.Millisecond
@@ -65,6 +75,7 @@
 	IgnoreEstimates bool   // baseline for measurements: start stages that can't meet the deadline
 	NoAffinity      bool   // baseline for measurements: ignore prompt prefixes
 	Log             *log.Logger
+	Results         budget.Budget // for the results of all requests in flight, by instance
 
 	lastSeq atomic.Uint64
 
@@ -180,6 +191,8 @@
 	stream      *link.Stream
 	streamGen   int // number of streams opened for the attempt
 	sentAt      time.Time
+	held        *budget.Reservation // for what was received of the result
+	evicted     chan struct{}       // closed when the result has to be given up in favour of others
 }
 
 // cost is the engine work of one attempt.
@@ -226,6 +239,7 @@
 	deadline     *time.Timer
 	stopped      <-chan struct{} // closed by StopBy; nil once that was handled
 	callerGone   <-chan struct{}
+	extended     bool // by outlastStall
 }
 
 // limitDeadline brings the deadline forward to t if it is later.
@@ -236,17 +250,56 @@
 	}
 }
 
+// outlastStall sets both timers anew if one that was due at a time was noticed so late that this
+// process stood still: what arrived meanwhile is still on its way through the link. It does so only
+// once.
+func (t *interrupts) outlastStall(due time.Time) bool {
+	if t.extended || time.Since(due) < stallMargin {
+		return false
+	}
+	t.extended = true
+	t.deadlineNear.Reset(stallGrace)
+	t.deadline.Reset(stallGrace + stage.DeadlineMargin)
+	return true
+}
+
+// handleEvent converts an event of an attempt to an event of the flow. The result is empty if the
+// flow has nothing to decide.
+func (e *execution) handleEvent(ev event) stage.Event {
+	if e.current == nil || ev.seq != e.current.seq || ev.streamGen != e.current.streamGen {
+		return stage.Event{} // belongs to an abandoned attempt or stream
+	}
+	return e.handleProgress(ev)
+}
+
+// arrivedOr returns the event that has arrived when a timer fires, which then fires again, or else
+// one of the given kind.
+func (e *execution) arrivedOr(fired *time.Timer, kind stage.EventKind) stage.Event {
+	select {
+	case ev := <-e.events:
+		if out := e.handleEvent(ev); out.Kind != "" {
+			fired.Reset(0)
+			return out
+		}
+	default:
+	}
+	return stage.Event{Kind: kind}
+}
+
 // nextEvent waits for the next event that concerns the flow.
 func (e *execution) nextEvent(t *interrupts) stage.Event {
+	var evicted <-chan struct{}
+	if e.current != nil {
+		evicted = e.current.evicted
+	}
 	for {
 		select {
 		case ev := <-e.events:
-			if e.current == nil || ev.seq != e.current.seq || ev.streamGen != e.current.streamGen {
-				continue // belongs to an abandoned attempt or stream
-			}
-			if out := e.handleProgress(ev); out.Kind != "" {
+			if out := e.handleEvent(ev); out.Kind != "" {
 				return out
 			}
+		case <-evicted:
+			return e.handleInvalidOutput(budget.ErrOver)
 		case <-t.stopped:
 			t.stopped = nil
 			stopBy, _ := e.executor.stop()
@@ -254,9 +307,15 @@
 			t.deadlineNear.Reset(time.Until(e.deadline.Add(-stage.DeadlineMargin)))
 			t.deadline.Reset(time.Until(e.deadline))
 		case <-t.deadlineNear.C:
-			return stage.Event{Kind: stage.EventDeadlineNear}
+			if t.outlastStall(e.deadline.Add(-stage.DeadlineMargin)) {
+				continue
+			}
+			return e.arrivedOr(t.deadlineNear, stage.EventDeadlineNear)
 		case <-t.deadline.C:
-			return stage.Event{Kind: stage.EventDeadline}
+			if t.outlastStall(e.deadline) {
+				continue
+			}
+			return e.arrivedOr(t.deadline, stage.EventDeadline)
 		case <-t.callerGone:
 			return stage.Event{Kind: stage.EventCallerGone}
 		}
@@ -301,15 +360,23 @@
 		e.detachAttempt()
 		e.beginRetry()
 	}
+	e.beginAttempt(ep)
+	e.current.peer = e.executor.Control.Peer(ep.Instance.ID)
+	return e.sendDispatch(s, a.Budget, serial)
+}
+
+// beginAttempt makes an attempt at ep the current one.
+func (e *execution) beginAttempt(ep *route.Endpoint) {
+	evicted := make(chan struct{})
 	e.tried = append(e.tried, ep)
 	e.current = &attempt{
 		seq:         e.executor.lastSeq.Add(1),
 		endpoint:    ep,
-		peer:        e.executor.Control.Peer(ep.Instance.ID),
 		incarnation: ep.Load.Incarnation(),
 		sentAt:      time.Now(),
+		held:        e.executor.Results.Reserve(ep.Instance.ID, func() { close(evicted) }),
+		evicted:     evicted,
 	}
-	return e.sendDispatch(s, a.Budget, serial)
 }
 
 // beginStage prepares for the first attempt of a stage.
