--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -161,9 +161,12 @@
 	return c
 }
 
+// stallDial is replaced in tests.
+var stallDial = stall.Dial
+
 func (p *Pool) dial(ctx context.Context, k key) (*Conn, error) {
 	dialedAt := time.Now()
-	raw, err := stall.Dial(ctx, &net.Dialer{}, k.addr, dialTimeout)
+	raw, err := stallDial(ctx, &net.Dialer{}, k.addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
