peers: test of a standstill before a link's first check

Time in which this process stood still isn't excluded at the first check of a heartbeat, as there is no check before it: a new link (after a pause all links are new) counts as silent, its items run again and the other relay counts as suspect.

--- a/relay/peers/stall_test.go
+++ b/relay/peers/stall_test.go
@@ -36,3 +36,15 @@
 	}
 	t.Errorf("a link without answers for %v doesn't count as silent", ran)
 }
+
+// TestFirstHeartbeatDuringStall guards against a new link that counts as silent because this
+// process stood still between its first heartbeat and the first check.
+func TestFirstHeartbeatDuringStall(t *testing.T) {
+	s := (&Mesh{}).newSession(nil, nil, nil, true)
+	begun := time.Now()
+	s.awaitAnswer(begun)
+	now := begun.Add(10 * heartbeatTimeout)
+	if _, err := s.heartbeatDue(now, begun); err != nil {
+		t.Errorf("first check after a standstill: %v", err)
+	}
+}
