relay/pool: a life begins with the dial that made its connection

The dial's time is taken as its socket is made, again if it is dialed again. A connection that was made before a standstill keeps the time of its dial. TestSinceOfSecondDial passes.

--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -166,13 +166,14 @@
 
 func (p *Pool) dial(ctx context.Context, k key) (*Conn, error) {
 	dialedAt := time.Now()
-	raw, err := stallDial(ctx, &net.Dialer{}, k.addr, dialTimeout)
+	d := &net.Dialer{Control: func(string, string, syscall.RawConn) error {
+		dialedAt = time.Now() // again if it is dialed again
+		return nil
+	}}
+	raw, err := stallDial(ctx, d, k.addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	if earliest := time.Now().Add(-dialTimeout); dialedAt.Before(earliest) {
-		dialedAt = earliest // it was dialed again
-	}
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
