--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -96,7 +96,7 @@
 	mu        sync.Mutex
 	closed    bool
 	waiting   time.Time                 // when the oldest unanswered heartbeat was sent, without standstills of this process; zero: none; for the dialer
-	checkedAt time.Time                 // when heartbeatDue was called last
+	checkedAt time.Time                 // when heartbeatDue was called last, or waiting was set before
 	pending   map[itemKey]*batch.Item   // submitted items without a result
 	reports   map[batch.Pool]poolReport // last reports of the other relay's pools
 	submitted map[batch.Pool]int        // items submitted since that report
@@ -240,6 +240,9 @@
 	if s.waiting.IsZero() {
 		s.waiting = now
 	}
+	if s.checkedAt.IsZero() {
+		s.checkedAt = now
+	}
 }
 
 // remoteInstance returns the instance ID of the other relay, or "" before its first
