core/peer: members don't expire in a standstill of this relay

Time between two ticks that are over 5 s apart (they are due twice a second) doesn't count as a member's silence.

--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -26,6 +26,10 @@
 	// members that it hasn't discovered yet.
 	discoveryPeriod = 5 * time.Second
 
+	// maxTickGap is the time between two ticks above which this relay stood still. It doesn't
+	// count against the others, whose news it hasn't read meanwhile.
+	maxTickGap = 5 * time.Second
+
 	minSuspectPeriod = 2 * time.Second // after a link to a member failed; doubles with each failure in a row
 	maxSuspectPeriod = 10 * time.Second
 
@@ -93,6 +97,7 @@
 	tombstones map[string]tombstone    // by instance
 	leaving    bool                    // this relay is stopping
 	version    int                     // incremented on each change
+	tickedAt   time.Time               // last Tick
 }
 
 // Version is incremented by each change that News reports.
@@ -162,6 +167,12 @@
 // begins with the time of day of the start, so that a restarted relay has higher
 // ones than its former incarnation.
 func (g *Group) Tick(now time.Time) {
+	if stalled := now.Sub(g.tickedAt); stalled > maxTickGap && !g.tickedAt.IsZero() {
+		for _, s := range g.members {
+			s.lastAdvance = s.lastAdvance.Add(min(stalled, now.Sub(s.lastAdvance)))
+		}
+	}
+	g.tickedAt = now
 	g.Self.Beat = uint64(max(0, g.Started.UnixNano()+int64(now.Sub(g.Started)))) / uint64(beatPeriod)
 }
 
