--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -118,11 +119,18 @@
 func (b *Budget) addToSender(name string, n int64) {
 	s := b.senders[name]
 	s.bytes += n
+	b.senders[name] = s
+	if s.bytes == 0 && len(b.senders) > maxSenders {
+		b.forgetSenders()
+	}
 	if s.bytes == 0 && (!b.isSuspect(s) || len(b.senders) > maxSenders) {
 		delete(b.senders, name)
-		return
 	}
-	b.senders[name] = s
+}
+
+// forgetSenders forgets the senders that hold nothing and aren't suspect. The caller holds b.mu.
+func (b *Budget) forgetSenders() {
+	maps.DeleteFunc(b.senders, func(_ string, s sender) bool { return s.bytes == 0 && !b.isSuspect(s) })
 }
 
 // isSuspect reports whether a response of a sender was given up lately. The caller holds b.mu.
