base/accept: a lasting shortage ends a listener whose deadline has passed

Ten failures in a row, about a second, end it. Connections for which descriptors become free meanwhile are still accepted. TestShortageEndsWithStop passes.

--- a/base/accept/accept.go
+++ b/base/accept/accept.go
@@ -21,6 +21,7 @@
 const (
 	maxWaiting    = 4096        // connections that are accepted after a deadline; more than a queue holds by default
 	acceptTimeout = time.Second // for one that waits already
+	maxFailures   = 10          // in a row after a deadline; about a second
 )
 
 // shortages are errors after which a listener can go on. The connection stays in its queue,
@@ -39,6 +40,7 @@
 	mu       sync.Mutex
 	deadline time.Time // see SetDeadline
 	accepted int       // connections since the deadline has passed
+	failures int       // in a row since then
 }
 
 // Listen listens on a TCP address. onShortage is called with the address and each error
@@ -83,7 +85,7 @@
 func (l *Listener) SetDeadline(t time.Time) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.deadline, l.accepted = t, 0
+	l.deadline, l.accepted, l.failures = t, 0, 0
 	return l.setDeadline(t)
 }
 
@@ -95,15 +97,19 @@
 }
 
 // acceptWaiting accepts a connection that waits in the queue, after the deadline has passed. If
-// there is none, or there have been too many, it returns timeout.
+// there is none, there have been too many, or a shortage lasts, it returns timeout.
 func (l *Listener) acceptWaiting(timeout error) (net.Conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.accepted == maxWaiting || !l.hasWaiting() || l.setDeadline(time.Now().Add(acceptTimeout)) != nil {
+	if l.accepted == maxWaiting || l.failures == maxFailures || !l.hasWaiting() || l.setDeadline(time.Now().Add(acceptTimeout)) != nil {
 		return nil, timeout
 	}
-	l.accepted++
 	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted, l.failures = l.accepted+1, 0
+	} else {
+		l.failures++
+	}
 	if deadlineErr := l.setDeadline(l.deadline); err == nil && deadlineErr != nil {
 		err = errors.Join(deadlineErr, c.Close())
 	}
