core/gate: a standstill of the agent is no stalled work

The time between two ticks that are over 300 ms apart, which are due every 50 ms, no longer counts as time in which running work made no progress. The service time of completed work is measured as before.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -30,6 +30,7 @@
 	stallFactor    = 4.0                    // ratio of the wait for the first output to its average that indicates a cold endpoint
 	minStallTime   = 150 * time.Millisecond // a shorter wait for the first output is no stall
 	minPaceUnits   = 8                      // units of output required to judge the pace of running work
+	maxTickGap     = 300 * time.Millisecond // longer gaps between ticks are a standstill of this process, in which output may have arrived
 
 	smoothingFactor = 0.2  // weight of a new sample in a moving average
 	baselineGrowth  = 1.01 // factor per completion that lets the baseline follow slow changes
@@ -131,7 +132,8 @@
 
 type runningWork struct {
 	startedAt time.Time
-	units     int // units of output so far
+	stalled   time.Duration // part of the time since then in which this process stood still
+	units     int           // units of output so far
 }
 
 // Gate decides on all work for one endpoint. It is not safe for concurrent use.
@@ -143,6 +145,7 @@
 	createdAt time.Time
 
 	running  map[runs.ID]*runningWork
+	tickedAt time.Time    // last Tick
 	queue    []queuedWork // by priority, then by arrival
 	orphaned int          // work that the endpoint still runs for a previous process of the agent
 	closed   bool
@@ -165,6 +168,7 @@
 	return &Gate{
 		settings:  s,
 		createdAt: now,
+		tickedAt:  now,
 		running:   make(map[runs.ID]*runningWork),
 		limiter:   newLimiter(s),
 	}
@@ -341,6 +345,7 @@
 	if !g.sampled && now.Sub(g.createdAt) >= firstReportTimeout {
 		g.sampled = true
 	}
+	g.excludeStandstill(now)
 	before := g.Limit()
 	lowered := g.hasStalledWork(now) && g.limiter.suspectCold(now)
 	g.reportLowered(LowerStalled, before)
@@ -357,12 +362,22 @@
 	return fx
 }
 
+// excludeStandstill records that this process stood still if the last tick was long ago.
+func (g *Gate) excludeStandstill(now time.Time) {
+	if gap := now.Sub(g.tickedAt); gap > maxTickGap {
+		for _, w := range g.running {
+			w.stalled += min(gap, now.Sub(w.startedAt))
+		}
+	}
+	g.tickedAt = now
+}
+
 // hasStalledWork reports whether running work indicates that the endpoint turned
 // cold or slow: its first output is overdue, or its output is much slower than
 // the baseline. The service time shows this only when the work completes.
 func (g *Gate) hasStalledWork(now time.Time) bool {
 	for _, w := range g.running {
-		elapsed := now.Sub(w.startedAt)
+		elapsed := now.Sub(w.startedAt) - w.stalled
 		switch {
 		case w.units == 0 && g.firstOutputTime > 0 &&
 			elapsed > max(time.Duration(stallFactor*float64(g.firstOutputTime)), minStallTime):
