relay/front: a body in chunks counts in the budget as it arrives

A body without a length counted in the budget for bodies only once it had arrived whole: callers that send some MB of it each and pause held any amount of memory for the 10 s that a body may take (found by the review, TestUnfinishedChunkedBodies failed: none of 4 bodies of 100 kB was refused where the budget is 150 kB).

Chunks are collected as responses are, and reserve memory on the way.

--- a/relay/front/bodies.go
+++ b/relay/front/bodies.go
@@ -22,30 +22,31 @@
 // zero value is ready to use. It is safe for concurrent use.
 type bodyBudget struct{ used atomic.Int64 }
 
-// reserve adds n bytes and reports whether there is room within limit. A body has room if there
-// is no other, so that each that the configuration allows can be sent.
-func (b *bodyBudget) reserve(n, limit int64) bool {
-	if used := b.used.Add(n); used <= limit || used == n {
+// reserve adds n bytes to the held ones of a body and reports whether there is room within limit. A
+// body has room if there is no other, so that each that the configuration allows can be sent.
+func (b *bodyBudget) reserve(n, held, limit int64) bool {
+	if used := b.used.Add(n); used <= limit || used == held+n {
 		return true
 	}
 	b.used.Add(-n)
 	return false
 }
 
-// reserveBody reserves memory for a body of n bytes until releaseBody, and reports whether there
-// is room.
+// reserveBody reserves memory for the first n bytes of the body until releaseBody, and reports
+// whether there is room.
 func (x *Exchange) reserveBody(n int) bool {
-	if n < minTrackedBody {
+	more := int64(n) - x.reserved
+	if n < minTrackedBody || more <= 0 {
 		return true
 	}
 	limit := int64(defaultBodyBudget)
 	if f := x.server.BodyBudget; f != nil {
 		limit = f()
 	}
-	if !x.server.bodies.reserve(int64(n), limit) {
+	if !x.server.bodies.reserve(more, x.reserved, limit) {
 		return false
 	}
-	x.reserved += int64(n)
+	x.reserved += more
 	return true
 }
 
--- a/relay/front/bodies_test.go
+++ b/relay/front/bodies_test.go
@@ -75,3 +75,33 @@
 	}
 	<-stopAccepting(srv, time.Second)
 }
+
+// TestUnfinishedChunkedBodies guards against a process that runs out of memory as many callers send
+// large bodies without a length, which count only once they have arrived whole.
+func TestUnfinishedChunkedBodies(t *testing.T) {
+	const large, callers = 100 << 10, 4
+	srv, addr, open := startServer(t, func(*front.Exchange) { t.Error("a request without the end of its body was handled") })
+	srv.Limits = func() fleet.Limits { return fleet.Limits{BodyBytes: 1 << 20} }
+	srv.BodyBudget = func() int64 { return 150 << 10 }
+	close(open)
+	refused := make(chan int, callers)
+	for range callers {
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", large, strings.Repeat("x", large))
+		_, r := dial(t, addr, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk)
+		go func() {
+			var resp fasthttp.Response
+			if resp.Read(r) == nil {
+				refused <- resp.StatusCode()
+			}
+		}()
+	}
+	select {
+	case status := <-refused:
+		if status != fasthttp.StatusServiceUnavailable {
+			t.Errorf("status %d", status)
+		}
+	case <-time.After(time.Second):
+		t.Errorf("%d bodies of %d kB are held at once, the budget is 150 kB", callers, large>>10)
+	}
+	<-stopAccepting(srv, time.Second)
+}
--- a/relay/front/parse.go
+++ b/relay/front/parse.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/body"
 	"wigeonplank.example/core/fleet"
 )
 
@@ -92,16 +93,20 @@
 	if n := x.Header.ContentLength(); n == 0 || (n < 0 && !isChunked(&x.Header)) {
 		return nil
 	}
-	err := req.ContinueReadBody(br, limits.BodyBytes)
+	var err error
+	if isChunked(&x.Header) {
+		x.Body, err = x.collectChunks(&req, br, limits.BodyBytes)
+	} else if err = req.ContinueReadBody(br, limits.BodyBytes); err == nil {
+		x.Body = req.SwapBody(nil)
+	}
 	var ne net.Error
+	var large *body.TooLargeError
 	switch {
 	case err == nil:
-		x.Body = req.SwapBody(nil)
-		if isChunked(&x.Header) && !x.reserveBody(len(x.Body)) {
-			return errNoRoomForBody
-		}
 		return nil
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, errNoRoomForBody):
+		return errNoRoomForBody
+	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &large):
 		return &RequestError{Status: fasthttp.StatusRequestEntityTooLarge, Reason: "body is too large"}
 	case errors.As(err, &ne) && ne.Timeout():
 		return &RequestError{Status: fasthttp.StatusRequestTimeout, Reason: "body is too slow"}
@@ -111,6 +116,22 @@
 	return badRequest("body: %v", err)
 }
 
+// collectChunks reads a body in chunks, of at most limit bytes, for which it reserves memory as
+// they arrive.
+func (x *Exchange) collectChunks(req *fasthttp.Request, br *bufio.Reader, limit int) ([]byte, error) {
+	if err := req.ContinueReadBodyStream(br, limit, false); err != nil {
+		return nil, err
+	}
+	defer func() { _ = req.CloseBodyStream() }() // what is left unread ends the connection
+	size := 0
+	return body.Collect(req.BodyStream(), limit, func(n int) error {
+		if size += n; !x.reserveBody(size) {
+			return errNoRoomForBody
+		}
+		return nil
+	})
+}
+
 // isChunked reports whether the body uses the chunked transfer coding, the only
 // one that validateHeader accepts.
 func isChunked(h *fasthttp.RequestHeader) bool { return len(h.Peek("Transfer-Encoding")) > 0 }
