--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -53,6 +53,8 @@
 // is safe for concurrent use.
 type Pool struct {
 	Budget budget.Budget // for the responses on all connections
+	// Dial dials an endpoint within timeout; nil: stall.Dial.
+	Dial func(ctx context.Context, d *net.Dialer, addr string, timeout time.Duration) (net.Conn, error)
 
 	mu        sync.Mutex
 	idle      map[key][]*Conn // the connection returned last is at the end
@@ -161,16 +163,17 @@
 	return c
 }
 
-// stallDial is replaced in tests.
-var stallDial = stall.Dial
-
 func (p *Pool) dial(ctx context.Context, k key) (*Conn, error) {
 	dialedAt := time.Now()
 	d := &net.Dialer{Control: func(string, string, syscall.RawConn) error {
 		dialedAt = time.Now() // again if it is dialed again
 		return nil
 	}}
-	raw, err := stallDial(ctx, d, k.addr, dialTimeout)
+	dial := p.Dial
+	if dial == nil {
+		dial = stall.Dial
+	}
+	raw, err := dial(ctx, d, k.addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
--- a/relay/pool/since_test.go
+++ b/relay/pool/since_test.go
@@ -5,8 +5,6 @@
 	"net"
 	"testing"
 	"time"
-
-	"wigeonplank.example/base/stall"
 )
 
 // TestSinceOfSecondDial guards against a connection that counts as leading to what was there
@@ -19,13 +17,11 @@
 	}
 	defer func() { _ = ln.Close() }()
 	var begun time.Time // of the dial that made the connection
-	stallDial = func(ctx context.Context, d *net.Dialer, addr string, timeout time.Duration) (net.Conn, error) {
+	p := &Pool{Dial: func(ctx context.Context, d *net.Dialer, addr string, timeout time.Duration) (net.Conn, error) {
 		time.Sleep(timeout + 200*time.Millisecond) // the first dial, whose timeout is noticed late
 		begun = time.Now()
 		return d.DialContext(ctx, "tcp", addr)
-	}
-	defer func() { stallDial = stall.Dial }()
-	p := &Pool{}
+	}}
 	c, err := p.Get(context.Background(), KindRequest, "e", ln.Addr().String(), true)
 	if err != nil {
 		t.Fatal(err)
