relay/proxy: a request that may have run waits for an endpoint that may become usable

Callers of resumable streams saw them broken off as "no endpoint" with 4.6 s left. Their endpoint crashed as the store came back, and the incarnations of the others weren't known yet.

Cause: nextEndpoint looked once. What isn't known yet (the incarnation of an endpoint of the stream's version) and what ends in a moment (an announcement that an endpoint wants no requests) were taken for a final refusal.

--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -98,8 +98,8 @@
 }
 
 // nextEndpoint returns the endpoint for the next attempt: the successor of a silent one,
-// or another one that can take the request. If there is none, it ends the request and
-// returns false.
+// or another one that can take the request, for which it may wait; see awaitEndpoint. If
+// there is none, it ends the request and returns false.
 func (req *request) nextEndpoint(ctx context.Context, next *successor) (pick.Choice, bool) {
 	if next != nil {
 		req.assignment, req.conn = next.assignment, next.conn
@@ -108,7 +108,7 @@
 	if !req.passGuard() {
 		return pick.Choice{}, false
 	}
-	c, a := req.acquireEndpoint(ctx)
+	c, a := req.awaitEndpoint(ctx)
 	req.assignment = a
 	switch {
 	case c.Endpoint != nil:
