relay/front, relay/proxy: a stream whose caller doesn't read ends at its deadline

A stream of regular events, with or without ids in order, or of comments, without end is bounded by the route's timeout and the caller's deadline: its caller then sees a response without its last chunk, the endpoint's connection is closed, and the relay holds one event and its buffers. That was sound but for one case. A caller that doesn't read held its request for 9.9 s past the route's timeout, as a write that had begun before it had 10 s of its own.

A write of a stream now waits until the stream's deadline at most, and 250 ms if that has passed.

--- a/relay/front/answer.go
+++ b/relay/front/answer.go
@@ -83,9 +83,25 @@
 }
 
 func (x *Exchange) write(b []byte) error {
-	_ = x.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // fails only on a closed connection
+	_ = x.conn.SetWriteDeadline(x.writeDeadline(time.Now())) // fails only on a closed connection
 	if _, err := x.conn.Write(b); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
 	return nil
 }
+
+// writeDeadline returns until when a write that begins now may wait for the caller.
+func (x *Exchange) writeDeadline(now time.Time) time.Time {
+	end := now.Add(writeTimeout)
+	if x.StreamUntil.IsZero() {
+		return end
+	}
+	until := x.StreamUntil
+	if late := now.Add(lateWriteTimeout); until.Before(late) {
+		until = late
+	}
+	if until.Before(end) {
+		return until
+	}
+	return end
+}
--- a/relay/front/front.go
+++ b/relay/front/front.go
@@ -35,6 +35,7 @@
 	defaultIdleTimeout    = 15 * time.Second
 	bodyTimeout           = 10 * time.Second       // to read a whole body
 	writeTimeout          = 10 * time.Second       // for one write; a caller that reads nothing for this long counts as disconnected
+	lateWriteTimeout      = 250 * time.Millisecond // for one write, once Exchange.StreamUntil has passed
 	lingerTimeout         = 500 * time.Millisecond // to discard input after the last response
 	drainPeriod           = 200 * time.Millisecond // at a stop, for connections and requests that callers have sent already
 	handlerEndTimeout     = 200 * time.Millisecond // for handlers to return once a stop is out of time
@@ -402,6 +403,9 @@
 	Body      []byte
 	// ReceivedAt is when the whole request had arrived.
 	ReceivedAt time.Time
+	// StreamUntil is when a stream ends at the latest. A write doesn't wait longer for a caller
+	// that doesn't read. Zero: only the time for one write bounds it.
+	StreamUntil time.Time
 
 	conn     net.Conn
 	server   *Server
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -28,6 +28,7 @@
 // forwardStream forwards a request whose response is a stream of events.
 func (req *request) forwardStream(ctx context.Context) {
 	lastEvent := req.headers.LastEventID
+	req.exchange.StreamUntil = req.deadline
 	req.forward(ctx, func(c pick.Choice) (attemptEnd, string) { return req.attemptStream(ctx, c.Endpoint, &lastEvent) }, &lastEvent)
 }
 
