base/budget: large responses wait until those that were given up have let go

It was taken for garbage.

Cause: a response that is given up counts as free at once, but its reader holds it until it runs again. On a busy machine others take that memory meanwhile.

Once such readers hold more than an eighth of the limit, a response of 64 KB or more waits for a release before it goes on, for 50 ms each time at most. Small responses never wait. Readers that notice only at their next Grow (agents' calls) aren't waited for.

--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -18,6 +18,10 @@
 	// suspicion is how long a sender of which a response was given up goes before others.
 	suspicion  = time.Minute
 	maxSenders = 1024 // that are remembered without a response
+	// leavingPart is the part of a budget that responses which were given up may still hold
+	// before others wait for their readers, each time for maxPause at most.
+	leavingPart = 8
+	maxPause    = 50 * time.Millisecond
 )
 
 // ErrOver reports that a response was given up because the responses that this process
@@ -26,14 +30,19 @@
 
 // Budget bounds the memory for what this process holds of responses at the same time. Once it
 // is used up, the largest response of one sender is given up: of one of which a response was
-// given up lately, if there is any, and among such of the one whose responses hold most. The zero
-// value is ready to use. It is safe for concurrent use.
+// given up lately, if there is any, and among such of the one whose responses hold most. Its memory is free only once its reader has
+// noticed; large responses wait for that. The zero value is ready to use. It is safe for concurrent use.
 type Budget struct {
 	Limit func() int64 // bytes; nil: 16 MB
 	Clock clock.Clock  // nil: the system's
+	// After returns a channel that receives once a time has passed. If it is nil, time.After is
+	// used.
+	After func(d time.Duration) <-chan time.Time
 
 	mu      sync.Mutex
 	used    int64
+	leaving int64                 // bytes of responses that were given up and not released yet
+	changed chan struct{}         // closed at the next change of leaving, and when a response is given up; nil: nobody waits
 	large   map[*Reservation]bool // those of at least minTracked
 	senders map[string]sender
 }
@@ -50,6 +59,7 @@
 	sender string
 	end    func() // makes the reader of the response stop; may be nil
 	bytes  int64
+	left   int64 // bytes that it held when it was given up, until it is released
 	ended  bool
 }
 
@@ -75,8 +85,60 @@
 	return b.used
 }
 
-// Grow adds n bytes. It returns ErrOver if the response has to be given up.
+// Grow adds n bytes. It returns ErrOver if the response has to be given up. It blocks for a
+// short time while responses that were given up still hold much.
 func (r *Reservation) Grow(n int) error {
+	if err := r.add(n); err != nil {
+		return err
+	}
+	changed := r.changed()
+	if changed == nil {
+		return nil
+	}
+	after := r.budget.After
+	if after == nil {
+		after = time.After
+	}
+	end := after(maxPause)
+	for changed != nil {
+		select {
+		case <-changed:
+			changed = r.changed()
+		case <-end:
+			changed = nil
+		}
+	}
+	if r.Ended() {
+		return ErrOver
+	}
+	return nil
+}
+
+// changed returns a channel that is closed when the response may go on, or nil if it needn't
+// wait.
+func (r *Reservation) changed() <-chan struct{} {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.ended || !b.large[r] || b.leaving <= b.limit()/leavingPart {
+		return nil
+	}
+	if b.changed == nil {
+		b.changed = make(chan struct{})
+	}
+	return b.changed
+}
+
+// wake lets those look again that wait. The caller holds b.mu.
+func (b *Budget) wake() {
+	if b.changed != nil {
+		close(b.changed)
+		b.changed = nil
+	}
+}
+
+// add is Grow without the wait.
+func (r *Reservation) add(n int) error {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -170,10 +232,15 @@
 		s.endedAt = b.now()
 		b.senders[r.sender] = s
 	}
+	if r.end != nil { // its reader stops now, and not only at its next Grow
+		r.left = r.bytes
+		r.budget.leaving += r.left
+	}
 	r.releaseLocked()
 	if r.end != nil {
 		r.end()
 	}
+	r.budget.wake()
 }
 
 // Ended reports whether the response was given up.
@@ -188,6 +255,11 @@
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.releaseLocked()
+	if r.left > 0 {
+		r.budget.leaving -= r.left
+		r.left = 0
+		r.budget.wake()
+	}
 }
 
 func (r *Reservation) releaseLocked() {
--- a/base/budget/budget_test.go
+++ b/base/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,3 +73,61 @@
 		t.Errorf("got %v, want the larger response to be given up", err)
 	}
 }
+
+// TestWaitsForReaders guards against memory beyond the limit, as the readers of responses that
+// were given up hold it until they notice, while others take what counts as free.
+func TestWaitsForReaders(t *testing.T) {
+	const limit = 8 << 20
+	var paused atomic.Int64
+	elapsed := make(chan time.Time, 1)
+	b := &budget.Budget{Limit: func() int64 { return limit }, After: func(time.Duration) <-chan time.Time {
+		paused.Add(1)
+		return elapsed
+	}}
+	given := make(chan struct{})
+	first := b.Reserve("endless", func() { close(given) })
+	if err := first.Grow(limit); err != nil {
+		t.Fatal(err)
+	}
+	second := b.Reserve("sound", nil)
+	result := make(chan error)
+	var released atomic.Bool
+	go func() {
+		err := second.Grow(1 << 20)
+		if !released.Load() {
+			err = errors.New("went on before the memory was free")
+		}
+		result <- err
+	}()
+	<-given
+	small := b.Reserve("small", nil)
+	if err := small.Grow(1 << 10); err != nil { // doesn't wait
+		t.Fatal(err)
+	}
+	released.Store(true)
+	first.Release()
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+	first.Release() // no second time
+	small.Release()
+	// A reader that doesn't notice keeps others for a short time only.
+	third := b.Reserve("endless", func() {})
+	if err := third.Grow(limit); !errors.Is(err, budget.ErrOver) {
+		t.Fatalf("got %v, want %v", err, budget.ErrOver)
+	}
+	before := paused.Load()
+	elapsed <- time.Time{}
+	if err := second.Grow(1); err != nil || paused.Load() != before+1 {
+		t.Errorf("got %v after %d pauses, want none after 1", err, paused.Load()-before)
+	}
+	third.Release()
+	second.Release()
+	if err := second.Grow(1 << 20); err != nil || paused.Load() != before+1 {
+		t.Errorf("got %v after %d pauses, want none", err, paused.Load()-before-1)
+	}
+	second.Release()
+	if n := b.Used(); n != 0 {
+		t.Errorf("%d bytes are still reserved", n)
+	}
+}
