--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -35,8 +35,9 @@
 type scriptState struct {
 	dep   *deploy.Deployment
 	calls map[string]*call
-	kept  fasthttp.Client // of calls that use one connection after another
-	sound []*call         // requests of the command mixed that crash no endpoint, in the order in which they were sent
+	kept  fasthttp.Client        // of calls that use one connection after another
+	conns map[string][]*keptConn // of the command keep, by name
+	sound []*call                // requests of the command mixed that crash no endpoint, in the order in which they were sent
 }
 
 type scriptStateKey struct{}
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &scriptState{dep: &deploy.Deployment{Site: s, Dir: dir, Bin: binDir}, calls: make(map[string]*call), kept: fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1}}, nil
+	return &scriptState{dep: &deploy.Deployment{Site: s, Dir: dir, Bin: binDir}, calls: make(map[string]*call), conns: make(map[string][]*keptConn), kept: fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxConnsPerHost: 1}}, nil
 }
 
 // close stops the deployment. It returns an error if that fails or if the log of a
@@ -128,6 +129,9 @@
 		"count":    countLog,
 		"set":      changeSettings,
 		"trace":    checkTrace,
+		"keep":     keepConns,
+		"send":     sendOnConns,
+		"answers":  checkAnswers,
 	} {
 		out[name] = func(ts *testscript.TestScript, neg bool, words []string) {
 			cmd := &command{ts: ts, state: ts.Value(scriptStateKey{}).(*scriptState), opts: make(map[string]string)}
@@ -374,11 +378,11 @@
 
 // publishConfig implements the command
 //
-//	publish VERSION [drop=PREFIX] [key=KEY] [slo=MS] [gap=MS] [timeout=MS] [head=BYTES] [rename=SERVICE] [without=SERVICE]
+//	publish VERSION [drop=PREFIX] [key=KEY] [slo=MS] [gap=MS] [timeout=MS] [head=BYTES] [idle=MS] [rename=SERVICE] [without=SERVICE]
 //
 // It writes a version of the standard configuration to the store, without the route
 // of a prefix, with another API key, with another latency objective, maximum gap
-// between events or timeout for all routes, or with another limit for headers. rename
+// between events or timeout for all routes, or with another limit for headers or idle connections. rename
 // gives a service a name that no endpoint has; without also drops it, and all routes that
 // use it.
 func publishConfig(cmd *command) error {
@@ -396,6 +400,9 @@
 	if cmd.opts["head"] != "" {
 		cfg["limits"].(map[string]any)["maxHeaderBytes"] = cmd.intOpt("head")
 	}
+	if cmd.opts["idle"] != "" {
+		cfg["limits"].(map[string]any)["idleTimeoutMs"] = cmd.intOpt("idle")
+	}
 	if p := cmd.opts["drop"]; p != "" {
 		cfg["routes"] = slices.DeleteFunc(cfg["routes"].([]any), func(r any) bool { return r.(map[string]any)["prefix"] == p })
 	}
