proof/deploy: the soak plays standstills of relays beside callers that hold connections idle

Now every 0.7 s on average a relay, or all of them, stands still for 0.2 to 1.2 s or runs for 30 ms of every 100 for 1 to 2 s, in some cases beside a new configuration, a reload with changed settings at all relays, or a planned stop. Each configuration draws an idle limit of 0.5 to 2 s. 16 callers hold a connection idle for up to four fifths of the limit that was published last, and go on until the relay closes it. A request on such a connection without an answer or a refusal is a finding, unless the relay got SIGKILL, or the request was sent after the accepting part of a stop, or later than the idle limit in force, which is read from the configurations that the relay's log says were applied. These standstills excuse no other request either.

Callers of the load now keep connections for at most 0.25 s, less than any limit. Slow callers of a stop hold a new connection idle for up to 1.1 s before their first part. All limits were 30 s before; below 1.1 s a relay may close such a connection, so those that begin after the limit in force are not judged. How often this excuse is used was not counted.

--- a/proof/deploy/soak.go
+++ b/proof/deploy/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,8 +59,16 @@
 	losing       bool      // all relays will get SIGKILL once none is ending
 	calmUntil    time.Time // until then faults that excuse late requests are held back
 
+	end      time.Time                // of the faults
+	stallRNG *rand.Rand               // of standstills and idle limits
+	stalls   int                      // number of standstills so far
+	ends     map[string][]*processEnd // by relay
+
 	mu         sync.Mutex
-	halfClosed []string // callers that closed their sending side and got no response; guarded by mu
+	halfClosed []string              // callers that closed their sending side and got no response; guarded by mu
+	idleLimit  time.Duration         // of the last published configuration; guarded by mu
+	idleLimits map[int]time.Duration // by version of the configuration; guarded by mu
+	idleCalls  []*idleCall           // guarded by mu
 	callers    sync.WaitGroup
 }
 
@@ -92,13 +101,15 @@
 			return nil, err
 		}
 	}
+	d.client.MaxIdleConnDuration = minIdleLimit / 2 // whatever limit is in force, callers go by a smaller one
 	replies := make(chan []*Reply, 1)
 	go func() {
 		replies <- d.SendLoad(ctx, Load{Rate: s.Rate, Duration: s.Duration + faultFreeTime, Seed: s.Seed})
 	}()
 	sr := &soakRun{
 		Soak: s, dep: d, rng: rand.New(rand.NewPCG(s.Seed, 1)), ctx: ctx, pending: make(chan func() error, 1<<10),
-		ending: make(map[string]bool), version: 1,
+		ending: make(map[string]bool), version: 1, end: time.Now().Add(s.Duration), stallRNG: rand.New(rand.NewPCG(s.Seed, 2)),
+		ends: make(map[string][]*processEnd), idleLimit: defaultIdleLimit, idleLimits: make(map[int]time.Duration),
 	}
 	if err := sr.injectFaults(); err != nil {
 		return nil, err
@@ -108,20 +119,26 @@
 		return nil, err
 	}
 	sr.callers.Wait()
-	v := d.Verify(append(sr.slowReplies(), all...))
+	v := d.Verify(slices.Concat(sr.slowReplies(), sr.idleReplies(), all))
 	v.Unanswered = append(sr.interrupted.unanswered(all), sr.halfClosed...)
 	for _, s := range sr.slowStops {
-		v.Unanswered = append(v.Unanswered, s.unserved()...)
+		unserved, err := sr.unserved(s)
+		if err != nil {
+			return nil, err
+		}
+		v.Unanswered = append(v.Unanswered, unserved...)
 	}
 	v.LateRequests = sr.lateRequests()
-	return v, nil
+	lost, err := sr.lostIdleCalls()
+	v.Unanswered = append(v.Unanswered, lost...)
+	return v, err
 }
 
 // injectFaults injects faults for the duration of the run and waits until all have
 // ended.
 func (sr *soakRun) injectFaults() error {
-	end := time.Now().Add(sr.Duration)
-	for time.Now().Before(end) {
+	sr.schedule(0, sr.stallRelays)
+	for time.Now().Before(sr.end) {
 		next := time.After(time.Duration(sr.rng.ExpFloat64() * float64(meanFaultInterval)))
 		for waiting := true; waiting; {
 			select {
@@ -478,6 +495,8 @@
 	sr.ending[r.Name] = true
 	restarted := sr.interrupted.begin(r.Name, sig == syscall.SIGTERM)
 	sr.Logf("%s gets %s", r.Name, sig)
+	ended := &processEnd{signalledAt: time.Now(), sig: sig}
+	sr.ends[r.Name] = append(sr.ends[r.Name], ended)
 	if err := errors.Join(r.Proc().Signal(syscall.SIGCONT), r.Proc().Signal(sig)); err != nil {
 		return err
 	}
@@ -487,6 +506,7 @@
 			if sig == syscall.SIGTERM && err != nil {
 				return fmt.Errorf("%s failed to stop after SIGTERM: %w", r.Name, err)
 			}
+			ended.goneAt = time.Now()
 			delete(sr.ending, r.Name)
 			sr.dep.client.CloseIdleConnections() // a request on one of the ended relay could not be told from one that it has read
 			if _, err := sr.dep.StartRelay(r.Name, r.Settings.Zone); err != nil {
@@ -529,7 +549,7 @@
 func (sr *soakRun) publishNext() error {
 	sr.version++
 	sr.Logf("configuration version %d is published", sr.version)
-	return sr.dep.Site.PublishConfig(site.StandardConfig(sr.version))
+	return sr.dep.Site.PublishConfig(sr.config(sr.version))
 }
 
 func (sr *soakRun) drainZone() error {
--- a/proof/deploy/stops.go
+++ b/proof/deploy/stops.go
@@ -35,7 +35,8 @@
 // slowCall is a request that is sent in two parts.
 type slowCall struct {
 	Reply
-	sentAt time.Time // when the rest was sent; zero if the response came before
+	dialledAt time.Time
+	sentAt    time.Time // when the rest was sent; zero if the response came before
 }
 
 // stopBesideSlowCallers sends SIGTERM to a relay while callers send requests slowly, in
@@ -83,7 +84,7 @@
 	wait, rest := time.Duration(sr.rng.Int64N(int64(maxFirstPart))), time.Duration(sr.rng.Int64N(int64(maxRestDelay)))
 	s.calls = append(s.calls, c)
 	return func(r *Relay) {
-		c.Relay = r.Name
+		c.Relay, c.dialledAt = r.Name, time.Now()
 		conn, err := net.Dial("tcp", r.Settings.HTTP.Listen)
 		if err != nil {
 			c.FirstError = fmt.Errorf("dial: %w", err)
@@ -125,10 +126,20 @@
 }
 
 // unserved returns the calls that got nothing, and those that were sent whole after the relay
-// had ceased to accept requests and got neither a whole response nor a refusal.
-func (s *slowStop) unserved() []string {
+// had ceased to accept requests and got neither a whole response nor a refusal. Those that begin
+// after the idle limit in force got nothing rightly.
+func (sr *soakRun) unserved(s *slowStop) ([]string, error) {
 	var out []string
 	for _, c := range s.calls {
+		if c.FirstError != nil && !c.StartedAt.IsZero() {
+			until, err := sr.idleUntil(c.Relay, c.dialledAt)
+			if err != nil {
+				return nil, err
+			}
+			if c.StartedAt.After(until.Add(-idleMargin)) {
+				continue
+			}
+		}
 		late := c.sentAt.After(s.signalledAt.Add(relayAcceptTime + signalMargin))
 		cut := slices.Contains([]int{0, fasthttp.StatusBadGateway, fasthttp.StatusGatewayTimeout}, c.Status)
 		if c.FirstError != nil || late && cut {
@@ -136,7 +147,7 @@
 				c.StartedAt.Sub(s.signalledAt).Round(time.Millisecond), c.sentAt.Sub(s.signalledAt).Round(time.Millisecond), c.Status, c.FirstError))
 		}
 	}
-	return out
+	return out, nil
 }
 
 // slowReplies returns the responses to all calls that were sent slowly.
