core/batch: the estimate of admission counts all calls of a request's items

What callers saw: a request that names many items (up to 1,024) was admitted as though all items of a stage ran in one call. By reading, not by a run: such a request then expires in the stages after it has taken their capacity, and its true time raises the correction of the estimates of other requests of its route.

Cause: EstimateLatency added one call with at most MaxItems new items, whatever their number. The due times of the stages before had the same gap.

Change: the items are counted in turns of one call for each slot of the pool. The estimate has a part for the turns of the request's own items. If that makes the estimate longer than the time to the deadline, the request is rejected at once (decided_by "deadline"). A request that would be late by its own items, and could still end before its deadline, is admitted as before where queues are short. Estimates for items that fit into one turn, and all estimates for items that fit into one call, are as before.

TestEstimateOfManyItems is seen failing with the turns left out.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -548,13 +548,18 @@
 
 // EstimateLatency estimates the time from queueing n more items for a pool to
 // their results. It is the time to run the pool's load in full calls on all slots
-// of its endpoints, plus that of one call with the new items, or with MaxItems of
-// them if there are more.
+// of its endpoints, plus that of the calls with the new items, which run in turns of
+// one call for each slot. A load without endpoints stands for a pool with a slot for
+// each call.
 func EstimateLatency(b *fleet.Batch, l Load, n int) time.Duration {
-	full := FullCallTime(b)
+	full, slots := FullCallTime(b), l.Endpoints*max(1, b.Slots)
 	perItem := full / time.Duration(b.MaxItems)
-	lastCall := b.CallOverhead + time.Duration(min(n, b.MaxItems))*b.ItemTime
-	return lastCall + time.Duration(l.Items)*perItem/time.Duration(max(1, l.Endpoints*max(1, b.Slots)))
+	turns := 0 // before that of the last call
+	if perTurn := slots * b.MaxItems; perTurn > 0 && n > 0 {
+		turns = (n - 1) / perTurn
+		n -= turns * perTurn
+	}
+	return time.Duration(turns)*full + callTime(b, min(n, b.MaxItems)) + time.Duration(l.Items)*perItem/time.Duration(max(1, slots))
 }
 
 // ItemCounts returns the number of items that are queued or in flight, by pool.
--- a/core/share/admit.go
+++ b/core/share/admit.go
@@ -65,6 +65,7 @@
 	ReasonShortQueue Reason = "short_queue" // admitted: queued items delay the stages by little
 	ReasonUnlimited  Reason = "unlimited"   // admitted: admission is off
 	ReasonObjective  Reason = "objective"   // rejected: the stages can't end in time for the request itself
+	ReasonDeadline   Reason = "deadline"    // rejected: the request has more items than can be run before its deadline
 	ReasonTeam       Reason = "team"        // rejected: the team uses more than its share of a crowded pool
 	ReasonUrgent     Reason = "urgent"      // rejected: routes that are at least as urgent would wait too long
 )
@@ -73,7 +74,9 @@
 type Admission struct {
 	Estimate  time.Duration // time that its stages take now
 	Idle      time.Duration // time that they would take with nothing queued
+	Own       time.Duration // part of Idle in which its items wait for earlier calls of their own stage
 	Slack     time.Duration // time until they must be done for the request to be in time
+	Left      time.Duration // time until the deadline; used only if Own is positive
 	OverShare bool          // the team uses more than its share of a crowded pool
 	Limit     time.Duration // longest Estimate with which no rival is rejected; 0: no rival limits the request
 }
@@ -113,12 +116,22 @@
 // Excess returns by how much the time of the queued items must fall for the request to be
 // admitted. Without further admissions, this is also how long that takes.
 func (a *Admission) Excess() time.Duration {
-	return max(0, a.Estimate-max(a.Bound(), a.Idle+minQueueDelay))
+	excess := max(0, a.Estimate-max(a.Bound(), a.Idle+minQueueDelay))
+	if a.isTooLarge() {
+		return max(excess, a.Estimate-a.Left)
+	}
+	return excess
 }
 
+// isTooLarge reports whether the request needs calls one after another that don't end
+// before its deadline. The time of single calls is known too roughly for that.
+func (a *Admission) isTooLarge() bool { return a.Own > 0 && a.Estimate > a.Left }
+
 // Decide reports whether the request is admitted, and why.
 func (a *Admission) Decide() (bool, Reason) {
 	switch {
+	case a.isTooLarge():
+		return false, ReasonDeadline
 	case a.Estimate <= a.Bound():
 		return true, ReasonInTime
 	case a.queueDelay() < minQueueDelay:
--- a/relay/proxy/admission.go
+++ b/relay/proxy/admission.go
@@ -84,17 +84,18 @@
 // the same stage services, and the items queued before them delay them
 // noticeably. It then rejects the request.
 func (req *request) admitToStages(job stage.Job) bool {
-	estimate, idle := req.Stages.Estimate(job)
-	req.stagesBeganAt, req.stagesEstimate, req.stagesIdle = req.Clock.Now(), estimate, idle
+	estimate := req.Stages.Estimate(job)
+	req.stagesBeganAt, req.stagesEstimate = req.Clock.Now(), estimate
 	// The time for reading the prompt is left out: it would make large requests
 	// more likely to be rejected than small ones, although they load the stages
 	// no more.
 	left := req.latestStart().Add(-emptyPromptLatency).Sub(req.Clock.Now())
-	a := share.Admission{Estimate: estimate, Idle: idle, Slack: left}
+	a := share.Admission{Estimate: estimate.Now, Idle: estimate.Idle, Slack: left}
 	limitedBy := req.route.Name
 	if req.shared {
-		a, limitedBy = req.sharedAdmission(job, estimate, idle)
+		a, limitedBy = req.sharedAdmission(job, estimate)
 	}
+	a.Own, a.Left = estimate.Own, req.deadline.Sub(req.stagesBeganAt)
 	admitted, reason := a.Decide()
 	if req.Policy().NoAdmission {
 		admitted, reason = true, share.ReasonUnlimited
@@ -103,7 +104,7 @@
 	if !admitted {
 		ev = req.Log.Failure
 	}
-	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate).Dur("idle_ms", idle).Dur("slack_ms", a.Slack).
+	ev(logs.StagesEstimated).Str("request", req.headers.ID).Dur("now_ms", estimate.Now).Dur("idle_ms", estimate.Idle).Dur("slack_ms", a.Slack).
 		Dur("expected_ms", a.Estimate).Dur("limit_ms", a.Bound()).Str("limited_by", limitedBy).Str("decided_by", string(reason)).Bool("admitted", admitted).Msg("")
 	if admitted {
 		req.routeState().RecordAdmitted(req.Clock.Now())
@@ -124,15 +125,15 @@
 
 // sharedAdmission returns what decides whether the request is admitted to stages that are
 // scheduled by shares and by urgency, and the name of the route that limits it.
-func (req *request) sharedAdmission(job stage.Job, estimate, idle time.Duration) (share.Admission, string) {
+func (req *request) sharedAdmission(job stage.Job, estimate stage.Estimate) (share.Admission, string) {
 	state := req.admissionFor(req.config)
 	state.route(req.route).RecordItems(job.Items)
-	a := req.expected(state, req.route, estimate, idle)
+	a := req.expected(state, req.route, estimate)
 	a.OverShare = req.OverShare != nil && req.OverShare(job)
 	limitedBy := req.route.Name
 	for _, r := range state.rivals.Of(req.route, req.urgency()) {
-		estimate, idle := req.Stages.Estimate(stage.Job{Route: r, Items: state.route(r).Items(len(r.Stages))})
-		if a.LimitBy(req.expected(state, r, estimate, idle)) {
+		estimate := req.Stages.Estimate(stage.Job{Route: r, Items: state.route(r).Items(len(r.Stages))})
+		if a.LimitBy(req.expected(state, r, estimate)) {
 			limitedBy = r.Name
 		}
 	}
@@ -141,10 +142,10 @@
 
 // expected returns what decides whether a request of a route that began with this one is
 // admitted, apart from its team and its rivals.
-func (req *request) expected(state *admission, r *fleet.Route, estimate, idle time.Duration) share.Admission {
+func (req *request) expected(state *admission, r *fleet.Route, estimate stage.Estimate) share.Admission {
 	now := req.Clock.Now()
 	h := state.route(r)
-	a := share.Admission{Estimate: h.Correct(now, estimate, idle), Idle: idle, Slack: req.deadline.Sub(now)}
+	a := share.Admission{Estimate: h.Correct(now, estimate.Now, estimate.Idle), Idle: estimate.Idle, Slack: req.deadline.Sub(now)}
 	if r.LatencyObjective > 0 && (r != req.route || !req.takesUpStream()) {
 		a.Slack = r.LatencyObjective - h.Tail(now, share.TailForLimit, r.LatencyObjective, emptyPromptLatency) - now.Sub(req.startedAt)
 	}
@@ -159,7 +160,7 @@
 	case err == nil, errors.Is(err, context.DeadlineExceeded), errors.As(err, &failed) && failed.Reason == plat.ReasonExpired:
 		now := req.Clock.Now()
 		req.stagesEndedAt = now
-		req.routeState().RecordStages(now, req.stagesEstimate, req.stagesIdle, now.Sub(req.stagesBeganAt))
+		req.routeState().RecordStages(now, req.stagesEstimate.Now, req.stagesEstimate.Idle, now.Sub(req.stagesBeganAt))
 	}
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -114,8 +114,7 @@
 	assignment     *assign.Assignment // of the current attempt; nil if its endpoint was not chosen by prompts
 	shared         bool               // one of the stage services is scheduled by shares and by urgency
 	stagesBeganAt  time.Time          // when the stages were estimated
-	stagesEstimate time.Duration      // estimated time of the stages
-	stagesIdle     time.Duration      // estimate with nothing queued
+	stagesEstimate stage.Estimate     // estimated time of the stages
 	stagesEndedAt  time.Time          // zero: not ended, or the first event was recorded
 	inputs         []string           // references to the stage results that the request needs
 	inputsReleased bool               // the results in inputs were released
--- a/relay/stage/job.go
+++ b/relay/stage/job.go
@@ -133,13 +133,13 @@
 }
 
 // minTimeAfter returns the minimum time that the stages after a stage take, that
-// is, with nothing queued before them.
-func (j *jobRun) minTimeAfter(cfg *fleet.Config, stage int) time.Duration {
+// is, with nothing queued before them. idleLatency returns that of n items of a service.
+func (j *jobRun) minTimeAfter(cfg *fleet.Config, stage int, idleLatency func(svc *fleet.Service, n int) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for _, i := range j.dependents(stage) {
-		d := j.minTimeAfter(cfg, i)
+		d := j.minTimeAfter(cfg, i, idleLatency)
 		if svc := cfg.Service(j.job.Route.Stages[i].Service); len(j.refs[i]) > 0 && svc != nil && svc.Batch != nil {
-			d += batch.EstimateLatency(svc.Batch, batch.Load{}, len(j.refs[i])) + callOverhead
+			d += idleLatency(svc, len(j.refs[i])) + callOverhead
 		}
 		longest = max(longest, d)
 	}
@@ -147,14 +147,17 @@
 }
 
 // newItems returns the items of a stage whose inputs exist. zoneOf returns the
-// zone in which a result lies.
-func (j *jobRun) newItems(cfg *fleet.Config, stage int, now time.Time, zoneOf func(ref string) string) []*batch.Item {
+// zone in which a result lies, and idleLatency the latency of n items of a service with
+// nothing queued before them.
+func (j *jobRun) newItems(
+	cfg *fleet.Config, stage int, now time.Time, zoneOf func(ref string) string, idleLatency func(svc *fleet.Service, n int) time.Duration,
+) []*batch.Item {
 	s := j.job.Route.Stages[stage]
 	var inputs []string
 	for _, a := range s.DependsOn {
 		inputs = append(inputs, j.refs[a]...)
 	}
-	due := j.job.Due.Add(-j.minTimeAfter(cfg, stage))
+	due := j.job.Due.Add(-j.minTimeAfter(cfg, stage, idleLatency))
 	freesMemory := j.freesMemory(cfg, s)
 	zone, crossZoneBytes := j.preferredZone(stage, inputs, zoneOf)
 	out := make([]*batch.Item, 0, len(j.refs[stage]))
--- a/relay/stage/stage.go
+++ b/relay/stage/stage.go
@@ -205,7 +205,8 @@
 			continue
 		}
 		j.started[i] = true
-		r.submit(j, s.Service, j.newItems(v.Config, i, r.Clock.Now(), zoneFinder(v)), false, fx)
+		idleLatency := func(svc *fleet.Service, n int) time.Duration { return r.idleLatency(v, svc, n) }
+		r.submit(j, s.Service, j.newItems(v.Config, i, r.Clock.Now(), zoneFinder(v), idleLatency), false, fx)
 	}
 	if remaining == 0 {
 		j.finish(nil)
@@ -293,14 +294,20 @@
 	return min(1, rate*batch.FullCallTime(svc.Batch).Seconds()/float64(max(1, svc.Batch.Slots)))
 }
 
-// Estimate returns how long the stages of a job would take now, and how long
-// they would take with nothing queued before them.
-func (r *Runner) Estimate(job Job) (now, idle time.Duration) {
+// Estimate is the estimated time that the stages of a job take.
+type Estimate struct {
+	Now  time.Duration // with the items that are queued now
+	Idle time.Duration // with nothing queued before them
+	Own  time.Duration // part of Idle in which items wait for earlier calls of their own stage
+}
+
+// Estimate estimates the time that the stages of a job would take.
+func (r *Runner) Estimate(job Job) Estimate {
 	v := r.View()
 	j := newJobRun(job)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ends := make([][2]time.Duration, len(j.refs)) // by stage: now and idle
+	ends := make([]stageEnd, len(j.refs)) // by stage
 	known := make([]bool, len(j.refs))
 	// A stage may be listed before those that it depends on. Each pass makes the
 	// end of at least one more stage known.
@@ -320,14 +327,30 @@
 				continue
 			}
 			n := j.remaining[i]
-			ends[i][0] += batch.MinLatency(svc.Batch, r.poolChoices(v, s.Service), n) + callOverhead
-			ends[i][1] += batch.EstimateLatency(svc.Batch, batch.Load{}, n) + callOverhead
+			ends[i].now += batch.MinLatency(svc.Batch, r.poolChoices(v, s.Service), n) + callOverhead
+			ends[i].idle += r.idleLatency(v, svc, n) + callOverhead
+			ends[i].oneCall += batch.EstimateLatency(svc.Batch, batch.Load{}, n) + callOverhead
 		}
 	}
+	var last stageEnd
 	for _, e := range ends {
-		now, idle = max(now, e[0]), max(idle, e[1])
+		last = last.later(e)
+	}
+	return Estimate{Now: last.now, Idle: last.idle, Own: last.idle - last.oneCall}
+}
+
+// idleLatency returns the estimated latency of n items of a stage service with nothing
+// queued before them. mu must be held.
+func (r *Runner) idleLatency(v *fleet.View, svc *fleet.Service, n int) time.Duration {
+	oneCall := batch.EstimateLatency(svc.Batch, batch.Load{}, n)
+	if n <= svc.Batch.MaxItems {
+		return oneCall
 	}
-	return now, idle
+	idle := r.poolChoices(v, svc.Name)
+	for i := range idle {
+		idle[i].Load.Items = 0
+	}
+	return max(oneCall, batch.MinLatency(svc.Batch, idle, n))
 }
 
 // OverShare reports whether the team of a job uses more than its share of a crowded
@@ -353,14 +376,26 @@
 	return false
 }
 
+// stageEnd is the estimated time until a stage ends.
+type stageEnd struct {
+	now     time.Duration // with the items that are queued now
+	idle    time.Duration // with nothing queued before its items
+	oneCall time.Duration // the same, if a call to one more endpoint could start whenever one is full
+}
+
+// later returns the later one of two ends.
+func (e stageEnd) later(o stageEnd) stageEnd {
+	return stageEnd{now: max(e.now, o.now), idle: max(e.idle, o.idle), oneCall: max(e.oneCall, o.oneCall)}
+}
+
 // latestEnd returns when the last of a set of stages ends, or false if the end
 // of one of them is not known.
-func latestEnd(ends [][2]time.Duration, known []bool, stages []int) (out [2]time.Duration, ok bool) {
+func latestEnd(ends []stageEnd, known []bool, stages []int) (out stageEnd, ok bool) {
 	for _, a := range stages {
 		if !known[a] {
 			return out, false
 		}
-		out[0], out[1] = max(out[0], ends[a][0]), max(out[1], ends[a][1])
+		out = out.later(ends[a])
 	}
 	return out, true
 }
--- a/relay/stage/stage_test.go
+++ b/relay/stage/stage_test.go
@@ -112,8 +112,8 @@
 		if r.OverShare(Job{Route: route, Items: []int{1}, Team: "b"}) || r.OverShare(Job{Route: route, Items: []int{0}, Team: "a"}) {
 			t.Error("a team that isn't told, or that doesn't use the pool, is over its share")
 		}
-		if now, idle := r.Estimate(Job{Route: route, Items: []int{1}}); now != idle {
-			t.Errorf("shared: %v: estimate %v without queued items, want %v", shares, now, idle)
+		if e := r.Estimate(Job{Route: route, Items: []int{1}}); e.Now != e.Idle || e.Own != 0 {
+			t.Errorf("shared: %v: estimate %v without queued items, want %v, and %v for its own", shares, e.Now, e.Idle, e.Own)
 		}
 	}
 }
@@ -176,3 +176,38 @@
 		cancel()
 	}
 }
+
+// TestEstimateOfManyItems guards against stages that are estimated as one call each although
+// their items need several, one after another.
+func TestEstimateOfManyItems(t *testing.T) {
+	r, route := newTestRunner(t, &testHealth{}, &testPeers{})
+	chain := *route
+	chain.Stages = []fleet.Stage{{Service: "encode"}, {Service: "encode", DependsOn: []int{0}}}
+	const full, one = 190 * time.Millisecond, 160 * time.Millisecond // of calls with four items and with one
+	for _, c := range []struct {
+		items    []int
+		calls    time.Duration // one for each stage
+		idle     time.Duration // without callOverhead
+		own      time.Duration
+		dueAhead time.Duration // of the first stage's items before the job, without callOverhead
+	}{
+		{[]int{1, 0}, 1, one, 0, 0},
+		{[]int{8, 0}, 1, full, 0, 0}, // both endpoints
+		{[]int{9, 0}, 1, full + one, one, 0},
+		{[]int{1024, 0}, 1, 128 * full, 127 * full, 0},
+		{[]int{16, 17}, 2, 4*full + one, 2*full + one, 2*full + one},
+	} {
+		idle := c.idle + c.calls*callOverhead
+		job := Job{Route: &chain, Items: c.items, Due: time.Now().Add(time.Minute)}
+		if got, want := r.Estimate(job), (Estimate{Now: idle, Idle: idle, Own: c.own}); got != want {
+			t.Errorf("%v items: estimated %v, want %v", c.items, got, want)
+		}
+		v := r.View()
+		r.mu.Lock()
+		first := newJobRun(job).newItems(v.Config, 0, time.Now(), zoneFinder(v), func(svc *fleet.Service, n int) time.Duration { return r.idleLatency(v, svc, n) })[0]
+		r.mu.Unlock()
+		if got, want := job.Due.Sub(first.Due), c.dueAhead+(c.calls-1)*callOverhead; got != want {
+			t.Errorf("%v items: those of the first stage are due %v before the job, want %v", c.items, got, want)
+		}
+	}
+}
