--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -425,17 +425,19 @@
 
 // failStore implements the command
 //
-//	store up|busy|down|mute|compact|copy|restore|cut
+//	store up|busy|down|mute|compact|copy|restore|cut|join
 //
 // It ends an outage of the store (up), begins one (busy, down, mute), compacts the
-// store's history, takes a copy, restores the copy that was taken last, or cuts the
-// store's remote address off.
+// store's history, takes a copy, restores the copy that was taken last, cuts the
+// store's remote address off, or ends that (join).
 func failStore(cmd *command) error {
 	switch cmd.arg(0) {
 	case "up":
 		cmd.state.dep.Site.Store.SetOutage(site.OutageNone)
 	case "cut":
 		cmd.state.dep.Site.CutRemote(true)
+	case "join":
+		cmd.state.dep.Site.CutRemote(false)
 	case "compact":
 		cmd.state.dep.Site.Store.Compact()
 	case "copy":
