entry/front: test the end of slow requests beside one that lasts

Since a stop ends reads as soon as no request is in flight, TestStopAnswersSlowRequests no longer needed the end of reads near the deadline of the stop: its mutant entry-slow-request passed. The test now has both cases, with and without another request that lasts until the end, and requires the response before the process would have ended. Without that end of reads both new cases fail (timeout).

--- a/entry/front/stop_test.go
+++ b/entry/front/stop_test.go
@@ -39,11 +39,20 @@
 // TestStopAnswersSlowRequests guards against requests that are still being read at the end of a stop and
 // end with the process, without a response.
 func TestStopAnswersSlowRequests(t *testing.T) {
-	tests := map[string]string{
-		"body": "POST /v1/pipelines/p HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{",
-		"head": "POST /v1/pipelines/p HTTP/1.1\r\nHost: h\r\nContent-",
+	const (
+		body = "POST /v1/pipelines/p HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{"
+		head = "POST /v1/pipelines/p HTTP/1.1\r\nHost: h\r\nContent-"
+	)
+	tests := map[string]struct {
+		sent string
+		busy bool // another request lasts until the end of the stop
+	}{
+		"body":       {body, false},
+		"head":       {head, false},
+		"body, busy": {body, true},
+		"head, busy": {head, true},
 	}
-	for name, sent := range tests {
+	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, addr := startServer(t)
 			c, err := net.Dial("tcp", addr)
@@ -51,14 +60,18 @@
 				t.Fatal(err)
 			}
 			defer func() { _ = c.Close() }()
-			if _, err := io.WriteString(c, sent); err != nil {
+			if _, err := io.WriteString(c, tc.sent); err != nil {
 				t.Fatal(err)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 			defer cancel()
-			if err := s.Stop(ctx, stopTimeout/10); err != nil {
+			if tc.busy {
+				s.beginWork()
+			}
+			if err := s.Stop(ctx, stopTimeout/10); (err != nil) != tc.busy {
 				t.Fatalf("Stop: %v", err)
 			}
+			_ = c.SetReadDeadline(time.Now().Add(stopTimeout)) // the process would have ended
 			var resp fasthttp.Response
 			if err := resp.Read(bufio.NewReader(c)); err != nil {
 				t.Fatalf("read response: %v", err)
