ctrl: test of a response of the store from before a standstill

Since such responses are read whenever the process goes on, a contact with the store may count as of now although the store has responded seconds before: this relay's view, and those of the relays that it tells, count as newer than they are by the whole standstill. They take what responds on a connection for the listed incarnation, and a stream goes on at another version (ORDER, MIXED); the others haven't stood still, so that nothing else makes them doubt it. Before, the read's timeout bounded that.

--- /dev/null
+++ b/relay/ctrl/stall_test.go
@@ -0,0 +1,50 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/clock"
+	"wigeonplank.example/core/repl"
+	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
+)
+
+// TestContactBeforeStandstill guards against a view that counts as that of now, here and at the relays
+// that are told of the contact, although the store has responded before this process stood still:
+// what was added meanwhile is missing.
+func TestContactBeforeStandstill(t *testing.T) {
+	const took = 3 * time.Second
+	for _, runs := range []bool{true, false} {
+		clk := clock.NewFake(time.Unix(1000, 0))
+		var c *Control
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			for range 10 {
+				clk.Advance(took / 10)
+				if runs {
+					c.Tick()
+				}
+			}
+			fmt.Fprint(w, `{"events":[],"storeRevision":5}`)
+		}))
+		c = New("a", plat.NewStore(s.Listener.Addr().String()), clk, logs.New(io.Discard, clk, "a"))
+		c.point = repl.Point{Revision: 5}
+		begun := clk.Now()
+		if !c.readChanges(context.Background()) {
+			t.Error("the read failed")
+		}
+		want := begun
+		if runs {
+			want = clk.Now()
+		}
+		if at := c.Position().Contact.At; !at.Equal(want) {
+			t.Errorf("process runs: %v: contact %v after the begin of the read, want %v", runs, at.Sub(begun), want.Sub(begun))
+		}
+		s.Close()
+	}
+}
