--- a/core/repl/contact.go
+++ b/core/repl/contact.go
@@ -60,12 +60,12 @@
 	receivedAt time.Time // when the last part of changes arrived from another process
 }
 
-// RecordOwn records that this process read the store, and returns that contact.
+// RecordOwn records that this process read the store as of a time, and returns its last contact.
 func (f *Follower) RecordOwn(now time.Time) Contact {
 	if f.own.At.IsZero() || now.Sub(f.own.At) > maxReadInterval {
 		f.own.Since = now
 	}
-	f.own.At, f.own.Origin = now, f.Self
+	f.own.At, f.own.Origin = later(f.own.At, now), f.Self
 	return f.own
 }
 
--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -46,6 +46,18 @@
 	t.lostAt = now
 }
 
+// contactTime returns the time as of which the store has responded to a read that began at begun and
+// ends now. The response may be from before a pause of this process.
+func (c *Control) contactTime(begun, now time.Time) time.Time {
+	t := &c.contacts
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !begun.IsZero() && (t.wokeAt.After(begun) || now.Sub(t.tickedAt) > maxTickGap) {
+		return begun
+	}
+	return now
+}
+
 // proves reports whether a contact shows what has registered since the end of an outage
 // and of a pause. The caller holds t.mu.
 func (t *contacts) proves(p repl.Position) bool {
@@ -132,6 +144,7 @@
 	if after.Revision < 0 {
 		return false
 	}
+	begun := c.Clock.Now()
 	entries, to, err := c.Store.Watch(plat.AllPrefix, after, 0, probeTimeout)
 	if err != nil {
 		if !errors.Is(err, plat.ErrCompacted) {
@@ -140,9 +153,9 @@
 		return false
 	}
 	if to == after {
-		c.recordContact()
+		c.recordContact(begun)
 	} else {
-		c.send(ctx, update{Update: repl.Update{Entries: entries, After: after.Revision, To: to.Revision, Era: to.Era}})
+		c.send(ctx, update{begun: begun, Update: repl.Update{Entries: entries, After: after.Revision, To: to.Revision, Era: to.Era}})
 		c.send(ctx, update{recheck: true}) // taken once the changes are applied
 	}
 	return ctx.Err() == nil && !c.Position().Before(to)
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -98,6 +98,7 @@
 	outage   bool          // the read may be the first one after an outage
 	transfer repl.Transfer // from another relay; zero if the changes were read from the store
 	position repl.Position // of that relay
+	begun    time.Time     // when the read from the store began; zero: now
 	recheck  bool          // there are no changes; only drop the endpoints that are overdue
 }
 
@@ -229,11 +230,12 @@
 	}
 }
 
-// recordContact records that this relay read the store now, without changes.
-func (c *Control) recordContact() {
+// recordContact records that a read of the store that began at a time has ended, without changes.
+func (c *Control) recordContact(begun time.Time) {
+	at := c.contactTime(begun, c.Clock.Now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outages.RecordContact(c.follower.RecordOwn(c.Clock.Now()))
+	c.outages.RecordContact(c.follower.RecordOwn(at))
 }
 
 // recordUpdate records the contact with the store that an applied update stands
@@ -241,6 +243,7 @@
 // higher one. Others must never see the contact without the revision. restored tells
 // whether the store was restored from a copy.
 func (c *Control) recordUpdate(u update, restored bool, now time.Time) bool {
+	at := c.contactTime(u.begun, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if restored || u.failed {
@@ -252,7 +255,7 @@
 	if u.transfer.From != "" {
 		c.recordPositionLocked(u.position)
 	} else {
-		c.outages.RecordContact(c.follower.RecordOwn(now))
+		c.outages.RecordContact(c.follower.RecordOwn(at))
 	}
 	before := c.point
 	c.point = c.state.table.Point()
--- a/relay/ctrl/read.go
+++ b/relay/ctrl/read.go
@@ -43,6 +43,7 @@
 			c.awaitTurn(ctx)
 			continue
 		}
+		begun := c.Clock.Now()
 		u, err := c.readStore(full, failures)
 		if errors.Is(err, plat.ErrCompacted) && !full {
 			c.Log.Event(logs.HistoryCompacted).Int64("after", c.Position().Revision).Msg("")
@@ -66,7 +67,7 @@
 		if failures > 0 {
 			u.failed, u.outage = true, c.endsOutage(failedAt)
 		}
-		failures, full = 0, false
+		failures, full, u.begun = 0, false, begun
 		c.submitRead(ctx, u)
 	}
 }
@@ -109,7 +110,7 @@
 	// While entries are missing, an update without changes still lets the control
 	// goroutine drop those whose grace period is over.
 	if !u.Full && !u.failed && len(u.Entries) == 0 && !c.awaitsReturn() {
-		c.recordContact()
+		c.recordContact(u.begun)
 		return
 	}
 	c.send(ctx, u)
