relay/ctrl: news that may be from before a standstill says nothing of the store

A heartbeat that waited in its socket while this relay stood still names its contact with the store as an age, which was taken for an age of now and passed on to relays that haven't stood still: they take what responds on a connection for the listed incarnation, and a stream could go on at another version (found by the review, TestNewsFromBeforeStandstill failed: 5.5 s).

Contacts of others don't count until a second after a tick has shown a pause. A first form also refused them while no tick had come; it stopped a test whose clock moves without ticks, and isn't needed for what the test shows.

--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -58,6 +58,14 @@
 	return now
 }
 
+// isNews reports whether a message of another process that is read at now was sent lately. It may
+// have waited while this process stood still.
+func (t *contacts) isNews(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.wokeAt.IsZero() || now.Sub(t.wokeAt) > wakeTime
+}
+
 // proves reports whether a contact shows what has registered since the end of an outage
 // and of a pause. The caller holds t.mu.
 func (t *contacts) proves(p repl.Position) bool {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -174,8 +174,11 @@
 
 // Announced records the position of another relay, and reports whether it has
 // changes that this relay lacks. Its contact with the store counts once this
-// relay has these changes.
+// relay has these changes, unless the message may be from before a standstill.
 func (c *Control) Announced(p repl.Position) bool {
+	if !c.contacts.isNews(c.Clock.Now()) {
+		p.Contact = repl.Contact{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.point.Before(p.Point) {
@@ -244,6 +247,9 @@
 // whether the store was restored from a copy.
 func (c *Control) recordUpdate(u update, restored bool, now time.Time) bool {
 	at := c.contactTime(u.begun, now)
+	if !c.contacts.isNews(now) {
+		u.position.Contact = repl.Contact{}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if restored || u.failed {
--- a/relay/ctrl/stall_test.go
+++ b/relay/ctrl/stall_test.go
@@ -48,3 +48,32 @@
 		s.Close()
 	}
 }
+
+// TestNewsFromBeforeStandstill guards against a contact with the store that counts as later than it
+// was, at the relays that are told of it, because the message waited while this process stood still.
+func TestNewsFromBeforeStandstill(t *testing.T) {
+	f := newFixture()
+	f.read(false, f.entry("e"))
+	was := f.Position().Contact.At
+	for range 10 {
+		f.clock.Advance(maxTickGap / 2)
+		f.Tick()
+	}
+	f.clock.Advance(3 * time.Second) // the process stands still
+	f.Tick()
+	news := func() {
+		f.Announced(repl.Position{Point: f.Position().Point, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}})
+	}
+	news() // may have been sent before
+	if at := f.Position().Contact.At; !at.Equal(was) {
+		t.Errorf("contact %v later than known before the standstill", at.Sub(was))
+	}
+	for range 3 {
+		f.clock.Advance(maxTickGap)
+		f.Tick()
+	}
+	news()
+	if at := f.Position().Contact.At; !at.Equal(f.clock.Now()) {
+		t.Errorf("contact %v ago, want that of a message that was sent since", f.clock.Now().Sub(at))
+	}
+}
