--- a/base/link/stall_test.go
+++ b/base/link/stall_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -181,3 +182,26 @@
 		})
 	}
 }
+
+// sizeConn records the largest write.
+type sizeConn struct {
+	net.Conn
+	largest int
+}
+
+func (c *sizeConn) Write(p []byte) (int, error) {
+	c.largest = max(c.largest, len(p))
+	return c.Conn.Write(p)
+}
+
+// TestMessagesInParts guards against heartbeats that wait behind all that a stream may send.
+func TestMessagesInParts(t *testing.T) {
+	a, b := tcpPair(t)
+	defer func() { _, _ = a.Close(), b.Close() }()
+	c := &sizeConn{Conn: a}
+	go func() { _, _ = io.Copy(io.Discard, b) }() // ends with b
+	err := link.NewStream(c).Send(&wire.Control{Kind: &wire.Control_Published{Published: &wire.Published{Document: make([]byte, 400<<10)}}})
+	if err != nil || c.largest > 32<<10 {
+		t.Errorf("%v, a write of %d bytes; want at most 32 kB", err, c.largest)
+	}
+}
