entry/front: test callers under TLS, and a stop beside them

The server now sets up TLS itself, above the connections that a stop ends. No test served callers under TLS.

--- a/entry/front/stall_test.go
+++ b/entry/front/stall_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	stalled  int32
 	unaccept bool
 	run      chan struct{}
+	tls      *tls.Config
 }
 
 func (l *stallListener) Accept() (net.Conn, error) {
@@ -66,7 +68,7 @@
 		t.Fatal(err)
 	}
 	l.TCPListener, l.run = ln.(*net.TCPListener), make(chan struct{})
-	s := &Server{Control: ctrl.New(ctrl.Config{}), Executor: &exec.Executor{}, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}}
+	s := &Server{Control: ctrl.New(ctrl.Config{}), TLS: l.tls, Executor: &exec.Executor{}, Log: &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}}
 	go func() { _ = s.Serve(&accept.Listener{Listener: l}) }() // returns when the listener is closed
 	c, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
