relay/proxy: a stream without end doesn't use up its relay's processor

Nothing bounded the rate.

Once a stream has forwarded 4000 events more than 2000 a second, each further event waits for 10 ms, and so the endpoint waits too. No event is dropped and no stream ends sooner; 1000 events a second, and 4000 at once, are never slowed.

--- a/relay/proxy/flood_test.go
+++ b/relay/proxy/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -53,13 +54,14 @@
 
 // TestEndlessStreamEndsAtDeadline guards against a stream of regular events or comments without
 // end that outlasts the deadline of its request, which is bounded by its route's timeout, that looks
-// whole to its caller, or that its relay holds in memory.
+// whole to its caller, that its relay holds in memory, or that uses up its processor.
 func TestEndlessStreamEndsAtDeadline(t *testing.T) {
 	const (
-		blockEvents = 500
-		timeout     = 300 * time.Millisecond
+		blockEvents = 20
+		timeout     = 700 * time.Millisecond
 		maxHeapMore = 16 << 20
-		maxLate     = 5 * time.Second // half of the time for one write
+		buffered    = (eventBufferBytes + 8<<10) / len(": x\n\n") // events that have arrived at the deadline
+		maxLate     = 5 * time.Second                             // half of the time for one write
 	)
 	for name, event := range map[string]func(id int) string{
 		"no ids":       func(int) string { return "data: x\n\n" },
@@ -113,6 +115,7 @@
 				if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 					t.Fatal(err)
 				}
+				startedAt, events := time.Now(), 0
 				if reads {
 					r := bufio.NewReader(c)
 					var h fasthttp.ResponseHeader
@@ -123,6 +126,7 @@
 					buf := make([]byte, 32<<10)
 					for {
 						k, err := r.Read(buf)
+						events += bytes.Count(buf[:k], []byte("\n\n"))
 						tail = append(tail, buf[max(0, k-8):k]...)
 						tail = tail[max(0, len(tail)-8):]
 						if err != nil {
@@ -134,6 +138,9 @@
 					}
 				}
 				<-handled
+				if most := int((time.Since(startedAt)+eventBurst)/eventTime) + buffered; events > most {
+					t.Errorf("%d events were forwarded, want at most %d", events, most)
+				}
 				runtime.ReadMemStats(&after)
 				if late := req.Clock.Now().Sub(req.deadline); late < 0 || late > maxLate {
 					t.Errorf("ended %v after the deadline, want at it: %s", late, req.outcome)
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -156,7 +156,7 @@
 		return req.recordFailure(e, attemptFailed, errInvalidResponse)
 	}
 	req.mayHaveRun = true
-	return req.forwardEvents(e, call, lastEvent)
+	return req.forwardEvents(ctx, e, call, lastEvent)
 }
 
 // releaseInputsEarly releases the inputs of an attempt once the endpoint has most likely
@@ -172,11 +172,12 @@
 
 // forwardEvents forwards events to the caller until the stream ends or fails, or another
 // endpoint was acquired for a resumable stream after a gap that is too long.
-func (req *request) forwardEvents(e *fleet.Endpoint, call *pool.Call, lastEvent *int64) (attemptEnd, string) {
+func (req *request) forwardEvents(ctx context.Context, e *fleet.Endpoint, call *pool.Call, lastEvent *int64) (attemptEnd, string) {
 	maxGap := req.route.MaxEventGap
 	if maxGap == 0 {
 		maxGap = defaultMaxEventGap
 	}
+	var pace pacer
 	first, progress := true, true
 	events := event.Reader{R: bufio.NewReaderSize(call, eventBufferBytes), LastID: *lastEvent, Grow: call.Grow}
 	for {
@@ -187,11 +188,11 @@
 		raw, id, err := events.Next()
 		if first && err == nil {
 			req.firstEventAt = req.Clock.Now()
-			pace := 0.0
+			reported := 0.0
 			if l := call.Response.Load; l != nil {
-				pace = l.Pace
+				reported = l.Pace
 			}
-			req.startAssignment(pace)
+			req.startAssignment(reported)
 			req.recordVersion(e, call.Conn)
 			first = false
 		}
@@ -206,6 +207,7 @@
 			req.outcome = "caller gone in stream"
 			return attemptCallerGone, err.Error()
 		}
+		pace.wait(ctx, req.lastEventAt)
 		if id >= 0 {
 			*lastEvent = id
 		}
