--- a/base/budget/budget.go
+++ b/base/budget/budget.go
@@ -31,8 +31,9 @@
 
 // Budget bounds the memory for what this process holds of responses at the same time. Once it
 // is used up, the largest response of one sender is given up: of one of which a response was
-// given up lately, if there is any, and among such of the one whose responses hold most. Its memory is free only once its reader has
-// noticed; large responses wait for that. The zero value is ready to use. It is safe for concurrent use.
+// given up lately, if there is any, and among such of the one whose responses hold most. Its
+// memory is free only once its reader has noticed; large responses wait for that. The zero value
+// is ready to use. It is safe for concurrent use.
 type Budget struct {
 	Limit func() int64 // bytes; nil: 16 MB
 	Clock clock.Clock  // nil: the system's
--- a/base/link/link.go
+++ b/base/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/core/wire"
 )
 
@@ -33,11 +34,7 @@
 	maxStreamWindow  = 256 << 10 // bytes; a ping may wait behind as many of every other stream
 	acceptBacklog    = 1024      // streams
 
-	// A timeout that is noticed by more than stallMargin after its time shows that this
-	// process stood still. What arrived meanwhile is still on its way through the session.
-	stallMargin       = 30 * time.Millisecond
-	stallGrace        = 100 * time.Millisecond
-	maxStallExtension = 3 // in a row
+	maxStallExtension = 3 // extensions of a limit in a row, as this process stood still
 )
 
 // SessionConfig returns the yamux configuration of a link's session. It disables the
@@ -126,9 +123,9 @@
 			return written, err
 		case n > 0:
 			extended, limit = 0, writeTimeout
-		case extended < maxStallExtension && time.Since(deadline) >= stallMargin:
+		case extended < maxStallExtension && stall.Late(deadline):
 			extended++
-			limit = stallGrace
+			limit = stall.Grace
 		default:
 			return written, err
 		}
@@ -165,12 +162,11 @@
 // extendLimit prolongs the time within which something must arrive, if its end was noticed so
 // late that this process must have stood still. Otherwise it returns false.
 func (s *Stream) extendLimit() bool {
-	now := time.Now()
-	if s.limit == 0 || s.aborted.Load() || s.extended == maxStallExtension || now.Sub(s.deadline) < stallMargin {
+	if s.limit == 0 || s.aborted.Load() || s.extended == maxStallExtension || !stall.Late(s.deadline) {
 		return false
 	}
 	s.extended++
-	s.deadline = now.Add(stallGrace)
+	s.deadline = time.Now().Add(stall.Grace)
 	return s.setReadDeadline(s.deadline) == nil
 }
 
--- a/base/link/peer.go
+++ b/base/link/peer.go
@@ -323,8 +323,8 @@
 	}
 	defer st.Close()
 	stop := context.AfterFunc(ctx, func() {
-		if due, ok := ctx.Deadline(); ok && time.Since(due) >= stallMargin {
-			time.Sleep(stallGrace) // this process stood still; the response may have arrived
+		if due, ok := ctx.Deadline(); ok && stall.Late(due) {
+			time.Sleep(stall.Grace) // this process stood still; the response may have arrived
 		}
 		st.Close()
 	})
--- a/entry/exec/exec.go
+++ b/entry/exec/exec.go
@@ -16,6 +16,7 @@
 
 	"wigeonplank.example/base/budget"
 	"wigeonplank.example/base/link"
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/core/admit"
 	"wigeonplank.example/core/conf"
 	"wigeonplank.example/core/retry"
@@ -34,11 +35,6 @@
 	// 8 kB for each of front.DefaultMaxConns requests. Copies for callers come on top.
 	MaxResultsBytes = 64 << 20
 
-	// A deadline that is noticed by more than stallMargin after its time shows that this process
-	// stood still. What arrived meanwhile may take stallGrace.
-	stallMargin = 30 * time.Millisecond
-	stallGrace  = 100 * time.Millisecond
-
 	// idempotentVoidTimeout bounds the wait for the agent's answer about a lost
 	// attempt of an idempotent stage, which may be retried without that answer.
 	idempotentVoidTimeout = 300 * time.Millisecond
@@ -254,12 +250,12 @@
 // process stood still: what arrived meanwhile is still on its way through the link. It does so only
 // once.
 func (t *interrupts) outlastStall(due time.Time) bool {
-	if t.extended || time.Since(due) < stallMargin {
+	if t.extended || !stall.Late(due) {
 		return false
 	}
 	t.extended = true
-	t.deadlineNear.Reset(stallGrace)
-	t.deadline.Reset(stallGrace + stage.DeadlineMargin)
+	t.deadlineNear.Reset(stall.Grace)
+	t.deadline.Reset(stall.Grace + stage.DeadlineMargin)
 	return true
 }
 
--- a/entry/exec/stall_test.go
+++ b/entry/exec/stall_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"wigeonplank.example/base/stall"
 	"wigeonplank.example/core/stage"
 	"wigeonplank.example/core/wire"
 )
@@ -35,7 +36,7 @@
 					time.AfterFunc(10*time.Millisecond, func() { e.post(answer) })
 				}
 				begun := time.Now()
-				if ev := e.nextEvent(timers); ev.Kind != tc.want || time.Since(begun) > 10*stallGrace {
+				if ev := e.nextEvent(timers); ev.Kind != tc.want || time.Since(begun) > 10*stall.Grace {
 					t.Fatalf("got %q after %v, want %q", ev.Kind, time.Since(begun), tc.want)
 				}
 			}
