--- a/fakes/site/standard.go
+++ b/fakes/site/standard.go
@@ -144,3 +144,9 @@
 		entry("127.0.0.1:9", `,"born":99999999999999999999`), entry("127.0.0.1:9", `,"state":"sleepy"`),
 	}
 }
+
+// SetIdleLimit sets for how long callers' connections may be idle by a configuration of
+// StandardConfig.
+func SetIdleLimit(config map[string]any, limit time.Duration) {
+	config["limits"].(map[string]any)["idleTimeoutMs"] = limit.Milliseconds()
+}
--- a/proof/deploy/idle.go
+++ b/proof/deploy/idle.go
@@ -142,7 +142,7 @@
 	sr.idleLimits[version], sr.idleLimit = limit, limit
 	sr.mu.Unlock()
 	cfg := site.StandardConfig(version)
-	cfg["limits"].(map[string]any)["idleTimeoutMs"] = limit.Milliseconds()
+	site.SetIdleLimit(cfg, limit)
 	return cfg
 }
 
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -401,7 +401,7 @@
 		cfg["limits"].(map[string]any)["maxHeaderBytes"] = cmd.intOpt("head")
 	}
 	if cmd.opts["idle"] != "" {
-		cfg["limits"].(map[string]any)["idleTimeoutMs"] = cmd.intOpt("idle")
+		site.SetIdleLimit(cfg, time.Duration(cmd.intOpt("idle"))*time.Millisecond)
 	}
 	if p := cmd.opts["drop"]; p != "" {
 		cfg["routes"] = slices.DeleteFunc(cfg["routes"].([]any), func(r any) bool { return r.(map[string]any)["prefix"] == p })
