relay/ctrl: a test takes the store's response from its stand-in

stall_test.go wrote fields of the platform's protocol, whose names belong in platform/ and the stand-ins. The response now comes from fakes/site; what the test checks is the same. relay/ctrl passes with -race; linter and formatter have nothing to say.

--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -259,3 +259,9 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(raw)
 }
+
+// NoChanges returns the body of the response to a watch in which nothing has changed up to a
+// revision.
+func NoChanges(revision int64) []byte {
+	return fmt.Appendf(nil, `{"events":[],"storeRevision":%d}`, revision)
+}
--- a/relay/ctrl/stall_test.go
+++ b/relay/ctrl/stall_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +10,7 @@
 
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/repl"
+	"wigeonplank.example/fakes/site"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 )
@@ -30,7 +30,7 @@
 					c.Tick()
 				}
 			}
-			fmt.Fprint(w, `{"events":[],"storeRevision":5}`)
+			_, _ = w.Write(site.NoChanges(5)) // the read fails if this does
 		}))
 		c = New("a", plat.NewStore(s.Listener.Addr().String()), clk, logs.New(io.Discard, clk, "a"))
 		c.point = repl.Point{Revision: 5}
