core/origin: failing test of streams that begin while entries lapse

Callers saw streams go on at another version after a loss of all relays. The model's entries lapse and are written again, by the same incarnations.

--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -258,6 +258,57 @@
 	}
 }
 
+// TestStreamsWhileEntriesLapse guards against streams that go on at another version after a
+// loss of all relays because entries of endpoints had lapsed while the streams began, and
+// were written again since: they are listed anew, but their endpoints started long ago.
+func TestStreamsWhileEntriesLapse(t *testing.T) {
+	const beat = 1200 * time.Millisecond
+	known, unknown := 0, 0
+	for seed := range uint64(100) {
+		m := &listModel{
+			rng: rand.New(rand.NewPCG(seed, 4)), now: start,
+			live: make(map[string]*fleet.Endpoint), created: make(map[string]int64),
+		}
+		for i := range 12 {
+			m.start(fmt.Sprint("v", i%2))
+		}
+		m.now = start.Add(40 * time.Second)
+		silent := make(map[string]*fleet.Endpoint)
+		for _, n := range m.rng.Perm(12)[:5] {
+			id := fmt.Sprint("e", n+1)
+			silent[id] = m.live[id]
+			m.leave(id, true)
+		}
+		m.now = m.now.Add(time.Second)
+		var before, after origin.Versions
+		before.Observe(m.now, m.seenAt(m.now))
+		beganAt := m.now
+		m.now = m.now.Add(2 * time.Second)
+		for id, e := range silent {
+			again := *e
+			again.Seq = int64(m.now.Sub(time.UnixMilli(e.StartUnixMs)) / beat)
+			m.write(id, &again)
+		}
+		m.now = m.now.Add(time.Second)
+		after.Observe(m.now, m.seenAt(m.now))
+		after.Recall(m.history(20 * time.Second))
+		for i := range 50 {
+			stream := fmt.Sprint(seed, "/", i)
+			version, _ := before.Choose("s", stream)
+			got, ok := after.Began(m.now, "s", stream, m.now.Sub(beganAt))
+			switch {
+			case ok && got != version:
+				t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, version, got)
+			case ok:
+				known++
+			default:
+				unknown++
+			}
+		}
+	}
+	t.Logf("%d streams known, %d unknown", known, unknown)
+}
+
 // TestStreamsOfARelayThatWasCutOff guards against streams that began at a relay that was cut
 // off from the store and from all other relays while versions changed, and that go on at
 // another version. No other relay remembers them, and the view by which their version was
