relay/ctrl: endpoint_seen tells how often and since when an endpoint has written

Without them a log can't tell an entry that was written again from one of an endpoint that has just started, which is the first hypothesis of the incident.

--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -554,5 +554,6 @@
 		return
 	}
 	c.Log.Event(logs.EndpointSeen).Str("endpoint", e.ID).Str("service", e.Service).Str("zone", e.Zone).Str("endpoint_version", e.Version).
-		Str("addr", e.Addr).Str("state", string(e.State)).Bool("cold", e.ColdAt(now)).Int64("revision", e.Revision).Msg("")
+		Str("addr", e.Addr).Str("state", string(e.State)).Bool("cold", e.ColdAt(now)).Int64("revision", e.Revision).
+		Int64("seq", e.Seq).Dur("up_ms", now.Sub(time.UnixMilli(e.StartUnixMs))).Msg("")
 }
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -48,7 +48,7 @@
 	ConfigRejected    = newEventType("config_rejected", log.ErrorLevel, changeRate, "A configuration is invalid; the previous one stays active.", "revision", "error")
 	ZoneDrained       = newEventType("zone_drained", log.InfoLevel, changeRate, "An availability zone was drained; its endpoints get no new requests.", "zone")
 	ZoneReturned      = newEventType("zone_returned", log.InfoLevel, changeRate, "A drained availability zone is in use again; its endpoints count as cold for a period.", "zone")
-	EndpointSeen      = newEventType("endpoint_seen", log.InfoLevel, changeRate, "An endpoint is new or has changed.", "endpoint", "service", "zone", "endpoint_version", "addr", "state", "cold", "revision")
+	EndpointSeen      = newEventType("endpoint_seen", log.InfoLevel, changeRate, "An endpoint is new or has changed.", "endpoint", "service", "zone", "endpoint_version", "addr", "state", "cold", "revision", "seq", "up_ms")
 	EndpointRemoved   = newEventType("endpoint_gone", log.InfoLevel, changeRate, "An endpoint is no longer listed and was removed.", "endpoint")
 	EndpointMissing   = newEventType("endpoint_missing", log.InfoLevel, changeRate, "An endpoint is not listed after an outage of the store; it may still be running.", "endpoint", "grace_ms")
 	EndpointRejected  = newEventType("endpoint_rejected", log.WarnLevel, changeRate, "A store entry can't be decoded to an endpoint and is ignored.", "endpoint", "revision", "error")
@@ -169,6 +169,7 @@
 	"route":            {"", "name of the route"},
 	"routes":           {"", "number of routes"},
 	"saved":            {"requests", "balance of the retry budget"},
+	"seq":              {"", "number of writes of the endpoint's incarnation to the store"},
 	"service":          {"", "name of the service"},
 	"settings":         {"", "path of the settings file"},
 	"since_ms":         {"ms", "time since the request began"},
@@ -182,6 +183,7 @@
 	"subject":          {"", "what requests have in common: prompt part, or request (all of it), and a hash in hexadecimal, as in parts and content"},
 	"team":             {"", "name of the team"},
 	"took_ms":          {"ms", "duration"},
+	"up_ms":            {"ms", "time since the endpoint started, by its time of day"},
 	"version":          {"", "version of the configuration"},
 	"zone":             {"", "availability zone"},
 }
