core/origin: a record can name the incarnation that it rests on

An origin names the incarnation of the endpoint that is presumed to have sent the first event, and when; zero where the version is certain. Relays send it along. Nothing sets it yet. relay/peers passes; nothing else was run.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -15,8 +15,17 @@
 // Origin is where a stream began. The zero Origin is that of a stream whose version can't
 // be known.
 type Origin struct {
-	Service string
-	Version string // of the software of the endpoint
+	Service  string
+	Version  string // of the software of the endpoint
+	Presumed Incarnation
+}
+
+// Incarnation is the incarnation of an endpoint that is presumed to have sent the first
+// event of a stream. The zero Incarnation is that of a stream whose version is certain.
+type Incarnation struct {
+	Endpoint    string // ID
+	StartUnixMs int64
+	At          time.Time // when the first event arrived
 }
 
 // Table holds the origins of streams by the ID of the caller's attempt that
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -35,7 +35,7 @@
 	m.origins.Put(now, stream, o)
 	m.originMu.Unlock()
 	for _, s := range m.originKeepers(now, stream) {
-		s.send(&Work{Kind: &Work_Origin{Origin: &StreamOrigin{Stream: stream, Service: o.Service, Version: o.Version}}})
+		s.send(&Work{Kind: &Work_Origin{Origin: originToWire(stream, o, now)}})
 	}
 }
 
@@ -60,7 +60,7 @@
 		select {
 		case r := <-replies:
 			if r.GetKnown() {
-				return origin.Origin{Service: r.GetService(), Version: r.GetVersion()}, true
+				return originFromWire(r, m.Clock.Now()), true
 			}
 		case <-t.C:
 			return origin.Origin{}, false
@@ -115,15 +115,21 @@
 
 // recordOrigin remembers where a stream of the other relay began.
 func (s *session) recordOrigin(msg *StreamOrigin) {
+	now := s.mesh.Clock.Now()
 	s.mesh.originMu.Lock()
 	defer s.mesh.originMu.Unlock()
-	s.mesh.origins.Put(s.mesh.Clock.Now(), msg.GetStream(), origin.Origin{Service: msg.GetService(), Version: msg.GetVersion()})
+	s.mesh.origins.Put(now, msg.GetStream(), originFromWire(msg, now))
 }
 
 // answerOrigin answers where a stream began, as far as this relay remembers.
 func (s *session) answerOrigin(msg *OriginRequest) {
-	o, known := s.mesh.origin(s.mesh.Clock.Now(), msg.GetStream())
-	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: &OriginReply{Number: msg.GetNumber(), Known: known, Service: o.Service, Version: o.Version}}})
+	now := s.mesh.Clock.Now()
+	o, known := s.mesh.origin(now, msg.GetStream())
+	w := originToWire(msg.GetStream(), o, now)
+	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: &OriginReply{
+		Number: msg.GetNumber(), Known: known, Service: w.GetService(), Version: w.GetVersion(),
+		Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), AgeUs: w.GetAgeUs(),
+	}}})
 }
 
 // handleOriginReply hands a reply to the request that waits for it.
--- a/relay/peers/wire.go
+++ b/relay/peers/wire.go
@@ -5,6 +5,7 @@
 
 	"wigeonplank.example/core/batch"
 	"wigeonplank.example/core/notice"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/peer"
 	"wigeonplank.example/core/repl"
 )
@@ -107,3 +108,32 @@
 	}
 	return p
 }
+
+// originToWire converts the origin of a stream. Its time is sent as a duration, since the
+// clocks of two relays may differ.
+func originToWire(stream string, o origin.Origin, now time.Time) *StreamOrigin {
+	w := &StreamOrigin{Stream: stream, Service: o.Service, Version: o.Version, Endpoint: o.Presumed.Endpoint, Incarnation: o.Presumed.StartUnixMs}
+	if w.GetEndpoint() != "" {
+		w.AgeUs = now.Sub(o.Presumed.At).Microseconds()
+	}
+	return w
+}
+
+// wireOrigin is a message that names the origin of a stream.
+type wireOrigin interface {
+	GetService() string
+	GetVersion() string
+	GetEndpoint() string
+	GetIncarnation() int64
+	GetAgeUs() int64
+}
+
+func originFromWire(w wireOrigin, now time.Time) origin.Origin {
+	o := origin.Origin{Service: w.GetService(), Version: w.GetVersion()}
+	if w.GetEndpoint() != "" {
+		o.Presumed = origin.Incarnation{
+			Endpoint: w.GetEndpoint(), StartUnixMs: w.GetIncarnation(), At: now.Add(-time.Duration(w.GetAgeUs()) * time.Microsecond),
+		}
+	}
+	return o
+}
