--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,7 +69,8 @@
 
 // remove lets an endpoint leave. It drains first if that is its habit.
 func (m *listModel) remove() {
-	for id, e := range m.live {
+	for _, id := range slices.Sorted(maps.Keys(m.live)) {
+		e := m.live[id]
 		if e.State == fleet.StateReady && (m.rng.IntN(4) > 0 || !m.soleOfItsVersion(e)) {
 			if m.rng.IntN(4) > 0 || m.soleOfItsVersion(e) {
 				m.drain(e)
@@ -285,7 +288,8 @@
 		before.Observe(m.now, m.seenAt(m.now))
 		beganAt := m.now
 		m.now = m.now.Add(2 * time.Second)
-		for id, e := range silent {
+		for _, id := range slices.Sorted(maps.Keys(silent)) {
+			e := silent[id]
 			again := *e
 			again.Seq = int64(m.now.Sub(time.UnixMilli(e.StartUnixMs)) / beat)
 			m.write(id, &again)
