core/origin: an endpoint that registered late dates no revisions

Cause: revisions up to that of an endpoint that started before a stream counted as older than the stream, also where an endpoint of an earlier revision started after it. The later revision is younger than that: its endpoint registered late, or its clock is behind. Change: dating ends at the first revision that may be from after the stream.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -43,11 +44,18 @@
 // isFirstWrite reports whether an incarnation had written nothing to the store before.
 func isFirstWrite(e *fleet.Endpoint) bool { return e.Seq <= 1 }
 
-// Before returns the last revision that is known to be from before a time, or 0.
+// Before returns the last revision that is known to be from before a time, or 0. A revision
+// that follows one which may be younger dates nothing: its endpoint registered late.
 func (a Additions) Before(t time.Time) int64 {
-	var out int64
+	young := int64(math.MaxInt64) // first revision that may be from after t
 	for revision, at := range a {
-		if at.Before(t.Add(-clockSlack)) {
+		if !at.Before(t.Add(-clockSlack)) {
+			young = min(young, revision)
+		}
+	}
+	var out int64
+	for revision := range a {
+		if revision < young {
 			out = max(out, revision)
 		}
 	}
--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -55,10 +55,13 @@
 // add starts an endpoint of one of the newest two versions.
 func (m *listModel) add() { m.start(fmt.Sprint("v", m.newest-m.rng.IntN(2))) }
 
-func (m *listModel) start(version string) {
+func (m *listModel) start(version string) { m.startLate(version, 0) }
+
+// startLate registers an endpoint that started before, by its own time of day.
+func (m *listModel) startLate(version string, before time.Duration) {
 	m.next++
 	id := fmt.Sprint("e", m.next)
-	m.write(id, &fleet.Endpoint{ID: id, Service: "s", Version: version, State: fleet.StateReady, StartUnixMs: m.now.UnixMilli()})
+	m.write(id, &fleet.Endpoint{ID: id, Service: "s", Version: version, State: fleet.StateReady, StartUnixMs: m.now.Add(-before).UnixMilli()})
 }
 
 func (m *listModel) drain(e *fleet.Endpoint) {
