core/origin: the time until an endpoint is listed adds to that of the clocks

Cause: an endpoint's start, by its own time of day, was taken for the time at which it was listed, with 3 s for both the clocks and the registration. Clocks may differ by 3 s and the store lists an endpoint up to 2 s after its start, so that changes counted as older than a stream which began before them. Change: 5 s, where a revision is dated by a start and where a first write may be that of another incarnation.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -9,8 +9,12 @@
 	"wigeonplank.example/core/fleet"
 )
 
-// clockSlack is how far the times of day of a relay and of endpoints may differ.
-const clockSlack = 3 * time.Second
+const (
+	// clockSlack is how far the times of day of a relay and of endpoints may differ.
+	clockSlack = 3 * time.Second
+	// registrationTime is how long after the start of an endpoint the store lists it.
+	registrationTime = 2 * time.Second
+)
 
 // Change is a past write to the list of endpoints, or a removal from it.
 type Change struct {
@@ -49,7 +53,7 @@
 func (a Additions) Before(t time.Time) int64 {
 	young := int64(math.MaxInt64) // first revision that may be from after t
 	for revision, at := range a {
-		if !at.Before(t.Add(-clockSlack)) {
+		if !at.Before(t.Add(-clockSlack - registrationTime)) {
 			young = min(young, revision)
 		}
 	}
@@ -89,7 +93,7 @@
 			out[c.ID] = unknown
 		case c.Created == c.Revision:
 			delete(out, c.ID)
-		case isFirstWrite(c.Endpoint) && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack)):
+		case isFirstWrite(c.Endpoint) && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack - registrationTime)):
 			out[c.ID] = unknown // maybe another incarnation
 		default: // incarnations are ready until they drain
 			ready := *c.Endpoint
--- a/core/origin/history_test.go
+++ b/core/origin/history_test.go
@@ -1,9 +1,14 @@
 package origin_test
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/origin"
 )
 
@@ -27,3 +32,52 @@
 		})
 	}
 }
+
+// TestStreamsWhileEndpointsRegisterLate guards against streams that go on at another version
+// after a loss of all relays because endpoints registered 2 s after their start, by times of
+// day that are 3 s behind that of the relay: the list changed later than it seems.
+func TestStreamsWhileEndpointsRegisterLate(t *testing.T) {
+	const late, behind = 2 * time.Second, 3 * time.Second
+	known, unknown := 0, 0
+	for seed := range uint64(100) {
+		m := &listModel{
+			rng: rand.New(rand.NewPCG(seed, 5)), now: start,
+			live: make(map[string]*fleet.Endpoint), created: make(map[string]int64),
+		}
+		for i := range 12 {
+			m.start(fmt.Sprint("v", i%2))
+		}
+		m.now = start.Add(40 * time.Second)
+		for _, n := range m.rng.Perm(12)[:4] {
+			m.drain(m.live[fmt.Sprint("e", n+1)])
+			m.now = m.now.Add(500 * time.Millisecond)
+			m.startLate("v1", late+behind)
+			m.now = m.now.Add(500 * time.Millisecond)
+		}
+		var after origin.Versions
+		began := make(map[string]string)
+		beganAt := make(map[string]time.Time)
+		for i := range 50 {
+			var before origin.Versions
+			stream := fmt.Sprint(seed, "/", i)
+			beganAt[stream] = m.now.Add(-time.Duration(m.rng.Int64N(int64(4 * time.Second))))
+			before.Observe(beganAt[stream], m.seenAt(beganAt[stream].Add(-2900*time.Millisecond)))
+			began[stream], _ = before.Choose("s", stream)
+		}
+		m.now = m.now.Add(4 * time.Second)
+		after.Observe(m.now, m.seenAt(m.now))
+		after.Recall(m.history(20 * time.Second))
+		for _, stream := range slices.Sorted(maps.Keys(began)) {
+			got, ok := after.Began(m.now, "s", stream, m.now.Sub(beganAt[stream]))
+			switch {
+			case ok && got != began[stream]:
+				t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, began[stream], got)
+			case ok:
+				known++
+			default:
+				unknown++
+			}
+		}
+	}
+	t.Logf("%d streams known, %d unknown", known, unknown)
+}
