relay/ctrl: history that is lost during its reads doesn't count as known

Cause: the time from which the history counts as complete was taken before the reads. They take up to 1.5 s and more, in which the store goes on forgetting. Change: it is taken after the reads.

--- a/relay/ctrl/history.go
+++ b/relay/ctrl/history.go
@@ -23,7 +23,6 @@
 	if err != nil {
 		return origin.History{}, fmt.Errorf("list endpoints: %w", err)
 	}
-	now := c.Clock.Now()
 	h := origin.History{Since: since, Added: make(origin.Additions), Zones: make(map[string]bool)}
 	for _, entry := range list {
 		if change, ok := c.endpointChange(entry); ok {
@@ -33,10 +32,11 @@
 	lost := h.Added.Before(since) // a revision that is older than the period
 	changes, err := c.changesAfter(last, lost)
 	if errors.Is(err, plat.ErrCompacted) {
-		if kept := now.Add(-c.Retention()); since.Before(kept) {
+		changes, lost, err = c.oldestChanges(last, lost)
+		// What was lost during the reads is older than the history as of their end.
+		if kept := c.Clock.Now().Add(-c.Retention()); since.Before(kept) {
 			h.Since = kept
 		}
-		changes, lost, err = c.oldestChanges(last, lost)
 		if err == nil && h.Added.Contradict(lost, h.Since) {
 			err = errForgotten
 		}
--- a/relay/ctrl/history_test.go
+++ b/relay/ctrl/history_test.go
@@ -95,3 +95,46 @@
 		t.Errorf("%d bytes were read, of which configurations are %d each", n, size)
 	}
 }
+
+// steppingClock advances with each reading.
+type steppingClock struct {
+	clock.Fake
+	step time.Duration
+}
+
+func (c *steppingClock) Now() time.Time {
+	c.Advance(c.step)
+	return c.Fake.Now()
+}
+
+// TestHistoryDuringLongReads guards against streams that go on at another version after a
+// loss of all relays, because the store forgot changes while it was read.
+func TestHistoryDuringLongReads(t *testing.T) {
+	const (
+		writes, reads = 64, 5 // at least
+		read          = 200 * time.Millisecond
+		kept          = 20 * time.Second
+	)
+	s, err := site.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	for range writes {
+		s.Store.Put(plat.ConfigKey, nil)
+	}
+	s.Store.Compact()
+	f := newFixture()
+	clk := &steppingClock{step: read}
+	clk.Advance(time.Hour)
+	f.Store, f.Clock = plat.NewStore(s.StoreAddr), clk
+	f.Retention = func() time.Duration { return kept }
+	begin := clk.Now()
+	h, err := f.History(begin.Add(-time.Minute))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if least := begin.Add(reads*read - kept); h.Since.Before(least) {
+		t.Errorf("the history counts as complete %v too early", least.Sub(h.Since))
+	}
+}
