relay/proxy: a stream ages while its version is sought

Cause: a stream's age was taken from the time that its caller had left when the request was sent, and subtracted from the time after records had been asked for, the store read and its history read (together up to some 3 s); besides, requests wait before a relay reads them. The states of the list in which the stream began were left out. Change: its earliest beginning is a time, from the request's first byte, less the second after which callers abandon a request that isn't read.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -93,7 +93,7 @@
 			out[c.ID] = unknown
 		case c.Created == c.Revision:
 			delete(out, c.ID)
-		case isFirstWrite(c.Endpoint) && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack - registrationTime)):
+		case isFirstWrite(c.Endpoint) && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack-registrationTime)):
 			out[c.ID] = unknown // maybe another incarnation
 		default: // incarnations are ready until they drain
 			ready := *c.Endpoint
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -54,7 +54,7 @@
 	}
 	for service, c := range counts {
 		list := v.seen[service]
-		for len(list) > 1 && list[1].at.Before(Window(now, Lifetime)) {
+		for len(list) > 1 && list[1].at.Before(Window(now.Add(-Lifetime))) {
 			list = list[1:]
 		}
 		if n := len(list); n == 0 || !maps.Equal(list[n-1].counts, c) {
@@ -156,40 +156,47 @@
 	return best, found
 }
 
+// Stream is a stream that a caller takes up and that no relay remembers.
+type Stream struct {
+	Service string
+	ID      string    // of the attempt that began it; empty: not known
+	Since   time.Time // it began no earlier
+}
+
 // Window returns the time from which on a view may have been in use at the beginning of a
-// stream that is no older than age.
-func Window(now time.Time, age time.Duration) time.Time { return now.Add(-age - viewLag) }
+// stream that began no earlier than a time.
+func Window(began time.Time) time.Time { return began.Add(-viewLag) }
 
 // Covers reports whether it is known what was listed at each moment at which a stream can
-// have begun that is no older than age.
-func (v *Versions) Covers(now time.Time, age time.Duration) bool {
-	from := Window(now, age)
+// have begun.
+func (v *Versions) Covers(s Stream) bool {
+	from := Window(s.Since)
 	return v.first != nil && (!v.firstAt.After(from) || !v.history.Since.IsZero() && !v.history.Since.After(from))
 }
 
 // since returns the time from which on a view may have been in use at the beginning of a
-// stream that no relay remembers and that is no older than age. If this relay observed the
-// list before the stream began, relays that remember it haven't all been lost since: the
-// relay at which it began reached none, and its view may be as old as that.
-func (v *Versions) since(now time.Time, age time.Duration) time.Time {
-	if from := Window(now, age); v.firstAt.After(from) {
+// stream. If this relay observed the list before the stream began, relays that remember it
+// haven't all been lost since: the relay at which it began reached none, and its view may
+// be as old as that.
+func (v *Versions) since(now time.Time, s Stream) time.Time {
+	if from := Window(s.Since); v.firstAt.After(from) {
 		return from
 	}
-	return Window(now, Lifetime)
+	return Window(now.Add(-Lifetime))
 }
 
-// Began returns the version at which a stream began that is no older than age, and false
-// if more than one is possible. An empty stream stands for an unknown one.
-func (v *Versions) Began(now time.Time, service, stream string, age time.Duration) (string, bool) {
-	if !v.Covers(now, age) {
+// Began returns the version at which a stream began, and false if more than one is
+// possible.
+func (v *Versions) Began(now time.Time, s Stream) (string, bool) {
+	if !v.Covers(s) {
 		return "", false
 	}
-	moments := v.moments(v.since(now, age), service)
+	moments := v.moments(v.since(now, s), s.Service)
 	draws := make(map[string]float64) // of the versions that are possible
 	for _, m := range moments {
 		for _, counts := range []map[string]int{m.least, m.doubtful} {
 			for version := range counts {
-				draws[version] = draw(stream, version)
+				draws[version] = draw(s.ID, version)
 			}
 		}
 	}
@@ -198,7 +205,7 @@
 			return version, true
 		}
 	}
-	if stream == "" {
+	if s.ID == "" {
 		return "", false
 	}
 	began := ""
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -333,21 +333,21 @@
 }
 
 // OriginVersion returns the software version at which a stream began, by what was listed
-// while it may have begun. It returns false if more than one is possible. age is how old
-// the stream is at most. It blocks while History reads.
-func (b *Balancer) OriginVersion(service, stream string, age time.Duration) (string, bool) {
+// while it may have begun. It returns false if more than one is possible. It blocks while
+// History reads.
+func (b *Balancer) OriginVersion(s origin.Stream) (string, bool) {
 	b.recallMu.Lock()
 	defer b.recallMu.Unlock()
 	b.mu.Lock()
 	now := b.Clock.Now()
-	covers := b.versions.Covers(now, age)
+	covers := b.versions.Covers(s)
 	b.mu.Unlock()
 	if !covers && !b.recalled && now.Sub(b.recalledAt) >= recallInterval {
 		b.recall(now)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.versions.Began(b.Clock.Now(), service, stream, age)
+	return b.versions.Began(b.Clock.Now(), s)
 }
 
 // recall reads the history. The caller holds b.recallMu.
@@ -355,7 +355,7 @@
 	if b.History == nil {
 		return
 	}
-	h, err := b.History(origin.Window(now, origin.Lifetime))
+	h, err := b.History(origin.Window(now.Add(-origin.Lifetime)))
 	b.OnRecall(h, err)
 	b.recalledAt = b.Clock.Now() // those that waited don't read again
 	if err != nil {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -23,6 +23,7 @@
 	eventGapTimeoutFactor = 4 // another endpoint is sought for a resumable stream after a gap of this multiple of the route's maximum
 	eventBufferBytes      = 4 << 10
 	defaultMaxEventGap    = time.Second // for routes that set none
+	maxUnread             = time.Second // callers abandon a resumable request that isn't read for longer
 )
 
 // forwardStream forwards a request whose response is a stream of events.
@@ -72,14 +73,14 @@
 	if !req.Refresh(ctx, 0) {
 		return origin.Origin{}, false
 	}
-	v, ok := req.Balancer.OriginVersion(req.service, req.headers.Resumes, req.maxStreamAge())
+	v, ok := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin()})
 	return origin.Origin{Service: req.service, Version: v}, ok
 }
 
-// maxStreamAge returns how old the stream is at most that the caller takes up. Callers of
-// a route wait no longer than the longest that any has named.
-func (req *request) maxStreamAge() time.Duration {
-	return max(0, req.longestWait(req.route)-req.headers.Deadline)
+// earliestBegin returns the time before which the stream that the caller takes up can't have
+// begun. Callers of a route wait no longer than the longest that any has named.
+func (req *request) earliestBegin() time.Time {
+	return req.startedAt.Add(-maxUnread - max(0, req.longestWait(req.route)-req.headers.Deadline))
 }
 
 // recordVersion binds the request to the software version of the endpoint that sent
