core/origin: what a relay doesn't know of 45 s isn't concluded from less

Cause: a stream that this relay should remember began at a relay that was cut off, and its version must be the choice in all states of 45 s. A relay that has observed for 12 s and read no history took its 12 s for them. Change: such a stream's version is known only if all of the 45 s is. A stream can say that a relay which remembers streams since before it began doesn't know it (Unrecorded, set by nobody yet); then the same holds at a relay that has just started.

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -161,6 +161,9 @@
 	Service string
 	ID      string    // of the attempt that began it; empty: not known
 	Since   time.Time // it began no earlier
+	// Unrecorded tells that some relay has remembered streams since before this one began
+	// and doesn't know it.
+	Unrecorded bool
 }
 
 // Window returns the time from which on a view may have been in use at the beginning of a
@@ -169,17 +172,17 @@
 
 // Covers reports whether it is known what was listed at each moment at which a stream can
 // have begun.
-func (v *Versions) Covers(s Stream) bool {
-	from := Window(s.Since)
+func (v *Versions) Covers(now time.Time, s Stream) bool {
+	from := v.since(now, s)
 	return v.first != nil && (!v.firstAt.After(from) || !v.history.Since.IsZero() && !v.history.Since.After(from))
 }
 
 // since returns the time from which on a view may have been in use at the beginning of a
-// stream. If this relay observed the list before the stream began, relays that remember it
-// haven't all been lost since: the relay at which it began reached none, and its view may
-// be as old as that.
+// stream. If this relay or another one has remembered streams since before, it wasn't lost
+// with all that remembered the stream: the relay at which it began reached none, and its
+// view may be as old as that.
 func (v *Versions) since(now time.Time, s Stream) time.Time {
-	if from := Window(s.Since); v.firstAt.After(from) {
+	if from := Window(s.Since); !s.Unrecorded && v.firstAt.After(from) {
 		return from
 	}
 	return Window(now.Add(-Lifetime))
@@ -188,7 +191,7 @@
 // Began returns the version at which a stream began, and false if more than one is
 // possible.
 func (v *Versions) Began(now time.Time, s Stream) (string, bool) {
-	if !v.Covers(s) {
+	if !v.Covers(now, s) {
 		return "", false
 	}
 	moments := v.moments(v.since(now, s), s.Service)
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -340,7 +340,7 @@
 	defer b.recallMu.Unlock()
 	b.mu.Lock()
 	now := b.Clock.Now()
-	covers := b.versions.Covers(s)
+	covers := b.versions.Covers(now, s)
 	b.mu.Unlock()
 	if !covers && !b.recalled && now.Sub(b.recalledAt) >= recallInterval {
 		b.recall(now)
