relay: a log event tells how a stream's version was concluded

Change: event origin_concluded, one line for each conclusion: stream, service, version, whether it is known, the number of states, the window and the reason.

--- a/core/origin/history_test.go
+++ b/core/origin/history_test.go
@@ -68,7 +68,7 @@
 		after.Observe(m.now, m.seenAt(m.now))
 		after.Recall(m.history(20 * time.Second))
 		for _, stream := range slices.Sorted(maps.Keys(began)) {
-			got, ok := after.Began(m.now, streamOfAge(m.now, stream, m.now.Sub(beganAt[stream])))
+			got, ok := conclude(&after, m.now, streamOfAge(m.now, stream, m.now.Sub(beganAt[stream])))
 			switch {
 			case ok && got != began[stream]:
 				t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, began[stream], got)
--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -170,7 +170,7 @@
 			if age > streamAge {
 				continue
 			}
-			got, ok := after.Began(m.now, streamOfAge(m.now, stream, age))
+			got, ok := conclude(&after, m.now, streamOfAge(m.now, stream, age))
 			switch {
 			case ok && got != version:
 				t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, version, got)
@@ -247,7 +247,7 @@
 				for i := range streams {
 					stream := fmt.Sprint(seed, "/", i)
 					version, _ := before.Choose("s", stream)
-					got, ok := after.Began(m.now, streamOfAge(m.now, stream, c.atAge))
+					got, ok := conclude(&after, m.now, streamOfAge(m.now, stream, c.atAge))
 					if ok && got != version {
 						t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, version, got)
 					}
@@ -303,7 +303,7 @@
 		for i := range 50 {
 			stream := fmt.Sprint(seed, "/", i)
 			version, _ := before.Choose("s", stream)
-			got, ok := after.Began(m.now, streamOfAge(m.now, stream, m.now.Sub(beganAt)))
+			got, ok := conclude(&after, m.now, streamOfAge(m.now, stream, m.now.Sub(beganAt)))
 			switch {
 			case ok && got != version:
 				t.Fatalf("seed %d: stream %s began at %s and goes on at %s", seed, stream, version, got)
@@ -352,7 +352,7 @@
 			stream := fmt.Sprint(seed, "/", m.now.UnixMilli())
 			began, _ := cut.Choose("s", stream)
 			now := m.now.Add(age)
-			got, ok := other.Began(now, streamOfAge(now, stream, age))
+			got, ok := conclude(&other, now, streamOfAge(now, stream, age))
 			switch {
 			case ok && got != began:
 				t.Fatalf("seed %d: stream %s began at %s at the relay that was cut off %v before, and goes on at %s", seed, stream, began, m.now.Sub(cutAt), got)
--- a/core/origin/strict_test.go
+++ b/core/origin/strict_test.go
@@ -36,7 +36,7 @@
 			for i := range 10 {
 				s := streamOfAge(now, fmt.Sprint(i), streamAge)
 				s.Unrecorded = c.unrecorded
-				if version, ok := v.Began(now, s); ok != c.want || ok && version != "v2" {
+				if version, ok := conclude(&v, now, s); ok != c.want || ok && version != "v2" {
 					t.Fatalf("stream %d began at %q, known %v, want known %v", i, version, ok, c.want)
 				}
 			}
--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -188,38 +188,76 @@
 	return Window(now.Add(-Lifetime))
 }
 
-// Began returns the version at which a stream began, and false if more than one is
+// Reason tells why the version at which a stream began isn't known.
+type Reason string
+
+// Reasons for which a version isn't known.
+const (
+	ReasonNoHistory  Reason = "no_history"  // nothing is known of the time before this relay observed the list
+	ReasonNotCovered Reason = "not_covered" // what is known begins too late
+	ReasonSeveral    Reason = "several"     // more than one version is possible
+	ReasonNone       Reason = "none"        // no endpoint of the service was listed
+)
+
+// Conclusion is what was concluded of the version at which a stream began.
+type Conclusion struct {
+	Version string
+	Reason  Reason        // why the version isn't known; empty: it is
+	Moments int           // states of the list in which the stream may have begun
+	Window  time.Duration // until now, in which it may have begun by one of them
+}
+
+// Known reports whether the version is known.
+func (c Conclusion) Known() bool { return c.Reason == "" }
+
+// Began returns the version at which a stream began. It isn't known if more than one is
 // possible.
-func (v *Versions) Began(now time.Time, s Stream) (string, bool) {
-	if !v.Covers(now, s) {
-		return "", false
+func (v *Versions) Began(now time.Time, s Stream) Conclusion {
+	from := v.since(now, s)
+	c := Conclusion{Window: now.Sub(from)}
+	switch {
+	case v.Covers(now, s):
+		moments := v.moments(from, s.Service)
+		c.Moments = len(moments)
+		c.Version, c.Reason = choice(moments, s.ID)
+	case v.history.Since.IsZero():
+		c.Reason = ReasonNoHistory
+	default:
+		c.Reason = ReasonNotCovered
 	}
-	moments := v.moments(v.since(now, s), s.Service)
+	return c
+}
+
+// choice returns the version that is the choice for a stream in all moments, or why there
+// is none.
+func choice(moments []moment, stream string) (string, Reason) {
 	draws := make(map[string]float64) // of the versions that are possible
 	for _, m := range moments {
 		for _, counts := range []map[string]int{m.least, m.doubtful} {
 			for version := range counts {
-				draws[version] = draw(s.ID, version)
+				draws[version] = draw(stream, version)
 			}
 		}
 	}
-	for version := range draws {
-		if len(draws) == 1 {
-			return version, true
+	switch {
+	case len(draws) == 0:
+		return "", ReasonNone
+	case len(draws) == 1:
+		for version := range draws {
+			return version, ""
 		}
-	}
-	if s.ID == "" {
-		return "", false
+	case stream == "":
+		return "", ReasonSeveral
 	}
 	began := ""
-	for _, m := range moments {
+	for i, m := range moments {
 		version, ok := m.choice(draws)
-		if !ok || began != "" && version != began {
-			return "", false
+		if !ok || i > 0 && version != began {
+			return "", ReasonSeveral
 		}
 		began = version
 	}
-	return began, began != ""
+	return began, ""
 }
 
 // draw returns the exponentially distributed number that a stream draws for a version.
--- a/core/origin/versions_test.go
+++ b/core/origin/versions_test.go
@@ -17,6 +17,12 @@
 	return origin.Stream{Service: "s", ID: id, Since: now.Add(-age)}
 }
 
+// conclude returns the version at which a stream began, and false if it isn't known.
+func conclude(v *origin.Versions, now time.Time, s origin.Stream) (string, bool) {
+	c := v.Began(now, s)
+	return c.Version, c.Known()
+}
+
 // viewOf returns a view of the endpoints in a list of ID:VERSION:AGE, in which a minus
 // before the ID stands for a draining endpoint. Ages are at start.
 func viewOf(t *testing.T, list string) *fleet.View {
@@ -102,11 +108,11 @@
 			now := start.Add(10 * time.Millisecond)
 			known := 0
 			for i := range 100 {
-				if version, ok := v.Began(now, streamOfAge(now, fmt.Sprint(i), streamAge)); ok && version == "v2" {
+				if version, ok := conclude(&v, now, streamOfAge(now, fmt.Sprint(i), streamAge)); ok && version == "v2" {
 					known++
 				}
 			}
-			_, anonymous := v.Began(now, streamOfAge(now, "", streamAge))
+			_, anonymous := conclude(&v, now, streamOfAge(now, "", streamAge))
 			got := "some"
 			switch {
 			case known == 100 && anonymous:
@@ -135,7 +141,7 @@
 	for i := range 1000 {
 		stream := fmt.Sprint(i)
 		version, _ := there.Choose("s", stream)
-		got, ok := here.Began(now.Add(time.Second), streamOfAge(now.Add(time.Second), stream, streamAge))
+		got, ok := conclude(&here, now.Add(time.Second), streamOfAge(now.Add(time.Second), stream, streamAge))
 		if ok && got != version {
 			t.Fatalf("stream %s began at %s and goes on at %s", stream, version, got)
 		}
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -42,6 +42,7 @@
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
 	StoreRestored     = newEventType("store_restored", log.WarnLevel, changeRate, "The store came back from an older copy, or another relay said so; what was believed stays until it is written again.", "era", "after", "revision", "from")
 	VersionsRecalled  = newEventType("versions_recalled", log.InfoLevel, changeRate, "The history of the store was read for a stream whose origin no relay remembers; software versions are known from since on.", "since", "changes", "error")
+	OriginConcluded   = newEventType("origin_concluded", log.InfoLevel, requestRate, "The software version at which a stream began was concluded from what was listed while it may have begun, as no relay remembers it.", "request", "stream", "service", "endpoint_version", "known", "moments", "window_ms", "reason")
 	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms", "bytes", "took_ms")
 	ChangesOverdue    = newEventType("changes_overdue", log.WarnLevel, changeRate, "Changes to the store that were requested from another relay have not arrived in time; they are requested again.", "from", "took_ms", "behind_ms")
 	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes", "took_ms")
@@ -139,12 +140,14 @@
 	"left_ms":          {"ms", "time until the deadline"},
 	"limit_ms":         {"ms", "longest estimate that is admitted, for the request itself and for routes that are at least as urgent"},
 	"limited_by":       {"", "name of the route whose objective sets the limit"},
+	"known":            {"", "whether it is certain; if not, reason tells why: no_history, not_covered, several or none, which means that none is listed"},
 	"lines":            {"", "number of omitted lines"},
 	"load":             {"", "estimated share of the endpoint's slots in use"},
 	"longest_gap_ms":   {"ms", "longest pause between two events of the stream"},
 	"longest_ms":       {"ms", "maximum time until the process exits"},
 	"lost_ms":          {"ms", "duration of the outage, from the first failed read"},
 	"member":           {"", "instance ID of the other relay"},
+	"moments":          {"", "number of states of the list of endpoints that were possible when the stream began"},
 	"now_ms":           {"ms", "estimate with the current queues"},
 	"outcome":          {"", "how the request ended, as text"},
 	"pace":             {"", "how long work takes at the endpoint, as it last reported, in multiples of the usual time; 0: not reported or not selected by time"},
@@ -180,11 +183,13 @@
 	"state":            {"", "ready or draining"},
 	"status":           {"", "HTTP status of the response; 0: the connection was closed"},
 	"store":            {"", "IP:port"},
+	"stream":           {"", "ID of the caller's attempt that brought the first event of the stream; empty: not named"},
 	"subject":          {"", "what requests have in common: prompt part, or request (all of it), and a hash in hexadecimal, as in parts and content"},
 	"team":             {"", "name of the team"},
 	"took_ms":          {"ms", "duration"},
 	"up_ms":            {"ms", "time since the endpoint started, by its time of day"},
 	"version":          {"", "version of the configuration"},
+	"window_ms":        {"ms", "time until now in which the stream may have begun, including that by which a view may lag"},
 	"zone":             {"", "availability zone"},
 }
 
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -332,10 +332,9 @@
 	return nil
 }
 
-// OriginVersion returns the software version at which a stream began, by what was listed
-// while it may have begun. It returns false if more than one is possible. It blocks while
-// History reads.
-func (b *Balancer) OriginVersion(s origin.Stream) (string, bool) {
+// OriginVersion concludes at which software version a stream began, by what was listed
+// while it may have begun. It blocks while History reads.
+func (b *Balancer) OriginVersion(s origin.Stream) origin.Conclusion {
 	b.recallMu.Lock()
 	defer b.recallMu.Unlock()
 	b.mu.Lock()
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -15,6 +15,7 @@
 	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 	"wigeonplank.example/relay/stats"
 )
@@ -73,8 +74,11 @@
 	if !req.Refresh(ctx, 0) {
 		return origin.Origin{}, false
 	}
-	v, ok := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin()})
-	return origin.Origin{Service: req.service, Version: v}, ok
+	c := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin()})
+	req.Log.Event(logs.OriginConcluded).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("service", req.service).
+		Str("endpoint_version", c.Version).Bool("known", c.Known()).Str("reason", string(c.Reason)).Int("moments", c.Moments).
+		Dur("window_ms", c.Window).Msg("")
+	return origin.Origin{Service: req.service, Version: c.Version}, c.Known()
 }
 
 // earliestBegin returns the time before which the stream that the caller takes up can't have
