core/origin: what changed in one step may have been listed in parts

Cause: between two observations of a relay, the endpoints of a version counted as being at least as many as in the smaller one. If some left and others came in one step, or if entries lapsed and came back, other relays saw fewer; where the numbers were equal, the step wasn't even kept. Relays that learn from others get only the last write of each entry, so that such steps are usual after a pause or a cut. Change: a step keeps which endpoints were certainly listed all the while: those with the same entry, or with the next heartbeat of the same incarnation.

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -22,6 +22,7 @@
 // is not safe for concurrent use.
 type Versions struct {
 	first   *fleet.View // of the first observation; nil: none
+	last    *fleet.View // of the last one
 	firstAt time.Time
 	seen    map[string][]observation // by service, in the order of time
 	history History                  // of the time before firstAt
@@ -31,39 +32,92 @@
 type observation struct {
 	at     time.Time
 	counts map[string]int
+	step   moment // what other relays may have observed since the observation before
 }
 
 // Observe records the endpoints that accept work from now on. Those that are missing from
 // the store don't count, as its change log has them as removed.
 func (v *Versions) Observe(now time.Time, view *fleet.View) {
 	if v.first == nil {
-		v.first, v.firstAt, v.seen = view, now, make(map[string][]observation)
+		v.first, v.firstAt, v.last, v.seen = view, now, view, make(map[string][]observation)
 	}
 	counts := make(map[string]map[string]int)
 	for service := range v.seen {
 		counts[service] = make(map[string]int)
 	}
 	for _, e := range view.All() {
-		if !view.Accepts(e) || view.IsMissing(e.ID) {
-			continue
-		}
 		if counts[e.Service] == nil {
 			counts[e.Service] = make(map[string]int)
 		}
-		counts[e.Service][e.Version]++
+		if counted(view, e.ID) != nil {
+			counts[e.Service][e.Version]++
+		}
 	}
+	steps := stepsBetween(v.last, view)
+	v.last = view
 	for service, c := range counts {
-		list := v.seen[service]
+		list, step := v.seen[service], steps[service]
 		for len(list) > 1 && list[1].at.Before(Window(now.Add(-Lifetime))) {
 			list = list[1:]
 		}
-		if n := len(list); n == 0 || !maps.Equal(list[n-1].counts, c) {
-			list = append(list, observation{at: now, counts: c})
+		if len(list) == 0 || len(step.doubtful) > 0 {
+			list = append(list, observation{at: now, counts: c, step: step})
 		}
 		v.seen[service] = list
 	}
 }
 
+// counted returns the endpoint with an ID if it counts for the choice of a version, or nil.
+func counted(view *fleet.View, id string) *fleet.Endpoint {
+	if e := view.Endpoint(id); e != nil && view.Accepts(e) && !view.IsMissing(id) {
+		return e
+	}
+	return nil
+}
+
+// stepsBetween returns what may have been listed between two views, by service. doubtful
+// is empty if nothing has changed.
+func stepsBetween(a, b *fleet.View) map[string]moment {
+	steps := make(map[string]moment)
+	count := func(e *fleet.Endpoint, always bool) {
+		m, ok := steps[e.Service]
+		if !ok {
+			m = moment{least: make(map[string]int), doubtful: make(map[string]int)}
+			steps[e.Service] = m
+		}
+		if m.least[e.Version] += 0; always {
+			m.least[e.Version]++
+		} else {
+			m.doubtful[e.Version]++
+		}
+	}
+	for id := range b.All() {
+		if e := counted(b, id); e != nil {
+			count(e, staysListed(counted(a, id), e))
+		}
+	}
+	for id := range a.All() {
+		old, e := counted(a, id), counted(b, id)
+		if old != nil && (e == nil || e.Service != old.Service || e.Version != old.Version) {
+			count(old, false)
+		}
+	}
+	return steps
+}
+
+// staysListed reports whether an endpoint was certainly listed between two of its entries.
+// One that lapsed and came back has missed heartbeats.
+func staysListed(a, b *fleet.Endpoint) bool {
+	switch {
+	case a == nil || a.Service != b.Service || a.Version != b.Version:
+		return false
+	case a.Revision == b.Revision:
+		return true
+	default:
+		return a.StartUnixMs == b.StartUnixMs && b.Seq == a.Seq+1
+	}
+}
+
 // Mixed reports whether endpoints of more than one version of a service are listed.
 func Mixed(view *fleet.View) bool {
 	versions := make(map[string]string) // by service
@@ -121,25 +175,12 @@
 		case i == len(list)-1:
 			out = append(out, moment{least: o.counts})
 		case list[i+1].at.After(from):
-			out = append(out, moment{least: o.counts}, between(o.counts, list[i+1].counts))
+			out = append(out, moment{least: o.counts}, list[i+1].step)
 		}
 	}
 	return out
 }
 
-// between returns what other relays may have observed between two observations of this
-// one.
-func between(a, b map[string]int) moment {
-	m := moment{least: make(map[string]int), doubtful: make(map[string]int)}
-	for _, counts := range []map[string]int{a, b} {
-		for version := range counts {
-			m.least[version] = min(a[version], b[version])
-			m.doubtful[version] = max(a[version], b[version]) - m.least[version]
-		}
-	}
-	return m
-}
-
 // Choose returns the version at which a new stream begins, and false if the store lists no
 // endpoint of the service that accepts work.
 func (v *Versions) Choose(service, stream string) (string, bool) {
