relay/peers: the time that a message was under way adds to the age of a contact

Cause: ages of contacts with the store counted as of when a message was read. What it waited in a slow link, or unread, made views look fresher than they were.

Change: a heartbeat tells when it was sent by its sender's clock (sent_us, so far not filled in), and how far the receiver's clock was at least at that time (peer_us, new), which follows from the last heartbeat received. So its delay is bounded without clocks that agree, from the second heartbeat of a link on; a contact doesn't count before. Changes that another relay sends count as of when they were requested.

--- a/relay/peers/changes.go
+++ b/relay/peers/changes.go
@@ -54,6 +54,7 @@
 		m.Log.Event(logs.ChangesOverdue).Str("from", last.from.remote.Instance).Dur("took_ms", now.Sub(last.sentAt)).Dur("behind_ms", m.Source.Behind()).Msg("")
 	}
 	after := m.Source.Position().Point
+	s.recordFetch(now)
 	s.send(&Work{Kind: &Work_Fetch{Fetch: &SnapshotRequest{
 		After: max(0, after.Revision), Changes: after.Revision >= 0, Era: after.Era, Packed: true,
 	}}})
@@ -181,7 +182,9 @@
 	}
 	t := repl.Transfer{From: s.remote.Instance, Bytes: max(in.size, len(in.packed)), Took: s.mesh.endPull(s, now)}
 	s.incoming = incoming{}
-	s.mesh.Source.Apply(t, u, positionFromWire(part.GetPosition(), now))
+	p := positionFromWire(part.GetPosition(), now)
+	p.Contact = contactSince(p.Contact, s.takeFetch(), now)
+	s.mesh.Source.Apply(t, u, p)
 }
 
 // extendWait gives the answer to a heartbeat more time. It may be queued behind what the
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -313,7 +313,8 @@
 // nextHeartbeat returns the next heartbeat of a link to the relay named to. It
 // reports what has changed since the previous one.
 func (m *Mesh) nextHeartbeat(st *heartbeatState, to string, withLoads bool) *Heartbeat {
-	hb := &Heartbeat{Position: positionToWire(m.Source.Position(), m.Clock.Now())}
+	sent := m.Clock.Now()
+	hb := &Heartbeat{SentUs: m.ownTime(sent).Microseconds(), Position: positionToWire(m.Source.Position(), sent)}
 	if withLoads {
 		for p, r := range m.Handler.Reports() {
 			hb.Loads = append(hb.Loads, reportToWire(p, r))
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -105,6 +105,11 @@
 	originRequests uint64                         // sent so far
 	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
 
+	peerSent  time.Duration // when the last heartbeat received was sent, by the other relay's clock; 0: not known; guarded by mu
+	peerHeard time.Duration // when it was received, by this relay's clock; guarded by mu
+	fetchedAt time.Time     // when the oldest request for changes without a response was sent; zero: none; guarded by mu
+	delays    peer.Delays   // of heartbeats; used only by the goroutine that receives them
+
 	partSentAt time.Time // when the last part was taken; used only by the goroutine that writes work
 
 	sending  atomic.Bool // changes are being sent; parts of two responses must not mix
@@ -180,7 +185,7 @@
 		}
 	}
 	s.mu.Unlock()
-	s.mesh.pull(s, positionFromWire(hb.GetPosition(), now))
+	s.mesh.pull(s, s.receivedPosition(hb, now))
 	if len(hb.GetNotices()) > 0 {
 		notices := make([]notice.Entry, 0, len(hb.GetNotices()))
 		for _, w := range hb.GetNotices() {
@@ -227,7 +232,9 @@
 		}
 		lastSent = s.mesh.Clock.Now()
 		s.awaitAnswer(lastSent)
-		if err := s.control.Send(s.mesh.nextHeartbeat(&state, s.remoteInstance(), !s.dialer)); err != nil {
+		hb := s.mesh.nextHeartbeat(&state, s.remoteInstance(), !s.dialer)
+		hb.PeerUs = s.peerTime(hb.GetSentUs())
+		if err := s.control.Send(hb); err != nil {
 			return fmt.Errorf("send heartbeat: %w", err)
 		}
 	}
