relay: a relay that is cut off begins no stream that others may take up

Change: a stream that can be resumed begins only by a view at most 3 s old (origin.MaxViewLag). Else the relay reads the store, shared by all requests; if it can't, a stream begins only in an outage that most relays see: no relay is known to have read the store in these 3 s, and at least half of the others are reached (peer.Group.ReachesHalf, by links, zone by zone). Otherwise 503 as not run. A contact counts once the view has its changes. attempt_begun names view_age_ms.

--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -84,6 +84,8 @@
 	incarnation uint64
 	beat        uint64
 	expired     time.Time
+	addr, zone  string
+	left        bool // it has told that it leaves
 }
 
 // Group is the membership of relays as seen by one of them. Set the exported
@@ -213,8 +215,9 @@
 // memberTimeout, and returns them.
 func (g *Group) Expire(now time.Time) []Member {
 	var out []Member
+	reaches := g.ReachesHalf() // a relay that is cut off must not forget it
 	for id, t := range g.tombstones {
-		if now.Sub(t.expired) > tombstonePeriod {
+		if now.Sub(t.expired) > tombstonePeriod && reaches {
 			delete(g.tombstones, id)
 		}
 	}
@@ -225,7 +228,7 @@
 			if g.tombstones == nil {
 				g.tombstones = make(map[string]tombstone)
 			}
-			g.tombstones[id] = tombstone{incarnation: s.Incarnation, beat: s.Beat, expired: now}
+			g.tombstones[id] = tombstone{incarnation: s.Incarnation, beat: s.Beat, expired: now, addr: s.Addr, zone: s.Zone, left: s.leaving}
 		}
 	}
 	return out
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -295,7 +295,8 @@
 	m *peers.Mesh, g *guard.Guard, lives *life.Ledger,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
-		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
+		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, ViewAge: c.ViewAge, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
+		StoreAway:    func() bool { return c.Unread() && m.ReachesHalf() },
 		Policy:       policyFunc(live),
 		Incarnations: &proxy.Incarnations{Ledger: lives, ListedUntil: c.ListedUntil, Current: c.Current, Since: p.Since},
 		NewBudget: func() *retry.Budget {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -66,6 +66,7 @@
 	point     repl.Point // of the replica
 	follower  repl.Follower
 	outages   repl.Outages
+	showing   showing
 	announced repl.Point // highest point that another relay has announced
 	behindAt  time.Time  // since when the replica lacks changes up to announced; zero: it has them
 }
@@ -181,6 +182,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordHeardLocked(p.Contact.At)
 	if c.point.Before(p.Point) {
 		if c.announced.Before(p.Point) {
 			c.announced = p.Point
@@ -252,6 +254,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.showing.applying, c.showing.before = true, c.follower.Last().At
 	if restored || u.failed {
 		c.follower.Interrupt(now)
 	}
@@ -357,6 +360,9 @@
 	if c.OnViewChange != nil {
 		c.OnViewChange(&v)
 	}
+	c.mu.Lock()
+	c.showing.applying = false
+	c.mu.Unlock()
 }
 
 // applyOperatorEntries applies the entries that operators write: the configuration
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -84,7 +84,7 @@
 	StageCall      = newEventType("stage_call", log.InfoLevel, stepRate, "A call with items of one or more requests has ended.", "endpoint", "service", "requests", "items", "result", "took_ms", "error")
 	ReleaseFailed  = newEventType("release_failed", log.InfoLevel, changeRate, "Results could not be released; the endpoint removes them when their retention ends.", "endpoint", "results", "error")
 	AttemptStarted = newEventType("attempt_begun", log.InfoLevel, requestRate, "An endpoint was selected for an attempt of a request.",
-		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "content", "parts", "prompt_tokens", "cached_tokens", "event_id", "left_ms",
+		"request", "endpoint", "zone", "endpoint_version", "resumes", "attempt", "choice", "candidates", "held", "load", "affinity", "content", "parts", "prompt_tokens", "cached_tokens", "event_id", "left_ms", "view_age_ms",
 		"predicted_ms", "ahead", "speed", "pace", "pace_age_ms")
 	AttemptDone = newEventType("attempt_done", log.InfoLevel, requestRate, "An attempt at an endpoint has ended.",
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
@@ -185,6 +185,7 @@
 	"took_ms":          {"ms", "duration"},
 	"up_ms":            {"ms", "time since the endpoint started, by its time of day"},
 	"version":          {"", "version of the configuration"},
+	"view_age_ms":      {"ms", "time since the last known contact with the store up to which the view is complete"},
 	"zone":             {"", "availability zone"},
 }
 
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -68,6 +68,9 @@
 	if req.version != nil {
 		req.refresh(ctx)
 	}
+	if req.oldView = !req.mayBegin(ctx); req.oldView {
+		return pick.Choice{}, nil
+	}
 	svc, list := req.candidates()
 	if svc == nil {
 		return pick.Choice{}, nil
@@ -115,6 +118,8 @@
 		return c, true
 	case req.exchange.ResponseStarted():
 		req.abortStream(reasonNoEndpoint)
+	case req.oldView:
+		req.rejectFinal(reasonOldView)
 	default:
 		req.rejectUnplaced(c)
 	}
@@ -273,7 +278,7 @@
 		Str("affinity", strconv.FormatUint(req.promptAffinity(), 16)).
 		Str("content", strconv.FormatUint(req.contentHash(), 16)).Str("parts", req.promptParts()).Int64("event_id", lastEvent).
 		Str("held", req.held()).Dur("left_ms", req.deadline.Sub(req.Clock.Now())).
-		Int("prompt_tokens", req.headers.PromptTokens).Int("cached_tokens", c.Cached).Dur("predicted_ms", c.Predicted).Float64("ahead", c.Ahead).Float64("speed", c.Estimate.Speed).Float64("pace", c.Estimate.Pace).
+		Dur("view_age_ms", req.ViewAge()).Int("prompt_tokens", req.headers.PromptTokens).Int("cached_tokens", c.Cached).Dur("predicted_ms", c.Predicted).Float64("ahead", c.Ahead).Float64("speed", c.Estimate.Speed).Float64("pace", c.Estimate.Pace).
 		Dur("pace_age_ms", c.Estimate.PaceAge).Msg("")
 }
 
--- a/relay/proxy/await_test.go
+++ b/relay/proxy/await_test.go
@@ -63,17 +63,25 @@
 // next returns the ID of the endpoint at which the stream goes on, or "" if the request ends.
 func (b *broken) next(t *testing.T) string {
 	t.Helper()
-	id := make(chan string, 1)
-	srv := &front.Server{Limits: func() fleet.Limits { return fleet.Limits{} }, Log: b.req.Log}
-	srv.Handle = func(x *front.Exchange) {
+	id := ""
+	exchangeWith(t, b.req, func(x *front.Exchange) {
 		b.req.exchange = x
-		c, ok := b.req.nextEndpoint(x.Context, nil)
-		if ok {
-			id <- c.Endpoint.ID
+		if c, ok := b.req.nextEndpoint(x.Context, nil); ok {
+			id = c.Endpoint.ID
 			x.Reject(fasthttp.StatusOK, 0)
-			return
 		}
-		id <- ""
+	})
+	return id
+}
+
+// exchangeWith sends a request to a server that handles it by handle.
+func exchangeWith(t *testing.T, req *request, handle func(x *front.Exchange)) {
+	t.Helper()
+	handled := make(chan struct{})
+	srv := &front.Server{Limits: func() fleet.Limits { return fleet.Limits{} }, Log: req.Log}
+	srv.Handle = func(x *front.Exchange) {
+		defer close(handled)
+		handle(x)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -93,7 +101,7 @@
 	if err := resp.Read(bufio.NewReader(c)); err != nil {
 		t.Fatal(err)
 	}
-	return <-id
+	<-handled
 }
 
 func ready(version string) *fleet.Endpoint {
--- a/relay/proxy/panic_test.go
+++ b/relay/proxy/panic_test.go
@@ -30,7 +30,7 @@
 	f := &Forwarder{
 		View: func() *fleet.View { return &v }, Balancer: &Balancer{Clock: clock.System{}}, Guard: &guard.Guard{}, Clock: clock.System{},
 		Log: logs.New(io.Discard, clock.System{}, "a"), Meters: &stats.Meters{Registry: metrics.NewRegistry()},
-		NewBudget: func() *retry.Budget { return &retry.Budget{} }, Policy: func() sets.Policy { return sets.Policy{} },
+		ViewAge: func() time.Duration { return 0 }, NewBudget: func() *retry.Budget { return &retry.Budget{} }, Policy: func() sets.Policy { return sets.Policy{} },
 	}
 	return &request{
 		Forwarder: f, exchange: &front.Exchange{}, route: &fleet.Route{}, service: svc.Name, config: cfg, tried: make(map[string]bool),
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -64,13 +64,18 @@
 	Confirmed func() bool
 	// Refresh brings View up to date as of a time that is at most maxAge before the call, and
 	// reports false if that isn't possible. It blocks for a read from the store.
-	Refresh  func(ctx context.Context, maxAge time.Duration) bool
-	Balancer *Balancer
-	Pool     *pool.Pool
-	Stages   *stage.Runner
-	Engines  *assign.Assigner
-	Origins  Origins
-	Guard    *guard.Guard
+	Refresh func(ctx context.Context, maxAge time.Duration) bool
+	// ViewAge returns the time since the contact with the store up to which View is complete.
+	ViewAge func() time.Duration
+	// StoreAway reports whether the store is away for all relays, as far as this one can
+	// tell.
+	StoreAway func() bool
+	Balancer  *Balancer
+	Pool      *pool.Pool
+	Stages    *stage.Runner
+	Engines   *assign.Assigner
+	Origins   Origins
+	Guard     *guard.Guard
 	// Incarnations tells at which endpoints streams may go on.
 	Incarnations *Incarnations
 	Clock        clock.Clock
@@ -125,6 +130,7 @@
 	beginning      *beginning         // of the stream, if it isn't certain yet that it began at version; nil: it is, or is unsure
 	unsure         bool               // the version at which the stream began can't be known; it can't go on elsewhere
 	fresh          bool               // the view was refreshed for the current attempt
+	oldView        bool               // the view is too old for the current attempt
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
 	outcome        string
@@ -251,6 +257,10 @@
 	if req.takesUpStream() && !req.bindToOrigin(ctx) {
 		return
 	}
+	if !req.mayBegin(ctx) {
+		req.rejectFinal(reasonOldView)
+		return
+	}
 	if len(req.route.Stages) > 0 && !req.runStages(ctx) {
 		return
 	}
