--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -295,6 +295,13 @@
 	return m.Group.Size(m.Clock.Now())
 }
 
+// ReachesHalf reports whether this relay reaches at least half of the others.
+func (m *Mesh) ReachesHalf() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Group.ReachesHalf()
+}
+
 // Rank returns the position of this relay, counted from 0, in an order of all
 // relays that depends only on key.
 func (m *Mesh) Rank(key string) int {
@@ -313,7 +320,8 @@
 // nextHeartbeat returns the next heartbeat of a link to the relay named to. It
 // reports what has changed since the previous one.
 func (m *Mesh) nextHeartbeat(st *heartbeatState, to string, withLoads bool) *Heartbeat {
-	hb := &Heartbeat{Position: positionToWire(m.Source.Position(), m.Clock.Now())}
+	sent := m.Clock.Now()
+	hb := &Heartbeat{SentUs: m.ownTime(sent).Microseconds(), Position: positionToWire(m.Source.Position(), sent)}
 	if withLoads {
 		for p, r := range m.Handler.Reports() {
 			hb.Loads = append(hb.Loads, reportToWire(p, r))
