relay/proxy: a presumed version is trusted only with a proof

What callers can see: a stream that began at an endpoint which had come back with another version goes on at the former version, if its relay ends before the store lists the endpoint (rule ORDER). Cause: the stream was recorded with the listed version, to be corrected by its relay alone, later. Change: the record names the presumed incarnation and since when what sent the first event has lived; it is replaced once it is certain.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -25,7 +25,7 @@
 type Incarnation struct {
 	Endpoint    string // ID
 	StartUnixMs int64
-	At          time.Time // when the first event arrived
+	At          time.Time // it had lived since then when the first event arrived
 }
 
 // Table holds the origins of streams by the ID of the caller's attempt that
@@ -42,11 +42,11 @@
 }
 
 // Put records the origin of a stream. The first record of a stream stays, unless it turns
-// out that the version can't be known.
+// out that the version can't be known, or that a presumed one is certain.
 func (t *Table) Put(now time.Time, stream string, o Origin) {
 	t.expire(now)
 	if r, ok := t.records[stream]; ok {
-		if o == (Origin{}) {
+		if o == (Origin{}) || o.settles(r.origin) {
 			r.origin = o
 			t.records[stream] = r
 		}
@@ -59,6 +59,11 @@
 	t.order = append(t.order, stream)
 }
 
+// settles reports whether o is known to be what other presumes.
+func (o Origin) settles(other Origin) bool {
+	return o.Presumed == (Incarnation{}) && other.Presumed != (Incarnation{}) && o.Service == other.Service && o.Version == other.Version
+}
+
 // Get returns the origin of a stream, and false if it is not known.
 func (t *Table) Get(now time.Time, stream string) (Origin, bool) {
 	t.expire(now)
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -33,6 +33,30 @@
 	}
 }
 
+// TestPresumedRecord guards against a presumed version that stays presumed once it is certain, and against one that
+// replaces a certain one, another one or an unknown one.
+func TestPresumedRecord(t *testing.T) {
+	certain := origin.Origin{Service: "s", Version: "v1"}
+	presumed := certain
+	presumed.Presumed = origin.Incarnation{Endpoint: "e", StartUnixMs: 1, At: start}
+	other := presumed
+	other.Version = "v2"
+	for _, test := range []struct{ first, second, want origin.Origin }{
+		{presumed, certain, certain},
+		{certain, presumed, certain},
+		{other, certain, other},
+		{origin.Origin{}, certain, origin.Origin{}},
+		{presumed, origin.Origin{}, origin.Origin{}},
+	} {
+		var table origin.Table
+		table.Put(start, "a", test.first)
+		table.Put(start, "a", test.second)
+		if o, _ := table.Get(start, "a"); o != test.want {
+			t.Errorf("%+v after %+v: got %+v, want %+v", test.second, test.first, o, test.want)
+		}
+	}
+}
+
 // TestTableIsBounded checks that the oldest streams are dropped when there are too
 // many.
 func TestTableIsBounded(t *testing.T) {
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -67,12 +67,19 @@
 func (req *request) checkBeginning() {
 	if b := req.beginning; b != nil && req.lastEventAt.Sub(b.checkedAt) >= beginningInterval {
 		b.checkedAt = req.lastEventAt
-		if req.isStillListed(b.endpoint) && req.Incarnations.isListed(b.conn) {
-			req.beginning = nil
+		if req.prove(req.Incarnations.presumedAt(b)) == proofFound {
+			req.settleBeginning()
 		}
 	}
 }
 
+// settleBeginning records that the stream certainly began at its version.
+func (req *request) settleBeginning() {
+	e := req.beginning.endpoint
+	req.beginning = nil
+	req.recordOrigin(origin.Origin{Service: e.Service, Version: e.Version})
+}
+
 // confirmBeginning reports whether the stream began at its version, before it goes on
 // elsewhere. If that can't be known, no other relay lets it go on either.
 func (req *request) confirmBeginning(ctx context.Context) bool {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -51,6 +51,10 @@
 	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
 		return true
 	}
+	if !req.trusts(ctx, o) {
+		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
+		return false
+	}
 	req.service, req.version = o.Service, &o.Version
 	req.refresh(ctx)
 	if !req.canGoOn() {
@@ -91,6 +95,7 @@
 	case req.version != nil || req.Incarnations.isListed(c):
 	case req.Incarnations.presumed(e) && !c.Replaced:
 		req.beginning = &beginning{endpoint: e, conn: c, checkedAt: req.firstEventAt}
+		o.Presumed = req.Incarnations.presumedAt(req.beginning)
 	default:
 		req.unsure, o = true, origin.Origin{}
 	}
