relay/proxy: a broken stream goes on only with a proof of its version

What callers can see: events of two software versions in one answer (rule ORDER). Cause: after a break, confirmBeginning took the listed version as soon as the view was fresh, although an endpoint that has started within 2 s isn't listed yet. Change: it looks for the same proof as a relay at which the stream is taken up, and waits for it for 2.5 s at most. A connection that leads to what has lived for 2 s needs no wait. Once certain, the record says so. Not changed: the successor of a silent endpoint is acquired without the proof. With the wait, script silent_endpoints fails ("ran attempts 2" ran once: the endpoint went on after 2 s), so that case stays open. Measured: stream_endpoint_restarted_broken fails before (events 0 to 3 of v2, 4 to 7 of v1 in one answer) and passes; TestDeploy/(stream|silent|crash|garble|late|response) passes, go test -race ./relay/proxy too.

--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -81,27 +81,45 @@
 }
 
 // confirmBeginning reports whether the stream began at its version, before it goes on
-// elsewhere. If that can't be known, no other relay lets it go on either.
+// elsewhere. If that can't be known, no other relay lets it go on either. It waits for a
+// proof for a short time.
 func (req *request) confirmBeginning(ctx context.Context) bool {
+	b := req.beginning
+	if b == nil {
+		return !req.unsure
+	}
+	if req.awaitProof(ctx, req.Incarnations.presumedAt(b)) {
+		req.settleBeginning()
+		return true
+	}
+	req.setUnsure()
+	return false
+}
+
+// presumeBeginning is confirmBeginning for a silent endpoint, whose successor can't wait: a
+// version for which a proof is only pending counts.
+func (req *request) presumeBeginning(ctx context.Context) bool {
 	b := req.beginning
 	if b == nil {
 		return !req.unsure
 	}
 	req.refresh(ctx)
-	listed := req.isStillListed(b.endpoint)
-	req.beginning = nil
-	if listed && (req.Incarnations.isListed(b.conn) || req.fresh && req.Incarnations.Current()) {
+	p := req.prove(req.Incarnations.presumedAt(b))
+	switch {
+	case p == proofFound:
+		req.settleBeginning()
+		return true
+	case p == proofPending && req.fresh && req.Incarnations.Current():
 		return true
 	}
-	req.unsure = true
-	req.recordOrigin(origin.Origin{})
+	req.setUnsure()
 	return false
 }
 
-// isStillListed reports whether the view lists the incarnation of an endpoint.
-func (req *request) isStillListed(e *fleet.Endpoint) bool {
-	now := req.View().Endpoint(e.ID)
-	return now != nil && now.StartUnixMs == e.StartUnixMs
+// setUnsure records that the version at which the stream began can't be known.
+func (req *request) setUnsure() {
+	req.beginning, req.unsure = nil, true
+	req.recordOrigin(origin.Origin{})
 }
 
 // mayGoOnAt reports whether a stream may go on at an endpoint, as its version is known.
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -111,7 +111,7 @@
 		return searchFailed, reason
 	case req.exchange.ResponseStarted() && req.deadline.Sub(req.Clock.Now()) < req.firstEventLatency():
 		return searchFailed, "no time left for another endpoint"
-	case !req.confirmBeginning(ctx):
+	case !req.presumeBeginning(ctx):
 		return searchFailed, reasonUnknownVersion
 	case req.budget(req.service).Balance() < 1:
 		return searchFailed, reasonBudgetSpent
