--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -17,7 +17,7 @@
 	table.Put(start, "a", origin.Origin{Version: "v1"})
 	table.Put(start.Add(time.Second), "a", origin.Origin{Version: "v2"})
 	if v, ok := table.Get(start.Add(origin.Lifetime), "a"); v.Version != "v1" || !ok {
-		t.Errorf("got %+v, %v, want v1", v, ok)
+		t.Errorf("got %v, %v, want v1", v, ok)
 	}
 	table.Put(start, "b", origin.Origin{Version: "v1"})
 	table.Put(start, "b", origin.Origin{}) // the version can't be known after all
@@ -25,11 +25,35 @@
 		t.Errorf("got %v, %v, want the zero origin", v, ok)
 	}
 	if v, ok := table.Get(start.Add(origin.Lifetime+time.Millisecond), "a"); ok {
-		t.Errorf("got %+v after its lifetime", v)
+		t.Errorf("got %v after its lifetime", v)
 	}
 	table.Put(start.Add(time.Minute), "a", origin.Origin{Version: "v2"})
 	if v, _ := table.Get(start.Add(time.Minute), "a"); v.Version != "v2" {
-		t.Errorf("got %+v, want v2", v)
+		t.Errorf("got %v, want v2", v)
+	}
+}
+
+// TestPresumedRecord guards against a presumed version that stays presumed once it is certain, and against one that
+// replaces a certain one, another one or an unknown one.
+func TestPresumedRecord(t *testing.T) {
+	certain := origin.Origin{Service: "s", Version: "v1"}
+	presumed := certain
+	presumed.Presumed = origin.Incarnation{Endpoint: "e", StartUnixMs: 1, At: start}
+	other := presumed
+	other.Version = "v2"
+	for _, test := range []struct{ first, second, want origin.Origin }{
+		{presumed, certain, certain},
+		{certain, presumed, certain},
+		{other, certain, other},
+		{origin.Origin{}, certain, origin.Origin{}},
+		{presumed, origin.Origin{}, origin.Origin{}},
+	} {
+		var table origin.Table
+		table.Put(start, "a", test.first)
+		table.Put(start, "a", test.second)
+		if o, _ := table.Get(start, "a"); o != test.want {
+			t.Errorf("%+v after %+v: got %+v, want %+v", test.second, test.first, o, test.want)
+		}
 	}
 }
 
