--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -17,7 +17,7 @@
 	table.Put(start, "a", origin.Origin{Version: "v1"})
 	table.Put(start.Add(time.Second), "a", origin.Origin{Version: "v2"})
 	if v, ok := table.Get(start.Add(origin.Lifetime), "a"); v.Version != "v1" || !ok {
-		t.Errorf("got %q, %v, want v1", v, ok)
+		t.Errorf("got %v, %v, want v1", v, ok)
 	}
 	table.Put(start, "b", origin.Origin{Version: "v1"})
 	table.Put(start, "b", origin.Origin{}) // the version can't be known after all
@@ -25,11 +25,11 @@
 		t.Errorf("got %v, %v, want the zero origin", v, ok)
 	}
 	if v, ok := table.Get(start.Add(origin.Lifetime+time.Millisecond), "a"); ok {
-		t.Errorf("got %q after its lifetime", v)
+		t.Errorf("got %v after its lifetime", v)
 	}
 	table.Put(start.Add(time.Minute), "a", origin.Origin{Version: "v2"})
 	if v, _ := table.Get(start.Add(time.Minute), "a"); v.Version != "v2" {
-		t.Errorf("got %q, want v2", v)
+		t.Errorf("got %v, want v2", v)
 	}
 }
 
