relay/peers: records of streams are acknowledged and handed on

What callers saw: streams that couldn't go on though the relay that began them lives: its keepers were lost, or a correction hadn't reached one of them. Cause: a record was sent once, without acknowledgement, and to nobody afterwards. Change: keepers acknowledge records. The event origin_stored and a histogram tell how long the first acknowledgement takes.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -173,7 +173,7 @@
 	return defaultExpectedPeers
 }
 
-func newPeerMesh(live *sets.Live, l *logs.Logger, inc start.Incarnation) *peers.Mesh {
+func newPeerMesh(live *sets.Live, l *logs.Logger, inc start.Incarnation, meters *stats.Meters) *peers.Mesh {
 	s := live.Get()
 	return &peers.Mesh{
 		Group: &peer.Group{
@@ -181,7 +181,7 @@
 			ExpectedSize: expectedPeers(s), Started: time.Now(),
 		},
 		Seeds: func() []string { return live.Get().Peers.Seeds }, Timing: peers.Timing{Active: s.Peers.HeartbeatInterval},
-		Clock: clock.System{}, Log: l, Policy: policyFunc(live),
+		Clock: clock.System{}, Log: l, Policy: policyFunc(live), OnStored: meters.RecordStored,
 	}
 }
 
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -90,12 +90,15 @@
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
 	AttemptSilent = newEventType("attempt_silent", log.InfoLevel, requestRate, "An endpoint has sent nothing for longer than expected. Until another endpoint has been acquired, the attempt goes on.",
 		"request", "endpoint", "attempt", "decision", "reason", "left_ms")
+	OriginStored = newEventType("origin_stored", log.InfoLevel, changeRate, "The first of the other relays that remember a stream has acknowledged the record of where it began, or the correction of that.",
+		"stream", "member", "acked_ms")
 	RetryDecided = newEventType("retry_decided", log.InfoLevel, requestRate, "It was decided whether a request is retried; if not, the reason is given.",
 		"request", "retry", "reason", "saved", "event_id")
 )
 
 // Fields describes all fields of lines, by name.
 var Fields = map[string]Field{
+	"acked_ms":         {"ms", "time from sending the record to its acknowledgement"},
 	"active":           {"", "requests in flight"},
 	"addr":             {"", "IP:port"},
 	"admitted":         {"", "whether the request was admitted; false: rejected immediately"},
@@ -180,6 +183,7 @@
 	"state":            {"", "ready or draining"},
 	"status":           {"", "HTTP status of the response; 0: the connection was closed"},
 	"store":            {"", "IP:port"},
+	"stream":           {"", "ID of the caller's attempt that brought the first event of the stream"},
 	"subject":          {"", "what requests have in common: prompt part, or request (all of it), and a hash in hexadecimal, as in parts and content"},
 	"team":             {"", "name of the team"},
 	"took_ms":          {"ms", "duration"},
--- a/relay/peers/link.go
+++ b/relay/peers/link.go
@@ -172,7 +172,7 @@
 // forgetOwners makes the owners of all pools and the keepers of streams be chosen again.
 // The caller holds m.mu.
 func (m *Mesh) forgetOwners() {
-	m.keepers = keepers{}
+	m.keepers.members = nil
 	for p, o := range m.owners {
 		o.chosenAt = time.Time{}
 		m.owners[p] = o
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -108,6 +108,9 @@
 	Notices Notices
 	Topics  []Topic
 	Policy  func() sets.Policy // returns the current policy
+	// OnStored, if set, is called with the time that the first acknowledgement of a record
+	// has taken. It must not block.
+	OnStored func(took time.Duration)
 
 	mu        sync.Mutex
 	links     map[string]*outboundLink // by address
@@ -124,13 +127,15 @@
 	transfers chan struct{} // holds one value for each response with changes that is sent
 	ln        net.Listener
 
-	originMu sync.Mutex
-	origins  origin.Table // of the streams that this relay remembers; guarded by originMu
+	originMu sync.Mutex    // locked after mu, and before the locks of sessions
+	origins  origin.Table  // of the streams that this relay remembers; guarded by originMu
+	copies   origin.Copies // of the records of this relay's own streams; guarded by originMu
 }
 
 // Run maintains the links of this relay until ctx ends. It blocks.
 func (m *Mesh) Run(ctx context.Context) {
 	m.init()
+	go m.keepCopies(ctx)
 	t := time.NewTicker(m.Timing.active())
 	defer t.Stop()
 	for {
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -5,30 +5,22 @@
 	"time"
 
 	"wigeonplank.example/core/origin"
-	"wigeonplank.example/core/peer"
 )
 
 // originTimeout bounds the wait for the keepers of a stream. An answer takes some
 // milliseconds.
 const originTimeout = 150 * time.Millisecond
 
-// keepers caches the relays that remember streams.
-type keepers struct {
-	members  []peer.Member // in no order that matters
-	chosenAt time.Time
-}
-
 // RecordOrigin remembers where a stream began, here and at the relays that are asked
-// for it. It doesn't block. A lost message only means that fewer relays know it.
+// for it. It doesn't block.
 func (m *Mesh) RecordOrigin(stream string, o origin.Origin) {
 	now := m.Clock.Now()
 	m.originMu.Lock()
 	m.origins.Put(now, stream, o)
+	o, _ = m.origins.Get(now, stream)
+	m.copies.Put(now, stream, o)
 	m.originMu.Unlock()
-	keepers := m.originKeepers(now, stream)
-	for _, s := range keepers[:min(len(keepers), peer.KeepersPerStream)] {
-		s.send(&Work{Kind: &Work_Origin{Origin: originToWire(stream, o, now)}})
-	}
+	m.sendCopies(now, stream)
 }
 
 // FindOrigin returns where a stream began, and false if no relay that could be asked
@@ -41,8 +33,8 @@
 	keepers := m.originKeepers(now, stream)
 	replies := make(chan *OriginReply, len(keepers))
 	asked := 0
-	for _, s := range keepers {
-		if s.askOrigin(stream, replies) {
+	for _, k := range keepers {
+		if k.session != nil && k.session.askOrigin(stream, replies) {
 			asked++
 		}
 	}
@@ -70,28 +62,6 @@
 	return m.origins.Get(now, stream)
 }
 
-// originKeepers returns the links to the relays that remember streams, without this relay,
-// in the order in which they remember a stream.
-func (m *Mesh) originKeepers(now time.Time, stream string) []*session {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []*session
-	for _, p := range peer.OrderKeepers(m.keepersAt(now), stream) {
-		if s := m.byID[p.Instance]; s != nil {
-			out = append(out, s)
-		}
-	}
-	return out
-}
-
-// keepersAt returns the relays that remember streams. The caller holds m.mu.
-func (m *Mesh) keepersAt(now time.Time) []peer.Member {
-	if m.keepers.members == nil || now.Sub(m.keepers.chosenAt) >= ownersLifetime {
-		m.keepers = keepers{members: m.Group.Keepers(now), chosenAt: now}
-	}
-	return m.keepers.members
-}
-
 // askOrigin asks the other relay where a stream began. It reports false if that isn't
 // possible. The reply is sent to replies, which must have room for it, unless the link
 // fails.
@@ -113,14 +83,6 @@
 	return true
 }
 
-// recordOrigin remembers where a stream of the other relay began.
-func (s *session) recordOrigin(msg *StreamOrigin) {
-	now := s.mesh.Clock.Now()
-	s.mesh.originMu.Lock()
-	defer s.mesh.originMu.Unlock()
-	s.mesh.origins.Put(now, msg.GetStream(), originFromWire(msg, now))
-}
-
 // answerOrigin answers where a stream began, as far as this relay remembers.
 func (s *session) answerOrigin(msg *OriginRequest) {
 	now := s.mesh.Clock.Now()
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -105,6 +105,9 @@
 	originRequests uint64                         // sent so far
 	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
 
+	recordsSent    uint64                   // of streams, so far
+	awaitingStored map[uint64]awaitedRecord // those without an acknowledgement, by number
+
 	partSentAt time.Time // when the last part was taken; used only by the goroutine that writes work
 
 	sending  atomic.Bool // changes are being sent; parts of two responses must not mix
@@ -337,6 +340,8 @@
 			s.handlePlaced(k.Placed)
 		case *Work_Origin:
 			s.recordOrigin(k.Origin)
+		case *Work_Stored:
+			s.handleStored(k.Stored)
 		case *Work_FindOrigin:
 			s.answerOrigin(k.FindOrigin)
 		case *Work_FoundOrigin:
--- a/relay/stats/stats.go
+++ b/relay/stats/stats.go
@@ -98,6 +98,12 @@
 	NoticeClosed  Notice = "closed"  // it wants no requests for a while
 )
 
+// RecordStored records how long the first acknowledgement of the record of a stream has
+// taken.
+func (m *Meters) RecordStored(d time.Duration) {
+	m.record("origin"+unitSuffix, "kind", "first_stored", d)
+}
+
 // RecordNotice counts what an endpoint of a service has announced. service is empty if
 // it is unknown.
 func (m *Meters) RecordNotice(service string, n Notice) {
