core/origin: a certain record replaces a presumed one

Cause: the table kept the first record of a stream, so that a relay that was told first that the version rests on a presumed incarnation never learnt that it is certain. Change: a record of the same service and version that rests on no incarnation replaces it. Measured: TestTableIsCorrected fails before (certain after presumed) and passes.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -20,6 +20,11 @@
 	Presumed Incarnation
 }
 
+// confirms reports whether the version is that of a presumed origin, and certain.
+func (o Origin) confirms(presumed Origin) bool {
+	return o.Service == presumed.Service && o.Version == presumed.Version && o.Presumed == (Incarnation{}) && presumed != (Origin{})
+}
+
 // Incarnation is the incarnation of an endpoint that is presumed to have sent the first
 // event of a stream. The zero Incarnation is that of a stream whose version is certain.
 type Incarnation struct {
@@ -42,11 +47,11 @@
 }
 
 // Put records the origin of a stream. The first record of a stream stays, unless it turns
-// out that the version can't be known.
+// out that the version can't be known, or that the presumed version is certain.
 func (t *Table) Put(now time.Time, stream string, o Origin) {
 	t.expire(now)
 	if r, ok := t.records[stream]; ok {
-		if o == (Origin{}) {
+		if o == (Origin{}) || o.confirms(r.origin) {
 			r.origin = o
 			t.records[stream] = r
 		}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// TestTableIsCorrected guards against records that stay presumed, or known, though their
+// relay has corrected them.
+func TestTableIsCorrected(t *testing.T) {
+	for name, c := range map[string]struct{ first, second, want origin.Origin }{
+		"certain after presumed": {presumed, recorded, recorded},
+		"presumed after certain": {recorded, presumed, recorded},
+		"another version":        {presumed, other, presumed},
+		"unknown after presumed": {presumed, unknown, unknown},
+		"unknown stays":          {unknown, recorded, unknown},
+	} {
+		var table origin.Table
+		table.Put(start, "a", c.first)
+		table.Put(start, "a", c.second)
+		if got, _ := table.Get(start, "a"); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
+
 // TestTableIsBounded checks that the oldest streams are dropped when there are too
 // many.
 func TestTableIsBounded(t *testing.T) {
