relay/peers: late, missing and contradictory answers are told apart

What callers saw: streams that went on at another version, or were refused, though a record existed: relays that remember them answered late, were linked late or weren't asked. Cause: one result for no relay that could be asked, no answer within 150 ms and answers that all don't know; the first answer that named a version won over its correction. Change: a search ends with one of own, found, unknown, unrecorded or unanswered. Unrecorded needs the answers of the first five relays that remember the stream and have done so since before it began, or of all; those that are linked late are asked as well, for up to a second or half of the caller's time. Unanswered is refused as not run, to come back, in place of a computed version; a relay that knows no others concludes as before. Unknown wins over a version, and so do two versions that differ; a certain record wins over a presumed one. The event origin_sought tells the result, answers and time. Relays of the former release tell no since_ms: they count as old enough.

--- /dev/null
+++ b/core/origin/search.go
@@ -0,0 +1,116 @@
+package origin
+
+import "time"
+
+const (
+	// settlePeriod is the wait for further answers, of relays whose answer isn't needed:
+	// they may know the stream, or that its version can't be known.
+	settlePeriod = 50 * time.Millisecond
+)
+
+// Result tells what a relay has found out of where a stream began.
+type Result string
+
+// Results.
+const (
+	Own        Result = "own"        // the relay has served the stream itself
+	Found      Result = "found"      // another relay remembers it
+	Unknown    Result = "unknown"    // it is remembered that the version can't be known
+	Unrecorded Result = "unrecorded" // all relays that would remember it answered that they don't
+	Unanswered Result = "unanswered" // not enough of these relays have answered
+)
+
+// Finding is the outcome of a search for the origin of a stream.
+type Finding struct {
+	Result Result
+	Origin Origin // if the result is Own or Found
+	// Expected reports, of an unrecorded stream, whether a relay that answered has
+	// remembered streams since before this one began.
+	Expected bool
+	Asked    int // other relays
+	Answered int
+}
+
+// Answer is what another relay remembers of a stream.
+type Answer struct {
+	Known  bool
+	Origin Origin
+	Since  time.Duration // for which the relay has remembered streams; 0: not told
+}
+
+// Search gathers the answers of other relays. It is not safe for concurrent use.
+type Search struct {
+	MaxAge time.Duration // of the stream
+	Want   int           // keepers that must have answered
+	Asked  int           // relays that were asked so far
+
+	answers map[Keeper]Answer
+	addedAt time.Time // of the last answer
+	known   bool
+	origin  Origin
+	knownAt time.Time
+}
+
+// Add adds the answer of a relay, or what this relay remembers itself for others.
+func (s *Search) Add(now time.Time, from Keeper, a Answer) {
+	if s.answers == nil {
+		s.answers = make(map[Keeper]Answer)
+	}
+	s.answers[from], s.addedAt = a, now
+	if !a.Known {
+		return
+	}
+	if !s.known {
+		s.known, s.origin, s.knownAt = true, a.Origin, now
+		return
+	}
+	s.origin = s.origin.merge(a.Origin)
+}
+
+// merge returns the origin of a stream of which two relays have records. A correction
+// wins over what it corrects.
+func (o Origin) merge(other Origin) Origin {
+	if o.Service != other.Service || o.Version != other.Version {
+		return Origin{}
+	}
+	if o.Presumed == (Incarnation{}) {
+		return o
+	}
+	return other
+}
+
+// Decide returns what follows from the answers, and false if more are to be awaited.
+// keepers are those that remember the stream, in their order. One that has remembered
+// streams for less than the age of this one may lack it, so that the next one must have
+// answered as well.
+func (s *Search) Decide(now time.Time, keepers []Keeper) (Finding, bool) {
+	f := Finding{Result: Unanswered, Asked: s.Asked, Answered: len(s.answers)}
+	complete, old := true, 0
+	for _, k := range keepers {
+		a, ok := s.answers[k]
+		if !ok {
+			complete = false
+			break
+		}
+		if a.Since == 0 || a.Since > s.MaxAge {
+			old++
+		}
+		f.Expected = f.Expected || a.Since > s.MaxAge
+		if old >= s.Want {
+			break
+		}
+	}
+	settled := complete && (len(s.answers) >= s.Asked || now.Sub(s.addedAt) >= settlePeriod)
+	switch {
+	case s.known && s.origin == Origin{}:
+		f.Result = Unknown
+		return f, true
+	case s.known && (settled || now.Sub(s.knownAt) >= settlePeriod):
+		f.Result, f.Origin = Found, s.origin
+		return f, true
+	case !s.known && settled:
+		f.Result = Unrecorded
+		return f, true
+	}
+	return f, false
+}
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -90,6 +90,8 @@
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
 	AttemptSilent = newEventType("attempt_silent", log.InfoLevel, requestRate, "An endpoint has sent nothing for longer than expected. Until another endpoint has been acquired, the attempt goes on.",
 		"request", "endpoint", "attempt", "decision", "reason", "left_ms")
+	OriginSought = newEventType("origin_sought", log.InfoLevel, requestRate, "The relays that may remember where a stream began were asked, as its caller takes it up.",
+		"request", "stream", "result", "expected", "asked", "answered", "took_ms")
 	OriginStored = newEventType("origin_stored", log.InfoLevel, changeRate, "The first of the other relays that remember a stream has acknowledged the record of where it began, or the correction of that.",
 		"stream", "member", "acked_ms")
 	RetryDecided = newEventType("retry_decided", log.InfoLevel, requestRate, "It was decided whether a request is retried; if not, the reason is given.",
@@ -111,6 +113,8 @@
 	"changes":          {"", "number of changes of the store"},
 	"entries":          {"", "number of entries of the store"},
 	"ahead":            {"requests", "estimated requests at the endpoint when it was selected by time; 0: selected otherwise"},
+	"answered":         {"", "number of other relays that answered"},
+	"asked":            {"", "number of other relays that were asked"},
 	"attempt":          {"", "number of the attempt at an endpoint, from 1"},
 	"attempts":         {"", "number of endpoints that may have run the request"},
 	"caller":           {"", "IP:port"},
@@ -130,6 +134,7 @@
 	"error":            {"", "error message"},
 	"event_id":         {"", "ID of the last event of the stream that the caller has; -1: none"},
 	"failures":         {"", "number of consecutive failures"},
+	"expected":         {"", "whether a relay that doesn't remember the stream has remembered streams since before it began"},
 	"expected_ms":      {"ms", "estimate with the current queues, corrected by how long recent requests of the route waited"},
 	"first_event_ms":   {"ms", "time from the start of the request to the first event of its stream"},
 	"from":             {"", "relay that sent the information"},
@@ -164,7 +169,7 @@
 	"requests_lost":    {"", "number of this relay's requests that the endpoint was running"},
 	"resumes":          {"", "ID of the caller's attempt that brought the first event of the stream; empty: the stream begins"},
 	"since":            {"time", "from when on something is known"},
-	"result":           {"", "effect on the endpoint's health: good, full, failed or none"},
+	"result":           {"", "effect on the endpoint's health: good, full, failed or none. Of origin_sought: own (the relay has served the stream itself), found, unknown (the version can't be known), unrecorded (all that would remember it answered that they don't) or unanswered"},
 	"results":          {"", "number of results of stages"},
 	"retry":            {"", "whether the request is sent to another endpoint"},
 	"retry_after_ms":   {"ms", "time after which the caller may retry; 0: not given"},
--- a/relay/peers/copies_test.go
+++ b/relay/peers/copies_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"testing"
@@ -121,7 +122,104 @@
 	if w := <-s.queue; w.GetStored().GetNumber() != 7 {
 		t.Errorf("sent %v, want the acknowledgement of record 7", w)
 	}
-	if _, ok := ot.mesh.origin(ot.clk.Now(), "b"); !ok {
+	if _, known, _ := ot.mesh.remembered(ot.clk.Now(), "b"); !known {
 		t.Error("the record isn't remembered")
 	}
 }
+
+// answer answers the requests that other relays got, as a relay that has remembered streams
+// for some time.
+func (t *originTest) answer(since time.Duration, o *origin.Origin, ids ...string) {
+	for _, id := range ids {
+		s := t.links[id]
+		for len(s.queue) > 0 {
+			q := (<-s.queue).GetFindOrigin()
+			if q == nil {
+				continue
+			}
+			r := &OriginReply{Number: q.GetNumber(), SinceMs: since.Milliseconds()}
+			if o != nil {
+				r.Known, r.Service, r.Version = true, o.Service, o.Version
+			}
+			s.handleOriginReply(r)
+		}
+	}
+}
+
+// find seeks a stream, and lets answers arrive while it waits. Time passes with each look.
+func (t *originTest) find(ctx context.Context, onWait func()) origin.Finding {
+	done := make(chan origin.Finding, 1)
+	go func() { done <- t.mesh.FindOrigin(ctx, "a", time.Second) }()
+	for {
+		select {
+		case f := <-done:
+			return f
+		case <-time.After(time.Millisecond):
+			t.clk.Advance(5 * time.Millisecond)
+			onWait()
+		}
+	}
+}
+
+// TestLateAnswersOfKeepers guards against streams whose version is computed though their
+// record exists: its keepers answer late, are linked late, or didn't answer at all.
+func TestLateAnswersOfKeepers(t *testing.T) {
+	known := &origin.Origin{Service: "s", Version: "v1"}
+	ids := []string{"r0", "r1", "r2"}
+	t.Run("late", func(t *testing.T) {
+		ot := newOriginTest(3)
+		begun := ot.clk.Now()
+		f := ot.find(t.Context(), func() {
+			if ot.clk.Now().Sub(begun) > 400*time.Millisecond {
+				ot.answer(time.Minute, known, ids...)
+			}
+		})
+		if f.Result != origin.Found || f.Origin != *known {
+			t.Errorf("%+v, want the record", f)
+		}
+	})
+	t.Run("none", func(t *testing.T) {
+		ot := newOriginTest(3)
+		if f := ot.find(t.Context(), func() { ot.answer(time.Minute, nil, ids[:2]...) }); f.Result != origin.Unanswered || f.Asked != 3 || f.Answered != 2 {
+			t.Errorf("%+v, want no conclusion from two of three answers", f)
+		}
+	})
+	t.Run("lost meanwhile", func(t *testing.T) {
+		ot := newOriginTest(3)
+		begun := ot.clk.Now()
+		f := ot.find(t.Context(), func() {
+			ot.answer(time.Minute, nil, ids[:2]...)
+			if ot.links["r2"] != nil && ot.clk.Now().Sub(begun) > 200*time.Millisecond {
+				ot.mesh.mu.Lock()
+				ot.lose("r2")
+				ot.mesh.mu.Unlock()
+			}
+		})
+		if f.Result != origin.Unrecorded || !f.Expected {
+			t.Errorf("%+v, want that all that are left don't know the stream", f)
+		}
+	})
+	t.Run("linked meanwhile", func(t *testing.T) {
+		ot := newOriginTest(3)
+		delete(ot.mesh.byID, "r2")
+		begun := ot.clk.Now()
+		f := ot.find(t.Context(), func() {
+			ot.answer(time.Minute, nil, ids[:2]...)
+			if ot.clk.Now().Sub(begun) > 200*time.Millisecond {
+				ot.mesh.mu.Lock()
+				ot.mesh.byID["r2"] = ot.links["r2"]
+				ot.mesh.mu.Unlock()
+				ot.answer(time.Minute, known, "r2")
+			}
+		})
+		if f.Result != origin.Found {
+			t.Errorf("%+v, want the record", f)
+		}
+	})
+	t.Run("alone", func(t *testing.T) {
+		ot := newOriginTest(0)
+		if f := ot.find(t.Context(), func() {}); f.Result != origin.Unrecorded || f.Expected {
+			t.Errorf("%+v, want that nobody can know the stream", f)
+		}
+	})
+}
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -7,9 +7,18 @@
 	"wigeonplank.example/core/origin"
 )
 
-// originTimeout bounds the wait for the keepers of a stream. An answer takes some
-// milliseconds.
-const originTimeout = 150 * time.Millisecond
+const (
+	// originTimeout bounds the wait for the relays that remember a stream. An answer takes
+	// some milliseconds, but starved relays answer later, and lost ones are known as lost
+	// within a second or two.
+	originTimeout = time.Second
+	// originInterval is the time between two looks for relays that were linked, or lost,
+	// meanwhile.
+	originInterval = 25 * time.Millisecond
+	// wantedAnswers is the number of relays that must have answered before a stream counts as
+	// unrecorded. Records are at more of them.
+	wantedAnswers = 5
+)
 
 // RecordOrigin remembers where a stream began, here and at the relays that are asked
 // for it. It doesn't block.
@@ -23,49 +32,90 @@
 	m.sendCopies(now, stream)
 }
 
-// FindOrigin returns where a stream began, and false if no relay that could be asked
-// knows it. It blocks for a short time at most.
-func (m *Mesh) FindOrigin(ctx context.Context, stream string) (origin.Origin, bool) {
-	now := m.Clock.Now()
-	if o, ok := m.origin(now, stream); ok {
-		return o, true
-	}
-	keepers := m.originKeepers(now, stream)
-	replies := make(chan *OriginReply, len(keepers))
-	asked := 0
-	for _, k := range keepers {
-		if k.session != nil && k.session.askOrigin(stream, replies) {
-			asked++
+// FindOrigin finds out where a stream began that is of at most a certain age. It blocks
+// until enough of the relays that would remember it have answered, for a second at most.
+func (m *Mesh) FindOrigin(ctx context.Context, stream string, maxAge time.Duration) origin.Finding {
+	begun := m.Clock.Now()
+	o, known, own := m.remembered(begun, stream)
+	if known && (own || o == origin.Origin{}) {
+		if o == (origin.Origin{}) {
+			return origin.Finding{Result: origin.Unknown}
 		}
+		return origin.Finding{Result: origin.Own, Origin: o}
+	}
+	timeout := originTimeout
+	if end, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, end.Sub(begun)/2)
 	}
-	t := time.NewTimer(originTimeout)
+	search := origin.Search{MaxAge: maxAge, Want: wantedAnswers}
+	if known {
+		search.Add(begun, origin.Keeper{}, origin.Answer{Known: true, Origin: o})
+	}
+	replies := make(chan originAnswer, maxOriginAnswers)
+	asked := make(map[*session]bool)
+	t := time.NewTicker(originInterval)
 	defer t.Stop()
-	for range asked {
+	for {
+		now := m.Clock.Now()
+		keepers := m.originKeepers(now, stream)
+		order := make([]origin.Keeper, 0, len(keepers))
+		for _, k := range keepers {
+			order = append(order, k.Keeper)
+			if k.session != nil && !asked[k.session] && search.Asked < maxOriginAnswers && k.session.askOrigin(stream, replies) {
+				asked[k.session] = true
+				search.Asked++
+			}
+		}
+		f, ok := search.Decide(now, order)
+		if ok && (len(order) > 0 || m.Informed()) {
+			return f
+		}
+		if now.Sub(begun) >= timeout {
+			return f
+		}
 		select {
 		case r := <-replies:
-			if r.GetKnown() {
-				return originFromWire(r, m.Clock.Now()), true
-			}
+			search.Add(m.Clock.Now(), r.from, answerFromWire(r.reply, m.Clock.Now()))
 		case <-t.C:
-			return origin.Origin{}, false
 		case <-ctx.Done():
-			return origin.Origin{}, false
+			return f
 		}
 	}
-	return origin.Origin{}, false
 }
 
-// origin returns what this relay itself remembers of a stream.
-func (m *Mesh) origin(now time.Time, stream string) (origin.Origin, bool) {
+// remembered returns what this relay itself remembers of a stream, and whether it has
+// served the stream.
+func (m *Mesh) remembered(now time.Time, stream string) (o origin.Origin, known, own bool) {
 	m.originMu.Lock()
 	defer m.originMu.Unlock()
-	return m.origins.Get(now, stream)
+	o, known = m.origins.Get(now, stream)
+	return o, known, known && m.copies.Own(stream)
+}
+
+// maxOriginAnswers bounds the answers to one question.
+const maxOriginAnswers = 32
+
+// originAnswer is the answer of another relay.
+type originAnswer struct {
+	from  origin.Keeper
+	reply *OriginReply
+}
+
+// rememberedFor returns for how long this relay has been one of those that remember streams.
+func (m *Mesh) rememberedFor(now time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keepersAt(now)
+	if m.keepers.since.IsZero() {
+		return 0
+	}
+	return now.Sub(m.keepers.since)
 }
 
 // askOrigin asks the other relay where a stream began. It reports false if that isn't
 // possible. The reply is sent to replies, which must have room for it, unless the link
 // fails.
-func (s *session) askOrigin(stream string, replies chan<- *OriginReply) bool {
+func (s *session) askOrigin(stream string, replies chan<- originAnswer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -77,7 +127,7 @@
 		return false
 	}
 	if s.awaitingOrigin == nil {
-		s.awaitingOrigin = make(map[uint64]chan<- *OriginReply)
+		s.awaitingOrigin = make(map[uint64]chan<- originAnswer)
 	}
 	s.awaitingOrigin[n] = replies
 	return true
@@ -86,11 +136,12 @@
 // answerOrigin answers where a stream began, as far as this relay remembers.
 func (s *session) answerOrigin(msg *OriginRequest) {
 	now := s.mesh.Clock.Now()
-	o, known := s.mesh.origin(now, msg.GetStream())
+	o, known, _ := s.mesh.remembered(now, msg.GetStream())
 	w := originToWire(msg.GetStream(), o, now)
 	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: &OriginReply{
 		Number: msg.GetNumber(), Known: known, Service: w.GetService(), Version: w.GetVersion(),
 		Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), AgeUs: w.GetAgeUs(),
+		SinceMs: s.mesh.rememberedFor(now).Milliseconds() + 1, // 0 has another meaning
 	}}})
 }
 
@@ -100,6 +151,6 @@
 	defer s.mu.Unlock()
 	if replies := s.awaitingOrigin[msg.GetNumber()]; replies != nil {
 		delete(s.awaitingOrigin, msg.GetNumber())
-		replies <- msg
+		replies <- originAnswer{from: keeperOf(s.remote), reply: msg}
 	}
 }
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -103,7 +103,7 @@
 	placing   map[string]chan Placement // requests that wait for an engine, by ID
 
 	originRequests uint64                         // sent so far
-	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
+	awaitingOrigin map[uint64]chan<- originAnswer // those without a reply, by number
 
 	recordsSent    uint64                   // of streams, so far
 	awaitingStored map[uint64]awaitedRecord // those without an acknowledgement, by number
--- a/relay/peers/wire.go
+++ b/relay/peers/wire.go
@@ -137,3 +137,7 @@
 	}
 	return o
 }
+
+func answerFromWire(w *OriginReply, now time.Time) origin.Answer {
+	return origin.Answer{Known: w.GetKnown(), Origin: originFromWire(w, now), Since: time.Duration(w.GetSinceMs()) * time.Millisecond}
+}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -48,9 +48,9 @@
 type Origins interface {
 	// RecordOrigin remembers the origin of a stream. It doesn't block.
 	RecordOrigin(stream string, o origin.Origin)
-	// FindOrigin returns the origin of a stream, and false if it is not known. It
-	// blocks for a short time at most.
-	FindOrigin(ctx context.Context, stream string) (origin.Origin, bool)
+	// FindOrigin finds out where a stream began that is of at most a certain age. It blocks
+	// for a second at most.
+	FindOrigin(ctx context.Context, stream string, maxAge time.Duration) origin.Finding
 }
 
 // Forwarder forwards requests to endpoints. Set the exported fields before use. It
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -15,6 +15,7 @@
 	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/pick"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 	"wigeonplank.example/relay/stats"
 )
@@ -43,10 +44,14 @@
 // certainly of that version, it rejects the request and returns false. A service that the
 // route no longer has doesn't bind: its versions mean nothing to another service.
 func (req *request) bindToOrigin(ctx context.Context) bool {
-	o, known := req.findOrigin(ctx)
-	if !known {
+	o, result := req.findOrigin(ctx)
+	switch result {
+	case origin.Unknown:
 		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
 		return false
+	case origin.Unanswered:
+		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: relays that may remember the stream don't answer")
+		return false
 	}
 	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
 		return true
@@ -60,20 +65,33 @@
 	return true
 }
 
-// findOrigin returns where the stream began that the caller takes up, and false if its
-// version isn't known. If no relay remembers it, the version is concluded from what was
-// listed until now: a view that is older may lack the version.
-func (req *request) findOrigin(ctx context.Context) (origin.Origin, bool) {
-	if stream := req.headers.Resumes; stream != "" {
-		if o, ok := req.Origins.FindOrigin(ctx, stream); ok {
-			return o, o != origin.Origin{}
+// findOrigin returns where the stream began that the caller takes up. The result is Unknown
+// if its version can't be known, and Unanswered if relays that may remember it don't answer. If
+// none remembers it, the version is concluded from what was listed until now: a view that is
+// older may lack the version.
+func (req *request) findOrigin(ctx context.Context) (origin.Origin, origin.Result) {
+	if req.headers.Resumes != "" {
+		if f := req.seekOrigin(ctx); f.Result != origin.Unrecorded {
+			return f.Origin, f.Result
 		}
 	}
 	if !req.Refresh(ctx, 0) {
-		return origin.Origin{}, false
+		return origin.Origin{}, origin.Unknown
 	}
 	v, ok := req.Balancer.OriginVersion(req.service, req.headers.Resumes, req.maxStreamAge())
-	return origin.Origin{Service: req.service, Version: v}, ok
+	if !ok {
+		return origin.Origin{}, origin.Unknown
+	}
+	return origin.Origin{Service: req.service, Version: v}, origin.Unrecorded
+}
+
+// seekOrigin asks the relays that may remember where the stream began.
+func (req *request) seekOrigin(ctx context.Context) origin.Finding {
+	begun := req.Clock.Now()
+	f := req.Origins.FindOrigin(ctx, req.headers.Resumes, req.maxStreamAge())
+	req.Log.Event(logs.OriginSought).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("result", string(f.Result)).
+		Bool("expected", f.Expected).Int("asked", f.Asked).Int("answered", f.Answered).Dur("took_ms", req.Clock.Now().Sub(begun)).Msg("")
+	return f
 }
 
 // maxStreamAge returns how old the stream is at most that the caller takes up. Callers of
