--- a/core/origin/begin_test.go
+++ b/core/origin/begin_test.go
@@ -58,7 +58,8 @@
 				stream := fmt.Sprint(seed, "/", i)
 				version, _ := before.Choose("s", stream)
 				began++
-				got, ok := after.Began(m.now, "s", stream, m.now.Sub(beganAt))
+				c := after.Began(m.now, origin.Stream{Service: "s", ID: stream, Since: beganAt})
+				got, ok := c.Version, c.Known()
 				if ok && got != version {
 					t.Errorf("view %v late, seed %d: stream %s began at %s and goes on at %s", late, seed, stream, version, got)
 				}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -33,26 +33,21 @@
 	}
 }
 
-// TestPresumedRecord guards against a presumed version that stays presumed once it is certain, and against one that
-// replaces a certain one, another one or an unknown one.
-func TestPresumedRecord(t *testing.T) {
-	certain := origin.Origin{Service: "s", Version: "v1"}
-	presumed := certain
-	presumed.Presumed = origin.Incarnation{Endpoint: "e", StartUnixMs: 1, At: start}
-	other := presumed
-	other.Version = "v2"
-	for _, test := range []struct{ first, second, want origin.Origin }{
-		{presumed, certain, certain},
-		{certain, presumed, certain},
-		{other, certain, other},
-		{origin.Origin{}, certain, origin.Origin{}},
-		{presumed, origin.Origin{}, origin.Origin{}},
+// TestTableIsCorrected guards against records that stay presumed, or known, though their
+// relay has corrected them.
+func TestTableIsCorrected(t *testing.T) {
+	for name, c := range map[string]struct{ first, second, want origin.Origin }{
+		"certain after presumed": {presumed, recorded, recorded},
+		"presumed after certain": {recorded, presumed, recorded},
+		"another version":        {presumed, other, presumed},
+		"unknown after presumed": {presumed, unknown, unknown},
+		"unknown stays":          {unknown, recorded, unknown},
 	} {
 		var table origin.Table
-		table.Put(start, "a", test.first)
-		table.Put(start, "a", test.second)
-		if o, _ := table.Get(start, "a"); o != test.want {
-			t.Errorf("%+v after %+v: got %+v, want %+v", test.second, test.first, o, test.want)
+		table.Put(start, "a", c.first)
+		table.Put(start, "a", c.second)
+		if got, _ := table.Get(start, "a"); got != c.want {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
 		}
 	}
 }
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -108,12 +108,16 @@
 	Notices Notices
 	Topics  []Topic
 	Policy  func() sets.Policy // returns the current policy
+	// OnStored, if set, is called with the time that the first acknowledgement of a record
+	// has taken. It must not block.
+	OnStored func(took time.Duration)
 
 	mu        sync.Mutex
 	links     map[string]*outboundLink // by address
 	byID      map[string]*session      // sessions of links of this relay that are up, by instance ID
 	sessions  map[*session]bool        // all sessions that are up, in both directions
 	owners    map[batch.Pool]ownership
+	keepers   keepers
 	reads     bool // this relay reads the store for others
 	alone     bool // all known relays read the store
 	informed  bool // a relay has told what it knows
@@ -123,13 +127,15 @@
 	transfers chan struct{} // holds one value for each response with changes that is sent
 	ln        net.Listener
 
-	originMu sync.Mutex
-	origins  origin.Table // of the streams that this relay remembers; guarded by originMu
+	originMu sync.Mutex    // locked after mu, and before the locks of sessions
+	origins  origin.Table  // of the streams that this relay remembers; guarded by originMu
+	copies   origin.Copies // of the records of this relay's own streams; guarded by originMu
 }
 
 // Run maintains the links of this relay until ctx ends. It blocks.
 func (m *Mesh) Run(ctx context.Context) {
 	m.init()
+	go m.keepCopies(ctx)
 	t := time.NewTicker(m.Timing.active())
 	defer t.Stop()
 	for {
@@ -210,10 +216,8 @@
 	for _, p := range m.Group.Followed(now) {
 		out = append(out, p.Addr)
 	}
-	for n := range originShards {
-		for _, p := range m.Group.Keepers(now, originShard(n)) {
-			out = append(out, p.Addr)
-		}
+	for _, p := range m.keepersAt(now) {
+		out = append(out, p.Addr)
 	}
 	for pool, o := range m.owners {
 		if now.Sub(o.usedAt) > poolLinger {
@@ -396,6 +400,9 @@
 	for _, b := range hb.GetBeats() {
 		m.Group.Advance(now, b.GetInstance(), b.GetIncarnation(), b.GetBeat(), from)
 	}
+	if discovered {
+		m.keepers.members = nil
+	}
 	m.mu.Unlock()
 	if discovered {
 		m.requestRelink()
--- a/relay/peers/session.go
+++ b/relay/peers/session.go
@@ -103,7 +103,10 @@
 	placing   map[string]chan Placement // requests that wait for an engine, by ID
 
 	originRequests uint64                         // sent so far
-	awaitingOrigin map[uint64]chan<- *OriginReply // those without a reply, by number
+	awaitingOrigin map[uint64]chan<- originAnswer // those without a reply, by number
+
+	recordsSent    uint64                   // of streams, so far
+	awaitingStored map[uint64]awaitedRecord // those without an acknowledgement, by number
 
 	peerSent  time.Duration // when the last heartbeat received was sent, by the other relay's clock; 0: not known; guarded by mu
 	peerHeard time.Duration // when it was received, by this relay's clock; guarded by mu
@@ -344,6 +347,8 @@
 			s.handlePlaced(k.Placed)
 		case *Work_Origin:
 			s.recordOrigin(k.Origin)
+		case *Work_Stored:
+			s.handleStored(k.Stored)
 		case *Work_FindOrigin:
 			s.answerOrigin(k.FindOrigin)
 		case *Work_FoundOrigin:
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -45,10 +45,14 @@
 // certainly of that version, it rejects the request and returns false. A service that the
 // route no longer has doesn't bind: its versions mean nothing to another service.
 func (req *request) bindToOrigin(ctx context.Context) bool {
-	o, known := req.findOrigin(ctx)
-	if !known {
+	o, result := req.findOrigin(ctx)
+	switch result {
+	case origin.Unknown:
 		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
 		return false
+	case origin.Unanswered:
+		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: relays that may remember the stream don't answer")
+		return false
 	}
 	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
 		return true
@@ -66,23 +70,39 @@
 	return true
 }
 
-// findOrigin returns where the stream began that the caller takes up, and false if its
-// version isn't known. If no relay remembers it, the version is concluded from what was
-// listed until now: a view that is older may lack the version.
-func (req *request) findOrigin(ctx context.Context) (origin.Origin, bool) {
-	if stream := req.headers.Resumes; stream != "" {
-		if o, ok := req.Origins.FindOrigin(ctx, stream); ok {
-			return o, o != origin.Origin{}
+// findOrigin returns where the stream began that the caller takes up. The result is Unknown
+// if its version can't be known, and Unanswered if relays that may remember it don't answer. If
+// none remembers it, the version is concluded from what was listed until now: a view that is
+// older may lack the version.
+func (req *request) findOrigin(ctx context.Context) (origin.Origin, origin.Result) {
+	expected := false
+	if req.headers.Resumes != "" {
+		f := req.seekOrigin(ctx)
+		if f.Result != origin.Unrecorded {
+			return f.Origin, f.Result
 		}
+		expected = f.Expected
 	}
 	if !req.Refresh(ctx, 0) {
-		return origin.Origin{}, false
+		return origin.Origin{}, origin.Unknown
 	}
-	c := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin()})
+	c := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin(), Unrecorded: expected})
 	req.Log.Event(logs.OriginConcluded).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("service", req.service).
 		Str("endpoint_version", c.Version).Bool("known", c.Known()).Str("reason", string(c.Reason)).Int("moments", c.Moments).
 		Dur("window_ms", c.Window).Msg("")
-	return origin.Origin{Service: req.service, Version: c.Version}, c.Known()
+	if !c.Known() {
+		return origin.Origin{}, origin.Unknown
+	}
+	return origin.Origin{Service: req.service, Version: c.Version}, origin.Unrecorded
+}
+
+// seekOrigin asks the relays that may remember where the stream began.
+func (req *request) seekOrigin(ctx context.Context) origin.Finding {
+	begun := req.Clock.Now()
+	f := req.Origins.FindOrigin(ctx, req.headers.Resumes, begun.Sub(req.earliestBegin()))
+	req.Log.Event(logs.OriginSought).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("result", string(f.Result)).
+		Bool("expected", f.Expected).Int("asked", f.Asked).Int("answered", f.Answered).Dur("took_ms", req.Clock.Now().Sub(begun)).Msg("")
+	return f
 }
 
 // earliestBegin returns the time before which the stream that the caller takes up can't have
