proof/stream: a run that sees streams go on at another version

Peers' links lead through a switchable network that replaces addresses in what relays tell one another, so that relays of any build can be cut off. The store of the stand-in may forget its history and send longer pages.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 10
 
-.PHONY: build demo test soak chaos mutants docs fuzz bench regress
+.PHONY: build demo test soak streams chaos mutants docs fuzz bench regress
 
 build:
 	@mkdir -p $(BIN)
@@ -23,6 +23,11 @@
 soak: build
 	@$(BIN)/proof soak --seeds $(SEEDS) $(if $(FROM),--from $(FROM))
 
+# Runs as many relays as a large deployment has, loses them again and again under load, and
+# judges each stream. FROM=N sets the first seed, ARGS further options of the command.
+streams: build
+	@$(BIN)/proof streams --seeds $(SEEDS) $(if $(FROM),--from $(FROM)) $(ARGS)
+
 test:
 	@bash .ci/test
 
--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -57,9 +57,18 @@
 	Version    string // of its software; empty: DefaultVersion
 	Kind       Kind
 	Slots      int
-	MaxItems   int           // per stage call
-	WorkTime   time.Duration // time per request or stage call; for engines also before each event
-	EventCount int           // per stream
+	MaxItems   int                  // per stage call
+	WorkTime   time.Duration        // time per request or stage call; for engines also before each event
+	EventCount int                  // per stream
+	Events     func(uri string) int // per stream, in place of EventCount; nil: EventCount
+}
+
+// eventCount returns the number of events of a stream.
+func (s Spec) eventCount(uri string) int {
+	if s.Events == nil {
+		return s.EventCount
+	}
+	return s.Events(uri)
 }
 
 // ExecutedRequest is a request that an endpoint executed.
--- a/fakes/site/site.go
+++ b/fakes/site/site.go
@@ -126,14 +126,18 @@
 }
 
 // Register writes the store entry of an endpoint with the given state.
-func (s *Site) Register(id, state string) error {
+func (s *Site) Register(id, state string) error { return s.RegisterAgain(id, state, 1) }
+
+// RegisterAgain writes the store entry of an endpoint that has written to the store seq
+// times, this one included.
+func (s *Site) RegisterAgain(id, state string, seq int) error {
 	e := s.Endpoint(id)
 	if e == nil {
 		return fmt.Errorf("no endpoint %q", id)
 	}
 	raw, err := json.Marshal(map[string]any{
 		"service": e.Service, "address": e.Addr, "zone": e.Zone, "version": e.Version, "slots": e.Slots,
-		"state": state, "coldLeftMs": 0, "seq": 1, "born": e.startedAtMs(),
+		"state": state, "coldLeftMs": 0, "seq": seq, "born": e.startedAtMs(),
 	})
 	if err != nil {
 		return fmt.Errorf("encode entry of %s: %w", id, err)
--- a/fakes/site/store.go
+++ b/fakes/site/store.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -28,7 +29,7 @@
 )
 
 const (
-	maxPageItems = 3                // small, so that short lists span several pages
+	fewPageItems = 3                // of a page by default; few, so that short lists span several pages
 	hangTime     = 20 * time.Second // longer than any caller waits
 )
 
@@ -40,10 +41,15 @@
 	Revision int64  `json:"revision"`
 	Created  int64  `json:"created,omitempty"`
 	Removed  bool   `json:"removed,omitempty"`
+
+	at time.Time // of the change
 }
 
 // Store is the platform's store. The zero value is ready to use.
 type Store struct {
+	PageItems int           // of a page of a list; 0: few
+	Retention time.Duration // for which it keeps its history; 0: without a limit
+
 	mu                sync.Mutex
 	items             map[string]Item // by key
 	history           []Item          // in the order of revisions
@@ -126,11 +132,21 @@
 	} else {
 		s.items[it.Key] = it
 	}
+	it.at = time.Now()
 	s.history = append(s.history, it)
+	s.forgetLocked(it.at)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// forgetLocked deletes the history that is older than Retention. The caller holds mu.
+func (s *Store) forgetLocked(now time.Time) {
+	for s.Retention > 0 && len(s.history) > 0 && now.Sub(s.history[0].at) > s.Retention {
+		s.compactedRevision = s.history[0].Revision
+		s.history = s.history[1:]
+	}
+}
+
 // SetOutage sets the failure mode of the store; OutageNone ends an outage.
 func (s *Store) SetOutage(o Outage) {
 	s.mu.Lock()
@@ -199,13 +215,14 @@
 	prefix, after := string(ctx.QueryArgs().Peek("prefix")), string(ctx.QueryArgs().Peek("after"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := make([]Item, 0, maxPageItems)
+	most := cmp.Or(s.PageItems, fewPageItems)
+	items := make([]Item, 0, most)
 	more := false
 	for _, k := range slices.Sorted(maps.Keys(s.items)) {
 		if !strings.HasPrefix(k, prefix) || k <= after {
 			continue
 		}
-		if len(items) == maxPageItems {
+		if len(items) == most {
 			more = true
 			break
 		}
@@ -224,6 +241,7 @@
 	timeout := time.After(time.Duration(q.GetUintOrZero("waitMs")) * time.Millisecond)
 	for {
 		s.mu.Lock()
+		s.forgetLocked(time.Now())
 		if after < s.compactedRevision || after > s.revision {
 			s.mu.Unlock()
 			ctx.SetStatusCode(fasthttp.StatusGone)
--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -25,8 +25,8 @@
 	if fault == FaultNoEvents {
 		return raw
 	}
-	from := firstEvent(ctx)
-	for i := from; i < (from+e.EventCount)/2; i++ {
+	from, count := firstEvent(ctx), e.eventCount(string(ctx.RequestURI()))
+	for i := from; i < (from+count)/2; i++ {
 		raw += formatEvent(string(ctx.RequestURI()), i, e.Version)
 	}
 	return raw + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed"
@@ -36,16 +36,17 @@
 func (e *Endpoint) stream(ctx *fasthttp.RequestCtx, fault Fault) {
 	from := firstEvent(ctx)
 	uri := string(ctx.RequestURI())
+	count := e.eventCount(uri)
 	conn := ctx.Conn()
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		for i := from; i < e.EventCount; i++ {
+		for i := from; i < count; i++ {
 			time.Sleep(e.WorkTime)
 			text := formatEvent(uri, i, e.Version)
-			if fault == FaultPause && i == (from+e.EventCount)/2 {
+			if fault == FaultPause && i == (from+count)/2 {
 				time.Sleep(e.pauseTime())
 			}
-			if fault == FaultTruncated && i == from+e.EventCount/2 {
+			if fault == FaultTruncated && i == from+count/2 {
 				// Close the connection in the middle of an event.
 				_, _ = w.WriteString(text[:len(text)/2]) // fails only if the caller has disconnected
 				_ = w.Flush()
--- a/proof/cmds/cmds.go
+++ b/proof/cmds/cmds.go
@@ -22,6 +22,7 @@
 		{"docs", "generate the reference pages", &Docs{}},
 		{"platform", "run relays on a stand-in of the platform with planned changes and failures, and verify the replies", &Platform{}},
 		{"soak", "run relays under overlapping faults chosen by seed, and verify each run", &Soak{}},
+		{"streams", "run as many relays as a large deployment has, take streams up at other relays under faults chosen by seed, and judge each stream", &Streams{}},
 		{"drill", "measure how relays take a store that comes back from a copy", &Drill{}},
 		{"demo", "run a deployment, drain and restore a zone under load, and verify the results", &Demo{}},
 	}
--- a/proof/deploy/deploy.go
+++ b/proof/deploy/deploy.go
@@ -54,6 +54,9 @@
 	// StopTimeout is the time that relays have from SIGTERM to the end of the process; 0: 4s.
 	StopTimeout time.Duration
 
+	// Configure changes the settings of a relay before its first start; nil: as they are.
+	Configure func(s *sets.Settings) error
+
 	client fasthttp.Client // of the callers of SendLoad
 }
 
@@ -86,6 +89,11 @@
 	for _, other := range d.Relays[:min(len(d.Relays), maxSeeds)] {
 		s.Peers.Seeds = append(s.Peers.Seeds, other.Settings.Peers.Listen)
 	}
+	if d.Configure != nil {
+		if err := d.Configure(&s); err != nil {
+			return nil, err
+		}
+	}
 	r := &Relay{
 		Name: name, Settings: s, SettingsFile: filepath.Join(d.Dir, name+".yaml"), LogFile: filepath.Join(d.Dir, name+".log"),
 	}
--- /dev/null
+++ b/proof/stream/network.go
@@ -0,0 +1,183 @@
+package stream
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"regexp"
+	"sync"
+	"time"
+)
+
+// Relays listen for one another on one loopback address, and the network on another one under
+// the same ports. It replaces the first by the second in what relays tell one another, so
+// that all links lead through it.
+const (
+	relayHost   = "127.0.0.3"
+	networkHost = "127.0.0.4"
+)
+
+const (
+	holdInterval = 10 * time.Millisecond // between two looks whether a cut has ended
+	copyBytes    = 32 << 10
+	minKept      = 4 // bytes that must match for the end of a read to count as part of an address
+)
+
+var relayName = regexp.MustCompile(`relay-\d+`)
+
+// network carries the links between relays and those to the store. A cut is silent: what is sent
+// waits until it ends, as with packets that are sent again.
+type network struct {
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[net.Conn]bool
+	closed    bool
+	fromStore map[string]bool // relays that are cut off from the store
+	fromPeers map[string]bool // relays that are cut off from the others
+}
+
+// link is a connection through the network.
+type link struct {
+	net  *network
+	to   string // relay; empty: the store
+	mu   sync.Mutex
+	from string // relay; empty: not known yet
+}
+
+// cut cuts a relay off from the store, the other relays or both, or ends that.
+func (n *network) cut(relay string, store, peers bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fromStore == nil {
+		n.fromStore, n.fromPeers = make(map[string]bool), make(map[string]bool)
+	}
+	n.fromStore[relay], n.fromPeers[relay] = store, peers
+}
+
+// listen forwards connections to an address. They come from one relay and lead to the
+// store, or from any relay and lead to one.
+func (n *network) listen(addr, target, from, to string) (string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", fmt.Errorf("listen for links: %w", err)
+	}
+	n.mu.Lock()
+	n.listeners = append(n.listeners, ln)
+	n.mu.Unlock()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return // closed
+			}
+			go n.forward(c, target, &link{net: n, from: from, to: to})
+		}
+	}()
+	return ln.Addr().String(), nil
+}
+
+// close closes all listeners and links.
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	for _, ln := range n.listeners {
+		_ = ln.Close()
+	}
+	for c := range n.conns {
+		_ = c.Close()
+	}
+}
+
+// open records a connection. It reports false if the network is closed.
+func (n *network) open(c net.Conn, isOpen bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns == nil {
+		n.conns = make(map[net.Conn]bool)
+	}
+	if isOpen && !n.closed {
+		n.conns[c] = true
+	} else {
+		delete(n.conns, c)
+		_ = c.Close()
+	}
+	return !n.closed
+}
+
+func (n *network) forward(client net.Conn, target string, l *link) {
+	if !n.open(client, true) {
+		return
+	}
+	defer n.open(client, false)
+	l.hold()
+	server, err := net.DialTimeout("tcp", target, dialTimeout)
+	if err != nil || !n.open(server, true) {
+		return
+	}
+	defer n.open(server, false)
+	done := make(chan bool, 1)
+	go func() {
+		l.copy(server, client, true)
+		_ = server.Close()
+		done <- true
+	}()
+	l.copy(client, server, false)
+	_ = client.Close()
+	<-done
+}
+
+// hold waits while the link is cut.
+func (l *link) hold() {
+	for l.isCut() {
+		time.Sleep(holdInterval)
+	}
+}
+
+func (l *link) isCut() bool {
+	l.mu.Lock()
+	from := l.from
+	l.mu.Unlock()
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	if l.net.closed {
+		return false
+	}
+	if l.to == "" {
+		return l.net.fromStore[from]
+	}
+	return l.net.fromPeers[from] || l.net.fromPeers[l.to]
+}
+
+// copy copies bytes one way. The first relay that the dialing one names is itself.
+func (l *link) copy(dst, src net.Conn, dialer bool) {
+	own, shown := []byte(relayHost+":"), []byte(networkHost+":")
+	buf, kept := make([]byte, copyBytes), 0
+	for {
+		n, err := src.Read(buf[kept:])
+		out := buf[:kept+n]
+		if l.to != "" {
+			out = bytes.ReplaceAll(out, own, shown)
+			if l.mu.Lock(); dialer && l.from == "" {
+				l.from = string(relayName.Find(out))
+			}
+			l.mu.Unlock()
+			kept = partOf(out, own)
+		}
+		l.hold()
+		if _, werr := dst.Write(out[:len(out)-kept]); werr != nil || err != nil {
+			return
+		}
+		copy(buf, out[len(out)-kept:])
+	}
+}
+
+// partOf returns how many of the last bytes may begin a pattern.
+func partOf(b, pattern []byte) int {
+	for n := min(len(b), len(pattern)-1); n >= minKept; n-- {
+		if bytes.HasPrefix(pattern, b[len(b)-n:]) {
+			return n
+		}
+	}
+	return 0
+}
