--- a/core/peer/reach_test.go
+++ b/core/peer/reach_test.go
@@ -102,3 +102,22 @@
 		t.Error("doesn't reach half although another relay has replaced the lost one")
 	}
 }
+
+// TestReachesHalfAfterRestart guards against a relay that starts again in a zone that is cut
+// off, and takes what it can't reach for an outage of the store that all relays see: of the
+// other zones it has heard, but it has no link there yet.
+func TestReachesHalfAfterRestart(t *testing.T) {
+	const zones, size = 3, 12
+	now := time.Unix(1_000_000, 0)
+	g := &peer.Group{Self: peer.Member{Instance: "r0", Addr: "r0", Zone: "z0"}, Started: now}
+	for n := 1; n < size; n++ {
+		id := fmt.Sprint("r", n)
+		m := peer.Member{Instance: id, Addr: id, Zone: fmt.Sprint("z", n%zones), Incarnation: 1, Beat: 1}
+		if g.Observe(now, m, "r3"); n%zones == 0 {
+			g.MarkUp(now, m, false)
+		}
+	}
+	if g.ReachesHalf() {
+		t.Error("reaches half with links to 3 of 11 others")
+	}
+}
--- a/relay/ctrl/age_test.go
+++ b/relay/ctrl/age_test.go
@@ -53,3 +53,29 @@
 	f.clock.Advance(late)
 	check("nobody reads any more", true)
 }
+
+// TestUnreadAfterStandstill guards against a relay that stood still and takes its own
+// standstill, in which it heard nobody, for an outage of the store that all relays see.
+func TestUnreadAfterStandstill(t *testing.T) {
+	f := newFixture()
+	f.read(false, f.entry("e"))
+	for range 10 {
+		f.clock.Advance(maxTickGap / 2)
+		f.Tick()
+		f.Announced(repl.Position{Point: f.Position().Point, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}})
+	}
+	if f.Unread() {
+		t.Fatal("unread although another relay reads")
+	}
+	f.clock.Advance(10 * time.Second)
+	if f.Unread() {
+		t.Error("nobody reads, says a relay that has just woken")
+	}
+	f.Tick()
+	p := repl.Position{Point: f.Position().Point, Contact: repl.Contact{At: f.clock.Now(), Origin: "b"}}
+	p.Revision++
+	f.Announced(p) // read right after the standstill
+	if f.Unread() {
+		t.Error("nobody reads, says a relay that has heard of a contact right after it woke")
+	}
+}
