core/origin: an endpoint that was back in an outage had another entry before

Cause: an endpoint that starts again under its ID while the store is away writes first with a count above one. Its entry from before the outage counted as its own, at the new version, unless the count was one. Change: a write by an incarnation that started in the period, to an entry that was there before, leaves the version before it unknown, whatever its count. Not closed: one that started in the last seconds before the period, or whose outage was longer than the period.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -93,7 +93,7 @@
 			out[c.ID] = unknown
 		case c.Created == c.Revision:
 			delete(out, c.ID)
-		case isFirstWrite(c.Endpoint) && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack-registrationTime)):
+		case h.mayHaveReplaced(c.Endpoint):
 			out[c.ID] = unknown // maybe another incarnation
 		default: // incarnations are ready until they drain
 			ready := *c.Endpoint
@@ -104,6 +104,14 @@
 	return out
 }
 
+// mayHaveReplaced reports whether a write to an entry from before the period may have been
+// the first one of its incarnation that reached the store: it started in the period, or
+// has written nothing before and started not long before.
+func (h History) mayHaveReplaced(e *fleet.Endpoint) bool {
+	start := time.UnixMilli(e.StartUnixMs)
+	return start.After(h.Since.Add(clockSlack)) || isFirstWrite(e) && start.After(h.Since.Add(-clockSlack-registrationTime))
+}
+
 // moments returns what was listed of a service at each moment from a time to the end of
 // the period. view is a later one. A view is always complete up to some revision, so
 // that changes without a time still bound what was listed together.
--- a/core/origin/versions_test.go
+++ b/core/origin/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -23,8 +24,9 @@
 	return c.Version, c.Known()
 }
 
-// viewOf returns a view of the endpoints in a list of ID:VERSION:AGE, in which a minus
-// before the ID stands for a draining endpoint. Ages are at start.
+// viewOf returns a view of the endpoints in a list of ID:VERSION:AGE or
+// ID:VERSION:AGE:SEQ, in which a minus before the ID stands for a draining endpoint. Ages
+// are at start.
 func viewOf(t *testing.T, list string) *fleet.View {
 	t.Helper()
 	var change fleet.Change
@@ -43,6 +45,11 @@
 		t.Fatal(err)
 	}
 	e := &fleet.Endpoint{Service: "s", Version: f[1], State: fleet.StateReady, StartUnixMs: start.Add(-age).UnixMilli()}
+	if len(f) > 3 {
+		if e.Seq, err = strconv.ParseInt(f[3], 10, 64); err != nil {
+			t.Fatal(err)
+		}
+	}
 	id, draining := strings.CutPrefix(f[0], "-")
 	if e.ID = id; draining {
 		e.State = fleet.StateDraining
@@ -84,20 +91,22 @@
 		changes string // before the start; "-": the history can't be read
 		want    string
 	}{
-		"no history":                 {"a:v2:1m b:v2:1m", "-", "none"},
-		"nothing has changed":        {"a:v2:1m b:v2:1m", "", "all"},
-		"two versions for long":      {"a:v1:1m b:v2:1m", "", "some"},
-		"last of the former drained": {"a:v2:1m b:v2:1m", "-c:v1:1m c", "some"},
-		"last of the former removed": {"a:v2:1m b:v2:1m", "c:v1:1m c", "some"},
-		"all replaced at once":       {"a:v2:2s b:v2:2s", "+a:v2:2s +b:v2:2s -c:v1:1m -d:v1:1m", "none"},
-		"replaced long ago":          {"a:v2:18s b:v2:16s", "-c:v1:1m c +a:v2:18s +b:v2:16s", "all"},
-		"one more of the same":       {"a:v2:1m b:v2:2s", "+b:v2:2s", "all"},
-		"one lost without a word":    {"a:v2:1m b:v2:1m", "c", "all"},
-		"one lost, two versions":     {"a:v2:1m b:v2:1m d:v1:1m", "c", "some"},
-		"restarted at another":       {"a:v2:1m b:v2:2s", "b:v1:1m b:v2:2s", "some"},
-		"three versions":             {"a:v1:1m b:v2:1m c:v3:1m", "", "some"},
-		"the same again":             {"a:v2:1m b:v2:1m", "a:v2:1m b:v2:1m", "all"},
-		"before a restart unknown":   {"a:v1:1m b:v2:2s", "b:v2:2s", "none"},
+		"no history":                  {"a:v2:1m b:v2:1m", "-", "none"},
+		"nothing has changed":         {"a:v2:1m b:v2:1m", "", "all"},
+		"two versions for long":       {"a:v1:1m b:v2:1m", "", "some"},
+		"last of the former drained":  {"a:v2:1m b:v2:1m", "-c:v1:1m c", "some"},
+		"last of the former removed":  {"a:v2:1m b:v2:1m", "c:v1:1m c", "some"},
+		"all replaced at once":        {"a:v2:2s b:v2:2s", "+a:v2:2s +b:v2:2s -c:v1:1m -d:v1:1m", "none"},
+		"replaced long ago":           {"a:v2:18s b:v2:16s", "-c:v1:1m c +a:v2:18s +b:v2:16s", "all"},
+		"one more of the same":        {"a:v2:1m b:v2:2s", "+b:v2:2s", "all"},
+		"one lost without a word":     {"a:v2:1m b:v2:1m", "c", "all"},
+		"one lost, two versions":      {"a:v2:1m b:v2:1m d:v1:1m", "c", "some"},
+		"restarted at another":        {"a:v2:1m b:v2:2s", "b:v1:1m b:v2:2s", "some"},
+		"three versions":              {"a:v1:1m b:v2:1m c:v3:1m", "", "some"},
+		"the same again":              {"a:v2:1m b:v2:1m", "a:v2:1m b:v2:1m", "all"},
+		"before a restart unknown":    {"a:v1:1m b:v2:2s", "b:v2:2s", "none"},
+		"restarted in an outage":      {"a:v1:1m b:v2:10s:7", "b:v2:10s:7", "none"},
+		"writes long after its start": {"a:v1:1m b:v2:1m:50", "b:v2:1m:50", "some"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var v origin.Versions
