core/origin: an endpoint missing since before the period isn't listed in it

Cause: the list before the period was taken from the relay's first view, with endpoints that an outage of the store removed earlier. A relay that learns its view from another one may still have these. Change: they are left out; one that was removed in the period is known by its removal.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -84,6 +84,7 @@
 // before returns what was listed by ID before the period. view is a later one.
 func (h History) before(view *fleet.View) map[string]*fleet.Endpoint {
 	out := maps.Clone(view.All())
+	maps.DeleteFunc(out, func(id string, _ *fleet.Endpoint) bool { return view.IsMissing(id) })
 	for _, c := range slices.Backward(h.Changes) {
 		later := view.Endpoint(c.ID)
 		switch {
--- a/core/origin/versions_test.go
+++ b/core/origin/versions_test.go
@@ -177,6 +177,24 @@
 	}
 }
 
+// TestMissingBeforeThePeriod guards against streams that go on at another version after a
+// loss of all relays, because an endpoint that an outage of the store removed before the
+// period of the history counts as listed in it.
+func TestMissingBeforeThePeriod(t *testing.T) {
+	view := viewOf(t, "a:v1:1m f:v2:2s b:v2:1m d:v2:1m").WithChange(fleet.Change{Missing: map[string]time.Time{"b": start.Add(time.Second), "d": start.Add(time.Second)}})
+	var before, after origin.Versions
+	before.Observe(start.Add(-5*time.Second), viewOf(t, "a:v1:1m"))
+	after.Observe(start, &view)
+	after.Recall(historyOf(t, "a:v1:1m", "+f:v2:2s"))
+	for i := range 100 {
+		stream := fmt.Sprint(i)
+		version, _ := before.Choose("s", stream)
+		if got, ok := conclude(&after, start, streamOfAge(start, stream, streamAge)); ok && got != version {
+			t.Fatalf("stream %s began at %s and goes on at %s", stream, version, got)
+		}
+	}
+}
+
 // TestChooseByWeight checks that streams begin at versions in proportion to the endpoints.
 func TestChooseByWeight(t *testing.T) {
 	var v origin.Versions
