--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -81,9 +81,13 @@
 // show it: an endpoint of any service and version, ready or not.
 var unknown = &fleet.Endpoint{}
 
+// maybeReady is the state of an endpoint that may have drained before a period.
+const maybeReady fleet.State = "maybe_ready"
+
 // before returns what was listed by ID before the period. view is a later one.
 func (h History) before(view *fleet.View) map[string]*fleet.Endpoint {
 	out := maps.Clone(view.All())
+	maps.DeleteFunc(out, func(id string, _ *fleet.Endpoint) bool { return view.IsMissing(id) })
 	for _, c := range slices.Backward(h.Changes) {
 		later := view.Endpoint(c.ID)
 		switch {
@@ -93,17 +97,27 @@
 			out[c.ID] = unknown
 		case c.Created == c.Revision:
 			delete(out, c.ID)
-		case isFirstWrite(c.Endpoint) && time.UnixMilli(c.Endpoint.StartUnixMs).After(h.Since.Add(-clockSlack-registrationTime)):
+		case h.mayHaveReplaced(c.Endpoint):
 			out[c.ID] = unknown // maybe another incarnation
 		default: // incarnations are ready until they drain
 			ready := *c.Endpoint
-			ready.State = fleet.StateReady
+			if ready.State = fleet.StateReady; c.Endpoint.State != fleet.StateReady && !c.Endpoint.ColdUntil.IsZero() {
+				ready.State = maybeReady // cold ones write again, maybe after they drained
+			}
 			out[c.ID] = &ready
 		}
 	}
 	return out
 }
 
+// mayHaveReplaced reports whether a write to an entry from before the period may have been
+// the first one of its incarnation that reached the store: it started in the period, or
+// has written nothing before and started not long before.
+func (h History) mayHaveReplaced(e *fleet.Endpoint) bool {
+	start := time.UnixMilli(e.StartUnixMs)
+	return start.After(h.Since.Add(clockSlack)) || isFirstWrite(e) && start.After(h.Since.Add(-clockSlack-registrationTime))
+}
+
 // moments returns what was listed of a service at each moment from a time to the end of
 // the period. view is a later one. A view is always complete up to some revision, so
 // that changes without a time still bound what was listed together.
@@ -115,10 +129,10 @@
 		case e == unknown:
 			m.unknown += n
 		case e == nil || e.Service != service:
+		case h.Zones[e.Zone] && e.State == fleet.StateReady || e.State == maybeReady:
+			m.doubtful[e.Version] += n
 		case e.State != fleet.StateReady:
 			m.least[e.Version] += 0 // one of the versions that were listed
-		case h.Zones[e.Zone]:
-			m.doubtful[e.Version] += n
 		case !view.Drained(e.Zone):
 			m.least[e.Version] += n
 		}
