relay/proxy: callers that another relay can serve come back sooner

Cause: a relay that is cut off asked for 300 to 600 ms, though another one serves the request at once.

Change: 50 to 100 ms.

--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -119,7 +119,7 @@
 	case req.exchange.ResponseStarted():
 		req.abortStream(reasonNoEndpoint)
 	case req.oldView:
-		req.rejectFinal(reasonOldView)
+		req.rejectOldView()
 	default:
 		req.rejectUnplaced(c)
 	}
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -258,7 +258,7 @@
 		return
 	}
 	if !req.mayBegin(ctx) {
-		req.rejectFinal(reasonOldView)
+		req.rejectOldView()
 		return
 	}
 	if len(req.route.Stages) > 0 && !req.runStages(ctx) {
