relay/ctrl: an incarnation counts as listed once the view lists it

Cause: ListedUntil and Current went by the last contact with the store, which is recorded a moment before the view that it brings is published.

Change: they go by the contact up to which the published view is complete.

--- a/relay/ctrl/age.go
+++ b/relay/ctrl/age.go
@@ -4,14 +4,15 @@
 	"time"
 
 	"wigeonplank.example/core/origin"
+	"wigeonplank.example/core/repl"
 )
 
 // showing tells which contact with the store the current view stands for. Control.mu
 // guards it.
 type showing struct {
-	applying bool      // the replica has changes that the view lacks
-	before   time.Time // contact before these changes
-	heardAt  time.Time // last contact that another relay has reported, also of changes that the replica lacks
+	applying bool         // the replica has changes that the view lacks
+	before   repl.Contact // before these changes
+	heardAt  time.Time    // last contact that another relay has reported, also of changes that the replica lacks
 }
 
 // recordHeardLocked records the contact with the store that another relay reported. The
@@ -27,16 +28,24 @@
 func (c *Control) ViewAge() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Clock.Now().Sub(c.shownContactLocked())
+	return c.Clock.Now().Sub(c.shownContactLocked().At)
+}
+
+// shownPosition returns the position of this relay with the last contact with the store up
+// to which View is complete.
+func (c *Control) shownPosition() repl.Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return repl.Position{Point: c.point, Contact: c.shownContactLocked(), OutageEnd: c.outages.End()}
 }
 
 // shownContactLocked returns the last contact with the store up to which View is complete.
 // The caller holds c.mu.
-func (c *Control) shownContactLocked() time.Time {
+func (c *Control) shownContactLocked() repl.Contact {
 	if c.showing.applying {
 		return c.showing.before
 	}
-	return c.follower.Last().At
+	return c.follower.Last()
 }
 
 // Unread reports whether no relay, as far as this one knows, has read the store since the
--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -76,7 +76,7 @@
 
 // Tick records that this process runs. It must be called several times in maxTickGap.
 func (c *Control) Tick() {
-	p, now, t := c.Position(), c.Clock.Now(), &c.contacts
+	p, now, t := c.shownPosition(), c.Clock.Now(), &c.contacts
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	gap := now.Sub(t.tickedAt)
@@ -105,7 +105,7 @@
 // process can tell: it wasn't paused, and the store responds and did so for long enough
 // that all endpoints have registered.
 func (c *Control) Current() bool {
-	p, now, t := c.Position(), c.Clock.Now(), &c.contacts
+	p, now, t := c.shownPosition(), c.Clock.Now(), &c.contacts
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return now.Sub(t.tickedAt) <= maxTickGap && t.proves(p) && now.Sub(p.Contact.At) <= maxViewAge && p.Contact.At.After(t.lostAt)
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -254,7 +254,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.showing.applying, c.showing.before = true, c.follower.Last().At
+	c.showing.applying, c.showing.before = true, c.follower.Last()
 	if restored || u.failed {
 		c.follower.Interrupt(now)
 	}
