--- a/core/origin/begin_test.go
+++ b/core/origin/begin_test.go
@@ -13,10 +13,7 @@
 // TestStreamsOfALateView guards against streams that began at a relay with an old view and,
 // after a loss of all relays, go on at another version than they began at.
 func TestStreamsOfALateView(t *testing.T) {
-	const (
-		streams = 20
-		kept    = 20 * time.Second
-	)
+	const streams = 20
 	began, known := 0, 0
 	for late := time.Duration(0); late <= 14*time.Second; late += time.Second {
 		for seed := range uint64(8) {
@@ -53,7 +50,7 @@
 			beganAt := m.now
 			m.now = m.now.Add(time.Second)
 			after.Observe(m.now, m.seenAt(m.now))
-			after.Recall(m.history(kept))
+			after.Recall(m.history([]time.Duration{20 * time.Second, 12 * time.Second}[seed%2]))
 			for i := range streams {
 				stream := fmt.Sprint(seed, "/", i)
 				version, _ := before.Choose("s", stream)
