relay/proxy: a relay that is cut off refuses streams without a read first

Cause: the first streams at a relay that is cut off waited up to 1.5 s for a read of the store, of which its links already told that it would fail.

Change: such a relay tries to read the store beside its requests, from 1 s before its view is too old, and refuses at once.

--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -296,7 +296,7 @@
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
 		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, ViewAge: c.ViewAge, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
-		StoreAway:    func() bool { return c.Unread() && m.ReachesHalf() },
+		Unread: c.Unread, ReachesHalf: m.ReachesHalf,
 		Policy:       policyFunc(live),
 		Incarnations: &proxy.Incarnations{Ledger: lives, ListedUntil: c.ListedUntil, Current: c.Current, Since: p.Since},
 		NewBudget: func() *retry.Budget {
--- a/relay/proxy/begin.go
+++ b/relay/proxy/begin.go
@@ -17,6 +17,10 @@
 // serve at once.
 const oldViewRetryAfter = 50 * time.Millisecond
 
+// earlyRead is the time before a view becomes too old at which a relay that is cut off from
+// others tries to read the store.
+const earlyRead = time.Second
+
 // rejectOldView rejects a stream that can't begin at this relay.
 func (req *request) rejectOldView() {
 	if req.mayHaveRun || req.exchange.CallerGone() {
@@ -33,5 +37,26 @@
 	if req.version != nil || req.route.Kind != fleet.KindStream || !req.route.Resumable {
 		return true
 	}
-	return origin.MayBegin(req.ViewAge(), false) || req.Refresh(ctx, origin.MaxViewLag) || origin.MayBegin(req.ViewAge(), req.StoreAway())
+	age := req.ViewAge()
+	if origin.MayBegin(age+earlyRead, false) {
+		return true
+	}
+	if !req.ReachesHalf() { // most likely cut off from the store as well
+		req.refreshBeside()
+		return origin.MayBegin(age, false)
+	}
+	return origin.MayBegin(age, false) || req.Refresh(ctx, origin.MaxViewLag) || origin.MayBegin(req.ViewAge(), req.Unread())
+}
+
+// refreshBeside reads the store without keeping requests waiting.
+func (f *Forwarder) refreshBeside() {
+	if !f.refreshing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer f.refreshing.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), origin.MaxViewLag)
+		defer cancel()
+		f.Refresh(ctx, origin.MaxViewLag-earlyRead)
+	}()
 }
--- a/relay/proxy/begin_test.go
+++ b/relay/proxy/begin_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,7 @@
 func TestStreamsOfOldViews(t *testing.T) {
 	const (
 		fresh = origin.MaxViewLag
+		early = origin.MaxViewLag - earlyRead
 		old   = origin.MaxViewLag + time.Millisecond
 	)
 	stream := fleet.Route{Kind: fleet.KindStream, Resumable: true}
@@ -25,24 +28,29 @@
 		route     fleet.Route
 		age       time.Duration
 		refreshed bool // the store responds
-		away      bool // for all relays
+		unread    bool // by all relays
+		cut       bool // from others
 		begins    bool
-		refreshes int
+		refreshes int32
 	}{
 		"fresh":                      {route: stream, age: fresh, begins: true},
+		"fresh, from others":         {route: stream, age: early, cut: true, begins: true},
+		"soon old, cut off":          {route: stream, age: fresh, cut: true, begins: true, refreshes: 1},
 		"read again":                 {route: stream, age: old, refreshed: true, begins: true, refreshes: 1},
-		"cut off":                    {route: stream, age: old, refreshes: 1},
-		"store is away":              {route: stream, age: old, away: true, begins: true, refreshes: 1},
-		"can't be taken up":          {route: fleet.Route{Kind: fleet.KindStream}, age: old, begins: true},
-		"a single response, cut off": {route: fleet.Route{}, age: old, begins: true},
+		"others read":                {route: stream, age: old, refreshes: 1},
+		"cut off":                    {route: stream, age: old, unread: true, cut: true, refreshes: 1},
+		"store is away":              {route: stream, age: old, unread: true, begins: true, refreshes: 1},
+		"can't be taken up":          {route: fleet.Route{Kind: fleet.KindStream}, age: old, cut: true, begins: true},
+		"a single response, cut off": {route: fleet.Route{}, age: old, cut: true, begins: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			req := newPanicking(t, &fleet.Service{Name: "s"}, &fleet.Endpoint{ID: "e", Service: "s", Version: "v1", Slots: 1, State: fleet.StateReady})
-			refreshes := 0
-			req.route, req.ViewAge, req.StoreAway = &tt.route, func() time.Duration { return tt.age }, func() bool { return tt.away }
+			var refreshes atomic.Int32
+			req.route, req.ViewAge = &tt.route, func() time.Duration { return tt.age }
+			req.Unread, req.ReachesHalf = func() bool { return tt.unread }, func() bool { return !tt.cut }
 			req.Refresh = func(_ context.Context, maxAge time.Duration) bool {
-				if refreshes++; maxAge > origin.MaxViewLag {
+				if refreshes.Add(1); maxAge > origin.MaxViewLag {
 					t.Errorf("a refresh is %v old", maxAge)
 				}
 				return tt.refreshed
@@ -60,8 +68,11 @@
 				}
 				status, retryAfter = x.Status(), req.retryAfter
 			})
-			if refreshes != tt.refreshes {
-				t.Errorf("%d refreshes, want %d", refreshes, tt.refreshes)
+			for req.refreshing.Load() {
+				runtime.Gosched()
+			}
+			if n := refreshes.Load(); n != tt.refreshes {
+				t.Errorf("%d refreshes, want %d", n, tt.refreshes)
 			}
 			if !tt.begins && (status != fasthttp.StatusServiceUnavailable || retryAfter < oldViewRetryAfter || retryAfter > 2*oldViewRetryAfter || !strings.Contains(req.outcome, reasonOldView)) {
 				t.Errorf("status %d, retry after %v, outcome %q", status, retryAfter, req.outcome)
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -67,15 +67,17 @@
 	Refresh func(ctx context.Context, maxAge time.Duration) bool
 	// ViewAge returns the time since the contact with the store up to which View is complete.
 	ViewAge func() time.Duration
-	// StoreAway reports whether the store is away for all relays, as far as this one can
-	// tell.
-	StoreAway func() bool
-	Balancer  *Balancer
-	Pool      *pool.Pool
-	Stages    *stage.Runner
-	Engines   *assign.Assigner
-	Origins   Origins
-	Guard     *guard.Guard
+	// Unread reports whether no relay is known to have read the store since View became too
+	// old to begin streams.
+	Unread func() bool
+	// ReachesHalf reports whether this relay reaches at least half of the others.
+	ReachesHalf func() bool
+	Balancer    *Balancer
+	Pool        *pool.Pool
+	Stages      *stage.Runner
+	Engines     *assign.Assigner
+	Origins     Origins
+	Guard       *guard.Guard
 	// Incarnations tells at which endpoints streams may go on.
 	Incarnations *Incarnations
 	Clock        clock.Clock
@@ -94,6 +96,8 @@
 	holds   map[string]*batch.Hold   // by service; guarded by mu
 	waits   map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
 	reach   reachability
+	// refreshing tells that refreshBeside reads.
+	refreshing atomic.Bool
 	// admission is what is needed to admit requests to stages. mu is held while it changes.
 	admission atomic.Pointer[admission]
 }
