relay/proxy: no second run repeats events without an ID

Cause: a stream that breaks was run again after the last ID that was passed on, also if events without an ID had followed it or all had none; a run that was resumed could begin with events without an ID; an event with two IDs, two pieces in one, counted as the second; one with an ID below zero as one without. Change: a stream of which events with data but no ID were passed on isn't run again; a resumed run must begin with the next ID; several IDs in an event, or one below zero, are malformed. Fields such as retry need no ID.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -24,7 +24,8 @@
 
 var byteOrderMark = []byte("\ufeff")
 
-// OrderError reports an event whose ID doesn't follow that of the previous one.
+// OrderError reports an event whose ID doesn't follow that of the previous one. Got is -1
+// for the first event of a resumed stream if it has none.
 type OrderError struct {
 	Last, Got int64
 }
@@ -43,11 +44,12 @@
 	buf      []byte // the current event
 	reserved int    // bytes that Grow has allowed
 	begun    bool   // a line was read
+	numbered bool   // an event with an ID was read
 }
 
 // Next returns the next complete event, including its closing empty line, and
-// its ID, or -1 if it has none. IDs must increase by one, or Next returns an
-// *OrderError. At the end of the stream it returns io.EOF, or
+// its ID, or -1 if it has none. IDs must increase by one, and what follows LastID must
+// begin with one, or Next returns an *OrderError. At the end of the stream it returns io.EOF, or
 // io.ErrUnexpectedEOF if the stream ends within an event. The slice is valid
 // until the next call.
 func (r *Reader) Next() ([]byte, int64, error) {
@@ -77,8 +79,11 @@
 		standard = standard || isStandardField(name)
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
-			if err != nil {
+			switch {
+			case err != nil:
 				return nil, 0, fmt.Errorf("id of an event: %w", err)
+			case n < 0, id >= 0:
+				return nil, 0, ErrMalformed
 			}
 			id = n
 		}
@@ -114,15 +119,26 @@
 
 // finish checks the ID of a complete event and returns the event.
 func (r *Reader) finish(id int64) ([]byte, int64, error) {
-	if id >= 0 {
-		if r.LastID >= 0 && id != r.LastID+1 {
-			return nil, 0, &OrderError{Last: r.LastID, Got: id}
-		}
-		r.LastID = id
+	switch {
+	case id < 0 && (r.numbered || r.LastID < 0 || !HasData(r.buf)):
+		return r.buf, id, nil
+	case r.LastID >= 0 && id != r.LastID+1:
+		return nil, 0, &OrderError{Last: r.LastID, Got: id}
 	}
+	r.LastID, r.numbered = id, true
 	return r.buf, id, nil
 }
 
+// HasData reports whether an event carries a piece of its stream.
+func HasData(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte{':'}); string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
 // IsComment reports whether an event consists of comments, which endpoints send to keep
 // a connection open and which are no progress.
 func IsComment(raw []byte) bool {
--- a/core/event/event_test.go
+++ b/core/event/event_test.go
@@ -106,3 +106,36 @@
 		}
 	}
 }
+
+// TestStrangeIDs guards against events that pass although their place in the stream isn't known: pieces that were
+// joined to one event, numbers below zero, and numbers that jump, repeat or aren't whole.
+func TestStrangeIDs(t *testing.T) {
+	for _, text := range []string{
+		"id: 4\ndata: a\nid: 5\ndata: b\n\n",
+		"id: 5\ndata: a\nid: 5\ndata: b\n\n",
+		"id: -3\ndata: a\n\n",
+		"id: 7\ndata: a\n\n",
+		"id: 4\ndata: a\n\n",
+		"id: 0\ndata: a\n\n",
+		"id: 5.5\ndata: a\n\n",
+		"id:\ndata: a\n\n",
+		"id: x\ndata: a\n\n",
+		"id: 99999999999999999999\ndata: a\n\n",
+	} {
+		r := event.Reader{R: bufio.NewReader(strings.NewReader(text)), LastID: 4}
+		if raw, id, err := r.Next(); err == nil {
+			t.Errorf("%q: accepted %q as event %d after event 4", text, raw, id)
+		}
+		r = event.Reader{R: bufio.NewReader(strings.NewReader("id: 4\ndata: z\n\n" + text)), LastID: -1}
+		if _, _, err := r.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if raw, id, err := r.Next(); err == nil {
+			t.Errorf("%q: accepted %q as event %d after an event 4", text, raw, id)
+		}
+	}
+	r := event.Reader{R: bufio.NewReader(strings.NewReader("id: 4\ndata: a\nid: 5\ndata: b\n\n")), LastID: -1}
+	if raw, id, err := r.Next(); err == nil {
+		t.Errorf("accepted %q as the first event, %d", raw, id)
+	}
+}
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -250,6 +250,8 @@
 	switch {
 	case req.unsure:
 		return reasonUnknownVersion
+	case req.unnumbered:
+		return "events without an id have been passed on"
 	case end == attemptFailed && !req.route.Repeatable():
 		return "it may have run and must not run twice"
 	case end == attemptFailed && req.attempts >= req.route.MaxAttempts:
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -124,6 +124,7 @@
 	version        *string            // software version at which the stream began; nil: it has not begun
 	beginning      *beginning         // of the stream, if it isn't certain yet that it began at version; nil: it is, or is unsure
 	unsure         bool               // the version at which the stream began can't be known; it can't go on elsewhere
+	unnumbered     bool               // the caller has events without an ID, which another run would repeat
 	fresh          bool               // the view was refreshed for the current attempt
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -216,6 +216,7 @@
 		if id >= 0 {
 			*lastEvent = id
 		}
+		req.unnumbered = req.unnumbered || id < 0 && event.HasData(raw)
 		progress = !event.IsComment(raw)
 		if progress {
 			req.events++
