--- a/relay/proxy/events_test.go
+++ b/relay/proxy/events_test.go
@@ -75,8 +75,8 @@
 	heads = make(chan string, 10)
 	addr := serveRuns(t, first, again, heads)
 	svc := &fleet.Service{Name: "s"}
-	var list []*fleet.Endpoint
-	for i := range 3 {
+	list := make([]*fleet.Endpoint, 0, 3)
+	for i := range cap(list) {
 		list = append(list, &fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Version: "v1", Addr: addr, Slots: 1, State: fleet.StateReady})
 	}
 	req := newPanicking(t, svc, list[0])
