relay/pool: bytes that waited to be read prove no life

What callers can see: events of two software versions in one stream (rule ORDER), at a relay whose caller reads slowly: a connection to an endpoint that has come back counts as one to the former incarnation, which the store lists. Cause: a life was extended to the time at which bytes were read. Bytes that the former incarnation had sent before its end can be read after the dial to the next one, and the two lives were joined. Change: it is extended only to a time at which nothing was left to read, so that the bytes came later: the beginning of the read before, if that left nothing. The life of a connection lags behind its bytes by up to two reads. Bytes that are still on their way as their sender ends, for longer than an endpoint takes to start, aren't covered. Measured: TestLateBytes fails before ("bytes from before the dial count") and passes.

--- a/relay/pool/life.go
+++ b/relay/pool/life.go
@@ -15,17 +15,31 @@
 // life is a period in which the process at an address has lived, as a connection shows.
 type life struct {
 	since   time.Time    // guarded by Pool.mu
-	aliveAt atomic.Int64 // last time at which bytes arrived, since started
+	aliveAt atomic.Int64 // last time after which bytes arrived, since started
 }
 
 func (l *life) extend(now time.Time) { l.aliveAt.Store(int64(now.Sub(started))) }
 
 func (l *life) until() time.Time { return started.Add(time.Duration(l.aliveAt.Load())) }
 
+// recordRead records that bytes were read by a call that began at a time. all tells that none
+// were left. Bytes that are read may have waited since none were left before; their sender may
+// have ended meanwhile.
+func (c *Conn) recordRead(begunAt time.Time, all bool) {
+	c.lastRead = time.Now()
+	if !c.emptyAt.IsZero() {
+		c.life.extend(c.emptyAt)
+	}
+	c.emptyAt = time.Time{}
+	if all {
+		c.emptyAt = begunAt
+	}
+}
+
 // addLife returns the life of a new connection that was dialed at a time.
 func (p *Pool) addLife(k key, dialedAt time.Time) *life {
 	l := &life{since: dialedAt}
-	l.extend(time.Now())
+	l.extend(dialedAt)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.lives == nil {
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -77,6 +77,7 @@
 	life      *life
 	overdue   func() (time.Time, bool) // see Call.OnOverdue
 	lastRead  time.Time                // see LastRead
+	emptyAt   time.Time                // last known time at which no bytes were left to read; zero: some may be left
 	budget    *budget.Budget           // nil: responses are bounded one by one only
 	unique    []uint64                 // hashes of bodies that no other response has; see Call.ReceiveUnnamed
 	alike     []uint64                 // hashes of bodies that other responses may have
@@ -183,7 +184,7 @@
 	if t, ok := raw.(*net.TCPConn); ok {
 		setUnackedTimeout(t)
 	}
-	c := &Conn{Conn: stall.New(raw), key: k, budget: &p.Budget, life: p.addLife(k, dialedAt)}
+	c := &Conn{Conn: stall.New(raw), key: k, budget: &p.Budget, life: p.addLife(k, dialedAt), emptyAt: dialedAt}
 	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -195,10 +196,10 @@
 // the current call whether to wait for longer.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
+		begunAt := time.Now()
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.lastRead = time.Now()
-			c.life.extend(c.lastRead)
+			c.recordRead(begunAt, n < len(p))
 		}
 		if n > 0 || c.overdue == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
@@ -281,12 +282,12 @@
 	if c.SetReadDeadline(time.Now()) != nil { // Conn.Conn looks again at what has arrived
 		return 0, err
 	}
+	begunAt := time.Now()
 	n, _ := c.Conn.Read(p)
 	if n == 0 {
 		return 0, err
 	}
-	c.lastRead = time.Now()
-	c.life.extend(c.lastRead)
+	c.recordRead(begunAt, n < len(p))
 	return n, nil
 }
 
