core/origin: what is known of less than 45 s is concluded from again

Cause: a stream that no relay remembers was concluded only if all of the last 45 s were known, once a relay had observed the list for longer than the stream's age. The store keeps 20 s and is read once, so that a relay refused every such stream for 12 to 48 s after its start, also of a service that only ever had one version (found by the review, TestRecallOfSingleVersion). Change: what is known of the last 45 s counts, and all of the stream's age must be. That a relay which is cut off begins no stream is ensured where streams begin. Measured: TestRecallOfSingleVersion fails before (unknown at 12, 20, 47 s) and passes.

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -213,20 +213,36 @@
 
 // Covers reports whether it is known what was listed at each moment at which a stream can
 // have begun.
-func (v *Versions) Covers(now time.Time, s Stream) bool {
-	from := v.since(now, s)
-	return v.first != nil && (!v.firstAt.After(from) || !v.history.Since.IsZero() && !v.history.Since.After(from))
+func (v *Versions) Covers(s Stream) bool {
+	return v.first != nil && !v.knownSince().After(Window(s.Since))
+}
+
+// knownSince returns the time since which it is known what was listed.
+func (v *Versions) knownSince() time.Time {
+	if !v.history.Since.IsZero() && v.history.Since.Before(v.firstAt) {
+		return v.history.Since
+	}
+	return v.firstAt
 }
 
 // since returns the time from which on a view may have been in use at the beginning of a
 // stream. If this relay or another one has remembered streams since before, it wasn't lost
-// with all that remembered the stream: the relay at which it began reached none, and its
-// view may be as old as that.
+// with all that remembered the stream: the relay at which it began reached none. Its view
+// may be older than others, in an outage of the store or at a relay of the former release,
+// so that all that is known counts.
 func (v *Versions) since(now time.Time, s Stream) time.Time {
-	if from := Window(s.Since); !s.Unrecorded && v.firstAt.After(from) {
+	from := Window(s.Since)
+	if !s.Unrecorded && v.firstAt.After(from) {
+		return from
+	}
+	oldest := Window(now.Add(-Lifetime))
+	if known := v.knownSince(); known.After(oldest) {
+		oldest = known
+	}
+	if from.Before(oldest) {
 		return from
 	}
-	return Window(now.Add(-Lifetime))
+	return oldest
 }
 
 // Reason tells why the version at which a stream began isn't known.
@@ -257,7 +273,7 @@
 	from := v.since(now, s)
 	c := Conclusion{Window: now.Sub(from)}
 	switch {
-	case v.Covers(now, s):
+	case v.Covers(s):
 		moments := v.moments(from, s.Service)
 		c.Moments = len(moments)
 		c.Version, c.Reason = choice(moments, s.ID)
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -339,7 +339,7 @@
 	defer b.recallMu.Unlock()
 	b.mu.Lock()
 	now := b.Clock.Now()
-	covers := b.versions.Covers(now, s)
+	covers := b.versions.Covers(s)
 	b.mu.Unlock()
 	if !covers && !b.recalled && now.Sub(b.recalledAt) >= recallInterval {
 		b.recall(now)
