relay: a relay that stood still, or has no links yet, doesn't take the store for away

Cause: found by the review. A relay that woke from a standstill had heard of no contact since and took that for an outage that all relays see; one that restarted behind a cut counted only the zones to which it had links. Both began streams by views of any age. Change: a pause within the allowed age of a view says nothing of the store, and zones without a link count as not reached. Measured: TestUnreadAfterStandstill and TestReachesHalfAfterRestart fail before and pass; relay/ctrl, core/peer -run Reach pass.

--- a/core/peer/reach.go
+++ b/core/peer/reach.go
@@ -1,8 +1,8 @@
 package peer
 
 // ReachesHalf reports whether this relay reaches at least half of the others, as far as
-// its links show: those of a zone to which it has no link count in the proportion in
-// which its links to that zone are up. Members that have fallen silent count for as long
+// its links show: members to which it has no link count in the proportion in which its
+// links to their zone are up, and as not reached if it has none to the zone. Members that have fallen silent count for as long
 // as they are remembered, those that have left don't.
 func (g *Group) ReachesHalf() bool {
 	type zone struct{ size, up, down int }
@@ -40,8 +40,8 @@
 	for _, z := range zones {
 		if n := z.up + z.down; n > 0 {
 			reached += float64(z.size) * float64(z.up) / float64(n)
-			total += z.size
 		}
+		total += z.size
 	}
 	return 2*reached >= float64(total)
 }
--- a/relay/ctrl/age.go
+++ b/relay/ctrl/age.go
@@ -49,10 +49,13 @@
 }
 
 // Unread reports whether no relay, as far as this one knows, has read the store since the
-// view became too old to begin streams.
+// view became too old to begin streams. A relay that stood still meanwhile doesn't know.
 func (c *Control) Unread() bool {
+	now := c.Clock.Now()
+	if !c.contacts.ranFor(now, origin.MaxViewLag) {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.Clock.Now()
 	return now.Sub(c.follower.Last().At) > origin.MaxViewLag && now.Sub(c.showing.heardAt) > origin.MaxViewLag
 }
