--- a/proof/cmds/streams.go
+++ b/proof/cmds/streams.go
@@ -27,8 +27,7 @@
 	Breaks   float64       `long:"breaks" default:"0.3" description:"share of the streams that callers break off themselves"`
 	Retries  int           `long:"retries" default:"3" description:"retries of a caller; the sheet has 1"`
 	Least    int           `long:"least" default:"100" description:"streams that must go on after they were taken up"`
-	Scale    float64       `long:"scale" default:"1" description:"factor of the sheet's shares of a core"`
-	Sharing  string        `long:"sharing" default:"quota" choice:"quota" choice:"duty" choice:"none" description:"how relays are held to their shares: they stand still when they have used a period's share (quota), for a part of each period (duty), or not at all (none)"`
+	Scale    float64       `long:"scale" default:"1" description:"factor of the sheet's shares of a core; a relay that has used its share of 100 ms stands still until the next"`
 	Quiet    bool          `long:"quiet" description:"print only the verdicts"`
 	Keep     bool          `long:"keep" description:"keep settings and logs of all runs, not only of those that failed"`
 }
@@ -75,7 +74,7 @@
 	start := time.Now()
 	res, err := stream.Run{
 		Seed: seed, Relays: s.Relays, Duration: s.Duration, Rate: s.Rate, Breaks: s.Breaks, Retries: s.Retries, Least: s.Least, Scale: s.Scale,
-		Sharing: stream.Sharing(s.Sharing), Dir: dir, Bin: bin, Logf: func(format string, args ...any) {
+		Dir: dir, Bin: bin, Logf: func(format string, args ...any) {
 			if !s.Quiet {
 				fmt.Printf("  %6.2fs %s\n", time.Since(start).Seconds(), fmt.Sprintf(format, args...))
 			}
--- a/proof/stream/faults.go
+++ b/proof/stream/faults.go
@@ -74,7 +74,11 @@
 // after. It returns the time of the next round.
 func (f *faults) planRound(t time.Duration) time.Duration {
 	changed := t
-	switch f.rng.IntN(4) {
+	switch f.rng.IntN(5) {
+	case 4: // streams begin by views that are old
+		f.at(t, func() error { return f.cutOff(true, true) })
+		f.at(t+f.between(200*time.Millisecond, 2*time.Second), f.release)
+		changed += f.between(4*time.Second, 9*time.Second)
 	case 0:
 		f.at(t, f.release)
 	case 1:
@@ -88,7 +92,7 @@
 		changed += d
 	}
 	for range f.rng.IntN(3) {
-		f.at(t+f.between(0, 3*time.Second), []func() error{f.cutOff, f.cutOff, f.freeze, f.silenceStore}[f.rng.IntN(4)])
+		f.at(t+f.between(0, 3*time.Second), []func() error{f.cutOffSomehow, f.cutOffSomehow, f.freeze, f.silenceStore}[f.rng.IntN(4)])
 	}
 	lost := changed + f.between(200*time.Millisecond, 4*time.Second)
 	switch f.rng.IntN(6) {
@@ -216,10 +220,15 @@
 	})
 }
 
+// cutOffSomehow cuts some relays off from the store, the other relays or both.
+func (f *faults) cutOffSomehow() error {
+	kind := f.rng.IntN(4)
+	return f.cutOff(kind != 1, kind != 0)
+}
+
 // cutOff cuts some relays off from the store, the other relays or both.
-func (f *faults) cutOff() error {
-	list, d, kind := f.someRelays(0.1+0.4*f.rng.Float64()), f.between(2*time.Second, 12*time.Second), f.rng.IntN(4)
-	store, peers := kind != 1, kind != 0
+func (f *faults) cutOff(store, peers bool) error {
+	list, d := f.someRelays(0.1+0.4*f.rng.Float64()), f.between(2*time.Second, 12*time.Second)
 	f.Logf("%d relays are cut off for %s (store %t, relays %t)", len(list), d, store, peers)
 	for _, relay := range list {
 		f.net.cut(relay.Name, store, peers)
--- a/proof/stream/run.go
+++ b/proof/stream/run.go
@@ -56,7 +56,6 @@
 	Retries  int           // of a caller, apart from relays that it can't reach and what it breaks off itself
 	Least    int           // streams that must go on after they were taken up
 	Scale    float64       // of the sheet's shares of a core
-	Sharing  Sharing
 	Dir, Bin string
 	Logf     func(format string, args ...any) // reports each fault
 }
--- a/proof/stream/share.go
+++ b/proof/stream/share.go
@@ -15,18 +15,8 @@
 	shareTick   = 5 * time.Millisecond
 )
 
-// Sharing is how relays are held to their share of a core.
-type Sharing string
-
-// Ways of sharing.
-const (
-	ShareQuota Sharing = "quota" // a relay that has used its share of a period stands still for the rest of it
-	ShareDuty  Sharing = "duty"  // a relay stands still for the rest of each period, whatever it has used
-	ShareNone  Sharing = "none"
-)
-
-// clock holds a relay process to its share of a core and to standstills, by SIGSTOP and
-// SIGCONT.
+// clock stops a relay process by SIGSTOP when it has used its share of a period, until the
+// next one, and in standstills.
 type clock struct {
 	relay       *deploy.Relay
 	share       float64
@@ -49,34 +39,27 @@
 		case now := <-t.C:
 			r.mu.Lock()
 			for _, c := range r.clocks {
-				c.keep(now, r.Sharing)
+				c.keep(now)
 			}
 			r.mu.Unlock()
 		}
 	}
 }
 
-func (c *clock) keep(now time.Time, sharing Sharing) {
+func (c *clock) keep(now time.Time) {
 	p := c.relay.Proc()
 	if p == nil || !p.Running() {
 		return
 	}
 	if p != c.proc {
-		c.proc, c.stopped, c.period = p, false, 0
+		c.proc, c.stopped, c.period, c.frozenUntil = p, false, 0, time.Time{}
 	}
 	since := now.Add(c.offset).UnixNano()
 	if period := since / int64(sharePeriod); period != c.period {
 		c.period, c.used = period, processorTime(p.PID())
 	}
-	stop := now.Before(c.frozenUntil)
-	if part := time.Duration(c.share * float64(sharePeriod)); !stop && c.share < 1 {
-		switch sharing {
-		case ShareQuota:
-			stop = processorTime(p.PID())-c.used >= part
-		case ShareDuty:
-			stop = time.Duration(since%int64(sharePeriod)) >= part
-		}
-	}
+	spent := processorTime(p.PID())-c.used >= time.Duration(c.share*float64(sharePeriod))
+	stop := spent || now.Before(c.frozenUntil)
 	if stop == c.stopped {
 		return
 	}
