--- a/proof/stream/ages.go
+++ b/proof/stream/ages.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -125,8 +126,8 @@
 	if a.Find == nil {
 		s += "\n  time to find a record (150 ms at most): not logged"
 	}
-	for result, h := range a.Find {
-		s += fmt.Sprintf("\n  time to find a record (150 ms at most), %s: %s", result, quantiles(h))
+	for _, result := range slices.Sorted(maps.Keys(a.Find)) {
+		s += fmt.Sprintf("\n  time to find a record (150 ms at most), %s: %s", result, quantiles(a.Find[result]))
 	}
 	s += fmt.Sprintf("\n  versions concluded without a record: %d known, %d unknown", a.Known[1], a.Known[0])
 	return s + "\n  from the first event to its acknowledged record: " + quantiles(a.Acked)
