--- a/proof/stream/run.go
+++ b/proof/stream/run.go
@@ -56,7 +56,6 @@
 	Retries  int           // of a caller, apart from relays that it can't reach and what it breaks off itself
 	Least    int           // streams that must go on after they were taken up
 	Scale    float64       // of the sheet's shares of a core
-	Sharing  Sharing
 	Dir, Bin string
 	Logf     func(format string, args ...any) // reports each fault
 }
@@ -241,7 +240,8 @@
 	var err error
 	res.Ages, err = r.readLogs(wrong, func(l logLine) {
 		if l.Event == "request_done" && takeUps[l.Request] {
-			res.Refused[fmt.Sprint(l.Status, " ", l.Outcome)]++
+			outcome, _, _ := strings.Cut(l.Outcome, ": dial ") // addresses differ
+			res.Refused[fmt.Sprint(l.Status, " ", outcome)]++
 		}
 	})
 	for _, w := range wrong {
