relay/proxy: a response that is read late ends no doubt

What callers can see: a stream goes on at an endpoint that is known to have ended, and thus may be back with another version (rule ORDER). Cause: a response counted as a sign of life as of when it was read. One that the endpoint had sent before its end, read after other relays had told of that end, made the incarnation trusted again. Change: it counts as of when its request was sent. Measured: TestLateResponseEndsNoDoubt fails with the former time (mutant endpoint-late-response) and passes; TestDeploy/stream_[ebrt] pass.

--- a/relay/life/life.go
+++ b/relay/life/life.go
@@ -68,14 +68,14 @@
 	})
 }
 
-// Lived records that the incarnation of an endpoint has responded just now.
-func (l *Ledger) Lived(e *fleet.Endpoint) {
+// Lived records that the incarnation of an endpoint lived at a time.
+func (l *Ledger) Lived(e *fleet.Endpoint, at time.Time) {
 	if l.marks.Load() == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.table.Lived(l.Clock.Now(), lives.Of(e))
+	l.table.Lived(at, lives.Of(e))
 }
 
 // Doubted reports whether the incarnation of an endpoint has ended or may have.
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -400,7 +400,7 @@
 func (req *request) recordResponse(e *fleet.Endpoint, call *pool.Call) {
 	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
 	if !call.Response.Misdirected {
-		req.Incarnations.recordLife(e, call.Conn)
+		req.Incarnations.recordLife(e, call.Conn, req.attemptAt)
 	}
 }
 
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -52,10 +52,11 @@
 // the view lists.
 func (in *Incarnations) isListed(c *pool.Conn) bool { return !in.Since(c).After(in.ListedUntil()) }
 
-// recordLife records that an endpoint has responded on a connection.
-func (in *Incarnations) recordLife(e *fleet.Endpoint, c *pool.Conn) {
+// recordLife records that an endpoint has responded on a connection to a request that was
+// sent at a time.
+func (in *Incarnations) recordLife(e *fleet.Endpoint, c *pool.Conn, sentAt time.Time) {
 	if in.Doubted(e) && in.isListed(c) {
-		in.Lived(e)
+		in.Lived(e, sentAt)
 	}
 }
 
