relay/proxy: a stream goes on over a new connection only once its incarnation is proven

What callers saw: events of two software versions in one answer or over two tries, without any loss of relays. Cause: a stream went on over a new connection if the store had responded within half a second and nothing was known of an end. An endpoint to which no relay has a connection may end and come back under its ID with another version; for up to 2 s the store still lists the former one. Change: endpoints with a connection that proves the incarnation go first. If there is none, the relay waits until the view proves it, for 3 s at most; that isn't a doubt. Not changed: the successor of a silent endpoint, which can't wait. Measured: TestDeploy/stream_goes_on_at_reborn_endpoint fails before (events 0 to 3 at v1, 4 to 7 at v2, status 200) and passes.

--- a/core/origin/versions.go
+++ b/core/origin/versions.go
@@ -12,7 +12,7 @@
 
 // viewLag is how much older than the listing a view may be from which a relay chose the
 // version of a stream.
-const viewLag = 4 * time.Second
+const viewLag = 3 * time.Second
 
 // Versions decides at which software version of a service a stream begins, and computes
 // this again for a stream whose origin no relay remembers. The choice is a weighted
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -505,7 +505,7 @@
 	conn := req.conn
 	if req.conn = nil; conn == nil {
 		var err error
-		if conn, err = req.connect(ctx, e); err != nil {
+		if conn, err = req.connect(ctx, e, true); err != nil {
 			if errors.Is(err, pool.ErrUnreachable) {
 				req.recordUnreached(ctx, e, err)
 			}
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"syscall"
 	"time"
 
@@ -125,7 +126,13 @@
 
 // mayGoOnAt reports whether a stream may go on at an endpoint, as its version is known.
 func (req *request) mayGoOnAt(e *fleet.Endpoint) bool {
-	return req.fresh && req.Incarnations.presumed(e) || req.Pool.HasKept(e.ID, e.Addr, req.Incarnations.ListedUntil())
+	return req.fresh && req.Incarnations.presumed(e) || req.isProven(e)
+}
+
+// isProven reports whether a kept connection leads to the incarnation of an endpoint that
+// the view lists.
+func (req *request) isProven(e *fleet.Endpoint) bool {
+	return req.Pool.HasKept(e.ID, e.Addr, req.Incarnations.ListedUntil())
 }
 
 // canGoOn reports whether there is an endpoint at which the stream may go on.
@@ -144,9 +151,14 @@
 	if req.version == nil {
 		return req.tried
 	}
+	list := req.View().Endpoints(req.service)
+	// Over a connection that proves the incarnation, a stream goes on at once and with certainty.
+	proven := slices.ContainsFunc(list, func(e *fleet.Endpoint) bool {
+		return e.Version == *req.version && !req.tried[e.ID] && req.isProven(e)
+	})
 	var out map[string]bool
-	for _, e := range req.View().Endpoints(req.service) {
-		if e.Version != *req.version || req.tried[e.ID] || req.mayGoOnAt(e) {
+	for _, e := range list {
+		if e.Version != *req.version || req.tried[e.ID] || req.isProven(e) || !proven && req.mayGoOnAt(e) {
 			continue
 		}
 		if out == nil {
@@ -161,8 +173,9 @@
 }
 
 // connect returns a connection to an endpoint. If a stream goes on, it leads to the listed
-// incarnation.
-func (req *request) connect(ctx context.Context, e *fleet.Endpoint) (*pool.Conn, error) {
+// incarnation. If only a new connection does, connect waits until the view proves that,
+// unless mayWait is false.
+func (req *request) connect(ctx context.Context, e *fleet.Endpoint, mayWait bool) (*pool.Conn, error) {
 	if req.version == nil {
 		return req.Pool.Get(ctx, pool.KindRequest, e.ID, e.Addr, false)
 	}
@@ -176,12 +189,15 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.Replaced || !req.Incarnations.presumed(e) {
+	p := origin.Incarnation{Endpoint: e.ID, StartUnixMs: e.StartUnixMs, At: req.Incarnations.Since(c)}
+	switch {
+	case c.Replaced, !req.Incarnations.presumed(e):
 		req.Incarnations.Doubt(e)
-		req.Pool.Put(c, 0)
-		return nil, errDoubted
+	case !mayWait, req.awaitProof(ctx, p) && req.Incarnations.presumed(e):
+		return c, nil
 	}
-	return c, nil
+	req.Pool.Put(c, 0)
+	return nil, errDoubted
 }
 
 // recordUnreached records what an error of a connection tells of the incarnation of an
--- a/relay/proxy/presumed.go
+++ b/relay/proxy/presumed.go
@@ -10,8 +10,8 @@
 
 const (
 	// maxPresumedWait bounds the wait until the view proves which incarnation sent the first
-	// event of a stream. An endpoint has registered 2 s after its start, and a read follows.
-	maxPresumedWait = 2500 * time.Millisecond
+	// event of a stream. An endpoint has registered 2 s after its start, and a read and a tick follow.
+	maxPresumedWait = 3 * time.Second
 	// presumedInterval is the time between two looks at the view.
 	presumedInterval = 50 * time.Millisecond
 )
@@ -35,9 +35,8 @@
 // p.At: the view was complete for long enough after it, and lists the incarnation still.
 func (req *request) prove(p origin.Incarnation) proof {
 	until := req.Incarnations.ListedUntil() // before the view, which is then not older
-	e := req.View().Endpoint(p.Endpoint)
 	switch {
-	case e == nil, e.StartUnixMs != p.StartUnixMs:
+	case !req.lists(p.Endpoint, p.StartUnixMs):
 		return proofNone
 	case until.Before(p.At):
 		return proofPending
@@ -45,6 +44,12 @@
 	return proofFound
 }
 
+// lists reports whether the view lists the incarnation of an endpoint that started at a time.
+func (req *request) lists(endpoint string, startUnixMs int64) bool {
+	e := req.View().Endpoint(endpoint)
+	return e != nil && e.StartUnixMs == startUnixMs
+}
+
 // awaitProof is prove on a view that is up to date. It waits for a proof for a short time.
 func (req *request) awaitProof(ctx context.Context, p origin.Incarnation) bool {
 	until := earlier(req.Clock.Now().Add(maxPresumedWait), req.deadline)
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -142,7 +142,7 @@
 		return searchFailed, reasonNoEndpoint
 	}
 	s := &successor{choice: c, assignment: a}
-	conn, err := req.connect(ctx, c.Endpoint)
+	conn, err := req.connect(ctx, c.Endpoint, false)
 	if err != nil {
 		if errors.Is(err, pool.ErrUnreachable) {
 			req.recordUnreached(ctx, c.Endpoint, err)
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -117,7 +117,7 @@
 func (req *request) recordVersion(e *fleet.Endpoint, c *pool.Conn) {
 	o := origin.Origin{Service: e.Service, Version: e.Version}
 	switch {
-	case req.version != nil || req.Incarnations.isListed(c) && req.isStillListed(e):
+	case req.version != nil || req.Incarnations.isListed(c) && req.lists(e.ID, e.StartUnixMs):
 	case req.Incarnations.presumed(e) && !c.Replaced:
 		req.beginning = &beginning{endpoint: e, conn: c, checkedAt: req.firstEventAt}
 		o.Presumed = req.Incarnations.presumedAt(req.beginning)
