--- a/core/peer/keep.go
+++ b/core/peer/keep.go
@@ -31,7 +31,7 @@
 	if 1+len(g.members) <= smallGroup {
 		return g.ranked(now, formerGroup(0), smallGroup)
 	}
-	var out []Member
+	out := make([]Member, 0, 1+len(g.members))
 	for _, s := range g.members {
 		if s.canOwn(now) {
 			out = append(out, s.Member)
@@ -46,7 +46,7 @@
 
 // FirstFormerKeepers returns the first member of each group of the former release.
 func (g *Group) FirstFormerKeepers(now time.Time) []Member {
-	var out []Member
+	out := make([]Member, 0, formerGroups)
 	for n := range formerGroups {
 		out = append(out, g.ranked(now, formerGroup(n), 1)...)
 	}
--- a/relay/peers/copies.go
+++ b/relay/peers/copies.go
@@ -77,8 +77,9 @@
 func (m *Mesh) formerKeepers(now time.Time, stream string) []keeperLink {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []keeperLink
-	for _, p := range m.Group.FormerKeepers(now, stream) {
+	former := m.Group.FormerKeepers(now, stream)
+	out := make([]keeperLink, 0, len(former))
+	for _, p := range former {
 		out = append(out, keeperLink{Keeper: keeperOf(p), session: m.byID[p.Instance]})
 	}
 	return out
--- a/relay/peers/copies_test.go
+++ b/relay/peers/copies_test.go
@@ -132,9 +132,9 @@
 	}
 }
 
-// answer answers the requests that other relays got, as a relay that has remembered streams
-// for some time.
-func (t *originTest) answer(since time.Duration, o *origin.Origin, ids ...string) {
+// answer answers the requests that other relays got, as ones that have remembered streams
+// for a minute.
+func (t *originTest) answer(o *origin.Origin, ids ...string) {
 	for _, id := range ids {
 		s := t.links[id]
 		for len(s.queue) > 0 {
@@ -142,7 +142,7 @@
 			if q == nil {
 				continue
 			}
-			r := &OriginReply{Number: q.GetNumber(), SinceMs: since.Milliseconds()}
+			r := &OriginReply{Number: q.GetNumber(), SinceMs: time.Minute.Milliseconds()}
 			if o != nil {
 				r.Known, r.Service, r.Version = true, o.Service, o.Version
 			}
@@ -176,7 +176,7 @@
 		begun := ot.clk.Now()
 		f := ot.find(t.Context(), func() {
 			if ot.clk.Now().Sub(begun) > 400*time.Millisecond {
-				ot.answer(time.Minute, known, ids...)
+				ot.answer(known, ids...)
 			}
 		})
 		if f.Result != origin.Found || f.Origin != *known {
@@ -185,7 +185,7 @@
 	})
 	t.Run("none", func(t *testing.T) {
 		ot := newOriginTest(3)
-		if f := ot.find(t.Context(), func() { ot.answer(time.Minute, nil, ids[:2]...) }); f.Result != origin.Unanswered || f.Asked != 3 || f.Answered != 2 {
+		if f := ot.find(t.Context(), func() { ot.answer(nil, ids[:2]...) }); f.Result != origin.Unanswered || f.Asked != 3 || f.Answered != 2 {
 			t.Errorf("%+v, want no conclusion from two of three answers", f)
 		}
 	})
@@ -193,7 +193,7 @@
 		ot := newOriginTest(3)
 		begun := ot.clk.Now()
 		f := ot.find(t.Context(), func() {
-			ot.answer(time.Minute, nil, ids[:2]...)
+			ot.answer(nil, ids[:2]...)
 			if ot.links["r2"] != nil && ot.clk.Now().Sub(begun) > 200*time.Millisecond {
 				ot.mesh.mu.Lock()
 				ot.lose("r2")
@@ -209,12 +209,12 @@
 		delete(ot.mesh.byID, "r2")
 		begun := ot.clk.Now()
 		f := ot.find(t.Context(), func() {
-			ot.answer(time.Minute, nil, ids[:2]...)
+			ot.answer(nil, ids[:2]...)
 			if ot.clk.Now().Sub(begun) > 200*time.Millisecond {
 				ot.mesh.mu.Lock()
 				ot.mesh.byID["r2"] = ot.links["r2"]
 				ot.mesh.mu.Unlock()
-				ot.answer(time.Minute, known, "r2")
+				ot.answer(known, "r2")
 			}
 		})
 		if f.Result != origin.Found {
