core/origin: a record is expected only of relays that remember since before any view

Cause: a relay that answered that it doesn't know a stream made the strict window apply as soon as it had remembered for longer than the stream's age; the relay's own rule asks for the 3 s of views besides. Relays that start together told each other so and refused what all of them could conclude.

--- a/core/origin/search.go
+++ b/core/origin/search.go
@@ -25,7 +25,7 @@
 	Result Result
 	Origin Origin // if the result is Own or Found
 	// Expected reports, of an unrecorded stream, whether a relay that answered has
-	// remembered streams since before this one began.
+	// remembered streams since before any view by which this one may have begun.
 	Expected bool
 	Asked    int // other relays
 	Answered int
@@ -95,7 +95,7 @@
 		if a.Since == 0 || a.Since > s.MaxAge {
 			old++
 		}
-		f.Expected = f.Expected || a.Since > s.MaxAge
+		f.Expected = f.Expected || a.Since > s.MaxAge+viewLag
 		if old >= s.Want {
 			break
 		}
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -24,7 +24,6 @@
 	eventGapTimeoutFactor = 4 // another endpoint is sought for a resumable stream after a gap of this multiple of the route's maximum
 	eventBufferBytes      = 4 << 10
 	defaultMaxEventGap    = time.Second // for routes that set none
-	maxUnread             = time.Second // callers abandon a resumable request that isn't read for longer
 )
 
 // forwardStream forwards a request whose response is a stream of events.
@@ -108,7 +107,7 @@
 // earliestBegin returns the time before which the stream that the caller takes up can't have
 // begun. Callers of a route wait no longer than the longest that any has named.
 func (req *request) earliestBegin() time.Time {
-	return req.startedAt.Add(-maxUnread - max(0, req.longestWait(req.route)-req.headers.Deadline))
+	return req.startedAt.Add(-max(0, req.longestWait(req.route)-req.headers.Deadline))
 }
 
 // recordVersion binds the request to the software version of the endpoint that sent
