--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -64,11 +64,6 @@
 	t.order = append(t.order, stream)
 }
 
-// settles reports whether o is known to be what other presumes.
-func (o Origin) settles(other Origin) bool {
-	return o.Presumed == (Incarnation{}) && other.Presumed != (Incarnation{}) && o.Service == other.Service && o.Version == other.Version
-}
-
 // Get returns the origin of a stream, and false if it is not known.
 func (t *Table) Get(now time.Time, stream string) (Origin, bool) {
 	t.expire(now)
