--- a/core/origin/strict_test.go
+++ b/core/origin/strict_test.go
@@ -45,3 +45,26 @@
 		})
 	}
 }
+
+// TestUnrecordedByAnyView guards against streams that go on at another version because they
+// count as begun by a view of their time, although a relay that should remember them doesn't.
+func TestUnrecordedByAnyView(t *testing.T) {
+	const listed = "a:v2:1h b:v2:1h d:v2:14s"
+	var v origin.Versions
+	v.Observe(start, viewOf(t, listed))
+	v.Recall(historyOf(t, listed, "-c:v1:1h c +d:v2:14s"))
+	now := start.Add(10 * time.Millisecond)
+	known := make(map[bool]int)
+	for i := range 100 {
+		for _, unrecorded := range []bool{false, true} {
+			s := streamOfAge(now, fmt.Sprint(i), 2*time.Second)
+			s.Unrecorded = unrecorded
+			if _, ok := conclude(&v, now, s); ok {
+				known[unrecorded]++
+			}
+		}
+	}
+	if known[false] != 100 || known[true] == 100 {
+		t.Errorf("%d of 100 streams are known, %d if a record is missing, want all and fewer", known[false], known[true])
+	}
+}
