--- a/relay/proxy/events_test.go
+++ b/relay/proxy/events_test.go
@@ -114,7 +114,11 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = c.Close() }()
-	if _, err := io.WriteString(c, "GET /r HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r1\r\n\r\n"); err != nil {
+	var request fasthttp.RequestHeader
+	request.SetRequestURI("/r")
+	request.SetHost("h")
+	(&site.Call{AttemptID: "r1"}).SetHeaders(&request)
+	if _, err := c.Write(request.Header()); err != nil {
 		t.Fatal(err)
 	}
 	var h fasthttp.ResponseHeader
