relay/keeper: processes beside endpoints remember where streams began

Callers saw streams that hold events of two versions after a loss of all relays: the version was concluded from the change log of the store, by bounds of time that nothing enforces while relays can't read it.

A keeper, the same program with another role, now runs beside each engine. A relay has its streams remembered by the keepers of twelve hosts, which it takes from the list of endpoints by hash, so that no discovery and no setting but a port is needed. Records go there as to relays: sent again until acknowledged, and to hosts that become the chosen ones. A stream that should be remembered and isn't no longer has its version concluded; it is refused.

--- a/core/origin/search.go
+++ b/core/origin/search.go
@@ -24,8 +24,9 @@
 type Finding struct {
 	Result Result
 	Origin Origin // if the result is Own or Found
-	// Expected reports, of an unrecorded stream, whether a relay that answered has
-	// remembered streams since before any view by which this one may have begun.
+	// Expected reports, of an unrecorded stream, that some process should remember it: one
+	// that answered has remembered streams since before any view by which this one may have
+	// begun, or there are processes that outlive the relays.
 	Expected bool
 	Asked    int // other relays
 	Answered int
--- a/proof/cmds/docs.go
+++ b/proof/cmds/docs.go
@@ -69,7 +69,7 @@
 		wpctlcmds.Parser(&bytes.Buffer{}),
 		entrycmds.Parser(&start.Options{}),
 		agentcmds.Parser(&start.Options{}),
-		relaycmds.Parser(&start.Options{}),
+		relaycmds.Parser(&relaycmds.Options{}),
 		fakescmds.Parser(),
 		Parser(),
 	} {
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -35,6 +35,7 @@
 	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/guard"
+	"wigeonplank.example/relay/keeper"
 	"wigeonplank.example/relay/life"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/peers"
@@ -71,15 +72,30 @@
 	flushTimeout     = 200 * time.Millisecond // bounds the write of the last log lines if standard output is slow
 )
 
+// Options are the command line options of the relay.
+type Options struct {
+	Start  start.Options `no-flag:"true"` // added as a group of its own
+	Keeper bool          `long:"keeper" description:"run as a keeper, which remembers for relays where streams began; the settings are those of a keeper"`
+}
+
 // Parser returns the parser of the command line, which sets opts.
-func Parser(opts *start.Options) *flags.Parser {
-	return start.Parser("relay", "Accepts callers' requests, runs the stages that precede them, and forwards them to an endpoint.", opts)
+func Parser(opts *Options) *flags.Parser {
+	p := start.Parser("relay", "Accepts callers' requests, runs the stages that precede them, and forwards them to an endpoint.", &opts.Start)
+	if _, err := p.AddGroup("Role", "", opts); err != nil {
+		panic(err) // only for an invalid tag in Options
+	}
+	return p
 }
 
 // Main runs the relay and returns its exit status.
 func Main(args []string) int {
-	var opts start.Options
-	return start.Main(Parser(&opts), args, func() error { return run(opts) })
+	var opts Options
+	return start.Main(Parser(&opts), args, func() error {
+		if opts.Keeper {
+			return runKeeper(opts.Start.Settings)
+		}
+		return run(opts.Start)
+	})
 }
 
 func run(opts start.Options) error {
@@ -91,6 +107,7 @@
 		newControl,
 		newBalancer,
 		newPeerMesh,
+		newKeeperLinks,
 		newAssigner,
 		newStages,
 		newGuard,
@@ -185,6 +202,16 @@
 	}
 }
 
+// newKeeperLinks returns the links to the keepers beside endpoints, and has the mesh use them.
+func newKeeperLinks(live *sets.Live, l *logs.Logger, c *ctrl.Control, m *peers.Mesh) *keeper.Links {
+	k := &keeper.Links{
+		Hosts: func() []origin.Host { return origin.Hosts(c.View()) }, Port: func() int { return live.Get().Keepers.Port },
+		Clock: clock.System{}, Log: l, OnStored: m.OnStored,
+	}
+	m.Beside = k
+	return k
+}
+
 func newBalancer(live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, m *peers.Mesh) *proxy.Balancer {
 	b := &proxy.Balancer{Clock: clock.System{}, Policy: policyFunc(live)}
 	b.History = c.History
@@ -364,7 +391,7 @@
 // serveUntilStopped listens on all addresses and serves until the process is
 // signalled to stop or a listener fails.
 func serveUntilStopped(
-	live *sets.Live, l *logs.Logger, c *ctrl.Control, f *proxy.Forwarder, r *stage.Runner, m *peers.Mesh, srv *front.Server, adm *admin.Server,
+	live *sets.Live, l *logs.Logger, c *ctrl.Control, f *proxy.Forwarder, r *stage.Runner, m *peers.Mesh, k *keeper.Links, srv *front.Server, adm *admin.Server,
 ) error {
 	s := live.Get()
 	setMemoryLimit(s)
@@ -395,6 +422,7 @@
 	}
 	go func() { failed <- m.Serve(peerLn) }()
 	go m.Run(ctx)
+	go k.Run(ctx)
 	go func() { failed <- srv.Serve(ln) }()
 	go func() { failed <- adm.Serve(adminLn) }()
 	go c.Run(ctx)
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -93,6 +93,20 @@
 	Merge(from string, records [][]byte)
 }
 
+// Keepers are processes beside endpoints that remember where streams began. Its methods are
+// called concurrently.
+type Keepers interface {
+	// Enabled reports whether there are any in this deployment.
+	Enabled() bool
+	// Record has them remember where a stream of this relay began. It doesn't block.
+	Record(stream string, o origin.Origin)
+	// Keepers returns those in use, also ones that can't be reached.
+	Keepers() []origin.Keeper
+	// Ask asks one of them where a stream began, and reports whether that is possible. The
+	// answer is passed to reply, which must not block, unless the link fails.
+	Ask(k origin.Keeper, stream string, reply func(a origin.Answer)) bool
+}
+
 // Mesh manages the links of one relay to others. Set the exported fields before
 // calling Serve and Run. It is safe for concurrent use.
 type Mesh struct {
@@ -107,6 +121,7 @@
 	Source  Source
 	Notices Notices
 	Topics  []Topic
+	Beside  Keepers            // nil: none
 	Policy  func() sets.Policy // returns the current policy
 	// OnStored, if set, is called with the time that the first acknowledgement of a record
 	// has taken. It must not block.
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -29,6 +29,9 @@
 	o, _ = m.origins.Get(now, stream)
 	m.copies.Put(now, stream, o)
 	m.originMu.Unlock()
+	if m.Beside != nil {
+		m.Beside.Record(stream, o)
+	}
 	m.sendCopies(now, stream)
 }
 
@@ -52,23 +55,24 @@
 		search.Add(begun, origin.Keeper{}, origin.Answer{Known: true, Origin: o})
 	}
 	replies := make(chan originAnswer, maxOriginAnswers)
-	asked := make(map[*session]bool)
+	asked := make(map[origin.Keeper]bool)
 	t := time.NewTicker(originInterval)
 	defer t.Stop()
 	for {
 		now := m.Clock.Now()
+		order := m.askBeside(stream, asked, replies)
 		keepers := m.originKeepers(now, stream)
-		order := make([]origin.Keeper, 0, len(keepers))
 		for _, k := range keepers {
 			order = append(order, k.Keeper)
 		}
 		for _, k := range append(keepers, m.formerKeepers(now, stream)...) {
-			if k.session != nil && !asked[k.session] && search.Asked < maxOriginAnswers && k.session.askOrigin(stream, replies) {
-				asked[k.session] = true
-				search.Asked++
+			if k.session != nil && !asked[k.Keeper] && len(asked) < maxOriginAnswers && k.session.askOrigin(stream, replies) {
+				asked[k.Keeper] = true
 			}
 		}
+		search.Asked = len(asked)
 		f, ok := search.Decide(now, order)
+		f.Expected = f.Expected || m.hasKeepersBeside()
 		if ok && (len(order) > 0 || m.Informed()) {
 			return f
 		}
@@ -77,7 +81,7 @@
 		}
 		select {
 		case r := <-replies:
-			search.Add(m.Clock.Now(), r.from, answerFromWire(r.reply, m.Clock.Now()))
+			search.Add(m.Clock.Now(), r.from, r.answer)
 		case <-t.C:
 		case <-ctx.Done():
 			return f
@@ -85,6 +89,22 @@
 	}
 }
 
+func (m *Mesh) hasKeepersBeside() bool { return m.Beside != nil && m.Beside.Enabled() }
+
+// askBeside asks the keepers beside endpoints that weren't asked yet, and returns all of them.
+func (m *Mesh) askBeside(stream string, asked map[origin.Keeper]bool, replies chan<- originAnswer) []origin.Keeper {
+	if !m.hasKeepersBeside() {
+		return nil
+	}
+	keepers := m.Beside.Keepers()
+	for _, k := range keepers {
+		if !asked[k] && len(asked) < maxOriginAnswers && m.Beside.Ask(k, stream, func(a origin.Answer) { replies <- originAnswer{from: k, answer: a} }) {
+			asked[k] = true
+		}
+	}
+	return keepers
+}
+
 // remembered returns what this relay itself remembers of a stream, and whether it has
 // served the stream.
 func (m *Mesh) remembered(now time.Time, stream string) (o origin.Origin, known, own bool) {
@@ -99,8 +119,8 @@
 
 // originAnswer is the answer of another relay.
 type originAnswer struct {
-	from  origin.Keeper
-	reply *OriginReply
+	from   origin.Keeper
+	answer origin.Answer
 }
 
 // rememberedFor returns for how long this relay has been one of those that remember streams.
@@ -139,12 +159,8 @@
 func (s *session) answerOrigin(msg *OriginRequest) {
 	now := s.mesh.Clock.Now()
 	o, known, _ := s.mesh.remembered(now, msg.GetStream())
-	w := originToWire(msg.GetStream(), o, now)
-	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: &OriginReply{
-		Number: msg.GetNumber(), Known: known, Service: w.GetService(), Version: w.GetVersion(),
-		Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), AgeUs: w.GetAgeUs(),
-		SinceMs: s.mesh.rememberedFor(now).Milliseconds() + 1, // 0 has another meaning
-	}}})
+	a := origin.Answer{Known: known, Origin: o, Since: s.mesh.rememberedFor(now)}
+	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: AnswerToWire(msg, a, now)}})
 }
 
 // handleOriginReply hands a reply to the request that waits for it.
@@ -153,6 +169,6 @@
 	defer s.mu.Unlock()
 	if replies := s.awaitingOrigin[msg.GetNumber()]; replies != nil {
 		delete(s.awaitingOrigin, msg.GetNumber())
-		replies <- originAnswer{from: keeperOf(s.remote), reply: msg}
+		replies <- originAnswer{from: keeperOf(s.remote), answer: AnswerFromWire(msg, s.mesh.Clock.Now())}
 	}
 }
--- a/relay/peers/wire.go
+++ b/relay/peers/wire.go
@@ -109,9 +109,9 @@
 	return p
 }
 
-// originToWire converts the origin of a stream. Its time is sent as a duration, since the
+// OriginToWire converts the origin of a stream. Its time is sent as a duration, since the
 // clocks of two relays may differ.
-func originToWire(stream string, o origin.Origin, now time.Time) *StreamOrigin {
+func OriginToWire(stream string, o origin.Origin, now time.Time) *StreamOrigin {
 	w := &StreamOrigin{Stream: stream, Service: o.Service, Version: o.Version, Endpoint: o.Presumed.Endpoint, Incarnation: o.Presumed.StartUnixMs}
 	if w.GetEndpoint() != "" {
 		w.AgeUs = now.Sub(o.Presumed.At).Microseconds()
@@ -128,7 +128,8 @@
 	GetAgeUs() int64
 }
 
-func originFromWire(w wireOrigin, now time.Time) origin.Origin {
+// OriginFromWire is the inverse of OriginToWire.
+func OriginFromWire(w wireOrigin, now time.Time) origin.Origin {
 	o := origin.Origin{Service: w.GetService(), Version: w.GetVersion()}
 	if w.GetEndpoint() != "" {
 		o.Presumed = origin.Incarnation{
@@ -138,6 +139,17 @@
 	return o
 }
 
-func answerFromWire(w *OriginReply, now time.Time) origin.Answer {
-	return origin.Answer{Known: w.GetKnown(), Origin: originFromWire(w, now), Since: time.Duration(w.GetSinceMs()) * time.Millisecond}
+// AnswerToWire converts the answer to a request.
+func AnswerToWire(r *OriginRequest, a origin.Answer, now time.Time) *OriginReply {
+	w := OriginToWire(r.GetStream(), a.Origin, now)
+	return &OriginReply{
+		Number: r.GetNumber(), Known: a.Known, Service: w.GetService(), Version: w.GetVersion(),
+		Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), AgeUs: w.GetAgeUs(),
+		SinceMs: a.Since.Milliseconds() + 1, // 0 has another meaning
+	}
+}
+
+// AnswerFromWire is the inverse of AnswerToWire.
+func AnswerFromWire(w *OriginReply, now time.Time) origin.Answer {
+	return origin.Answer{Known: w.GetKnown(), Origin: OriginFromWire(w, now), Since: time.Duration(w.GetSinceMs()) * time.Millisecond}
 }
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -74,18 +74,19 @@
 // none remembers it, the version is concluded from what was listed until now: a view that is
 // older may lack the version.
 func (req *request) findOrigin(ctx context.Context) (origin.Origin, origin.Result) {
-	expected := false
 	if req.headers.Resumes != "" {
 		f := req.seekOrigin(ctx)
-		if f.Result != origin.Unrecorded {
+		switch {
+		case f.Result != origin.Unrecorded:
 			return f.Origin, f.Result
+		case f.Expected:
+			return origin.Origin{}, origin.Unknown
 		}
-		expected = f.Expected
 	}
 	if !req.Refresh(ctx, 0) {
 		return origin.Origin{}, origin.Unknown
 	}
-	c := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin(), Unrecorded: expected})
+	c := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin()})
 	req.Log.Event(logs.OriginConcluded).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("service", req.service).
 		Str("endpoint_version", c.Version).Bool("known", c.Known()).Str("reason", string(c.Reason)).Int("moments", c.Moments).
 		Dur("window_ms", c.Window).Msg("")
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -16,6 +16,7 @@
 	Admin       sets.Listen   `yaml:"admin"`                        // address for readiness, metrics and status
 	Metrics     *sets.Listen  `yaml:"metrics,omitempty"`            // additional address for scrapers of metrics; if unset, metrics are served on the admin address only
 	Peers       Peers         `yaml:"peers"`
+	Keepers     Keepers       `yaml:"keepers,omitempty"`
 	Store       string        `yaml:"store" validate:"required,ip_port"`        // address of the platform's store, IP:port
 	History     time.Duration `yaml:"store_history,omitempty" validate:"min=0"` // how long the store keeps its history; 0: 20s
 	Removal     Removal       `yaml:"removal,omitempty"`
@@ -35,6 +36,18 @@
 	ExpectedSize      int           `yaml:"expect,omitempty" validate:"min=0,max=10000"` // minimum number of relays to assume while the others are being discovered; 0: 8
 }
 
+// Keepers tells where keepers listen, the processes beside endpoints that remember streams.
+type Keepers struct {
+	Port int `yaml:"port,omitempty" validate:"min=0,max=65535"` // port of the keeper on each instance that runs endpoints; 0: there are no keepers, and streams don't go on after a loss of all relays unless their version can be concluded
+}
+
+// Keeper are the settings of a keeper.
+type Keeper struct {
+	Instance    string      `yaml:"instance" validate:"required"`            // ID of the instance
+	Links       sets.Listen `yaml:"links"`                                   // address for relays
+	MemoryBytes int64       `yaml:"memory_bytes,omitempty" validate:"min=0"` // memory of the instance in bytes; the soft memory limit of the process is 70% of it; 0: no limit
+}
+
 // Removal bounds how soon the removal of an endpoint from the store takes effect.
 type Removal struct {
 	DrainMs  float64       `yaml:"drain_ms,omitempty" validate:"min=0"`  // requests may reach an endpoint for this long, in ms, after a stable store has confirmed that it is gone; 0: 2000
