--- a/proof/deploy/deploy.go
+++ b/proof/deploy/deploy.go
@@ -51,6 +51,9 @@
 	Bin    string // directory with the built programs
 	Relays []*Relay
 
+	Keepers    map[string]*Keeper // by name
+	keeperPort int                // of all keepers; 0: none was started
+
 	// StopTimeout is the time that relays have from SIGTERM to the end of the process; 0: 4s.
 	StopTimeout time.Duration
 
@@ -83,7 +86,7 @@
 	}
 	s := sets.Settings{
 		Instance: name, Zone: zone, HTTP: base.Listen{Listen: addrs[0]}, Admin: base.Listen{Listen: addrs[1]},
-		Peers: sets.Peers{Listen: addrs[2], ExpectedSize: 1}, Store: d.Site.StoreAddr,
+		Peers: sets.Peers{Listen: addrs[2], ExpectedSize: 1}, Keepers: sets.Keepers{Port: d.keeperPort}, Store: d.Site.StoreAddr,
 		Stop: sets.Stop{Timeout: cmp.Or(d.StopTimeout, relayStopTimeout)}, Retry: sets.Retry{Slack: retryBudgetSlack},
 	}
 	for _, other := range d.Relays[:min(len(d.Relays), maxSeeds)] {
@@ -156,5 +159,5 @@
 			errs = append(errs, r.Proc().Stop(stopTimeout))
 		}
 	}
-	return errors.Join(append(errs, d.Site.Close())...)
+	return errors.Join(append(errs, d.stopKeepers(), d.Site.Close())...)
 }
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -83,6 +83,7 @@
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
 	for name, f := range map[string]func(*command) error{
 		"relay":    startRelay,
+		"keeper":   startKeeper,
 		"signal":   sendSignal,
 		"ended":    awaitEnd,
 		"settled":  checkSettled,
@@ -212,6 +213,16 @@
 	return cmd.state.dep.AwaitReady(context.Background(), r)
 }
 
+// startKeeper implements the command
+//
+//	keeper NAME
+//
+// It starts a keeper on the host of all endpoints. Relays that are started later use it.
+func startKeeper(cmd *command) error {
+	_, err := cmd.state.dep.StartKeeper(cmd.arg(0), "127.0.0.1")
+	return err
+}
+
 // awaitReady implements the command
 //
 //	ready NAME
