relay/keeper: what a keeper hasn't acknowledged is sent again over a new link

A record counted as sent twice although the link had failed with both, so that a keeper which was cut off for a moment never got it. TestRecordIsSentOverANewLink fails without the new Copies.Relinked. The hosts are chosen once for each view.

--- a/core/origin/copies.go
+++ b/core/origin/copies.go
@@ -140,6 +140,17 @@
 	sent.times++
 }
 
+// Relinked records that there is a new link to a keeper. What it hasn't acknowledged over the
+// former one may be lost, and is due again.
+func (c *Copies) Relinked(now time.Time, k Keeper) {
+	c.Reconsider(now)
+	for _, s := range c.streams {
+		if sent := s.sent[k]; sent != nil && !sent.stored {
+			sent.at, sent.times = time.Time{}, 0
+		}
+	}
+}
+
 // Stored records that a keeper has acknowledged a record of a stream. It returns the time
 // since the record was sent to it, and whether this is the first acknowledgement of the
 // current record.
--- a/core/origin/copies_test.go
+++ b/core/origin/copies_test.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// TestRecordIsSentOverANewLink guards against records that a keeper never gets because those
+// sent over a link that has failed count.
+func TestRecordIsSentOverANewLink(t *testing.T) {
+	c := &copyTest{t: t, now: start}
+	c.copies.Put(c.now, "a", recorded)
+	c.next("begun", keepers[:2], recorded, keepers[0], keepers[1])
+	c.stored(recorded, keepers[0])
+	c.now = c.now.Add(time.Second)
+	c.next("not acknowledged", keepers[:2], recorded, keepers[1])
+	c.now = c.now.Add(time.Second)
+	c.next("twice", keepers[:2], recorded)
+	c.copies.Relinked(c.now, keepers[0])
+	c.copies.Relinked(c.now, keepers[1])
+	c.expectDue("new links", 1)
+	c.next("new links", keepers[:2], recorded, keepers[1])
+}
+
 // TestRecordIsHandedOn guards against records that are lost with their keepers, one after
 // the other, while their own relay has them.
 func TestRecordIsHandedOn(t *testing.T) {
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -204,8 +204,16 @@
 
 // newKeeperLinks returns the links to the keepers beside endpoints, and has the mesh use them.
 func newKeeperLinks(live *sets.Live, l *logs.Logger, c *ctrl.Control, m *peers.Mesh) *keeper.Links {
+	var view *fleet.View
+	var hosts []origin.Host // of view
 	k := &keeper.Links{
-		Hosts: func() []origin.Host { return origin.Hosts(c.View()) }, Port: func() int { return live.Get().Keepers.Port },
+		Hosts: func() []origin.Host {
+			if v := c.View(); v != view {
+				view, hosts = v, origin.Hosts(v)
+			}
+			return hosts
+		},
+		Port:  func() int { return live.Get().Keepers.Port },
 		Clock: clock.System{}, Log: l, OnStored: m.OnStored,
 	}
 	m.Beside = k
--- a/relay/keeper/links.go
+++ b/relay/keeper/links.go
@@ -187,7 +187,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o.session = s; s != nil {
-		l.copies.Reconsider(l.Clock.Now())
+		l.copies.Relinked(l.Clock.Now(), s.keeper)
 	}
 }
 
