relay/pool, relay/proxy: an endpoint proves its incarnation over the connection that is used

Cause: a stream's version was certain by bounds of time: 2 s for the registration of an endpoint, waits of up to 3 s, ages of views. An endpoint that registers late under its former ID with another version made them false.

Change: before a resumable stream is sent, each connection asks its endpoint once for its report, whose start names the incarnation. The version is that of the listed entry with exactly this start; else the record names the incarnation and its version follows once it is listed. Streams go on only over connections to the listed incarnation. ListedUntil, Current, the lives of connections and the waits for proofs go.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -15,22 +15,23 @@
 // Origin is where a stream began. The zero Origin is that of a stream whose version can't
 // be known.
 type Origin struct {
-	Service  string
-	Version  string // of the software of the endpoint
+	Service string
+	Version string // of the software of the endpoint; empty if it was not known yet
+	// Presumed is the incarnation whose version is that of the stream. It is zero if the version
+	// is known.
 	Presumed Incarnation
 }
 
-// confirms reports whether the version is that of a presumed origin, and certain.
+// confirms reports whether an origin names the version that a presumed one lacks.
 func (o Origin) confirms(presumed Origin) bool {
-	return o.Service == presumed.Service && o.Version == presumed.Version && o.Presumed == (Incarnation{}) && presumed != (Origin{})
+	return o.Service == presumed.Service && o.Presumed == (Incarnation{}) && presumed.Presumed != (Incarnation{}) &&
+		(presumed.Version == "" || presumed.Version == o.Version)
 }
 
-// Incarnation is the incarnation of an endpoint that is presumed to have sent the first
-// event of a stream. The zero Incarnation is that of a stream whose version is certain.
+// Incarnation is the incarnation of an endpoint that has sent the first event of a stream.
 type Incarnation struct {
 	Endpoint    string // ID
 	StartUnixMs int64
-	At          time.Time // it had lived since then when the first event arrived
 }
 
 // Table holds the origins of streams by the ID of the caller's attempt that
@@ -47,7 +48,7 @@
 }
 
 // Put records the origin of a stream. The first record of a stream stays, unless it turns
-// out that the version can't be known, or that the presumed version is certain.
+// out that the version can't be known, or which one it is.
 func (t *Table) Put(now time.Time, stream string, o Origin) {
 	t.expire(now)
 	if r, ok := t.records[stream]; ok {
--- a/core/origin/search.go
+++ b/core/origin/search.go
@@ -71,13 +71,13 @@
 // merge returns the origin of a stream of which two relays have records. A correction
 // wins over what it corrects.
 func (o Origin) merge(other Origin) Origin {
-	if o.Service != other.Service || o.Version != other.Version {
-		return Origin{}
-	}
-	if o.Presumed == (Incarnation{}) {
+	switch {
+	case o == other, o.confirms(other):
 		return o
+	case other.confirms(o):
+		return other
 	}
-	return other
+	return Origin{}
 }
 
 // Decide returns what follows from the answers, and false if more are to be awaited.
--- a/fakes/site/server.go
+++ b/fakes/site/server.go
@@ -367,6 +367,11 @@
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	if e.Kind == KindEngine && string(ctx.Path()) == "/report" {
+		ctx.SetContentType("application/json")
+		ctx.SetBodyString(fmt.Sprintf(`{"born":%d}`, e.startedAtMs()))
+		return
+	}
 	e.addInFlight(1)
 	defer e.addInFlight(-1)
 	limit, leaving, closedFor := e.recordArrival(string(ctx.Path()) == "/stage-free")
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -325,7 +325,7 @@
 		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, ViewAge: c.ViewAge, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
 		Unread: c.Unread, ReachesHalf: m.ReachesHalf,
 		Policy:       policyFunc(live),
-		Incarnations: &proxy.Incarnations{Ledger: lives, ListedUntil: c.ListedUntil, Current: c.Current, Since: p.Since},
+		Incarnations: lives,
 		NewBudget: func() *retry.Budget {
 			s := live.Get()
 			ratio := s.Retry.Ratio
--- a/relay/ctrl/age.go
+++ b/relay/ctrl/age.go
@@ -31,14 +31,6 @@
 	return c.Clock.Now().Sub(c.shownContactLocked().At)
 }
 
-// shownPosition returns the position of this relay with the last contact with the store up
-// to which View is complete.
-func (c *Control) shownPosition() repl.Position {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return repl.Position{Point: c.point, Contact: c.shownContactLocked(), OutageEnd: c.outages.End()}
-}
-
 // shownContactLocked returns the last contact with the store up to which View is complete.
 // The caller holds c.mu.
 func (c *Control) shownContactLocked() repl.Contact {
--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -13,9 +13,6 @@
 )
 
 const (
-	// registrationTime is how long it takes until the store lists an endpoint that has
-	// started, or that lives when the store is back.
-	registrationTime = 2 * time.Second
 	// maxTickGap is the time between two ticks above which this process was paused.
 	maxTickGap = 500 * time.Millisecond
 	// loggedTickGap is the time between two ticks from which on it is logged.
@@ -29,11 +26,10 @@
 // contacts tells what the contacts with the store prove of the view. It is safe for
 // concurrent use.
 type contacts struct {
-	mu          sync.Mutex
-	tickedAt    time.Time // last tick
-	wokeAt      time.Time // end of the last pause of this process; zero: none
-	lostAt      time.Time // when a read failed first after one that didn't; zero: never
-	listedUntil time.Time // see Control.ListedUntil
+	mu       sync.Mutex
+	tickedAt time.Time // last tick
+	wokeAt   time.Time // end of the last pause of this process; zero: none
+	lostAt   time.Time // when a read failed first after one that didn't; zero: never
 
 	refreshing  sync.Mutex // held while Refresh reads; guards refreshedAt and triedAt
 	refreshedAt time.Time  // beginning of the last read that succeeded
@@ -73,17 +69,9 @@
 	return now.Sub(t.tickedAt) <= maxTickGap && (t.wokeAt.IsZero() || now.Sub(t.wokeAt) > d)
 }
 
-// proves reports whether a contact shows what has registered since the end of an outage
-// and of a pause. The caller holds t.mu.
-func (t *contacts) proves(p repl.Position) bool {
-	at := p.Contact.At
-	return !at.IsZero() && (t.wokeAt.IsZero() || at.Sub(t.wokeAt) > wakeTime) &&
-		(p.OutageEnd.IsZero() || at.Sub(p.OutageEnd) >= registrationTime)
-}
-
 // Tick records that this process runs. It must be called several times in maxTickGap.
 func (c *Control) Tick() {
-	p, now, t := c.shownPosition(), c.Clock.Now(), &c.contacts
+	now, t := c.Clock.Now(), &c.contacts
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	gap := now.Sub(t.tickedAt)
@@ -94,28 +82,6 @@
 		c.Log.Event(logs.ProcessStalled).Dur("took_ms", gap).Msg("")
 	}
 	t.tickedAt = now
-	if until := p.Contact.At.Add(-registrationTime); t.proves(p) && until.After(t.listedUntil) {
-		t.listedUntil = until
-	}
-}
-
-// ListedUntil returns the latest time for which the view certainly lists each incarnation
-// of an endpoint that lived then and still does; zero if there is none. What responds on a
-// connection that was dialed by then is the listed incarnation.
-func (c *Control) ListedUntil() time.Time {
-	c.contacts.mu.Lock()
-	defer c.contacts.mu.Unlock()
-	return c.contacts.listedUntil
-}
-
-// Current reports whether the view lists the incarnations that live now, as far as this
-// process can tell: it wasn't paused, and the store responds and did so for long enough
-// that all endpoints have registered.
-func (c *Control) Current() bool {
-	p, now, t := c.shownPosition(), c.Clock.Now(), &c.contacts
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Sub(t.tickedAt) <= maxTickGap && t.proves(p) && now.Sub(p.Contact.At) <= maxViewAge && p.Contact.At.After(t.lostAt)
 }
 
 // Refresh brings the view up to date with the store as of a time that is at most maxAge
--- a/relay/keeper/links.go
+++ b/relay/keeper/links.go
@@ -208,7 +208,7 @@
 		}
 	case *peers.Work_FoundOrigin:
 		if reply := s.takeQuestion(k.FoundOrigin.GetNumber()); reply != nil {
-			reply(peers.AnswerFromWire(k.FoundOrigin, l.Clock.Now()))
+			reply(peers.AnswerFromWire(k.FoundOrigin))
 		}
 	}
 }
--- a/relay/keeper/server.go
+++ b/relay/keeper/server.go
@@ -75,12 +75,12 @@
 	defer s.mu.Unlock()
 	switch k := w.GetKind().(type) {
 	case *peers.Work_Origin:
-		s.table.Put(now, k.Origin.GetStream(), peers.OriginFromWire(k.Origin, now))
+		s.table.Put(now, k.Origin.GetStream(), peers.OriginFromWire(k.Origin))
 		return &peers.Work{Kind: &peers.Work_Stored{Stored: &peers.OriginStored{Number: k.Origin.GetNumber()}}}
 	case *peers.Work_FindOrigin:
 		o, known := s.table.Get(now, k.FindOrigin.GetStream())
 		a := origin.Answer{Known: known, Origin: o, Since: now.Sub(s.Started)}
-		return &peers.Work{Kind: &peers.Work_FoundOrigin{FoundOrigin: peers.AnswerToWire(k.FindOrigin, a, now)}}
+		return &peers.Work{Kind: &peers.Work_FoundOrigin{FoundOrigin: peers.AnswerToWire(k.FindOrigin, a)}}
 	}
 	return nil
 }
--- a/relay/keeper/session.go
+++ b/relay/keeper/session.go
@@ -154,7 +154,7 @@
 func (s *session) record(now time.Time, stream string, o origin.Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := peers.OriginToWire(stream, o, now)
+	w := peers.OriginToWire(stream, o)
 	w.Number = s.number + 1
 	if s.failed || !s.send(&peers.Work{Kind: &peers.Work_Origin{Origin: w}}) {
 		return false
--- a/relay/life/life.go
+++ b/relay/life/life.go
@@ -32,24 +32,17 @@
 
 // Ended records that nothing listens at the address of an endpoint, or another endpoint
 // does: its incarnation has ended.
-func (l *Ledger) Ended(e *fleet.Endpoint) { l.doubt(e, true) }
-
-// Doubt records a sign that the incarnation of an endpoint may have ended.
-func (l *Ledger) Doubt(e *fleet.Endpoint) { l.doubt(e, false) }
-
-func (l *Ledger) doubt(e *fleet.Endpoint, ended bool) {
+func (l *Ledger) Ended(e *fleet.Endpoint) {
 	l.mu.Lock()
-	isNew, err := l.table.Doubt(l.Clock.Now(), lives.Of(e), ended)
+	isNew, err := l.table.Doubt(l.Clock.Now(), lives.Of(e), true)
 	l.marks.Store(int64(l.table.Len()))
-	if ended {
-		l.announceSoon()
-	}
+	l.announceSoon()
 	l.mu.Unlock()
 	if err != nil {
 		l.Log.Failure(logs.KnowledgeRejected).Str("kind", l.Name()).Err(err).Msg("")
 	}
 	if isNew {
-		l.Log.Event(logs.EndpointDoubted).Str("endpoint", e.ID).Str("service", e.Service).Bool("certain", ended).Msg("")
+		l.Log.Event(logs.EndpointDoubted).Str("endpoint", e.ID).Str("service", e.Service).Bool("certain", true).Msg("")
 	}
 }
 
--- a/relay/peers/copies.go
+++ b/relay/peers/copies.go
@@ -142,7 +142,7 @@
 func (s *session) sendRecord(now time.Time, stream string, o origin.Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := OriginToWire(stream, o, now)
+	w := OriginToWire(stream, o)
 	w.Number = s.recordsSent + 1
 	if s.closed || !s.send(&Work{Kind: &Work_Origin{Origin: w}}) {
 		return false
@@ -162,7 +162,7 @@
 func (s *session) recordOrigin(msg *StreamOrigin) {
 	now := s.mesh.Clock.Now()
 	s.mesh.originMu.Lock()
-	s.mesh.origins.Put(now, msg.GetStream(), OriginFromWire(msg, now))
+	s.mesh.origins.Put(now, msg.GetStream(), OriginFromWire(msg))
 	s.mesh.originMu.Unlock()
 	if msg.GetNumber() != 0 {
 		s.send(&Work{Kind: &Work_Stored{Stored: &OriginStored{Number: msg.GetNumber()}}})
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -160,7 +160,7 @@
 	now := s.mesh.Clock.Now()
 	o, known, _ := s.mesh.remembered(now, msg.GetStream())
 	a := origin.Answer{Known: known, Origin: o, Since: s.mesh.rememberedFor(now)}
-	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: AnswerToWire(msg, a, now)}})
+	s.send(&Work{Kind: &Work_FoundOrigin{FoundOrigin: AnswerToWire(msg, a)}})
 }
 
 // handleOriginReply hands a reply to the request that waits for it.
@@ -169,6 +169,6 @@
 	defer s.mu.Unlock()
 	if replies := s.awaitingOrigin[msg.GetNumber()]; replies != nil {
 		delete(s.awaitingOrigin, msg.GetNumber())
-		replies <- originAnswer{from: keeperOf(s.remote), answer: AnswerFromWire(msg, s.mesh.Clock.Now())}
+		replies <- originAnswer{from: keeperOf(s.remote), answer: AnswerFromWire(msg)}
 	}
 }
--- a/relay/peers/wire.go
+++ b/relay/peers/wire.go
@@ -109,14 +109,9 @@
 	return p
 }
 
-// OriginToWire converts the origin of a stream. Its time is sent as a duration, since the
-// clocks of two relays may differ.
-func OriginToWire(stream string, o origin.Origin, now time.Time) *StreamOrigin {
-	w := &StreamOrigin{Stream: stream, Service: o.Service, Version: o.Version, Endpoint: o.Presumed.Endpoint, Incarnation: o.Presumed.StartUnixMs}
-	if w.GetEndpoint() != "" {
-		w.AgeUs = now.Sub(o.Presumed.At).Microseconds()
-	}
-	return w
+// OriginToWire converts the origin of a stream.
+func OriginToWire(stream string, o origin.Origin) *StreamOrigin {
+	return &StreamOrigin{Stream: stream, Service: o.Service, Version: o.Version, Endpoint: o.Presumed.Endpoint, Incarnation: o.Presumed.StartUnixMs}
 }
 
 // wireOrigin is a message that names the origin of a stream.
@@ -125,31 +120,28 @@
 	GetVersion() string
 	GetEndpoint() string
 	GetIncarnation() int64
-	GetAgeUs() int64
 }
 
 // OriginFromWire is the inverse of OriginToWire.
-func OriginFromWire(w wireOrigin, now time.Time) origin.Origin {
+func OriginFromWire(w wireOrigin) origin.Origin {
 	o := origin.Origin{Service: w.GetService(), Version: w.GetVersion()}
 	if w.GetEndpoint() != "" {
-		o.Presumed = origin.Incarnation{
-			Endpoint: w.GetEndpoint(), StartUnixMs: w.GetIncarnation(), At: now.Add(-time.Duration(w.GetAgeUs()) * time.Microsecond),
-		}
+		o.Presumed = origin.Incarnation{Endpoint: w.GetEndpoint(), StartUnixMs: w.GetIncarnation()}
 	}
 	return o
 }
 
 // AnswerToWire converts the answer to a request.
-func AnswerToWire(r *OriginRequest, a origin.Answer, now time.Time) *OriginReply {
-	w := OriginToWire(r.GetStream(), a.Origin, now)
+func AnswerToWire(r *OriginRequest, a origin.Answer) *OriginReply {
+	w := OriginToWire(r.GetStream(), a.Origin)
 	return &OriginReply{
 		Number: r.GetNumber(), Known: a.Known, Service: w.GetService(), Version: w.GetVersion(),
-		Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(), AgeUs: w.GetAgeUs(),
+		Endpoint: w.GetEndpoint(), Incarnation: w.GetIncarnation(),
 		SinceMs: a.Since.Milliseconds() + 1, // 0 has another meaning
 	}
 }
 
 // AnswerFromWire is the inverse of AnswerToWire.
-func AnswerFromWire(w *OriginReply, now time.Time) origin.Answer {
-	return origin.Answer{Known: w.GetKnown(), Origin: OriginFromWire(w, now), Since: time.Duration(w.GetSinceMs()) * time.Millisecond}
+func AnswerFromWire(w *OriginReply) origin.Answer {
+	return origin.Answer{Known: w.GetKnown(), Origin: OriginFromWire(w), Since: time.Duration(w.GetSinceMs()) * time.Millisecond}
 }
--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -94,10 +94,13 @@
 		if id == "" || c.Response.ID == id || (c.Response.ID == "" && c.Response.NotRun) {
 			return nil
 		}
+		c.Conn.surplus = true
 		if c.Response.ID == "" {
-			return fmt.Errorf("%w: status %d without an id", ErrResponse, c.Response.Status)
+			if !c.isReportCopy() {
+				return fmt.Errorf("%w: status %d without an id", ErrResponse, c.Response.Status)
+			}
+			continue
 		}
-		c.Conn.surplus = true
 		if err := c.skipBody(); err != nil {
 			return err
 		}
@@ -271,9 +274,7 @@
 // Finish returns the connection to the pool if it can carry another request, and
 // closes it otherwise. It must not be called before the response was judged; see Accept.
 func (c *Call) Finish(p *Pool) {
-	if c.reserved != nil {
-		c.reserved.Release()
-	}
+	c.release()
 	if !c.leavesUsable() || !c.requestWritten() {
 		_ = c.Conn.Close() // an error doesn't matter: it isn't used again
 		return
@@ -281,6 +282,13 @@
 	p.Put(c.Conn, c.Response.KeepAlive)
 }
 
+// release gives back the memory for what is held of the response.
+func (c *Call) release() {
+	if c.reserved != nil {
+		c.reserved.Release()
+	}
+}
+
 // leavesUsable reports whether no response to this request can be taken for that of
 // another one on the connection, as far as the response tells. A second copy of a not-run
 // response, which may lack an ID, could arrive later.
--- a/relay/pool/pool.go
+++ b/relay/pool/pool.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -58,7 +57,6 @@
 
 	mu        sync.Mutex
 	idle      map[key][]*Conn // the connection returned last is at the end
-	lives     map[key][]*life // of the connections that were used lately
 	dials     int64
 	lastSweep time.Time
 }
@@ -69,20 +67,18 @@
 	net.Conn
 	Reader *bufio.Reader // reads from Conn
 	Reused bool          // it has carried an earlier request
-	// Replaced tells that the endpoint had closed an idle connection before its time, for
-	// which this one was dialed.
-	Replaced bool
 
-	key       key
-	life      *life
-	overdue   func() (time.Time, bool) // see Call.OnOverdue
-	lastRead  time.Time                // see LastRead
-	emptyAt   time.Time                // last known time at which no bytes were left to read; zero: some may be left
-	budget    *budget.Budget           // nil: responses are bounded one by one only
-	unique    []uint64                 // hashes of bodies that no other response has; see Call.ReceiveUnnamed
-	alike     []uint64                 // hashes of bodies that other responses may have
-	surplus   bool                     // the endpoint has sent a response that was not asked for
-	expiresAt time.Time                // an idle connection isn't used from this time on
+	key         key
+	overdue     func() (time.Time, bool) // see Call.OnOverdue
+	lastRead    time.Time                // see LastRead
+	asked       bool                     // the endpoint was asked for its incarnation
+	incarnation int64                    // see Incarnation
+	report      uint64                   // hash of the endpoint's report; 0: it sent none
+	budget      *budget.Budget           // nil: responses are bounded one by one only
+	unique      []uint64                 // hashes of bodies that no other response has; see Call.ReceiveUnnamed
+	alike       []uint64                 // hashes of bodies that other responses may have
+	surplus     bool                     // the endpoint has sent a response that was not asked for
+	expiresAt   time.Time                // an idle connection isn't used from this time on
 }
 
 // Get returns an idle connection to an endpoint for a kind of calls, or dials a new one if
@@ -91,7 +87,6 @@
 // Any error wraps ErrUnreachable.
 func (p *Pool) Get(ctx context.Context, kind Kind, id, addr string, forceNew bool) (*Conn, error) {
 	k := key{kind: kind, id: id, addr: addr}
-	replaced := false
 	for !forceNew {
 		c := p.takeIdle(k)
 		if c == nil {
@@ -101,52 +96,9 @@
 			c.Reused = true
 			return c, nil
 		}
-		replaced = replaced || time.Now().Before(c.expiresAt)
 		_ = c.Close() // expired or broken
 	}
-	c, err := p.dial(ctx, k)
-	if err != nil {
-		return nil, err
-	}
-	c.Replaced = replaced
-	return c, nil
-}
-
-// GetKept returns an idle connection to an endpoint for requests on which what responds has lived since
-// at, or nil if there is none. It doesn't block.
-func (p *Pool) GetKept(id, addr string, at time.Time) *Conn {
-	k := key{kind: KindRequest, id: id, addr: addr}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[k]
-	i := p.findKeptLocked(k, at)
-	if i < 0 {
-		return nil
-	}
-	c := list[i]
-	p.idle[k] = slices.Delete(list, i, i+1)
-	c.Reused = true
-	return c
-}
-
-// HasKept reports whether GetKept would return a connection now.
-func (p *Pool) HasKept(id, addr string, at time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.findKeptLocked(key{kind: KindRequest, id: id, addr: addr}, at) >= 0
-}
-
-// findKeptLocked returns the index of the idle connection that was returned last among
-// those that can be used and on which what responds has lived since at, or -1. The caller
-// holds p.mu.
-func (p *Pool) findKeptLocked(k key, at time.Time) int {
-	now := time.Now()
-	for i, c := range slices.Backward(p.idle[k]) {
-		if !p.sinceLocked(c).After(at) && c.usable(now) {
-			return i
-		}
-	}
-	return -1
+	return p.dial(ctx, k)
 }
 
 // takeIdle removes and returns the connection of k that was returned last, or
@@ -165,16 +117,11 @@
 }
 
 func (p *Pool) dial(ctx context.Context, k key) (*Conn, error) {
-	dialedAt := time.Now()
-	d := &net.Dialer{Control: func(string, string, syscall.RawConn) error {
-		dialedAt = time.Now() // again if it is dialed again
-		return nil
-	}}
 	dial := p.Dial
 	if dial == nil {
 		dial = stall.Dial
 	}
-	raw, err := dial(ctx, d, k.addr, dialTimeout)
+	raw, err := dial(ctx, &net.Dialer{}, k.addr, dialTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -184,7 +131,7 @@
 	if t, ok := raw.(*net.TCPConn); ok {
 		setUnackedTimeout(t)
 	}
-	c := &Conn{Conn: stall.New(raw), key: k, budget: &p.Budget, life: p.addLife(k, dialedAt), emptyAt: dialedAt}
+	c := &Conn{Conn: stall.New(raw), key: k, budget: &p.Budget}
 	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -196,10 +143,9 @@
 // the current call whether to wait for longer.
 func (c *Conn) Read(p []byte) (int, error) {
 	for {
-		begunAt := time.Now()
 		n, err := c.Conn.Read(p)
 		if n > 0 {
-			c.recordRead(begunAt, n < len(p))
+			c.lastRead = time.Now()
 		}
 		if n > 0 || c.overdue == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
@@ -257,7 +203,6 @@
 // sweepLocked closes idle connections that have expired. The caller holds p.mu.
 func (p *Pool) sweepLocked(now time.Time) {
 	p.lastSweep = now
-	p.sweepLivesLocked(now)
 	for k, list := range p.idle {
 		n := 0
 		for _, c := range list {
@@ -282,12 +227,11 @@
 	if c.SetReadDeadline(time.Now()) != nil { // Conn.Conn looks again at what has arrived
 		return 0, err
 	}
-	begunAt := time.Now()
 	n, _ := c.Conn.Read(p)
 	if n == 0 {
 		return 0, err
 	}
-	c.recordRead(begunAt, n < len(p))
+	c.lastRead = time.Now()
 	return n, nil
 }
 
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -65,9 +65,6 @@
 // choice is nil if none can take the request; otherwise the caller must end the attempt
 // with recordEnd and endAssignment.
 func (req *request) acquireEndpoint(ctx context.Context) (pick.Choice, *assign.Assignment) {
-	if req.version != nil {
-		req.refresh(ctx)
-	}
 	if req.oldView = !req.mayBegin(ctx); req.oldView {
 		return pick.Choice{}, nil
 	}
@@ -404,8 +401,8 @@
 // recordResponse records what the header of a response tells of an endpoint.
 func (req *request) recordResponse(e *fleet.Endpoint, call *pool.Call) {
 	req.Balancer.RecordResponse(e, call.Response, req.attemptAt)
-	if !call.Response.Misdirected {
-		req.Incarnations.recordLife(e, call.Conn, req.attemptAt)
+	if !call.Response.Misdirected && leadsTo(call.Conn, e) {
+		req.Incarnations.Lived(e, req.attemptAt)
 	}
 }
 
@@ -505,10 +502,7 @@
 	conn := req.conn
 	if req.conn = nil; conn == nil {
 		var err error
-		if conn, err = req.connect(ctx, e, true); err != nil {
-			if errors.Is(err, pool.ErrUnreachable) {
-				req.recordUnreached(ctx, e, err)
-			}
+		if conn, err = req.connect(ctx, e); err != nil {
 			return nil, attemptNotRun, err
 		}
 	}
@@ -553,7 +547,7 @@
 	switch {
 	case late:
 		result = pick.ResultNone // the request's deadline says nothing about the endpoint's health
-	case errors.Is(err, pool.ErrUnreachable):
+	case req.isUnreached(e, err):
 		req.Balancer.MarkUnreachable(e)
 		result = pick.ResultNone // it is suspect already
 	case errors.Is(err, errDoubted):
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"wigeonplank.example/relay/assign"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/guard"
+	"wigeonplank.example/relay/life"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 	"wigeonplank.example/relay/sets"
@@ -78,8 +79,8 @@
 	Engines     *assign.Assigner
 	Origins     Origins
 	Guard       *guard.Guard
-	// Incarnations tells at which endpoints streams may go on.
-	Incarnations *Incarnations
+	// Incarnations tells which incarnations of endpoints have ended.
+	Incarnations *life.Ledger
 	Clock        clock.Clock
 	Log          *logs.Logger
 	Meters       *stats.Meters
@@ -131,10 +132,9 @@
 	lastEventAt    time.Time          // when the last event was forwarded
 	longestGap     time.Duration      // between two events that were forwarded
 	version        *string            // software version at which the stream began; nil: it has not begun
-	beginning      *beginning         // of the stream, if it isn't certain yet that it began at version; nil: it is, or is unsure
+	beginning      *origin.Origin     // of the stream, if version isn't known yet; nil: it is, or is unsure
 	unsure         bool               // the version at which the stream began can't be known; it can't go on elsewhere
 	unnumbered     bool               // the caller has events without an ID, which another run would repeat
-	fresh          bool               // the view was refreshed for the current attempt
 	oldView        bool               // the view is too old for the current attempt
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
--- a/relay/proxy/silence.go
+++ b/relay/proxy/silence.go
@@ -111,7 +111,7 @@
 		return searchFailed, reason
 	case req.exchange.ResponseStarted() && req.deadline.Sub(req.Clock.Now()) < req.firstEventLatency():
 		return searchFailed, "no time left for another endpoint"
-	case !req.presumeBeginning(ctx):
+	case !req.settleBeginning():
 		return searchFailed, reasonUnknownVersion
 	case req.budget(req.service).Balance() < 1:
 		return searchFailed, reasonBudgetSpent
@@ -142,10 +142,9 @@
 		return searchFailed, reasonNoEndpoint
 	}
 	s := &successor{choice: c, assignment: a}
-	conn, err := req.connect(ctx, c.Endpoint, false)
+	conn, err := req.connect(ctx, c.Endpoint)
 	if err != nil {
-		if errors.Is(err, pool.ErrUnreachable) {
-			req.recordUnreached(ctx, c.Endpoint, err)
+		if req.isUnreached(c.Endpoint, err) {
 			req.Balancer.MarkUnreachable(c.Endpoint)
 		}
 		req.abandon(s)
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -56,12 +56,12 @@
 	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
 		return true
 	}
-	if !req.trusts(ctx, o) {
-		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
+	o, known := req.resolveOrigin(ctx, o)
+	if !known {
+		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: the incarnation at which the stream began isn't listed")
 		return false
 	}
 	req.service, req.version = o.Service, &o.Version
-	req.refresh(ctx)
 	if !req.canGoOn() {
 		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "no endpoint is certainly of the stream's version")
 		return false
@@ -111,23 +111,6 @@
 	return req.startedAt.Add(-max(0, req.longestWait(req.route)-req.headers.Deadline))
 }
 
-// recordVersion binds the request to the software version of the endpoint that sent
-// its first event over a connection, and remembers it for callers that take the stream up.
-// A stream whose version can't be known can't go on elsewhere.
-func (req *request) recordVersion(e *fleet.Endpoint, c *pool.Conn) {
-	o := origin.Origin{Service: e.Service, Version: e.Version}
-	switch {
-	case req.version != nil || req.Incarnations.isListed(c) && req.lists(e.ID, e.StartUnixMs):
-	case req.Incarnations.presumed(e) && !c.Replaced:
-		req.beginning = &beginning{endpoint: e, conn: c, checkedAt: req.firstEventAt}
-		o.Presumed = req.Incarnations.presumedAt(req.beginning)
-	default:
-		req.unsure, o = true, origin.Origin{}
-	}
-	req.version = &e.Version
-	req.recordOrigin(o)
-}
-
 // recordOrigin remembers where the stream began for callers that take it up.
 func (req *request) recordOrigin(o origin.Origin) {
 	if !req.route.Resumable {
@@ -245,7 +228,7 @@
 		progress = !event.IsComment(raw)
 		if progress {
 			req.events++
-			req.checkBeginning()
+			req.settleBeginning()
 			req.endSilence()
 		}
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -200,6 +200,8 @@
 		switch {
 		case r.URL.Path == e.service.HealthPath:
 			out = e.bytes(answer{status: 200, header: []string{"X-Instance-Id: " + e.id}})
+		case r.Method == http.MethodGet && r.URL.Path == "/report":
+			out = e.bytes(answer{status: 200, header: []string{"Content-Type: application/json"}, body: fmt.Appendf(nil, `{"born":%d}`, e.born)})
 		case e.service.Segments != nil && r.URL.Path == "/stage-run":
 			out = e.bytes(e.runStage(body))
 		case e.service.Segments != nil && r.URL.Path == "/stage-free":
