core/origin, relay: a stream goes on only where its beginning is recorded

Cause: a stream that nobody remembered had its version concluded from the store's change log, by bounds of time (3 s for views and clocks, 2 s for registrations). Keepers beside endpoints outlive the relays now.

Change: a stream goes on only if this relay, another one or a keeper has a record (Own, Found). Unrecorded is refused at once like an unknown version, and so is a request that names no stream. There is no exception for a service of which a single version is listed: the stream may have begun at one that has left, and callers get one simple rule. Streams begin by views of any age. A search in which there are keepers of which none is in use yet isn't unrecorded but unanswered: a relay that has just started asks again.

--- a/core/origin/search.go
+++ b/core/origin/search.go
@@ -14,21 +14,17 @@
 // Results.
 const (
 	Own        Result = "own"        // the relay has served the stream itself
-	Found      Result = "found"      // another relay remembers it
+	Found      Result = "found"      // another relay or a keeper remembers it
 	Unknown    Result = "unknown"    // it is remembered that the version can't be known
-	Unrecorded Result = "unrecorded" // all relays that would remember it answered that they don't
-	Unanswered Result = "unanswered" // not enough of these relays have answered
+	Unrecorded Result = "unrecorded" // all that would remember it answered that they don't; it goes on nowhere
+	Unanswered Result = "unanswered" // not enough of these have answered
 )
 
 // Finding is the outcome of a search for the origin of a stream.
 type Finding struct {
-	Result Result
-	Origin Origin // if the result is Own or Found
-	// Expected reports, of an unrecorded stream, that some process should remember it: one
-	// that answered has remembered streams since before any view by which this one may have
-	// begun, or there are processes that outlive the relays.
-	Expected bool
-	Asked    int // other relays
+	Result   Result
+	Origin   Origin // if the result is Own or Found
+	Asked    int    // other relays and keepers
 	Answered int
 }
 
@@ -96,7 +92,6 @@
 		if a.Since == 0 || a.Since > s.MaxAge {
 			old++
 		}
-		f.Expected = f.Expected || a.Since > s.MaxAge+viewLag
 		if old >= s.Want {
 			break
 		}
--- a/core/origin/search_test.go
+++ b/core/origin/search_test.go
@@ -7,7 +7,7 @@
 	"wigeonplank.example/core/origin"
 )
 
-// TestSearch guards against streams whose version is computed because answers were late or
+// TestSearch guards against streams that are refused for good because answers were late or
 // missing, and against a record that wins over its correction.
 func TestSearch(t *testing.T) {
 	const age = 5 * time.Second
@@ -56,8 +56,5 @@
 		if f.Result == origin.Found && name == "certain and presumed" && f.Origin != recorded {
 			t.Errorf("%s: %+v, want the certain record", name, f)
 		}
-		if want := f.Result == origin.Unrecorded && c.answers[0] == none; f.Result == origin.Unrecorded && f.Expected != want {
-			t.Errorf("%s: a record is expected: %v, want %v", name, f.Expected, want)
-		}
 	}
 }
--- a/proof/stream/ages.go
+++ b/proof/stream/ages.go
@@ -22,7 +22,6 @@
 type Ages struct {
 	View  *hdrhistogram.Histogram            // age of the view at which streams began, in ms; nil: not logged
 	Find  map[string]*hdrhistogram.Histogram // time that finding a record took, by result, in ms; nil: not logged
-	Known [2]int                             // versions that were concluded as unknown and as known
 	Acked *hdrhistogram.Histogram            // time from the first event until its record was acknowledged, in ms; nil: not logged
 }
 
@@ -37,7 +36,6 @@
 	ViewAgeMs *float64 `json:"view_age_ms"`
 	Result    string   `json:"result"`
 	TookMs    float64  `json:"took_ms"`
-	Known     bool     `json:"known"`
 	AckedMs   *float64 `json:"acked_ms"`
 }
 
@@ -105,8 +103,6 @@
 		h := a.Find[l.Result]
 		record(&h, l.TookMs)
 		a.Find[l.Result] = h
-	case l.Event == "origin_concluded":
-		a.Known[count(l.Known)]++
 	}
 	if l.AckedMs != nil {
 		record(&a.Acked, *l.AckedMs)
@@ -129,7 +125,6 @@
 	for _, result := range slices.Sorted(maps.Keys(a.Find)) {
 		s += fmt.Sprintf("\n  time to find a record (150 ms at most), %s: %s", result, quantiles(a.Find[result]))
 	}
-	s += fmt.Sprintf("\n  versions concluded without a record: %d known, %d unknown", a.Known[1], a.Known[0])
 	return s + "\n  from the first event to its acknowledged record: " + quantiles(a.Acked)
 }
 
--- a/proof/stream/ages_test.go
+++ b/proof/stream/ages_test.go
@@ -11,11 +11,9 @@
 func TestAges(t *testing.T) {
 	const none = `  age of the view at which streams began (assumed 3000 ms at most): not logged
   time to find a record (150 ms at most): not logged
-  versions concluded without a record: 0 known, 0 unknown
   from the first event to its acknowledged record: not logged`
 	const some = `  age of the view at which streams began (assumed 3000 ms at most): p50 20 ms, p99 1930 ms, worst 1930 ms of 2
   time to find a record (150 ms at most), found: p50 7 ms, p99 7 ms, worst 7 ms of 1
-  versions concluded without a record: 1 known, 1 unknown
   from the first event to its acknowledged record: p50 3 ms, p99 3 ms, worst 3 ms of 1`
 	for want, lines := range map[string]string{
 		none: `{"event":"attempt_begun","request":"a","event_id":-1}
@@ -24,8 +22,6 @@
 {"event":"attempt_begun","request":"b","event_id":-1,"view_age_ms":1930.5}
 {"event":"attempt_begun","request":"c","event_id":7,"view_age_ms":50000}
 {"event":"origin_sought","request":"d","stream":"a","result":"found","asked":3,"answered":1,"took_ms":7.2}
-{"event":"origin_concluded","request":"e","stream":"b","known":true,"moments":4,"window_ms":7000}
-{"event":"origin_concluded","request":"f","stream":"b","known":false,"moments":4,"window_ms":7000}
 {"event":"origin_recorded","request":"a","acked_ms":3.1}`,
 	} {
 		var ages Ages
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -55,7 +55,6 @@
 	responseMemoryShare  = 8 // one part in this many of the instance's memory is for responses in flight
 	maxResponseBudget    = 16 << 20
 	defaultExpectedPeers = 8 // relays
-	defaultHistory       = 20 * time.Second
 	defaultDrain         = 2 * time.Second
 	defaultStable        = 3 * time.Second
 	defaultReturn        = 2 * time.Second
@@ -152,7 +151,6 @@
 		l.Event(logs.EndpointRejected).Err(fmt.Errorf("%d entries of a response have no readable key or revision", entries)).Msg("")
 	}
 	c := ctrl.New(live.Get().Instance, store, clock.System{}, l)
-	c.Retention = func() time.Duration { return cmp.Or(live.Get().History, defaultHistory) }
 	c.Limits = func() ctrl.Limits {
 		r := live.Get().Removal
 		return ctrl.Limits{Drain: cmp.Or(millis(r.DrainMs), defaultDrain), Stable: cmp.Or(millis(r.StableMs), defaultStable), Return: cmp.Or(r.Return, defaultReturn)}
@@ -214,10 +212,6 @@
 
 func newBalancer(live *sets.Live, l *logs.Logger, meters *stats.Meters, c *ctrl.Control, m *peers.Mesh) *proxy.Balancer {
 	b := &proxy.Balancer{Clock: clock.System{}, Policy: policyFunc(live)}
-	b.History = c.History
-	b.OnRecall = func(h origin.History, err error) {
-		l.Event(logs.VersionsRecalled).Time("since", h.Since).Int("changes", len(h.Changes)).Err(err).Msg("")
-	}
 	b.Picker.OnSuspect = func(e *fleet.Endpoint, reason string, failures int, pause time.Duration) {
 		l.Event(logs.EndpointSuspected).Str("endpoint", e.ID).Str("reason", reason).Int("failures", failures).Dur("pause_ms", pause).Msg("")
 	}
@@ -323,7 +317,6 @@
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
 		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, ViewAge: c.ViewAge, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
-		Unread: c.Unread, ReachesHalf: m.ReachesHalf,
 		Policy:       policyFunc(live),
 		Incarnations: &proxy.Incarnations{Ledger: lives, ListedUntil: c.ListedUntil, Current: c.Current, Since: p.Since},
 		NewBudget: func() *retry.Budget {
--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -66,13 +66,6 @@
 	return t.wokeAt.IsZero() || now.Sub(t.wokeAt) > wakeTime
 }
 
-// ranFor reports whether this process has run for a time without a pause.
-func (t *contacts) ranFor(now time.Time, d time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Sub(t.tickedAt) <= maxTickGap && (t.wokeAt.IsZero() || now.Sub(t.wokeAt) > d)
-}
-
 // proves reports whether a contact shows what has registered since the end of an outage
 // and of a pause. The caller holds t.mu.
 func (t *contacts) proves(p repl.Position) bool {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -49,8 +49,6 @@
 	Reads func() (reads, alone bool)
 	// Size returns the number of relays.
 	Size func() int
-	// Retention returns for how long the store keeps its history.
-	Retention func() time.Duration
 	// Limits returns the time limits of removals.
 	Limits func() Limits
 
@@ -182,7 +180,6 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.recordHeardLocked(p.Contact.At)
 	if c.point.Before(p.Point) {
 		if c.announced.Before(p.Point) {
 			c.announced = p.Point
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -41,8 +41,6 @@
 	StoreRegained     = newEventType("store_regained", log.WarnLevel, changeRate, "The store responds again.", "failures", "lost_ms")
 	HistoryCompacted  = newEventType("history_gone", log.WarnLevel, changeRate, "The store no longer has the changes after a revision; all entries are read again.", "after")
 	StoreRestored     = newEventType("store_restored", log.WarnLevel, changeRate, "The store came back from an older copy, or another relay said so; what was believed stays until it is written again.", "era", "after", "revision", "from")
-	VersionsRecalled  = newEventType("versions_recalled", log.InfoLevel, changeRate, "The history of the store was read for a stream whose origin no relay remembers; software versions are known from since on.", "since", "changes", "error")
-	OriginConcluded   = newEventType("origin_concluded", log.InfoLevel, requestRate, "The software version at which a stream began was concluded from what was listed while it may have begun, as no relay remembers it.", "request", "stream", "service", "endpoint_version", "known", "moments", "window_ms", "reason")
 	ViewReceived      = newEventType("view_learnt", log.InfoLevel, changeRate, "Changes to the store were received from another relay, which had read them.", "from", "entries", "age_ms", "bytes", "took_ms")
 	ChangesOverdue    = newEventType("changes_overdue", log.WarnLevel, changeRate, "Changes to the store that were requested from another relay have not arrived in time; they are requested again.", "from", "took_ms", "behind_ms")
 	ConfigApplied     = newEventType("config_applied", log.InfoLevel, changeRate, "A configuration became active.", "version", "revision", "routes", "took_ms")
@@ -92,7 +90,7 @@
 	AttemptSilent = newEventType("attempt_silent", log.InfoLevel, requestRate, "An endpoint has sent nothing for longer than expected. Until another endpoint has been acquired, the attempt goes on.",
 		"request", "endpoint", "attempt", "decision", "reason", "left_ms")
 	OriginSought = newEventType("origin_sought", log.InfoLevel, requestRate, "The relays that may remember where a stream began were asked, as its caller takes it up.",
-		"request", "stream", "result", "expected", "asked", "answered", "took_ms")
+		"request", "stream", "result", "asked", "answered", "took_ms")
 	OriginStored = newEventType("origin_stored", log.InfoLevel, changeRate, "The first of the other relays that remember a stream has acknowledged the record of where it began, or the correction of that.",
 		"stream", "member", "acked_ms")
 	RetryDecided = newEventType("retry_decided", log.InfoLevel, requestRate, "It was decided whether a request is retried; if not, the reason is given.",
@@ -111,7 +109,6 @@
 	"behind_ms":        {"ms", "time since the relay first heard of changes that it lacks"},
 	"bytes":            {"bytes", "size of the changes as they were sent"},
 	"certain":          {"", "whether the incarnation has ended; false: it may have"},
-	"changes":          {"", "number of changes of the store"},
 	"entries":          {"", "number of entries of the store"},
 	"ahead":            {"requests", "estimated requests at the endpoint when it was selected by time; 0: selected otherwise"},
 	"answered":         {"", "number of other relays that answered"},
@@ -135,7 +132,6 @@
 	"error":            {"", "error message"},
 	"event_id":         {"", "ID of the last event of the stream that the caller has; -1: none"},
 	"failures":         {"", "number of consecutive failures"},
-	"expected":         {"", "whether a relay that doesn't remember the stream has remembered streams since before it began"},
 	"expected_ms":      {"ms", "estimate with the current queues, corrected by how long recent requests of the route waited"},
 	"first_event_ms":   {"ms", "time from the start of the request to the first event of its stream"},
 	"from":             {"", "relay that sent the information"},
@@ -148,14 +144,12 @@
 	"left_ms":          {"ms", "time until the deadline"},
 	"limit_ms":         {"ms", "longest estimate that is admitted, for the request itself and for routes that are at least as urgent"},
 	"limited_by":       {"", "name of the route whose objective sets the limit"},
-	"known":            {"", "whether it is certain; if not, reason tells why: no_history, not_covered, several or none, which means that none is listed"},
 	"lines":            {"", "number of omitted lines"},
 	"load":             {"", "estimated share of the endpoint's slots in use"},
 	"longest_gap_ms":   {"ms", "longest pause between two events of the stream"},
 	"longest_ms":       {"ms", "maximum time until the process exits"},
 	"lost_ms":          {"ms", "duration of the outage, from the first failed read"},
 	"member":           {"", "instance ID of the other relay"},
-	"moments":          {"", "number of states of the list of endpoints that were possible when the stream began"},
 	"now_ms":           {"ms", "estimate with the current queues"},
 	"outcome":          {"", "how the request ended, as text"},
 	"pace":             {"", "how long work takes at the endpoint, as it last reported, in multiples of the usual time; 0: not reported or not selected by time"},
@@ -171,7 +165,6 @@
 	"requests":         {"", "IDs of the callers' attempts"},
 	"requests_lost":    {"", "number of this relay's requests that the endpoint was running"},
 	"resumes":          {"", "ID of the caller's attempt that brought the first event of the stream; empty: the stream begins"},
-	"since":            {"time", "from when on something is known"},
 	"result":           {"", "effect on the endpoint's health: good, full, failed or none. Of origin_sought: own (the relay has served the stream itself), found, unknown (the version can't be known), unrecorded (all that would remember it answered that they don't) or unanswered"},
 	"results":          {"", "number of results of stages"},
 	"retry":            {"", "whether the request is sent to another endpoint"},
@@ -197,7 +190,6 @@
 	"took_ms":          {"ms", "duration"},
 	"up_ms":            {"ms", "time since the endpoint started, by its time of day"},
 	"version":          {"", "version of the configuration"},
-	"window_ms":        {"ms", "time until now in which the stream may have begun, including that by which a view may lag"},
 	"view_age_ms":      {"ms", "time since the last known contact with the store up to which the view is complete"},
 	"zone":             {"", "availability zone"},
 }
--- a/relay/logs/kinds_test.go
+++ b/relay/logs/kinds_test.go
@@ -77,7 +77,7 @@
 func TestEventNames(t *testing.T) {
 	want := []string{
 		"started", "stopping", "stopped", "settings_applied", "settings_rejected", "lines_omitted", "accept_failed", "process_stalled", "read_late", "store_lost",
-		"store_regained", "history_gone", "store_restored", "versions_recalled", "origin_concluded", "view_learnt", "changes_overdue", "config_applied", "config_rejected", "zone_drained",
+		"store_regained", "history_gone", "store_restored", "view_learnt", "changes_overdue", "config_applied", "config_rejected", "zone_drained",
 		"zone_returned", "endpoint_seen", "endpoint_gone", "endpoint_missing", "endpoint_rejected", "endpoint_suspected",
 		"endpoint_cleared", "endpoint_doubted", "endpoint_limited", "endpoint_leaving", "endpoint_closed", "limit_ended", "member_heard", "member_forgotten", "link_up", "link_down", "link_lost",
 		"endpoint_crashed", "quarantined", "quarantine_trial", "quarantine_ended", "knowledge_rejected", "request_rejected", "handler_panicked",
--- a/relay/peers/copies_test.go
+++ b/relay/peers/copies_test.go
@@ -166,7 +166,7 @@
 	}
 }
 
-// TestLateAnswersOfKeepers guards against streams whose version is computed though their
+// TestLateAnswersOfKeepers guards against streams that are refused for good though their
 // record exists: its keepers answer late, are linked late, or didn't answer at all.
 func TestLateAnswersOfKeepers(t *testing.T) {
 	known := &origin.Origin{Service: "s", Version: "v1"}
@@ -200,7 +200,7 @@
 				ot.mesh.mu.Unlock()
 			}
 		})
-		if f.Result != origin.Unrecorded || !f.Expected {
+		if f.Result != origin.Unrecorded {
 			t.Errorf("%+v, want that all that are left don't know the stream", f)
 		}
 	})
@@ -223,7 +223,7 @@
 	})
 	t.Run("alone", func(t *testing.T) {
 		ot := newOriginTest(0)
-		if f := ot.find(t.Context(), func() {}); f.Result != origin.Unrecorded || f.Expected {
+		if f := ot.find(t.Context(), func() {}); f.Result != origin.Unrecorded {
 			t.Errorf("%+v, want that nobody can know the stream", f)
 		}
 	})
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -60,7 +60,7 @@
 	defer t.Stop()
 	for {
 		now := m.Clock.Now()
-		order := m.askBeside(stream, asked, replies)
+		order, linked := m.askBeside(stream, asked, replies)
 		keepers := m.originKeepers(now, stream)
 		for _, k := range keepers {
 			order = append(order, k.Keeper)
@@ -72,11 +72,10 @@
 		}
 		search.Asked = len(asked)
 		f, ok := search.Decide(now, order)
-		f.Expected = f.Expected || m.hasKeepersBeside()
-		if ok && (len(order) > 0 || m.Informed()) {
-			return f
+		if f.Result == origin.Unrecorded && (!linked || len(order) == 0 && !m.Informed()) {
+			f.Result, ok = origin.Unanswered, false // it isn't known yet whom to ask
 		}
-		if now.Sub(begun) >= timeout {
+		if ok || now.Sub(begun) >= timeout {
 			return f
 		}
 		select {
@@ -89,12 +88,11 @@
 	}
 }
 
-func (m *Mesh) hasKeepersBeside() bool { return m.Beside != nil && m.Beside.Enabled() }
-
 // askBeside asks the keepers beside endpoints that weren't asked yet, and returns all of them.
-func (m *Mesh) askBeside(stream string, asked map[origin.Keeper]bool, replies chan<- originAnswer) []origin.Keeper {
-	if !m.hasKeepersBeside() {
-		return nil
+// It reports false if there are keepers, but none is in use yet.
+func (m *Mesh) askBeside(stream string, asked map[origin.Keeper]bool, replies chan<- originAnswer) ([]origin.Keeper, bool) {
+	if m.Beside == nil || !m.Beside.Enabled() {
+		return nil, true
 	}
 	keepers := m.Beside.Keepers()
 	for _, k := range keepers {
@@ -102,7 +100,7 @@
 			asked[k] = true
 		}
 	}
-	return keepers
+	return keepers, len(keepers) > 0
 }
 
 // remembered returns what this relay itself remembers of a stream, and whether it has
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -68,9 +68,6 @@
 	if req.version != nil {
 		req.refresh(ctx)
 	}
-	if req.oldView = !req.mayBegin(ctx); req.oldView {
-		return pick.Choice{}, nil
-	}
 	svc, list := req.candidates()
 	if svc == nil {
 		return pick.Choice{}, nil
@@ -118,8 +115,6 @@
 		return c, true
 	case req.exchange.ResponseStarted():
 		req.abortStream(reasonNoEndpoint)
-	case req.oldView:
-		req.rejectOldView()
 	default:
 		req.rejectUnplaced(c)
 	}
--- a/relay/proxy/balancer.go
+++ b/relay/proxy/balancer.go
@@ -22,14 +22,6 @@
 // wants no requests, so that relays don't come back to it all at once.
 const maxReopenDelay = time.Second
 
-// recallInterval is the time after which a read of the history of the store that failed
-// is repeated.
-const recallInterval = 500 * time.Millisecond
-
-// recallSpread is the time over which relays that start together spread their first
-// reads of the history.
-const recallSpread = time.Second
-
 // Balancer lets concurrent requests share one pick.Picker, and thus one estimate
 // of each endpoint's load and health. Set the exported fields before use. It is
 // safe for concurrent use.
@@ -39,19 +31,8 @@
 	// Policy returns the active policy. If it is nil, the defaults apply.
 	Policy func() sets.Policy
 
-	// History reads what was listed since a time. If it is nil, nothing is known from before
-	// this relay started.
-	History func(since time.Time) (origin.History, error)
-	// OnRecall is called with the results of each call of History.
-	OnRecall func(h origin.History, err error)
-
-	recallMu   sync.Mutex // held while History reads; guards the fields below
-	recalledAt time.Time
-	recalled   bool // History was read; a later read tells less
-
 	mu       sync.Mutex // guards Picker and the fields below
 	versions origin.Versions
-	observed bool // Observe was called
 }
 
 // Pick chooses an endpoint of svc from list for a request with the given
@@ -332,61 +313,11 @@
 	return nil
 }
 
-// OriginVersion concludes at which software version a stream began, by what was listed
-// while it may have begun. It blocks while History reads.
-func (b *Balancer) OriginVersion(s origin.Stream) origin.Conclusion {
-	b.recallMu.Lock()
-	defer b.recallMu.Unlock()
-	b.mu.Lock()
-	now := b.Clock.Now()
-	covers := b.versions.Covers(s)
-	b.mu.Unlock()
-	if !covers && !b.recalled && now.Sub(b.recalledAt) >= recallInterval {
-		b.recall(now)
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.versions.Began(b.Clock.Now(), s)
-}
-
-// recall reads the history. The caller holds b.recallMu.
-func (b *Balancer) recall(now time.Time) {
-	if b.History == nil {
-		return
-	}
-	h, err := b.History(origin.Window(now.Add(-origin.Lifetime)))
-	b.OnRecall(h, err)
-	b.recalledAt = b.Clock.Now() // those that waited don't read again
-	if err != nil {
-		return
-	}
-	b.recalled = true
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.versions.Recall(h)
-}
-
-// recallEarly reads the history soon after the start, unless it was read already. The
-// store forgets the oldest changes in the time until a caller takes up a stream.
-func (b *Balancer) recallEarly() {
-	time.Sleep(rand.N(recallSpread))
-	b.recallMu.Lock()
-	defer b.recallMu.Unlock()
-	if b.recalledAt.IsZero() {
-		b.recall(b.Clock.Now())
-	}
-}
-
 // Observe records the software versions of the endpoints that v lists, and drops the
 // load and health of those that it doesn't.
 func (b *Balancer) Observe(v *fleet.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.Clock.Now()
-	if !b.observed && origin.Mixed(v) {
-		go b.recallEarly()
-	}
-	b.observed = true
-	b.versions.Observe(now, v)
-	b.Picker.Prune(now, v.All())
+	b.versions.Observe(v)
+	b.Picker.Prune(b.Clock.Now(), v.All())
 }
--- a/relay/proxy/begin_test.go
+++ b/relay/proxy/begin_test.go
@@ -9,8 +9,9 @@
 	plat "wigeonplank.example/platform"
 )
 
-// TestEarliestBegin guards against streams that go on at another version because they count
-// as younger than they are: the request waited for the search of their version.
+// TestEarliestBegin guards against streams that are refused as unrecorded because they count as
+// younger than they are: processes that remember streams since after they began count as ones
+// that would know them.
 func TestEarliestBegin(t *testing.T) {
 	readAt := time.Unix(1000, 0)
 	clk := clock.NewFake(readAt)
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -66,18 +66,13 @@
 	// reports false if that isn't possible. It blocks for a read from the store.
 	Refresh func(ctx context.Context, maxAge time.Duration) bool
 	// ViewAge returns the time since the contact with the store up to which View is complete.
-	ViewAge func() time.Duration
-	// Unread reports whether no relay is known to have read the store since View became too
-	// old to begin streams.
-	Unread func() bool
-	// ReachesHalf reports whether this relay reaches at least half of the others.
-	ReachesHalf func() bool
-	Balancer    *Balancer
-	Pool        *pool.Pool
-	Stages      *stage.Runner
-	Engines     *assign.Assigner
-	Origins     Origins
-	Guard       *guard.Guard
+	ViewAge  func() time.Duration
+	Balancer *Balancer
+	Pool     *pool.Pool
+	Stages   *stage.Runner
+	Engines  *assign.Assigner
+	Origins  Origins
+	Guard    *guard.Guard
 	// Incarnations tells at which endpoints streams may go on.
 	Incarnations *Incarnations
 	Clock        clock.Clock
@@ -91,14 +86,11 @@
 	// Policy returns the active policy.
 	Policy func() sets.Policy
 
-	mu      sync.Mutex
-	budgets map[string]*retry.Budget // by service; guarded by mu
-	holds   map[string]*batch.Hold   // by service; guarded by mu
-	waits   map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
-	reach   reachability
-	// refreshing tells that refreshBeside reads.
-	refreshing atomic.Bool
-	// admission is what is needed to admit requests to stages. mu is held while it changes.
+	mu        sync.Mutex
+	budgets   map[string]*retry.Budget // by service; guarded by mu
+	holds     map[string]*batch.Hold   // by service; guarded by mu
+	waits     map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
+	reach     reachability             // admission is what is needed to admit requests to stages. mu is held while it changes.
 	admission atomic.Pointer[admission]
 }
 
@@ -135,7 +127,6 @@
 	unsure         bool               // the version at which the stream began can't be known; it can't go on elsewhere
 	unnumbered     bool               // the caller has events without an ID, which another run would repeat
 	fresh          bool               // the view was refreshed for the current attempt
-	oldView        bool               // the view is too old for the current attempt
 	stageReruns    int                // number of times that the stages were run again
 	mayHaveRun     bool               // some endpoint may have run the request
 	outcome        string
@@ -262,10 +253,6 @@
 	if req.takesUpStream() && !req.bindToOrigin(ctx) {
 		return
 	}
-	if !req.mayBegin(ctx) {
-		req.rejectOldView()
-		return
-	}
 	if len(req.route.Stages) > 0 && !req.runStages(ctx) {
 		return
 	}
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -46,11 +46,11 @@
 func (req *request) bindToOrigin(ctx context.Context) bool {
 	o, result := req.findOrigin(ctx)
 	switch result {
-	case origin.Unknown:
+	case origin.Unknown, origin.Unrecorded:
 		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
 		return false
 	case origin.Unanswered:
-		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: relays that may remember the stream don't answer")
+		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: those that may remember the stream don't answer")
 		return false
 	}
 	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
@@ -69,39 +69,22 @@
 	return true
 }
 
-// findOrigin returns where the stream began that the caller takes up. The result is Unknown
-// if its version can't be known, and Unanswered if relays that may remember it don't answer. If
-// none remembers it, the version is concluded from what was listed until now: a view that is
-// older may lack the version.
+// findOrigin returns where the stream began that the caller takes up, if this relay, another one
+// or a keeper has a record of it. A caller that doesn't name the stream can't be told.
 func (req *request) findOrigin(ctx context.Context) (origin.Origin, origin.Result) {
-	if req.headers.Resumes != "" {
-		f := req.seekOrigin(ctx)
-		switch {
-		case f.Result != origin.Unrecorded:
-			return f.Origin, f.Result
-		case f.Expected:
-			return origin.Origin{}, origin.Unknown
-		}
-	}
-	if !req.Refresh(ctx, 0) {
-		return origin.Origin{}, origin.Unknown
-	}
-	c := req.Balancer.OriginVersion(origin.Stream{Service: req.service, ID: req.headers.Resumes, Since: req.earliestBegin()})
-	req.Log.Event(logs.OriginConcluded).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("service", req.service).
-		Str("endpoint_version", c.Version).Bool("known", c.Known()).Str("reason", string(c.Reason)).Int("moments", c.Moments).
-		Dur("window_ms", c.Window).Msg("")
-	if !c.Known() {
-		return origin.Origin{}, origin.Unknown
+	if req.headers.Resumes == "" {
+		return origin.Origin{}, origin.Unrecorded
 	}
-	return origin.Origin{Service: req.service, Version: c.Version}, origin.Unrecorded
+	f := req.seekOrigin(ctx)
+	return f.Origin, f.Result
 }
 
-// seekOrigin asks the relays that may remember where the stream began.
+// seekOrigin asks the relays and the keepers that may remember where the stream began.
 func (req *request) seekOrigin(ctx context.Context) origin.Finding {
 	begun := req.Clock.Now()
 	f := req.Origins.FindOrigin(ctx, req.headers.Resumes, begun.Sub(req.earliestBegin()))
 	req.Log.Event(logs.OriginSought).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("result", string(f.Result)).
-		Bool("expected", f.Expected).Int("asked", f.Asked).Int("answered", f.Answered).Dur("took_ms", req.Clock.Now().Sub(begun)).Msg("")
+		Int("asked", f.Asked).Int("answered", f.Answered).Dur("took_ms", req.Clock.Now().Sub(begun)).Msg("")
 	return f
 }
 
--- /dev/null
+++ b/relay/proxy/takeup_test.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
+	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/front"
+	"wigeonplank.example/relay/pool"
+)
+
+// foundOrigins finds the same for each stream, and counts the searches.
+type foundOrigins struct {
+	finding  origin.Finding
+	searches int
+}
+
+func (*foundOrigins) RecordOrigin(string, origin.Origin) {}
+
+func (o *foundOrigins) FindOrigin(context.Context, string, time.Duration) origin.Finding {
+	o.searches++
+	return o.finding
+}
+
+// TestTakeUpNeedsARecord guards against streams that go on at any version, as nobody has a
+// record of where they began, although a single version is listed, and against callers that
+// wait or come back for a stream that can't go on.
+func TestTakeUpNeedsARecord(t *testing.T) {
+	began := origin.Origin{Service: "s", Version: "v1"}
+	for name, c := range map[string]struct {
+		finding  origin.Finding
+		resumes  string
+		goesOn   bool
+		comeBack bool
+		searches int
+	}{
+		"own":            {origin.Finding{Result: origin.Own, Origin: began}, "a", true, false, 1},
+		"found":          {origin.Finding{Result: origin.Found, Origin: began}, "a", true, false, 1},
+		"unknown":        {origin.Finding{Result: origin.Unknown}, "a", false, false, 1},
+		"unrecorded":     {origin.Finding{Result: origin.Unrecorded}, "a", false, false, 1},
+		"unanswered":     {origin.Finding{Result: origin.Unanswered}, "a", false, true, 1},
+		"not named":      {origin.Finding{Result: origin.Found, Origin: began}, "", false, false, 0},
+		"of another one": {origin.Finding{Result: origin.Found, Origin: origin.Origin{Service: "s", Version: "v2"}}, "a", false, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := newPanicking(t, &fleet.Service{Name: "s"}, &fleet.Endpoint{ID: "e", Service: "s", Version: "v1", Slots: 1, State: fleet.StateReady})
+			req.Balancer.Observe(req.View())
+			req.route = &fleet.Route{Kind: fleet.KindStream, Resumable: true, Targets: []fleet.Target{{Service: "s"}}}
+			origins := &foundOrigins{finding: c.finding}
+			now := time.Now()
+			req.Origins, req.Refresh = origins, func(context.Context, time.Duration) bool { return true }
+			req.Incarnations = &Incarnations{
+				ListedUntil: func() time.Time { return now }, Current: func() bool { return true },
+				Since: func(*pool.Conn) time.Time { return now.Add(-time.Minute) },
+			}
+			req.headers = plat.Request{ID: "b", Resumes: c.resumes, LastEventID: 3}
+			exchangeWith(t, req, func(x *front.Exchange) {
+				req.exchange = x
+				goesOn := req.bindToOrigin(x.Context)
+				if goesOn != c.goesOn || goesOn && (req.version == nil || *req.version != "v1") || origins.searches != c.searches {
+					t.Errorf("goes on: %v at %v after %d searches, want %v after %d", goesOn, req.version, origins.searches, c.goesOn, c.searches)
+				}
+				if goesOn {
+					x.Reject(fasthttp.StatusOK, 0)
+				} else if x.Status() != fasthttp.StatusServiceUnavailable || req.retryAfter > 0 != c.comeBack {
+					t.Errorf("status %d, retry after %v, to come back: %v", x.Status(), req.retryAfter, c.comeBack)
+				}
+			})
+		})
+	}
+}
+
+// TestNewStreamsBeginAtTheChosenVersion guards against streams that begin at another version than
+// relays of the former release compute for them.
+func TestNewStreamsBeginAtTheChosenVersion(t *testing.T) {
+	req := newPanicking(t, &fleet.Service{Name: "s"}, &fleet.Endpoint{ID: "e", Service: "s", Version: "v1", Slots: 1, State: fleet.StateReady})
+	v := req.View().WithChange(fleet.Change{Put: []*fleet.Endpoint{{ID: "f", Service: "s", Version: "v2", Slots: 1, State: fleet.StateReady}}})
+	req.Balancer.Observe(&v)
+	req.route = &fleet.Route{Kind: fleet.KindStream, Resumable: true}
+	began := make(map[string]bool)
+	for i := range 20 {
+		req.headers.ID = fmt.Sprint("stream-", i)
+		want := req.Balancer.ChooseVersion("s", req.headers.ID)
+		if c := req.criteria(); c.Version == nil || *c.Version != *want {
+			t.Fatalf("stream %d begins at %v, want %s", i, c.Version, *want)
+		}
+		began[*want] = true
+	}
+	if len(began) != 2 {
+		t.Errorf("streams begin at %v, want two versions", began)
+	}
+}
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -10,22 +10,21 @@
 // Settings are the settings of a relay, which it reads when it starts and
 // whenever their file changes.
 type Settings struct {
-	Instance    string        `yaml:"instance" validate:"required"` // ID of the instance
-	Zone        string        `yaml:"zone" validate:"required"`     // availability zone of the instance
-	HTTP        sets.Listen   `yaml:"http"`                         // address for callers
-	Admin       sets.Listen   `yaml:"admin"`                        // address for readiness, metrics and status
-	Metrics     *sets.Listen  `yaml:"metrics,omitempty"`            // additional address for scrapers of metrics; if unset, metrics are served on the admin address only
-	Peers       Peers         `yaml:"peers"`
-	Keepers     Keepers       `yaml:"keepers,omitempty"`
-	Store       string        `yaml:"store" validate:"required,ip_port"`        // address of the platform's store, IP:port
-	History     time.Duration `yaml:"store_history,omitempty" validate:"min=0"` // how long the store keeps its history; 0: 20s
-	Removal     Removal       `yaml:"removal,omitempty"`
-	MemoryBytes int64         `yaml:"memory_bytes,omitempty" validate:"min=0"` // memory of the instance in bytes; the soft memory limit of the process is 70% of it; 0: no limit
-	Capacity    Capacity      `yaml:"capacity,omitempty"`
-	Stop        Stop          `yaml:"stop,omitempty"`
-	Retry       Retry         `yaml:"retry,omitempty"`
-	Cold        Cold          `yaml:"cold,omitempty"`
-	Policy      Policy        `yaml:"policy,omitempty"`
+	Instance    string       `yaml:"instance" validate:"required"` // ID of the instance
+	Zone        string       `yaml:"zone" validate:"required"`     // availability zone of the instance
+	HTTP        sets.Listen  `yaml:"http"`                         // address for callers
+	Admin       sets.Listen  `yaml:"admin"`                        // address for readiness, metrics and status
+	Metrics     *sets.Listen `yaml:"metrics,omitempty"`            // additional address for scrapers of metrics; if unset, metrics are served on the admin address only
+	Peers       Peers        `yaml:"peers"`
+	Keepers     Keepers      `yaml:"keepers,omitempty"`
+	Store       string       `yaml:"store" validate:"required,ip_port"` // address of the platform's store, IP:port
+	Removal     Removal      `yaml:"removal,omitempty"`
+	MemoryBytes int64        `yaml:"memory_bytes,omitempty" validate:"min=0"` // memory of the instance in bytes; the soft memory limit of the process is 70% of it; 0: no limit
+	Capacity    Capacity     `yaml:"capacity,omitempty"`
+	Stop        Stop         `yaml:"stop,omitempty"`
+	Retry       Retry        `yaml:"retry,omitempty"`
+	Cold        Cold         `yaml:"cold,omitempty"`
+	Policy      Policy       `yaml:"policy,omitempty"`
 }
 
 // Peers configures how the relays of a deployment find each other.
@@ -38,7 +37,7 @@
 
 // Keepers tells where keepers listen, the processes beside endpoints that remember streams.
 type Keepers struct {
-	Port int `yaml:"port,omitempty" validate:"min=0,max=65535"` // port of the keeper on each instance that runs endpoints; 0: there are no keepers, and streams don't go on after a loss of all relays unless their version can be concluded
+	Port int `yaml:"port,omitempty" validate:"min=0,max=65535"` // port of the keeper on each instance that runs endpoints; 0: there are no keepers, and no stream goes on after a loss of all relays
 }
 
 // Keeper are the settings of a keeper.
