--- a/relay/ctrl/contact.go
+++ b/relay/ctrl/contact.go
@@ -62,13 +62,6 @@
 	return t.wokeAt.IsZero() || now.Sub(t.wokeAt) > wakeTime
 }
 
-// ranFor reports whether this process has run for a time without a pause.
-func (t *contacts) ranFor(now time.Time, d time.Duration) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Sub(t.tickedAt) <= maxTickGap && (t.wokeAt.IsZero() || now.Sub(t.wokeAt) > d)
-}
-
 // Tick records that this process runs. It must be called several times in maxTickGap.
 func (c *Control) Tick() {
 	now, t := c.Clock.Now(), &c.contacts
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -65,9 +65,6 @@
 // choice is nil if none can take the request; otherwise the caller must end the attempt
 // with recordEnd and endAssignment.
 func (req *request) acquireEndpoint(ctx context.Context) (pick.Choice, *assign.Assignment) {
-	if req.oldView = !req.mayBegin(ctx); req.oldView {
-		return pick.Choice{}, nil
-	}
 	svc, list := req.candidates()
 	if svc == nil {
 		return pick.Choice{}, nil
@@ -115,8 +112,6 @@
 		return c, true
 	case req.exchange.ResponseStarted():
 		req.abortStream(reasonNoEndpoint)
-	case req.oldView:
-		req.rejectOldView()
 	default:
 		req.rejectUnplaced(c)
 	}
