--- a/relay/proxy/events_test.go
+++ b/relay/proxy/events_test.go
@@ -112,7 +112,13 @@
 func streamOver(t *testing.T, resumable bool, lastEvent int64, first, again string) (body string, whole bool, heads chan string) {
 	t.Helper()
 	heads = make(chan string, 10)
-	addr := serveRuns(t, first, again, heads)
+	body, whole = streamAt(t, serveRuns(t, first, again, heads), resumable, lastEvent)
+	return body, whole, heads
+}
+
+// streamAt is streamOver for a service whose endpoints are all at an address.
+func streamAt(t *testing.T, addr string, resumable bool, lastEvent int64) (body string, whole bool) {
+	t.Helper()
 	svc := &fleet.Service{Name: "s"}
 	list := make([]*fleet.Endpoint, 0, 3)
 	for i := range cap(list) {
@@ -164,7 +170,7 @@
 	}
 	var b strings.Builder
 	whole = copyChunks(&b, r) == nil
-	return b.String(), whole, heads
+	return b.String(), whole
 }
 
 // copyChunks copies a chunked body and returns an error if it isn't whole.
