relay/peers: failing tests of searches that refuse streams which keepers know

TestLateKeepersThatKnow: Decide takes a search for complete once the first five of the order that have run for long enough have answered, and 50 ms have passed. A keeper's Since is the age of its process (keeper.Server), not of its being one of the twelve hosts, so that the premise "records are at more of them" isn't enforced for hosts that became chosen as others left. Those that know, also live relays behind them in the order, have 50 ms. Trace: 12 asked, 5 answered "unknown, since 1 h", 7 know and answer after 100 ms: unrecorded, which is final since the conclusion went. 2. TestRelinkedKeepersAreAskedAgain: FindOrigin remembers whom it asked by instance and incarnation, so that a question that was lost with its link isn't asked again over the new one. Links that went silent without a reset are found by this question (nothing else is awaited on them), so that all of them fail with it. Trace: 12 asked, links down for 4 looks of 25 ms and up again, 0 answers in 1 s: unanswered.

--- /dev/null
+++ b/relay/peers/beside_test.go
@@ -0,0 +1,116 @@
+package peers
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"wigeonplank.example/core/origin"
+)
+
+// besideTest stands for keepers beside endpoints.
+type besideTest struct {
+	keepers []origin.Keeper
+	// ask returns the answer of the n-th keeper to its times-th question, or nil if the link fails first.
+	ask func(n, times int) *origin.Answer
+
+	mu      sync.Mutex
+	times   map[origin.Keeper]int
+	waiting []func()
+	down    int // looks for which no keeper is linked
+}
+
+func newBesideTest(n int, ask func(n, times int) *origin.Answer) *besideTest {
+	b := &besideTest{ask: ask, times: make(map[origin.Keeper]int)}
+	for i := range n {
+		b.keepers = append(b.keepers, origin.Keeper{Instance: fmt.Sprint("k", i), Incarnation: 1})
+	}
+	return b
+}
+
+func (b *besideTest) Enabled() bool { return true }
+
+func (b *besideTest) Record(string, origin.Origin) {}
+
+func (b *besideTest) Keepers() []origin.Keeper {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down == 0 {
+		return b.keepers
+	}
+	b.down--
+	var out []origin.Keeper
+	for _, k := range b.keepers {
+		out = append(out, origin.Keeper{Instance: k.Instance})
+	}
+	return out
+}
+
+func (b *besideTest) Ask(k origin.Keeper, _ string, reply func(a origin.Answer)) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if k.Incarnation == 0 {
+		return false
+	}
+	b.times[k]++
+	a := b.ask(slices.Index(b.keepers, k), b.times[k])
+	switch {
+	case a == nil:
+		b.down = 4
+	case a.Known:
+		b.waiting = append(b.waiting, func() { reply(*a) })
+	default:
+		reply(*a)
+	}
+	return true
+}
+
+// answer passes the answers of those that know the stream.
+func (b *besideTest) answer() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, reply := range b.waiting {
+		reply()
+	}
+	b.waiting = nil
+}
+
+var besideOrigin = origin.Origin{Service: "s", Version: "v1"}
+
+// TestLateKeepersThatKnow guards against streams that are refused though keepers know them: the
+// first ones in the order have run for long, but are hosts only since others left, and the
+// machines of those that know are busy.
+func TestLateKeepersThatKnow(t *testing.T) {
+	b := newBesideTest(12, func(n, _ int) *origin.Answer {
+		return &origin.Answer{Known: n >= wantedAnswers, Origin: besideOrigin, Since: time.Hour}
+	})
+	ot := newOriginTest(0)
+	ot.mesh.Beside = b
+	begun := ot.clk.Now()
+	f := ot.find(t.Context(), func() {
+		if ot.clk.Now().Sub(begun) > 100*time.Millisecond {
+			b.answer()
+		}
+	})
+	if f.Result != origin.Found {
+		t.Errorf("%+v, want the record of those that answer after 100 ms", f)
+	}
+}
+
+// TestRelinkedKeepersAreAskedAgain guards against streams that are refused though keepers know
+// them and are linked again: their links had gone silent, and failed with the question.
+func TestRelinkedKeepersAreAskedAgain(t *testing.T) {
+	b := newBesideTest(12, func(_, times int) *origin.Answer {
+		if times == 1 {
+			return nil
+		}
+		return &origin.Answer{Known: true, Origin: besideOrigin, Since: time.Hour}
+	})
+	ot := newOriginTest(0)
+	ot.mesh.Beside = b
+	if f := ot.find(t.Context(), b.answer); f.Result != origin.Found {
+		t.Errorf("%+v after %d questions to the first, want the record", f, b.times[b.keepers[0]])
+	}
+}
