relay/peers: a search ends once all have answered, and asks again over new links

Unrecorded now needs the answer of all that were asked and are still linked; a search without it ends as unanswered, to come back.

--- a/core/origin/search.go
+++ b/core/origin/search.go
@@ -42,7 +42,6 @@
 	Asked  int           // relays that were asked so far
 
 	answers map[Keeper]Answer
-	addedAt time.Time // of the last answer
 	known   bool
 	origin  Origin
 	knownAt time.Time
@@ -53,7 +52,7 @@
 	if s.answers == nil {
 		s.answers = make(map[Keeper]Answer)
 	}
-	s.answers[from], s.addedAt = a, now
+	s.answers[from] = a
 	if !a.Known {
 		return
 	}
@@ -96,15 +95,15 @@
 			break
 		}
 	}
-	settled := complete && (len(s.answers) >= s.Asked || now.Sub(s.addedAt) >= settlePeriod)
+	all := complete && len(s.answers) >= s.Asked
 	switch {
 	case s.known && s.origin == Origin{}:
 		f.Result = Unknown
 		return f, true
-	case s.known && (settled || now.Sub(s.knownAt) >= settlePeriod):
+	case s.known && (all || now.Sub(s.knownAt) >= settlePeriod):
 		f.Result, f.Origin = Found, s.origin
 		return f, true
-	case !s.known && settled:
+	case !s.known && all: // others than the first ones may know it, and the stream ends with this
 		f.Result = Unrecorded
 		return f, true
 	}
--- a/core/origin/search_test.go
+++ b/core/origin/search_test.go
@@ -29,7 +29,7 @@
 		"one of two answers":                {[]*origin.Answer{none, nil, none, none}, time.Second, origin.Unanswered, "", true, 0},
 		"all answers":                       {[]*origin.Answer{none, none, nil, nil}, 0, origin.Unrecorded, "", false, 0},
 		"another one may answer":            {[]*origin.Answer{none, none, nil, nil}, 0, origin.Unanswered, "", true, 3},
-		"another one doesn't answer":        {[]*origin.Answer{none, none, nil, nil}, 50 * time.Millisecond, origin.Unrecorded, "", false, 3},
+		"another one doesn't answer":        {[]*origin.Answer{none, none, nil, nil}, time.Second, origin.Unanswered, "", true, 3},
 		"all answers of the former release": {[]*origin.Answer{former, former, nil, nil}, 0, origin.Unrecorded, "", false, 0},
 		"a fresh one, and the next is late": {[]*origin.Answer{none, fresh, nil, nil}, 0, origin.Unanswered, "", true, 0},
 		"a fresh one, and the next":         {[]*origin.Answer{none, fresh, none, nil}, 0, origin.Unrecorded, "", false, 0},
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"wigeonplank.example/core/origin"
@@ -54,23 +56,14 @@
 	if known {
 		search.Add(begun, origin.Keeper{}, origin.Answer{Known: true, Origin: o})
 	}
-	replies := make(chan originAnswer, maxOriginAnswers)
-	asked := make(map[origin.Keeper]bool)
+	q := question{stream: stream, replies: make(chan originAnswer, maxOriginAnswers), relays: make(map[origin.Keeper]*session), beside: make(map[origin.Keeper]bool)}
 	t := time.NewTicker(originInterval)
 	defer t.Stop()
 	for {
 		now := m.Clock.Now()
-		order, linked := m.askBeside(stream, asked, replies)
-		keepers := m.originKeepers(now, stream)
-		for _, k := range keepers {
-			order = append(order, k.Keeper)
-		}
-		for _, k := range append(keepers, m.formerKeepers(now, stream)...) {
-			if k.session != nil && !asked[k.Keeper] && len(asked) < maxOriginAnswers && k.session.askOrigin(stream, replies) {
-				asked[k.Keeper] = true
-			}
-		}
-		search.Asked = len(asked)
+		order, linked := m.askBeside(&q)
+		order = append(order, m.askRelays(now, &q)...)
+		search.Asked = len(q.relays) + len(q.beside)
 		f, ok := search.Decide(now, order)
 		if f.Result == origin.Unrecorded && (!linked || len(order) == 0 && !m.Informed()) {
 			f.Result, ok = origin.Unanswered, false // it isn't known yet whom to ask
@@ -79,7 +72,7 @@
 			return f
 		}
 		select {
-		case r := <-replies:
+		case r := <-q.replies:
 			search.Add(m.Clock.Now(), r.from, r.answer)
 		case <-t.C:
 		case <-ctx.Done():
@@ -88,18 +81,49 @@
 	}
 }
 
-// askBeside asks the keepers beside endpoints that weren't asked yet, and returns all of them.
-// It reports false if there are keepers, but none is in use yet.
-func (m *Mesh) askBeside(stream string, asked map[origin.Keeper]bool, replies chan<- originAnswer) ([]origin.Keeper, bool) {
+// question is asked of those that may remember a stream, once over each link.
+type question struct {
+	stream  string
+	replies chan originAnswer
+	sent    int                        // so far; replies has room for as many
+	relays  map[origin.Keeper]*session // that were asked over their current link
+	beside  map[origin.Keeper]bool     // keepers beside endpoints that were
+}
+
+// askRelays asks the relays that weren't asked yet over their current link, and returns those
+// that remember streams.
+func (m *Mesh) askRelays(now time.Time, q *question) []origin.Keeper {
+	keepers := m.originKeepers(now, q.stream)
+	order := make([]origin.Keeper, 0, len(keepers))
+	for _, k := range keepers {
+		order = append(order, k.Keeper)
+	}
+	links := make(map[origin.Keeper]*session)
+	for _, k := range append(keepers, m.formerKeepers(now, q.stream)...) {
+		links[k.Keeper] = k.session
+		if k.session != nil && q.relays[k.Keeper] != k.session && q.sent < maxOriginAnswers && k.session.askOrigin(q.stream, q.replies) {
+			q.relays[k.Keeper] = k.session
+			q.sent++
+		}
+	}
+	maps.DeleteFunc(q.relays, func(k origin.Keeper, s *session) bool { return links[k] != s })
+	return order
+}
+
+// askBeside asks the keepers beside endpoints that weren't asked yet over their current link,
+// and returns all of them. It reports false if there are keepers, but none is in use yet.
+func (m *Mesh) askBeside(q *question) ([]origin.Keeper, bool) {
 	if m.Beside == nil || !m.Beside.Enabled() {
 		return nil, true
 	}
 	keepers := m.Beside.Keepers()
 	for _, k := range keepers {
-		if !asked[k] && len(asked) < maxOriginAnswers && m.Beside.Ask(k, stream, func(a origin.Answer) { replies <- originAnswer{from: k, answer: a} }) {
-			asked[k] = true
+		if !q.beside[k] && q.sent < maxOriginAnswers && m.Beside.Ask(k, q.stream, func(a origin.Answer) { q.replies <- originAnswer{from: k, answer: a} }) {
+			q.beside[k] = true
+			q.sent++
 		}
 	}
+	maps.DeleteFunc(q.beside, func(k origin.Keeper, _ bool) bool { return !slices.Contains(keepers, k) })
 	return keepers, len(keepers) > 0
 }
 
