--- a/relay/pool/incarnation.go
+++ b/relay/pool/incarnation.go
@@ -36,9 +36,9 @@
 		if err != nil || c.asked {
 			return c, err
 		}
-		start, err := c.ask(ctx, deadline)
+		start, final, err := c.ask(ctx, deadline)
 		if err == nil {
-			c.asked, c.incarnation = true, start
+			c.asked, c.incarnation = final, start
 			return c, nil
 		}
 		_ = c.Close() // an error doesn't matter: it isn't used again
@@ -54,8 +54,29 @@
 	}
 }
 
-// ask asks the endpoint for its incarnation. The result is 0 if the endpoint doesn't tell.
-func (c *Conn) ask(ctx context.Context, deadline time.Time) (int64, error) {
+// Ask asks an endpoint over a new connection for its incarnation. The result is 0 if the
+// endpoint doesn't tell.
+func (p *Pool) Ask(ctx context.Context, id, addr string, deadline time.Time) (int64, error) {
+	c, err := p.Get(ctx, KindRequest, id, addr, true)
+	if err != nil {
+		return 0, err
+	}
+	start, final, err := c.ask(ctx, deadline)
+	if err != nil {
+		_ = c.Close() // an error doesn't matter: it isn't used again
+		if errors.Is(err, errClosing) {
+			return 0, nil
+		}
+		return 0, fmt.Errorf("ask endpoint for its incarnation: %w", err)
+	}
+	c.asked, c.incarnation = final, start
+	p.Put(c, 0)
+	return start, nil
+}
+
+// ask asks the endpoint for its incarnation. The result is 0 if the endpoint doesn't tell;
+// final reports whether it wouldn't if it were asked again.
+func (c *Conn) ask(ctx context.Context, deadline time.Time) (start int64, final bool, err error) {
 	if t := time.Now().Add(reportTimeout); t.Before(deadline) {
 		deadline = t
 	}
@@ -64,26 +85,27 @@
 	call := &Call{Conn: c}
 	defer call.release()
 	if _, err := call.Send(plat.AppendReportCall(nil, c.key.addr, c.key.id), nil, deadline); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	if err := call.receiveReport(deadline); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	raw, err := body.Collect(call, plat.MaxReportBytes, call.Grow)
 	switch {
 	case err != nil:
-		return 0, fmt.Errorf("read report: %w", err)
+		return 0, false, fmt.Errorf("read report: %w", err)
 	case call.Response.Misdirected:
-		return 0, ErrMisdirected
+		return 0, false, ErrMisdirected
 	case c.Reader.Buffered() > 0:
-		return 0, fmt.Errorf("%w: bytes after the report", ErrResponse)
+		return 0, false, fmt.Errorf("%w: bytes after the report", ErrResponse)
 	case call.Response.Close:
-		return 0, errClosing
+		return 0, false, errClosing
 	case call.Response.Status != fasthttp.StatusOK:
-		return 0, nil
+		return 0, call.Response.Status < fasthttp.StatusInternalServerError, nil // it may be full now
 	}
 	c.report = xxhash.Sum64(raw)
-	return plat.DecodeReport(raw), nil
+	start, final = plat.DecodeReport(raw)
+	return start, final, nil
 }
 
 // isReportCopy reads a response that names no request, and reports whether it is a second
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -30,6 +30,13 @@
 	return c.Incarnation() > 0 && c.Incarnation() == e.StartUnixMs
 }
 
+// survives reports whether an endpoint has outlived a response without a length, which has
+// ended with its connection c. The connections of a process that is killed end in the same way.
+func (req *request) survives(ctx context.Context, e *fleet.Endpoint, c *pool.Conn) bool {
+	start, err := req.Pool.Ask(ctx, e.ID, e.Addr, req.deadline)
+	return err == nil && (c.Incarnation() == 0 || c.Incarnation() == start)
+}
+
 // listedVersion returns the version of the software of an incarnation, and false if the view
 // doesn't list it.
 func (req *request) listedVersion(in origin.Incarnation) (string, bool) {
@@ -62,6 +69,9 @@
 	if o.Presumed == (origin.Incarnation{}) {
 		return o, true
 	}
+	if o.Version != "" { // of a relay of the former release: the endpoint hasn't told this incarnation
+		return o, false
+	}
 	version, ok := req.awaitListed(ctx, o.Presumed)
 	if !ok {
 		return o, false
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -125,6 +125,7 @@
 	longestGap     time.Duration      // between two events that were forwarded
 	version        *string            // software version at which the stream began; nil: it has not begun
 	beginning      *origin.Origin     // of the stream, if version isn't known yet; nil: it is, or is unsure
+	moved          bool               // the route has moved to another service since the stream began
 	unsure         bool               // the version at which the stream began can't be known; it can't go on elsewhere
 	unnumbered     bool               // the caller has events without an ID, which another run would repeat
 	stageReruns    int                // number of times that the stages were run again
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -26,6 +26,9 @@
 	defaultMaxEventGap    = time.Second // for routes that set none
 )
 
+// errEndedWithEndpoint reports a response without a length whose endpoint may have been killed.
+var errEndedWithEndpoint = errors.New("endpoint has ended with its response")
+
 // forwardStream forwards a request whose response is a stream of events.
 func (req *request) forwardStream(ctx context.Context) {
 	lastEvent := req.headers.LastEventID
@@ -34,9 +37,9 @@
 }
 
 // takesUpStream reports whether the caller has events of an earlier attempt, after
-// which the stream goes on.
+// which the stream goes on. Another configuration may have allowed that.
 func (req *request) takesUpStream() bool {
-	return req.route.Kind == fleet.KindStream && req.route.Resumable && req.headers.LastEventID >= 0
+	return req.route.Kind == fleet.KindStream && req.headers.LastEventID >= 0
 }
 
 // bindToOrigin binds the request to the service and the software version at which the
@@ -45,6 +48,12 @@
 // route no longer has doesn't bind: its versions mean nothing to another service.
 func (req *request) bindToOrigin(ctx context.Context) bool {
 	o, result := req.findOrigin(ctx)
+	if o.Service != "" && !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
+		req.moved = true
+		if o, result = req.findOrigin(ctx); result == origin.Unrecorded {
+			return true // it hasn't gone on at this service yet
+		}
+	}
 	switch result {
 	case origin.Unknown, origin.Unrecorded:
 		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
@@ -53,9 +62,6 @@
 		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: those that may remember the stream don't answer")
 		return false
 	}
-	if !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
-		return true
-	}
 	o, known := req.resolveOrigin(ctx, o)
 	if !known {
 		req.reject(fasthttp.StatusServiceUnavailable, minRetryAfter, "not run: the incarnation at which the stream began isn't listed")
@@ -82,7 +88,7 @@
 // seekOrigin asks the relays and the keepers that may remember where the stream began.
 func (req *request) seekOrigin(ctx context.Context) origin.Finding {
 	begun := req.Clock.Now()
-	f := req.Origins.FindOrigin(ctx, req.headers.Resumes, begun.Sub(req.earliestBegin()))
+	f := req.Origins.FindOrigin(ctx, req.streamID(), begun.Sub(req.earliestBegin()))
 	req.Log.Event(logs.OriginSought).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("result", string(f.Result)).
 		Int("asked", f.Asked).Int("answered", f.Answered).Dur("took_ms", req.Clock.Now().Sub(begun)).Msg("")
 	return f
@@ -99,13 +105,23 @@
 	if !req.route.Resumable {
 		return
 	}
-	stream := req.headers.ID
+	if stream := req.streamID(); stream != "" {
+		req.Origins.RecordOrigin(stream, o)
+	}
+}
+
+// streamID returns the ID under which it is remembered where the stream began: that of the
+// attempt that began it. Once its route has moved to another service, where it went on at that
+// service has a record of its own.
+func (req *request) streamID() string {
+	id := req.headers.ID
 	if req.takesUpStream() {
-		stream = req.headers.Resumes
+		id = req.headers.Resumes
 	}
-	if stream != "" {
-		req.Origins.RecordOrigin(stream, o)
+	if req.moved {
+		id += "\x00" + req.service
 	}
+	return id
 }
 
 // abortStream ends a stream that can't be resumed. If the response has started,
@@ -192,6 +208,9 @@
 			req.recordVersion(e, call.Conn)
 			first = false
 		}
+		if errors.Is(err, io.EOF) && !call.IsFramed() && !req.survives(ctx, e, call.Conn) {
+			err = errEndedWithEndpoint
+		}
 		if errors.Is(err, io.EOF) && (req.events > 0 || call.IsFramed()) {
 			return req.endStream(e, call)
 		}
--- a/relay/proxy/takeup_test.go
+++ b/relay/proxy/takeup_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// TestStreamOfRouteThatWasResumable guards against a stream that holds events of two software
+// versions: the caller takes it up where the route can't be resumed any more, or not yet by an
+// older configuration, and it goes on at any version.
+func TestStreamOfRouteThatWasResumable(t *testing.T) {
+	req := newPanicking(t, &fleet.Service{Name: "s"}, &fleet.Endpoint{ID: "e", Service: "s", Version: "v1", Slots: 1, State: fleet.StateReady})
+	req.route = &fleet.Route{Kind: fleet.KindStream, Targets: []fleet.Target{{Service: "s"}}}
+	req.Origins = &foundOrigins{finding: origin.Finding{Result: origin.Unrecorded}}
+	req.headers = plat.Request{ID: "b", Resumes: "a", LastEventID: 3}
+	exchangeWith(t, req, func(x *front.Exchange) {
+		req.exchange = x
+		if !req.takesUpStream() || req.bindToOrigin(x.Context) {
+			t.Error("a stream of unknown version goes on")
+			x.Reject(fasthttp.StatusOK, 0)
+		}
+	})
+}
+
 // TestNewStreamsBeginAtTheChosenVersion guards against streams that begin at another version than
 // relays of the former release compute for them.
 func TestNewStreamsBeginAtTheChosenVersion(t *testing.T) {
