--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// unnamed is the origin of a stream whose version isn't known yet.
+var unnamed = origin.Origin{Service: "s", Presumed: origin.Incarnation{Endpoint: "e", StartUnixMs: 2}}
+
 // TestTableIsCorrected guards against records that stay presumed, or known, though their
 // relay has corrected them.
 func TestTableIsCorrected(t *testing.T) {
@@ -40,6 +43,7 @@
 		"certain after presumed": {presumed, recorded, recorded},
 		"presumed after certain": {recorded, presumed, recorded},
 		"another version":        {presumed, other, presumed},
+		"version after unnamed":  {unnamed, other, other},
 		"unknown after presumed": {presumed, unknown, unknown},
 		"unknown stays":          {unknown, recorded, unknown},
 	} {
--- a/core/origin/search_test.go
+++ b/core/origin/search_test.go
@@ -42,6 +42,8 @@
 		"corrected, heard first":            {[]*origin.Answer{known(unknown), known(recorded), nil, nil}, 0, origin.Unknown, "", false, 0},
 		"contradictory":                     {[]*origin.Answer{known(recorded), known(other), nil, nil}, 0, origin.Unknown, "", false, 0},
 		"certain and presumed":              {[]*origin.Answer{known(presumed), known(recorded), nil, nil}, 0, origin.Found, "v1", false, 0},
+		"certain and unnamed":               {[]*origin.Answer{known(unnamed), known(recorded), nil, nil}, 0, origin.Found, "v1", false, 0},
+		"two incarnations":                  {[]*origin.Answer{known(unnamed), known(presumed), nil, nil}, 0, origin.Unknown, "", false, 0},
 	} {
 		s := origin.Search{MaxAge: age, Want: 2, Asked: c.asked}
 		for i, a := range c.answers {
--- a/relay/keeper/keeper_test.go
+++ b/relay/keeper/keeper_test.go
@@ -105,6 +105,16 @@
 	b.await(t, "other", 2, func(a origin.Answer) bool { return !a.Known })
 }
 
+// TestKeepersBeforeLinks guards against streams that count as unrecorded at a relay that has just
+// started, as it hasn't begun to link to keepers.
+func TestKeepersBeforeLinks(t *testing.T) {
+	l := Links{Port: func() int { return 7 }, Hosts: func() []origin.Host { return []origin.Host{{IP: "127.0.7.9"}} }, Clock: clock.System{}}
+	want := origin.Keeper{Instance: "127.0.7.9:7"}
+	if got := l.Keepers(); len(got) != 1 || got[0] != want {
+		t.Errorf("keepers %v, want %v", got, want)
+	}
+}
+
 // TestRecordsFollowHosts guards against streams that are forgotten as the hosts of endpoints
 // are replaced.
 func TestRecordsFollowHosts(t *testing.T) {
--- a/relay/keeper/links.go
+++ b/relay/keeper/links.go
@@ -65,12 +65,7 @@
 // updateLinks opens links to the keepers that are in use now, and closes those to others and
 // those that have failed.
 func (l *Links) updateLinks(ctx context.Context) {
-	var order []string
-	if port := l.Port(); port != 0 {
-		for _, h := range l.Hosts() {
-			order = append(order, (&net.TCPAddr{IP: net.ParseIP(h.IP), Port: port}).String())
-		}
-	}
+	order := l.addrs()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.links == nil {
@@ -98,6 +93,17 @@
 	}
 }
 
+// addrs returns the addresses of the keepers that are to be used by the current view.
+func (l *Links) addrs() []string {
+	var out []string
+	if port := l.Port(); port != 0 {
+		for _, h := range l.Hosts() {
+			out = append(out, (&net.TCPAddr{IP: net.ParseIP(h.IP), Port: port}).String())
+		}
+	}
+	return out
+}
+
 // Record has the keepers remember where a stream of this relay began, which may be a
 // correction. It doesn't block.
 func (l *Links) Record(stream string, o origin.Origin) {
@@ -145,14 +151,19 @@
 	return len(to)
 }
 
-// Keepers returns the keepers in use. Those without a link have no incarnation.
+// Keepers returns the keepers in use, and before the first is, those that will be. Those
+// without a link have no incarnation.
 func (l *Links) Keepers() []origin.Keeper {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]origin.Keeper, 0, len(l.order))
-	for _, addr := range l.order {
-		if s := l.links[addr].session; s != nil {
-			out = append(out, s.keeper)
+	order := l.order
+	if len(order) == 0 {
+		order = l.addrs()
+	}
+	out := make([]origin.Keeper, 0, len(order))
+	for _, addr := range order {
+		if o := l.links[addr]; o != nil && o.session != nil {
+			out = append(out, o.session.keeper)
 		} else {
 			out = append(out, origin.Keeper{Instance: addr})
 		}
