relay/keeper, relay/peers, relay/logs: parameters that nothing reads any more go

Cause: origins on the wire have no age any more, and only certain ends are recorded. Change: as said, and the text of endpoint_doubted. Result: go test -race of relay/keeper, peers, pool, ctrl, stage, guard, assign passes; the linter has no issue in relay.

--- a/relay/keeper/keeper_test.go
+++ b/relay/keeper/keeper_test.go
@@ -144,7 +144,7 @@
 	for range 100 {
 		s.tick() // nothing is awaited
 	}
-	s.record(time.Now(), "stream", testOrigin)
+	s.record("stream", testOrigin)
 	for range maxSilentTicks {
 		s.tick()
 	}
@@ -153,7 +153,7 @@
 	}
 	s.tick()
 	<-closed
-	if s.record(time.Now(), "stream", testOrigin) {
+	if s.record("stream", testOrigin) {
 		t.Error("a record was sent over a link that has failed")
 	}
 }
--- a/relay/keeper/links.go
+++ b/relay/keeper/links.go
@@ -144,7 +144,7 @@
 	}
 	o, to := l.copies.Next(now, stream, reachable, origin.MaxHosts)
 	for _, k := range to {
-		if sessions[k].record(now, stream, o) {
+		if sessions[k].record(stream, o) {
 			l.copies.Sent(now, stream, k)
 		}
 	}
--- a/relay/keeper/session.go
+++ b/relay/keeper/session.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"time"
 
 	"wigeonplank.example/base/link"
 	"wigeonplank.example/base/wait"
@@ -151,7 +150,7 @@
 }
 
 // record sends the record of a stream. It reports false if that isn't possible.
-func (s *session) record(now time.Time, stream string, o origin.Origin) bool {
+func (s *session) record(stream string, o origin.Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := peers.OriginToWire(stream, o)
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -55,7 +55,7 @@
 	EndpointRejected  = newEventType("endpoint_rejected", log.WarnLevel, changeRate, "A store entry can't be decoded to an endpoint and is ignored.", "endpoint", "revision", "error")
 	EndpointSuspected = newEventType("endpoint_suspected", log.WarnLevel, changeRate, "An endpoint became suspect; it gets no requests for a period if other endpoints can take them.", "endpoint", "reason", "failures", "pause_ms")
 	EndpointCleared   = newEventType("endpoint_cleared", log.InfoLevel, changeRate, "A suspect endpoint responded successfully and is no longer suspect.", "endpoint")
-	EndpointDoubted   = newEventType("endpoint_doubted", log.WarnLevel, changeRate, "The incarnation of an endpoint that the store lists has ended or may have. Streams go on there only over connections that certainly lead to it.", "endpoint", "service", "certain", "from")
+	EndpointDoubted   = newEventType("endpoint_doubted", log.WarnLevel, changeRate, "The incarnation of an endpoint that the store lists has ended. Streams go on there once a response over a connection that leads to it shows the contrary.", "endpoint", "service", "certain", "from")
 	EndpointLimited   = newEventType("endpoint_limited", log.WarnLevel, changeRate, "An endpoint named a limit for the requests of all relays together, or another one.", "endpoint", "rate_limit", "source")
 	EndpointLeaving   = newEventType("endpoint_leaving", log.WarnLevel, changeRate, "An endpoint said in a response that it leaves; it gets no new requests.", "endpoint", "source")
 	EndpointClosed    = newEventType("endpoint_closed", log.WarnLevel, changeRate, "An endpoint rejected a request and named a time for which it wants none from this relay.", "endpoint", "pause_ms")
--- a/relay/peers/copies.go
+++ b/relay/peers/copies.go
@@ -131,7 +131,7 @@
 	defer m.originMu.Unlock()
 	o, to := m.copies.Next(now, stream, reachable, peer.KeepersPerStream)
 	for _, k := range to {
-		if sessions[k].sendRecord(now, stream, o) {
+		if sessions[k].sendRecord(stream, o) {
 			m.copies.Sent(now, stream, k)
 		}
 	}
@@ -139,7 +139,7 @@
 }
 
 // sendRecord sends the record of a stream. It reports false if that isn't possible.
-func (s *session) sendRecord(now time.Time, stream string, o origin.Origin) bool {
+func (s *session) sendRecord(stream string, o origin.Origin) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := OriginToWire(stream, o)
