proof/stream: keepers, and the faults that break the premises of ORDER

Cause: proof streams ran without keepers, and nothing played an outage of the store for relays alone, late registrations, cuts of most relays, series of SIGTERM and SIGHUP, streams without framing, wrong clocks of engines or callers with one retry.

Change: engines of the stream site run on hosts of their own below 127.1.0.0/16, each with a keeper process; links to keepers lead through the network, by a port for each relay. Rounds and the faults beside them are drawn without putting back, so that a long run plays each kind. The result tells for each premise how often it was played and how many streams that began within it were taken up, or that it was not tried. Cuts count, so that one doesn't end another. While the store is away for all, what engines write waits.

--- a/fakes/site/stream.go
+++ b/fakes/site/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -9,6 +10,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// FaultUnframed sends an event stream with neither a length nor chunks, which ends with its
+// connection.
+const FaultUnframed Fault = "unframed"
+
 // firstEvent returns the ID of the first event to send: the one after that which Last-Event-Id
 // names.
 func firstEvent(ctx *fasthttp.RequestCtx) int {
@@ -37,6 +42,10 @@
 	from := firstEvent(ctx)
 	uri := string(ctx.RequestURI())
 	count := e.eventCount(uri)
+	if fault == FaultUnframed {
+		e.streamUnframed(ctx, from, count)
+		return
+	}
 	conn := ctx.Conn()
 	ctx.SetContentType("text/event-stream")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
@@ -60,6 +69,19 @@
 	})
 }
 
+func (e *Endpoint) streamUnframed(ctx *fasthttp.RequestCtx, from, count int) {
+	uri := string(ctx.RequestURI())
+	head := ResponseHead(string(ctx.Request.Header.Peek("X-Attempt-Id"))) + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(conn net.Conn) {
+		_, err := conn.Write([]byte(head))
+		for i := from; i < count && err == nil; i++ {
+			time.Sleep(e.WorkTime)
+			_, err = conn.Write([]byte(formatEvent(uri, i, e.Version)))
+		}
+	})
+}
+
 // checkInputs returns the status with which an endpoint rejects a request for its inputs,
 // a comma-separated list of references: 400 if a result was made for another request, 409
 // if one is not retained at its endpoint, and 0 otherwise.
--- a/fakes/site/streams.go
+++ b/fakes/site/streams.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"strings"
 	"time"
 )
@@ -23,6 +25,7 @@
 	Classes   []StreamClass
 	Zones     int
 	Engines   int
+	Hosts     int           // machines of engines, which share them
 	Others    int           // endpoints of another service, which get no requests
 	EventTime time.Duration // between two events
 	History   time.Duration // for which the store keeps its changes
@@ -37,6 +40,11 @@
 // Zone returns the name of an availability zone, by its number.
 func (c StreamSite) Zone(n int) string { return fmt.Sprint("z", 1+n%c.Zones) }
 
+// Host returns the address of a machine of engines, by its number, and its availability zone.
+func (c StreamSite) Host(n int) (ip, zone string) {
+	return fmt.Sprintf("127.1.%d.%d", 1+n%c.Zones, 1+n/c.Zones), c.Zone(n)
+}
+
 // Start starts the site with engines of one software version and publishes its
 // configuration.
 func (c StreamSite) Start(version string) (*Site, error) {
@@ -46,8 +54,13 @@
 	}
 	s.Store.PageItems, s.Store.Retention = storePageItems, c.History
 	for n := range c.Engines {
-		if err := c.StartEngine(s, fmt.Sprint("engine-", n), c.Zone(n), version); err != nil {
-			return nil, err
+		ip, zone := c.Host(n % c.Hosts)
+		e, err := c.StartEngine(s, fmt.Sprint("engine-", n), ip, zone, version)
+		if err == nil {
+			err = s.Register(e.ID, "ready")
+		}
+		if err != nil {
+			return nil, errors.Join(err, s.Close())
 		}
 	}
 	for n := range c.Others {
@@ -58,12 +71,19 @@
 	return s, s.PublishConfig(c.config())
 }
 
-// StartEngine starts an engine.
-func (c StreamSite) StartEngine(s *Site, id, zone, version string) error {
-	_, err := s.StartEndpoint(Spec{
+// StartEngine starts an engine on a machine, without registering it.
+func (c StreamSite) StartEngine(s *Site, id, ip, zone, version string) (*Endpoint, error) {
+	return s.startAt(net.JoinHostPort(ip, "0"), Spec{
 		ID: id, Zone: zone, Version: version, Service: engineService, Kind: KindEngine, Slots: streamSlots, WorkTime: c.EventTime, Events: c.events,
 	})
-	return err
+}
+
+// ShiftStart moves the time at which the endpoint says that it has started, as on a machine
+// whose time of day is wrong.
+func (e *Endpoint) ShiftStart(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startUnixMs += d.Milliseconds()
 }
 
 func (c StreamSite) events(uri string) int {
--- a/proof/stream/caller.go
+++ b/proof/stream/caller.go
@@ -42,7 +42,11 @@
 	if rng.Float64() < r.Breaks {
 		breakAt = 1 + rng.IntN(class.NumEvents-1)
 	}
-	relay, retries := -1, r.Retries
+	s.Retries = r.Retries
+	if rng.Float64() < oneRetryShare {
+		s.Retries = min(1, r.Retries)
+	}
+	relay, retries := -1, s.Retries
 	for tries := 0; ; tries++ {
 		left := time.Until(deadline)
 		if left < minDeadline {
--- a/proof/stream/faults.go
+++ b/proof/stream/faults.go
@@ -13,25 +13,30 @@
 )
 
 const (
-	releaseAt     = 2 * time.Second // first release, so that two versions are in service before the first loss
-	firstRound    = 6 * time.Second
-	minFreeze     = 500 * time.Millisecond
-	maxFreeze     = 6 * time.Second
-	highSeq       = 100             // writes of an incarnation before its entry lapsed
-	drainTime     = 2 * time.Second // from the notice that an engine drains until it has left
-	lapseDelay    = 3600 * time.Millisecond
-	maxRegistered = time.Second // from the start of an engine until it is listed
+	releaseAt  = 2 * time.Second // first release, so that two versions are in service before the first loss
+	firstRound = 6 * time.Second
+	minFreeze  = 500 * time.Millisecond
+	maxFreeze  = 6 * time.Second
+	highSeq    = 100             // writes of an incarnation before its entry lapsed
+	drainTime  = 2 * time.Second // from the notice that an engine drains until it has left
+	lapseDelay = 3600 * time.Millisecond
+	maxLate    = 5 * time.Second // from the start of an engine until it is listed, half of the times
+	maxBesides = 3               // faults beside those of a round
 )
 
 // faults are the faults of a run that are still to come.
 type faults struct {
 	*run
-	rng      *rand.Rand
-	start    time.Time
-	steps    []step // in the order of time
-	version  int    // newest
-	replaced int    // engines
-	lapsed   map[string]bool
+	rng       *rand.Rand
+	start     time.Time
+	steps     []step // in the order of time
+	version   int    // newest
+	replaced  int    // engines
+	lapsed    map[string]bool
+	changes   []int                    // numbers of the rounds to come, in their order
+	besides   []int                    // numbers of the faults beside them
+	storeBack time.Time                // end of the last outage for all
+	steppedBy map[string]time.Duration // how wrong the time of day is, by address of the machine
 }
 
 // step is an action at a time since the start.
@@ -55,7 +60,9 @@
 
 // injectFaults plans the faults of a run and carries them out.
 func (r *run) injectFaults() error {
-	f := &faults{run: r, rng: rand.New(rand.NewPCG(r.Seed, 1)), start: time.Now(), version: 1, lapsed: make(map[string]bool)}
+	f := &faults{
+		run: r, rng: rand.New(rand.NewPCG(r.Seed, 1)), start: time.Now(), version: 1, lapsed: make(map[string]bool), steppedBy: make(map[string]time.Duration),
+	}
 	f.at(releaseAt, f.release)
 	for t := firstRound; t < r.Duration-quietTime; {
 		t = f.planRound(t)
@@ -70,32 +77,55 @@
 	return errors.Join(errs...)
 }
 
+// next takes the next number below n. Each comes once, in a random order, before any comes again.
+func (f *faults) next(left *[]int, n int) int {
+	if len(*left) == 0 {
+		*left = f.rng.Perm(n)
+	}
+	out := (*left)[0]
+	*left = (*left)[1:]
+	return out
+}
+
 // planRound plans changes of the engines, faults beside them and a loss of relays soon
 // after. It returns the time of the next round.
 func (f *faults) planRound(t time.Duration) time.Duration {
-	changed := t
-	switch f.rng.IntN(5) {
-	case 4: // streams begin by views that are old
-		f.at(t, func() error { return f.cutOff(true, true) })
+	changed, loss := t, f.rng.IntN(6)
+	inRelease := func(most time.Duration, do func(d time.Duration) error) {
+		d := f.between(minAway, most)
+		f.at(t, func() error { return do(d) })
 		f.at(t+f.between(200*time.Millisecond, 2*time.Second), f.release)
-		changed += f.between(4*time.Second, 9*time.Second)
+		changed, loss = t+f.between(minAway, d+time.Second), lossOfAll
+	}
+	switch f.next(&f.changes, 9) {
 	case 0:
 		f.at(t, f.release)
-	case 1:
+	case 1, 2:
 		f.at(t, f.returnWithOtherVersion)
-	case 2:
-		f.at(t+f.between(0, 2*time.Second), f.release)
-		fallthrough
+	case 3: // streams begin by views that are old
+		f.at(t, f.cutOffStore)
+		f.at(t+f.between(200*time.Millisecond, 2*time.Second), f.release)
+		changed += f.between(4*time.Second, 9*time.Second)
+	case 4, 5:
+		inRelease(maxAway, f.cutFromStore)
+	case 6:
+		inRelease(maxAwayForAll, f.loseStore)
+	case 7:
+		inRelease(maxAway, f.cutMost)
 	default:
+		if f.rng.IntN(2) == 0 {
+			f.at(t+f.between(0, 2*time.Second), f.release)
+		}
 		d := f.between(2*time.Second, 6*time.Second)
 		f.at(t, func() error { return f.lapse(d) })
 		changed += d
 	}
-	for range f.rng.IntN(3) {
-		f.at(t+f.between(0, 3*time.Second), []func() error{f.cutOffSomehow, f.cutOffSomehow, f.freeze, f.silenceStore}[f.rng.IntN(4)])
+	beside := []func() error{f.cutOffSomehow, f.freeze, f.silenceStore, f.terminate, f.reload, f.cutUnframed, f.stepClocks, f.loseKeepers}
+	for range 1 + f.rng.IntN(maxBesides) {
+		f.at(t+f.between(0, 3*time.Second), beside[f.next(&f.besides, len(beside))])
 	}
 	lost := changed + f.between(200*time.Millisecond, 4*time.Second)
-	switch f.rng.IntN(6) {
+	switch loss {
 	case 0:
 		f.at(lost, f.loseZone)
 	case 1:
@@ -109,6 +139,8 @@
 	return lost + f.between(5*time.Second, 9*time.Second)
 }
 
+const lossOfAll = 2 // of the kinds of losses, of which all further ones are
+
 // someRelays returns a random part of the relays.
 func (f *faults) someRelays(share float64) []*deploy.Relay {
 	return shuffled(f.rng, f.dep.Relays)[:max(1, int(share*float64(len(f.dep.Relays))))]
@@ -150,8 +182,8 @@
 	}
 	old = shuffled(f.rng, old)
 	old = old[:min(len(old), max(1, len(engines)*(3+f.rng.IntN(3))/10))]
-	version := versionName(f.version)
-	f.Logf("%d engines are replaced by version %s", len(old), version)
+	version, late := versionName(f.version), f.lateness()
+	f.Logf("%d engines are replaced by version %s, registered within %s", len(old), version, late)
 	for _, e := range old {
 		f.lapsed[e.ID] = true // it is no longer chosen
 		f.replaced++
@@ -159,20 +191,54 @@
 		drains := f.rng.IntN(4) > 0
 		f.after(f.between(0, 3*time.Second), func() error {
 			if drains {
-				if err := f.dep.Site.Register(e.ID, "draining"); err != nil {
+				e.Leave()
+				if err := f.write(func() error { return f.dep.Site.Register(e.ID, "draining") }); err != nil {
 					return err
 				}
 			}
 			f.after(drainTime, func() error {
-				f.dep.Site.Deregister(e.ID)
-				return f.dep.Site.CrashEndpoint(e.ID)
+				return errors.Join(f.deregister(e.ID), f.dep.Site.CrashEndpoint(e.ID))
 			})
-			return f.site.StartEngine(f.dep.Site, id, e.Zone, version)
+			started, err := f.site.StartEngine(f.dep.Site, id, hostOf(e), e.Zone, version)
+			if err != nil {
+				return err
+			}
+			f.register(started, late, PremiseLateStart)
+			return nil
 		})
 	}
 	return nil
 }
 
+// lateness returns the time within which engines that start now are listed.
+func (f *faults) lateness() time.Duration {
+	if f.rng.IntN(2) == 0 {
+		return maxLate
+	}
+	return minLateRegistration
+}
+
+// register lists an engine that has just started, within a time. If it takes long, the premise is
+// false until then.
+func (f *faults) register(e *site.Endpoint, within time.Duration, p Premise) {
+	e.ShiftStart(f.steppedBy[hostOf(e)])
+	f.lapsed[e.ID] = true // until it is listed
+	d := f.between(0, within)
+	if d > minLateRegistration {
+		f.play(p, d)
+	}
+	f.after(d, func() error {
+		return f.write(func() error {
+			delete(f.lapsed, e.ID)
+			return f.dep.Site.Register(e.ID, "ready")
+		})
+	})
+}
+
+func (f *faults) deregister(id string) error {
+	return f.write(func() error { f.dep.Site.Deregister(id); return nil })
+}
+
 // lapse removes the entries of some engines, which go on, and writes them again.
 func (f *faults) lapse(d time.Duration) error {
 	list := f.someEngines(0.2 + 0.3*f.rng.Float64())
@@ -181,8 +247,10 @@
 		f.lapsed[e.ID] = true
 		f.dep.Site.Deregister(e.ID)
 		f.after(d+f.between(0, 500*time.Millisecond), func() error {
-			delete(f.lapsed, e.ID)
-			return f.dep.Site.RegisterAgain(e.ID, "ready", highSeq)
+			return f.write(func() error {
+				delete(f.lapsed, e.ID)
+				return f.dep.Site.RegisterAgain(e.ID, "ready", highSeq)
+			})
 		})
 	}
 	return nil
@@ -191,48 +259,54 @@
 // returnWithOtherVersion lets some engines crash and come back under their IDs with the newest
 // version.
 func (f *faults) returnWithOtherVersion() error {
-	list := f.someEngines(0.3)
-	f.Logf("%d engines crash and come back with version %s", len(list), versionName(f.version))
+	list, late := f.someEngines(0.3), f.lateness()
+	f.Logf("%d engines crash and come back with version %s, registered within %s", len(list), versionName(f.version), late)
 	for _, e := range list {
-		f.crash(e, f.between(0, time.Second), versionName(f.version))
+		f.crash(e, f.between(0, time.Second), versionName(f.version), late)
 	}
 	return nil
 }
 
-// crash lets an engine crash and come back some time later with a version. Its entry lapses
-// if it is away for long.
-func (f *faults) crash(e *site.Endpoint, away time.Duration, version string) {
+// crash lets an engine crash and come back some time later with a version, registered within a
+// time after that. Its entry lapses if it is away for long.
+func (f *faults) crash(e *site.Endpoint, away time.Duration, version string, late time.Duration) {
 	f.lapsed[e.ID] = true
 	_ = f.dep.Site.CrashEndpoint(e.ID) // fails only if its listener is closed already
-	if away > lapseDelay {
-		f.after(lapseDelay, func() error { f.dep.Site.Deregister(e.ID); return nil })
-	}
+	f.after(lapseDelay, func() error {
+		if !f.lapsed[e.ID] {
+			return nil
+		}
+		return f.deregister(e.ID)
+	})
 	f.after(away, func() error {
 		if started := f.dep.Site.StartAgain(e.ID, version) == nil; !started { // its port was taken
-			f.dep.Site.Deregister(e.ID)
-			return nil
+			return f.deregister(e.ID)
 		}
-		f.after(f.between(0, maxRegistered), func() error {
-			delete(f.lapsed, e.ID)
-			return f.dep.Site.Register(e.ID, "ready")
-		})
+		premise := PremiseLateReturn
+		if version == e.Version {
+			premise = PremiseLateStart
+		}
+		f.register(f.dep.Site.Endpoint(e.ID), late, premise)
 		return nil
 	})
 }
 
 // cutOffSomehow cuts some relays off from the store, the other relays or both.
 func (f *faults) cutOffSomehow() error {
-	kind := f.rng.IntN(4)
-	return f.cutOff(kind != 1, kind != 0)
+	sides := [][]side{{toStore}, {toPeers}, {toStore, toPeers}, {toStore, toPeers, toKeepers}}[f.rng.IntN(4)]
+	return f.cutOff(f.someRelays(0.1+0.4*f.rng.Float64()), f.between(2*time.Second, 12*time.Second), sides...)
 }
 
-// cutOff cuts some relays off from the store, the other relays or both.
-func (f *faults) cutOff(store, peers bool) error {
-	list, d := f.someRelays(0.1+0.4*f.rng.Float64()), f.between(2*time.Second, 12*time.Second)
-	f.Logf("%d relays are cut off for %s (store %t, relays %t)", len(list), d, store, peers)
+// cutOffStore cuts some relays off from the store and the other relays.
+func (f *faults) cutOffStore() error {
+	return f.cutOff(f.someRelays(0.1+0.4*f.rng.Float64()), f.between(2*time.Second, 12*time.Second), toStore, toPeers)
+}
+
+func (f *faults) cutOff(list []*deploy.Relay, d time.Duration, sides ...side) error {
+	f.Logf("%d relays are cut off for %s from %v", len(list), d, sides)
 	for _, relay := range list {
-		f.net.cut(relay.Name, store, peers)
-		f.after(d, func() error { f.net.cut(relay.Name, false, false); return nil })
+		end := f.net.cut(relay.Name, sides...)
+		f.after(d, func() error { end(); return nil })
 	}
 	return nil
 }
@@ -240,38 +314,42 @@
 // freeze lets some relays stand still.
 func (f *faults) freeze() error {
 	list := f.someRelays(0.05 + 0.25*f.rng.Float64())
-	f.Logf("%d relays stand still", len(list))
+	f.Logf("%d relays are suspended", len(list))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, relay := range list {
-		f.clocks[relay.Name].frozenUntil = time.Now().Add(f.between(minFreeze, maxFreeze))
+		d := f.between(minFreeze, maxFreeze)
+		f.play(PremiseSuspended, d)
+		f.clocks[relay.Name].frozenUntil = time.Now().Add(d)
 	}
 	return nil
 }
 
-// silenceStore lets the store send no responses for a while.
-func (f *faults) silenceStore() error {
-	d := f.between(time.Second, 4*time.Second)
-	f.Logf("the store is silent for %s", d)
-	f.dep.Site.Store.SetOutage(site.OutageHang)
-	f.after(d, func() error { f.dep.Site.Store.SetOutage(site.OutageNone); return nil })
-	return nil
-}
+func (f *faults) silenceStore() error { return f.silence(f.between(time.Second, 4*time.Second)) }
 
-// loseZone ends the relays and the engines of a zone. They come back, the engines maybe with
-// the newest version.
+// loseZone ends the relays, the keepers and the engines of a zone. They come back, the engines
+// maybe with the newest version.
 func (f *faults) loseZone() error {
 	zone, away := f.site.Zone(f.rng.IntN(numZones)), f.between(time.Second, 5*time.Second)
 	f.Logf("zone %s is without power for %s", zone, away)
+	f.play(PremiseZoneLost, away)
+	late := f.lateness()
 	for _, e := range f.engines() {
 		if e.Zone == zone {
 			version := e.Version
 			if f.rng.IntN(2) == 0 {
 				version = versionName(f.version)
 			}
-			f.crash(e, away+f.between(0, time.Second), version)
+			f.crash(e, away+f.between(0, time.Second), version, late)
 		}
 	}
+	var hosts []int
+	for n := range f.site.Hosts {
+		if _, z := f.site.Host(n); z == zone {
+			hosts = append(hosts, n)
+		}
+	}
+	f.endKeepers(hosts, away)
 	var list []*deploy.Relay
 	for _, relay := range f.dep.Relays {
 		if relay.Settings.Zone == zone {
@@ -289,19 +367,3 @@
 	f.end(list, away)
 	return nil
 }
-
-// end ends relays by SIGKILL and starts them again some time later.
-func (f *faults) end(list []*deploy.Relay, away time.Duration) {
-	for _, relay := range list {
-		kill(relay)
-		f.after(away, func() error {
-			if p := relay.Proc(); p.Running() {
-				if _ = p.Wait(endTimeout); p.Running() {
-					return fmt.Errorf("%s outlived SIGKILL", relay.Name)
-				}
-			}
-			_, err := f.dep.StartRelay(relay.Name, "")
-			return err
-		})
-	}
-}
--- a/proof/stream/judge.go
+++ b/proof/stream/judge.go
@@ -15,6 +15,7 @@
 	ID        string // of the try that brought the first event; before, of the first try
 	URI       string
 	NumEvents int // of a complete stream
+	Retries   int // that its caller has
 	Tries     []Try
 }
 
--- a/proof/stream/network.go
+++ b/proof/stream/network.go
@@ -25,37 +25,59 @@
 
 var relayName = regexp.MustCompile(`relay-\d+`)
 
-// network carries the links between relays and those to the store. A cut is silent: what is sent
-// waits until it ends, as with packets that are sent again.
+// side is what a link of a relay leads to.
+type side string
+
+const (
+	toStore   side = "store"
+	toPeers   side = "relays"
+	toKeepers side = "keepers"
+)
+
+// cutoff is a relay and what it is cut off from.
+type cutoff struct {
+	relay string
+	side  side
+}
+
+// network carries the links of relays to the store, to keepers and to one another. A cut is
+// silent: what is sent waits until it ends, as with packets that are sent again.
 type network struct {
 	mu        sync.Mutex
 	listeners []net.Listener
 	closed    bool
-	fromStore map[string]bool // relays that are cut off from the store
-	fromPeers map[string]bool // relays that are cut off from the others
+	cuts      map[cutoff]int // number of cuts that haven't ended
 }
 
 // link is a connection through the network.
 type link struct {
 	net  *network
-	to   string // relay; empty: the store
+	side side
+	to   string // relay, of a link between two
 	mu   sync.Mutex
 	from string // relay; empty: not known yet
 }
 
-// cut cuts a relay off from the store, the other relays or both, or ends that.
-func (n *network) cut(relay string, store, peers bool) {
+// cut cuts a relay off. The returned function ends that.
+func (n *network) cut(relay string, sides ...side) (end func()) {
+	n.addCuts(relay, sides, 1)
+	return func() { n.addCuts(relay, sides, -1) }
+}
+
+func (n *network) addCuts(relay string, sides []side, count int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.fromStore == nil {
-		n.fromStore, n.fromPeers = make(map[string]bool), make(map[string]bool)
+	if n.cuts == nil {
+		n.cuts = make(map[cutoff]int)
+	}
+	for _, s := range sides {
+		n.cuts[cutoff{relay, s}] += count
 	}
-	n.fromStore[relay], n.fromPeers[relay] = store, peers
 }
 
-// listen forwards connections to an address. They come from one relay and lead to the
-// store, or from any relay and lead to one.
-func (n *network) listen(addr, target, from, to string) (string, error) {
+// listen forwards connections to an address. They come from one relay, or from any and lead to
+// one.
+func (n *network) listen(addr, target string, l *link) (string, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return "", fmt.Errorf("listen for links: %w", err)
@@ -69,7 +91,7 @@
 			if err != nil {
 				return // closed
 			}
-			go (&link{net: n, from: from, to: to}).forward(c, target)
+			go (&link{net: n, side: l.side, from: l.from, to: l.to}).forward(c, target)
 		}
 	}()
 	return ln.Addr().String(), nil
@@ -113,14 +135,10 @@
 	l.mu.Unlock()
 	l.net.mu.Lock()
 	defer l.net.mu.Unlock()
-	switch {
-	case l.net.closed:
+	if l.net.closed {
 		return false
-	case l.to == "":
-		return l.net.fromStore[from]
-	default:
-		return l.net.fromPeers[from] || l.net.fromPeers[l.to]
 	}
+	return l.net.cuts[cutoff{from, l.side}] > 0 || l.net.cuts[cutoff{l.to, l.side}] > 0
 }
 
 // copy copies bytes one way. The first relay that the dialing one names is itself.
--- /dev/null
+++ b/proof/stream/premises_test.go
@@ -0,0 +1,26 @@
+package stream
+
+import (
+	"testing"
+	"time"
+)
+
+// TestShares guards against runs that claim to have tried what none of their streams met.
+func TestShares(t *testing.T) {
+	start := time.Now()
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	s := newShares([]played{{PremiseKeepersLost, at(1), at(3)}, {PremiseKeepersLost, at(2), at(5)}, {PremiseReloaded, at(8), at(9)}})
+	s.add(&Stream{Retries: 1, Tries: []Try{{}, {FirstAt: at(2)}, {FirstAt: at(8)}}}, true, true)
+	s.add(&Stream{Retries: 3, Tries: []Try{{FirstAt: at(4)}}}, true, false)
+	s.add(&Stream{Retries: 3, Tries: []Try{{FirstAt: at(8)}}}, false, false)
+	s.add(&Stream{Retries: 3, Tries: []Try{{}}}, false, false)
+	want := map[Premise]Share{
+		PremiseKeepersLost: {Played: 2, TakenUp: 2, WentOn: 1}, PremiseReloaded: {Played: 1}, PremiseOneRetry: {Played: 1, TakenUp: 1, WentOn: 1},
+	}
+	for _, got := range s.list() {
+		w := want[got.Premise]
+		if w.Premise = got.Premise; got != w {
+			t.Errorf("got %v, want %v", got, w)
+		}
+	}
+}
--- a/proof/stream/run.go
+++ b/proof/stream/run.go
@@ -10,7 +10,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"wigeonplank.example/fakes/site"
@@ -36,6 +35,8 @@
 	sheetRate       = 118.6
 	enginesByRelay  = 78.0 / 68
 	othersByRelay   = 100.0 / 68
+	maxHosts        = 24  // of engines; each has a keeper, and a listener for each relay
+	oneRetryShare   = 0.3 // of the callers, which have one retry as on the sheet
 )
 
 // classes are the sheet's two longest kinds of streams, with its rates.
@@ -66,6 +67,7 @@
 	site   site.StreamSite
 	dep    *deploy.Deployment
 	net    network
+	played []played
 	mu     sync.Mutex
 	clocks map[string]*clock // by relay; guarded by mu
 }
@@ -77,6 +79,7 @@
 	NewRefused                            map[string]int // other tries, by status
 	Wrong                                 []string       // streams that Judge finds something wrong with
 	Least                                 int
+	Premises                              []Share
 	Ages                                  Ages
 }
 
@@ -97,6 +100,9 @@
 		s += fmt.Sprintf("\n  refused when taken up: %d with %s", r.Refused[reason], reason)
 	}
 	s += fmt.Sprintf("\n  refused when new, by status: %v\n%s", r.NewRefused, &r.Ages)
+	for _, p := range r.Premises {
+		s += "\n  " + p.String()
+	}
 	for _, w := range r.Wrong[:min(len(r.Wrong), maxPrintedWrong)] {
 		found, _, _ := strings.Cut(w, "\n")
 		s += "\n  ! " + found
@@ -107,8 +113,9 @@
 // Run starts the relays, sends load while faults happen, ends the relays and judges the
 // streams. It returns an error if the run couldn't be carried out.
 func (c Run) Run(ctx context.Context) (*Result, error) {
+	engines := max(2*numZones, int(float64(c.Relays)*enginesByRelay))
 	r := &run{Run: c, clocks: make(map[string]*clock), site: site.StreamSite{
-		Classes: classes(), Zones: numZones, Engines: max(2*numZones, int(float64(c.Relays)*enginesByRelay)), Others: int(float64(c.Relays) * othersByRelay),
+		Classes: classes(), Zones: numZones, Engines: engines, Hosts: min(engines, maxHosts), Others: int(float64(c.Relays) * othersByRelay),
 		EventTime: eventTime, History: storeHistory,
 	}}
 	st, err := r.site.Start(firstVersion)
@@ -117,7 +124,7 @@
 	}
 	r.dep = &deploy.Deployment{Site: st, Dir: c.Dir, Bin: c.Bin, Configure: r.configure}
 	streams, err := r.play(ctx)
-	err = errors.Join(err, r.endRelays())
+	err = errors.Join(err, r.endAll())
 	r.net.close()
 	if err = errors.Join(err, st.Close()); err != nil {
 		return nil, err
@@ -132,6 +139,9 @@
 	defer wg.Wait()
 	defer close(done)
 	wg.Go(func() { r.keepShares(done) })
+	if err := r.startKeepers(); err != nil {
+		return nil, err
+	}
 	for n := range r.Relays {
 		name := fmt.Sprintf("relay-%02d", n)
 		started, err := r.dep.StartRelay(name, r.site.Zone(n))
@@ -171,14 +181,17 @@
 	if err != nil {
 		return fmt.Errorf("address of %s: %w", s.Instance, err)
 	}
-	if _, err := r.net.listen(net.JoinHostPort(networkHost, port), net.JoinHostPort(relayHost, port), "", s.Instance); err != nil {
+	if _, err := r.net.listen(net.JoinHostPort(networkHost, port), net.JoinHostPort(relayHost, port), &link{side: toPeers, to: s.Instance}); err != nil {
+		return err
+	}
+	if err := r.leadToKeepers(s); err != nil {
 		return err
 	}
 	s.Peers.Listen, s.Peers.ExpectedSize = net.JoinHostPort(relayHost, port), r.Relays
 	for i, seed := range s.Peers.Seeds {
 		s.Peers.Seeds[i] = strings.Replace(seed, relayHost, networkHost, 1)
 	}
-	s.Store, err = r.net.listen("127.0.0.1:0", s.Store, s.Instance, "")
+	s.Store, err = r.net.listen("127.0.0.1:0", s.Store, &link{side: toStore, from: s.Instance})
 	s.Capacity = sets.Capacity{Cores: 1, CPUShare: min(1, r.share(n)), LinkMbps: thinLinkMbps}
 	s.MemoryBytes = thinMemory
 	if isFat(n) {
@@ -215,7 +228,7 @@
 // judge counts the streams, judges each of them and reads the relays' logs.
 func (r *run) judge(streams []*Stream) (*Result, error) {
 	res := &Result{Refused: make(map[string]int), NewRefused: make(map[string]int), Least: r.Least}
-	wrong, takeUps := make(map[*Stream]string), make(map[string]bool)
+	wrong, takeUps, shares := make(map[*Stream]string), make(map[string]bool), newShares(r.played)
 	for _, s := range streams {
 		begun, takenUp, wentOn, whole := false, false, false, false
 		for _, t := range s.Tries {
@@ -230,6 +243,7 @@
 		}
 		res.Begun += count(begun)
 		res.TakenUp += count(takenUp)
+		shares.add(s, takenUp, wentOn)
 		res.WentOn += count(wentOn)
 		res.Whole += count(whole)
 		res.Broken += count(begun && !whole)
@@ -237,6 +251,7 @@
 			wrong[s] = strings.Join(found, "; ") + "\n    " + s.String()
 		}
 	}
+	res.Premises = shares.list()
 	var err error
 	res.Ages, err = r.readLogs(wrong, func(l logLine) {
 		if l.Event == "request_done" && takeUps[l.Request] {
@@ -256,25 +271,3 @@
 	}
 	return 0
 }
-
-// endRelays ends all relays by SIGKILL.
-func (r *run) endRelays() error {
-	for _, relay := range r.dep.Relays {
-		kill(relay)
-	}
-	for _, relay := range r.dep.Relays {
-		if p := relay.Proc(); p != nil {
-			_ = p.Wait(endTimeout) // it reports the signal
-			if p.Running() {
-				return fmt.Errorf("%s outlived SIGKILL", relay.Name)
-			}
-		}
-	}
-	return nil
-}
-
-func kill(relay *deploy.Relay) {
-	if p := relay.Proc(); p != nil && p.Running() {
-		_ = p.Signal(syscall.SIGKILL) // fails only if the process has ended
-	}
-}
