--- a/proof/stream/premises.go
+++ b/proof/stream/premises.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -88,10 +89,7 @@
 	for _, t := range stream.Tries {
 		begun = cmp.Or(begun, t.FirstAt)
 	}
-	within := make(map[Premise]bool)
-	for _, span := range s.spans {
-		within[span.premise] = within[span.premise] || !begun.Before(span.from) && begun.Before(span.to)
-	}
+	within := s.between(begun, begun)
 	within[PremiseOneRetry] = stream.Retries == 1
 	s.of[PremiseOneRetry].Played += count(within[PremiseOneRetry])
 	for p, in := range within {
@@ -100,6 +98,27 @@
 	}
 }
 
+// between returns the premises that were false at any time of a span.
+func (s *shares) between(from, to time.Time) map[Premise]bool {
+	out := make(map[Premise]bool)
+	for _, p := range s.spans {
+		out[p.premise] = out[p.premise] || !to.Before(p.from) && from.Before(p.to)
+	}
+	return out
+}
+
+// during describes the premises that were false while a stream lasted.
+func (s *shares) during(stream *Stream) string {
+	var out []string
+	in := s.between(stream.Tries[0].SentAt, stream.Tries[len(stream.Tries)-1].EndedAt)
+	for _, p := range premises() {
+		if in[p] {
+			out = append(out, string(p))
+		}
+	}
+	return "; while " + strings.Join(out, ", ")
+}
+
 func (s *shares) list() []Share {
 	out := make([]Share, len(s.of))
 	for i, p := range premises() {
--- a/proof/stream/run.go
+++ b/proof/stream/run.go
@@ -248,7 +248,7 @@
 		res.Whole += count(whole)
 		res.Broken += count(begun && !whole)
 		if found := Judge(s); len(found) > 0 {
-			wrong[s] = strings.Join(found, "; ") + "\n    " + s.String()
+			wrong[s] = strings.Join(found, "; ") + shares.during(s) + "\n    " + s.String()
 		}
 	}
 	res.Premises = shares.list()
