--- a/proof/stream/faults.go
+++ b/proof/stream/faults.go
@@ -13,15 +13,16 @@
 )
 
 const (
-	releaseAt  = 2 * time.Second // first release, so that two versions are in service before the first loss
-	firstRound = 6 * time.Second
-	minFreeze  = 500 * time.Millisecond
-	maxFreeze  = 6 * time.Second
-	highSeq    = 100             // writes of an incarnation before its entry lapsed
-	drainTime  = 2 * time.Second // from the notice that an engine drains until it has left
-	lapseDelay = 3600 * time.Millisecond
-	maxLate    = 5 * time.Second // from the start of an engine until it is listed, half of the times
-	maxBesides = 3               // faults beside those of a round
+	releaseAt   = 2 * time.Second // first release, so that two versions are in service before the first loss
+	firstRound  = 6 * time.Second
+	minFreeze   = 500 * time.Millisecond
+	maxFreeze   = 6 * time.Second
+	highSeq     = 100             // writes of an incarnation before its entry lapsed
+	drainTime   = 2 * time.Second // from the notice that an engine drains until it has left
+	lapseDelay  = 3600 * time.Millisecond
+	maxLate     = 5 * time.Second // from the start of an engine until it is listed, half of the times
+	maxBesides  = 3               // faults beside those of a round
+	returnShare = 0.3             // of the engines
 )
 
 // faults are the faults of a run that are still to come.
@@ -100,8 +101,10 @@
 	switch f.next(&f.changes, 9) {
 	case 0:
 		f.at(t, f.release)
-	case 1, 2:
-		f.at(t, f.returnWithOtherVersion)
+	case 1:
+		f.at(t, func() error { return f.returnWithOtherVersion(f.lateness()) })
+	case 2:
+		f.at(t, func() error { return f.returnWithOtherVersion(maxLate) })
 	case 3: // streams begin by views that are old
 		f.at(t, f.cutOffStore)
 		f.at(t+f.between(200*time.Millisecond, 2*time.Second), f.release)
@@ -166,9 +169,9 @@
 
 func versionName(n int) string { return fmt.Sprint("v", n) }
 
-// release replaces some engines that aren't of the newest version by ones that are, several at
-// once. If few are left, a newer version begins.
-func (f *faults) release() error {
+// oldEngines returns the listed engines that aren't of the newest version, in a random order. If
+// few are left, a newer version begins.
+func (f *faults) oldEngines() []*site.Endpoint {
 	var old []*site.Endpoint
 	engines := f.engines()
 	for _, e := range engines {
@@ -180,7 +183,13 @@
 		f.version++
 		old = engines
 	}
-	old = shuffled(f.rng, old)
+	return shuffled(f.rng, old)
+}
+
+// release replaces some engines that aren't of the newest version by ones that are, several at
+// once.
+func (f *faults) release() error {
+	engines, old := f.engines(), f.oldEngines()
 	old = old[:min(len(old), max(1, len(engines)*(3+f.rng.IntN(3))/10))]
 	version, late := versionName(f.version), f.lateness()
 	f.Logf("%d engines are replaced by version %s, registered within %s", len(old), version, late)
@@ -257,9 +266,10 @@
 }
 
 // returnWithOtherVersion lets some engines crash and come back under their IDs with the newest
-// version.
-func (f *faults) returnWithOtherVersion() error {
-	list, late := f.someEngines(0.3), f.lateness()
+// version, registered within a time.
+func (f *faults) returnWithOtherVersion(late time.Duration) error {
+	list := f.oldEngines()
+	list = list[:min(len(list), max(1, int(returnShare*float64(len(f.engines())))))]
 	f.Logf("%d engines crash and come back with version %s, registered within %s", len(list), versionName(f.version), late)
 	for _, e := range list {
 		f.crash(e, f.between(0, time.Second), versionName(f.version), late)
