--- a/proof/stream/disturb.go
+++ b/proof/stream/disturb.go
@@ -26,13 +26,13 @@
 
 // cutFromStore cuts all relays off from the store, which engines reach.
 func (f *faults) cutFromStore(d time.Duration) error {
-	f.play(PremiseStoreForRelays, d)
+	f.refute(PremiseStoreForRelays, d)
 	return f.cutOff(f.dep.Relays, d, toStore)
 }
 
 // loseStore lets the store be away for all.
 func (f *faults) loseStore(d time.Duration) error {
-	f.play(PremiseStoreForAll, d)
+	f.refute(PremiseStoreForAll, d)
 	return f.silence(d)
 }
 
@@ -68,7 +68,7 @@
 	if f.rng.IntN(2) == 0 {
 		premise, sides = PremiseMostCutOffWhole, append(sides, toKeepers)
 	}
-	f.play(premise, d)
+	f.refute(premise, d)
 	return f.cutOff(f.someRelays(0.6+0.35*f.rng.Float64()), d, sides...)
 }
 
@@ -112,7 +112,7 @@
 func (f *faults) inSeries(p Premise, name string, signal func(*deploy.Relay)) {
 	n := minSeries + f.rng.IntN(maxSeries-minSeries)
 	f.Logf("relays get %s, %d times", name, n)
-	f.play(p, time.Duration(n)*maxSignalGap)
+	f.refute(p, time.Duration(n)*maxSignalGap)
 	for i := range n {
 		f.after(time.Duration(i)*f.between(0, maxSignalGap), func() error {
 			for _, relay := range f.someRelays(0.1 + 0.2*f.rng.Float64()) {
@@ -127,7 +127,7 @@
 func (f *faults) cutUnframed() error {
 	list, d := f.someEngines(0.3), f.between(minUnframed, maxUnframed)
 	f.Logf("%d engines send streams without framing and are killed after %s", len(list), d)
-	f.play(PremiseUnframedCut, d)
+	f.refute(PremiseUnframedCut, d)
 	for _, e := range list {
 		f.lapsed[e.ID] = true // no other fault ends it
 		e.InjectFault(site.FaultUnframed, manyResponses)
@@ -144,7 +144,7 @@
 func (f *faults) stepClocks() error {
 	hosts := f.rng.Perm(f.site.Hosts)[:max(1, f.site.Hosts/2)]
 	f.Logf("the time of day of %d machines of engines is wrong", len(hosts))
-	f.play(PremiseEngineClocks, f.Duration)
+	f.refute(PremiseEngineClocks, f.Duration)
 	for _, n := range hosts {
 		ip, _ := f.site.Host(n)
 		f.steppedBy[ip] = f.between(-maxClockStep, maxClockStep)
--- a/proof/stream/faults.go
+++ b/proof/stream/faults.go
@@ -234,7 +234,7 @@
 	f.lapsed[e.ID] = true // until it is listed
 	d := f.between(0, within)
 	if d > minLateRegistration {
-		f.play(p, d)
+		f.refute(p, d)
 	}
 	f.after(d, func() error {
 		return f.write(func() error {
@@ -329,7 +329,7 @@
 	defer f.mu.Unlock()
 	for _, relay := range list {
 		d := f.between(minFreeze, maxFreeze)
-		f.play(PremiseSuspended, d)
+		f.refute(PremiseSuspended, d)
 		f.clocks[relay.Name].frozenUntil = time.Now().Add(d)
 	}
 	return nil
@@ -342,7 +342,7 @@
 func (f *faults) loseZone() error {
 	zone, away := f.site.Zone(f.rng.IntN(numZones)), f.between(time.Second, 5*time.Second)
 	f.Logf("zone %s is without power for %s", zone, away)
-	f.play(PremiseZoneLost, away)
+	f.refute(PremiseZoneLost, away)
 	late := f.lateness()
 	for _, e := range f.engines() {
 		if e.Zone == zone {
--- a/proof/stream/keepers.go
+++ b/proof/stream/keepers.go
@@ -66,7 +66,7 @@
 	hosts := f.rng.Perm(f.site.Hosts)[:1+f.rng.IntN(f.site.Hosts/2)]
 	away := f.between(500*time.Millisecond, 5*time.Second)
 	f.Logf("%d keepers are lost for %s", len(hosts), away)
-	f.play(PremiseKeepersLost, away)
+	f.refute(PremiseKeepersLost, away)
 	f.endKeepers(hosts, away)
 	return nil
 }
--- a/proof/stream/premises.go
+++ b/proof/stream/premises.go
@@ -43,8 +43,8 @@
 	from, to time.Time
 }
 
-// play records that a premise is false for a while from now on.
-func (f *faults) play(p Premise, d time.Duration) {
+// refute records that a premise is false for a while from now on.
+func (f *faults) refute(p Premise, d time.Duration) {
 	now := time.Now()
 	f.played = append(f.played, played{p, now, now.Add(d)})
 }
