--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -153,7 +153,7 @@
 // keepersBeside returns the keepers of the hosts that a relay chooses. Those that it doesn't reach
 // have no incarnation.
 func (m *model) keepersBeside(r *rememberer) []origin.Keeper {
-	var out []origin.Keeper
+	out := make([]origin.Keeper, 0, origin.MaxHosts)
 	for _, h := range origin.Hosts(r.view) {
 		k := origin.Keeper{Instance: h.IP}
 		if m.hosts[h.IP].up {
