--- a/core/origin/model_test.go
+++ b/core/origin/model_test.go
@@ -153,9 +153,8 @@
 // keepersBeside returns the keepers of the hosts that a relay chooses. Those that it doesn't reach
 // have no incarnation.
 func (m *model) keepersBeside(r *rememberer) []origin.Keeper {
-	hosts := origin.Hosts(r.view)
-	out := make([]origin.Keeper, 0, len(hosts))
-	for _, h := range hosts {
+	out := make([]origin.Keeper, 0, origin.MaxHosts)
+	for _, h := range origin.Hosts(r.view) {
 		k := origin.Keeper{Instance: h.IP}
 		if m.hosts[h.IP].up {
 			k.Incarnation = m.hosts[h.IP].incarnation
@@ -166,8 +165,7 @@
 }
 
 func (m *model) otherRelays(r *rememberer) []origin.Keeper {
-	hosts := origin.Hosts(r.view)
-	out := make([]origin.Keeper, 0, len(hosts))
+	var out []origin.Keeper
 	for _, o := range m.relays {
 		if o != r && o.up {
 			out = append(out, origin.Keeper{Instance: o.id, Incarnation: o.incarnation})
