--- a/proof/stream/ages.go
+++ b/proof/stream/ages.go
@@ -118,7 +118,7 @@
 
 // String returns the p50, the p99 and the worst of each, beside what the proof of ORDER assumes.
 func (a *Ages) String() string {
-	s := "  age of the view at which streams began (assumed 3000 ms at most): " + quantiles(a.View)
+	s := "  age of the view at which streams began: " + quantiles(a.View)
 	if a.Find == nil {
 		s += "\n  time to find a record (150 ms at most): not logged"
 	}
