--- a/proof/stream/ages.go
+++ b/proof/stream/ages.go
@@ -116,7 +116,7 @@
 	_ = (*h).RecordValue(min(maxAgeMillis, max(0, int64(ms)))) // in its range
 }
 
-// String returns the p50, the p99 and the worst of each, beside what the proof of ORDER assumes.
+// String returns the p50, the p99 and the worst of each.
 func (a *Ages) String() string {
 	s := "  age of the view at which streams began: " + quantiles(a.View)
 	if a.Find == nil {
--- a/proof/stream/ages_test.go
+++ b/proof/stream/ages_test.go
@@ -9,10 +9,10 @@
 // TestAges guards against ages that are taken from other lines than those they are in, and
 // against a report that keeps silent about what isn't logged.
 func TestAges(t *testing.T) {
-	const none = `  age of the view at which streams began (assumed 3000 ms at most): not logged
+	const none = `  age of the view at which streams began: not logged
   time to find a record (150 ms at most): not logged
   from the first event to its acknowledged record: not logged`
-	const some = `  age of the view at which streams began (assumed 3000 ms at most): p50 20 ms, p99 1930 ms, worst 1930 ms of 2
+	const some = `  age of the view at which streams began: p50 20 ms, p99 1930 ms, worst 1930 ms of 2
   time to find a record (150 ms at most), found: p50 7 ms, p99 7 ms, worst 7 ms of 1
   from the first event to its acknowledged record: p50 3 ms, p99 3 ms, worst 3 ms of 1`
 	for want, lines := range map[string]string{
