--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -203,7 +203,7 @@
 // newKeeperLinks returns the links to the keepers beside endpoints, and has the mesh use them.
 func newKeeperLinks(live *sets.Live, l *logs.Logger, c *ctrl.Control, m *peers.Mesh) *keeper.Links {
 	var view *fleet.View
-	var hosts []origin.Host // of view
+	var hosts []origin.Host // of view; both are used by one goroutine at a time
 	k := &keeper.Links{
 		Hosts: func() []origin.Host {
 			if v := c.View(); v != view {
--- a/relay/keeper/links.go
+++ b/relay/keeper/links.go
@@ -29,7 +29,7 @@
 // Links are the links of a relay to keepers. Set the exported fields before use. It is safe
 // for concurrent use.
 type Links struct {
-	Hosts func() []origin.Host // whose keepers remember this relay's streams
+	Hosts func() []origin.Host // whose keepers remember this relay's streams; called by one goroutine at a time
 	Port  func() int           // of all keepers; 0: there are none
 	Dial  func(ctx context.Context, addr string) (net.Conn, error)
 	Clock clock.Clock
@@ -65,9 +65,9 @@
 // updateLinks opens links to the keepers that are in use now, and closes those to others and
 // those that have failed.
 func (l *Links) updateLinks(ctx context.Context) {
-	order := l.addrs()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	order := l.addrs()
 	if l.links == nil {
 		l.links = make(map[string]*outbound)
 	}
@@ -93,7 +93,8 @@
 	}
 }
 
-// addrs returns the addresses of the keepers that are to be used by the current view.
+// addrs returns the addresses of the keepers that are to be used by the current view. The
+// caller holds l.mu.
 func (l *Links) addrs() []string {
 	var out []string
 	if port := l.Port(); port != 0 {
