--- a/relay/pool/incarnation_test.go
+++ b/relay/pool/incarnation_test.go
@@ -34,7 +34,7 @@
 // TestAskedIncarnation guards against an endpoint that counts as another incarnation than it
 // tells, and one that gets no streams as it tells none or ends the connection then.
 func TestAskedIncarnation(t *testing.T) {
-	late := "HTTP/1.1 200 OK\r\nX-Attempt-Id: earlier\r\nContent-Length: 10\r\n\r\n{\"born\":5}"
+	late := site.ResponseHead("earlier") + "Content-Length: 10\r\n\r\n{\"born\":5}"
 	for name, test := range map[string]struct {
 		answer string
 		want   int64
