proof/stream: conditions in place of premises; one place for ends of processes

Cause: a premise that is refuted reads backwards; end and kill stood beside keepers. Change: renames and moves; TestRun sends load for 15 s in place of 12.

--- a/proof/stream/disturb.go
+++ b/proof/stream/disturb.go
@@ -26,13 +26,13 @@
 
 // cutFromStore cuts all relays off from the store, which engines reach.
 func (f *faults) cutFromStore(d time.Duration) error {
-	f.refute(PremiseStoreForRelays, d)
+	f.impose(ConditionStoreForRelays, d)
 	return f.cutOff(f.dep.Relays, d, toStore)
 }
 
 // loseStore lets the store be away for all.
 func (f *faults) loseStore(d time.Duration) error {
-	f.refute(PremiseStoreForAll, d)
+	f.impose(ConditionStoreForAll, d)
 	return f.silence(d)
 }
 
@@ -64,18 +64,18 @@
 // cutMost cuts more than half of the relays off from the store and the others, maybe from keepers
 // too.
 func (f *faults) cutMost(d time.Duration) error {
-	premise, sides := PremiseMostCutOff, []side{toStore, toPeers}
+	condition, sides := ConditionMostCutOff, []side{toStore, toPeers}
 	if f.rng.IntN(2) == 0 {
-		premise, sides = PremiseMostCutOffWhole, append(sides, toKeepers)
+		condition, sides = ConditionMostCutOffWhole, append(sides, toKeepers)
 	}
-	f.refute(premise, d)
+	f.impose(condition, d)
 	return f.cutOff(f.someRelays(0.6+0.35*f.rng.Float64()), d, sides...)
 }
 
 // terminate sends SIGTERM to some relays, one group after the other. They start again when they
 // have ended.
 func (f *faults) terminate() error {
-	f.inSeries(PremiseTerminated, "SIGTERM", func(relay *deploy.Relay) {
+	f.inSeries(ConditionTerminated, "SIGTERM", func(relay *deploy.Relay) {
 		p := relay.Proc()
 		_ = p.Signal(syscall.SIGTERM) // fails only if the process has ended
 		var restart func() error
@@ -97,7 +97,7 @@
 
 // reload sends SIGHUP to some relays, one group after the other.
 func (f *faults) reload() error {
-	f.inSeries(PremiseReloaded, "SIGHUP", func(relay *deploy.Relay) {
+	f.inSeries(ConditionReloaded, "SIGHUP", func(relay *deploy.Relay) {
 		p := relay.Proc()
 		go func() {
 			if relay.Ready() { // else the signal may come before the process handles it
@@ -109,10 +109,10 @@
 }
 
 // inSeries signals groups of relays, one after the other.
-func (f *faults) inSeries(p Premise, name string, signal func(*deploy.Relay)) {
+func (f *faults) inSeries(p Condition, name string, signal func(*deploy.Relay)) {
 	n := minSeries + f.rng.IntN(maxSeries-minSeries)
 	f.Logf("relays get %s, %d times", name, n)
-	f.refute(p, time.Duration(n)*maxSignalGap)
+	f.impose(p, time.Duration(n)*maxSignalGap)
 	for i := range n {
 		f.after(time.Duration(i)*f.between(0, maxSignalGap), func() error {
 			for _, relay := range f.someRelays(0.1 + 0.2*f.rng.Float64()) {
@@ -127,7 +127,7 @@
 func (f *faults) cutUnframed() error {
 	list, d := f.someEngines(0.3), f.between(minUnframed, maxUnframed)
 	f.Logf("%d engines send streams without framing and are killed after %s", len(list), d)
-	f.refute(PremiseUnframedCut, d)
+	f.impose(ConditionUnframedCut, d)
 	for _, e := range list {
 		f.lapsed[e.ID] = true // no other fault ends it
 		e.InjectFault(site.FaultUnframed, manyResponses)
@@ -144,7 +144,7 @@
 func (f *faults) stepClocks() error {
 	hosts := f.rng.Perm(f.site.Hosts)[:max(1, f.site.Hosts/2)]
 	f.Logf("the time of day of %d machines of engines is wrong", len(hosts))
-	f.refute(PremiseEngineClocks, f.Duration)
+	f.impose(ConditionEngineClocks, f.Duration)
 	for _, n := range hosts {
 		ip, _ := f.site.Host(n)
 		f.steppedBy[ip] = f.between(-maxClockStep, maxClockStep)
--- a/proof/stream/faults.go
+++ b/proof/stream/faults.go
@@ -212,7 +212,7 @@
 			if err != nil {
 				return err
 			}
-			f.register(started, late, PremiseLateStart)
+			f.register(started, late, ConditionLateStart)
 			return nil
 		})
 	}
@@ -227,14 +227,14 @@
 	return minLateRegistration
 }
 
-// register lists an engine that has just started, within a time. If it takes long, the premise is
-// false until then.
-func (f *faults) register(e *site.Endpoint, within time.Duration, p Premise) {
+// register lists an engine that has just started, within a time. If it takes long, the condition holds
+// until then.
+func (f *faults) register(e *site.Endpoint, within time.Duration, p Condition) {
 	e.ShiftStart(f.steppedBy[hostOf(e)])
 	f.lapsed[e.ID] = true // until it is listed
 	d := f.between(0, within)
 	if d > minLateRegistration {
-		f.refute(p, d)
+		f.impose(p, d)
 	}
 	f.after(d, func() error {
 		return f.write(func() error {
@@ -289,14 +289,15 @@
 		return f.deregister(e.ID)
 	})
 	f.after(away, func() error {
-		if started := f.dep.Site.StartAgain(e.ID, version) == nil; !started { // its port was taken
+		if err := f.dep.Site.StartAgain(e.ID, version); err != nil {
+			f.Logf("%s stays away: %v", e.ID, err) // its port was taken
 			return f.deregister(e.ID)
 		}
-		premise := PremiseLateReturn
+		condition := ConditionLateReturn
 		if version == e.Version {
-			premise = PremiseLateStart
+			condition = ConditionLateStart
 		}
-		f.register(f.dep.Site.Endpoint(e.ID), late, premise)
+		f.register(f.dep.Site.Endpoint(e.ID), late, condition)
 		return nil
 	})
 }
@@ -329,7 +330,7 @@
 	defer f.mu.Unlock()
 	for _, relay := range list {
 		d := f.between(minFreeze, maxFreeze)
-		f.refute(PremiseSuspended, d)
+		f.impose(ConditionSuspended, d)
 		f.clocks[relay.Name].frozenUntil = time.Now().Add(d)
 	}
 	return nil
@@ -342,7 +343,7 @@
 func (f *faults) loseZone() error {
 	zone, away := f.site.Zone(f.rng.IntN(numZones)), f.between(time.Second, 5*time.Second)
 	f.Logf("zone %s is without power for %s", zone, away)
-	f.refute(PremiseZoneLost, away)
+	f.impose(ConditionZoneLost, away)
 	late := f.lateness()
 	for _, e := range f.engines() {
 		if e.Zone == zone {
@@ -377,3 +378,21 @@
 	f.end(list, away)
 	return nil
 }
+
+// end ends relays by SIGKILL and starts them again some time later.
+func (f *faults) end(list []*deploy.Relay, away time.Duration) {
+	for _, relay := range list {
+		p := relay.Proc()
+		kill(p)
+		f.after(away, func() error {
+			if relay.Proc() != p {
+				return nil // started again before
+			}
+			if err := awaitEnd(p); err != nil {
+				return err
+			}
+			_, err := f.dep.StartRelay(relay.Name, "")
+			return err
+		})
+	}
+}
--- a/proof/stream/keepers.go
+++ b/proof/stream/keepers.go
@@ -5,10 +5,8 @@
 	"fmt"
 	"net"
 	"strconv"
-	"syscall"
 	"time"
 
-	"wigeonplank.example/proof/deploy"
 	"wigeonplank.example/proof/fleet"
 	"wigeonplank.example/relay/sets"
 )
@@ -66,7 +64,7 @@
 	hosts := f.rng.Perm(f.site.Hosts)[:1+f.rng.IntN(f.site.Hosts/2)]
 	away := f.between(500*time.Millisecond, 5*time.Second)
 	f.Logf("%d keepers are lost for %s", len(hosts), away)
-	f.refute(PremiseKeepersLost, away)
+	f.impose(ConditionKeepersLost, away)
 	f.endKeepers(hosts, away)
 	return nil
 }
@@ -90,57 +88,3 @@
 		})
 	}
 }
-
-// endAll ends all relays and keepers by SIGKILL.
-func (r *run) endAll() error {
-	procs := make([]*fleet.Proc, 0, len(r.dep.Relays)+len(r.dep.Keepers))
-	for _, relay := range r.dep.Relays {
-		procs = append(procs, relay.Proc())
-	}
-	for _, k := range r.dep.Keepers {
-		procs = append(procs, k.Proc())
-	}
-	for _, p := range procs {
-		kill(p)
-	}
-	errs := make([]error, len(procs))
-	for i, p := range procs {
-		errs[i] = awaitEnd(p)
-	}
-	return errors.Join(errs...)
-}
-
-func kill(p *fleet.Proc) {
-	if p != nil && p.Running() {
-		_ = p.Signal(syscall.SIGKILL) // fails only if the process has ended
-	}
-}
-
-// awaitEnd waits until a process that was killed has ended.
-func awaitEnd(p *fleet.Proc) error {
-	if p == nil {
-		return nil
-	}
-	if _ = p.Wait(endTimeout); p.Running() { // it reports the signal
-		return fmt.Errorf("%s outlived SIGKILL", p.Name)
-	}
-	return nil
-}
-
-// end ends relays by SIGKILL and starts them again some time later.
-func (f *faults) end(list []*deploy.Relay, away time.Duration) {
-	for _, relay := range list {
-		p := relay.Proc()
-		kill(p)
-		f.after(away, func() error {
-			if relay.Proc() != p {
-				return nil // started again before
-			}
-			if err := awaitEnd(p); err != nil {
-				return err
-			}
-			_, err := f.dep.StartRelay(relay.Name, "")
-			return err
-		})
-	}
-}
--- a/proof/stream/run.go
+++ b/proof/stream/run.go
@@ -10,10 +10,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/proof/deploy"
+	"wigeonplank.example/proof/fleet"
 	"wigeonplank.example/relay/sets"
 )
 
@@ -79,7 +81,7 @@
 	NewRefused                            map[string]int // other tries, by status
 	Wrong                                 []string       // streams that Judge finds something wrong with
 	Least                                 int
-	Premises                              []Share
+	Conditions                            []Share
 	Ages                                  Ages
 }
 
@@ -100,7 +102,7 @@
 		s += fmt.Sprintf("\n  refused when taken up: %d with %s", r.Refused[reason], reason)
 	}
 	s += fmt.Sprintf("\n  refused when new, by status: %v\n%s", r.NewRefused, &r.Ages)
-	for _, p := range r.Premises {
+	for _, p := range r.Conditions {
 		s += "\n  " + p.String()
 	}
 	for _, w := range r.Wrong[:min(len(r.Wrong), maxPrintedWrong)] {
@@ -251,7 +253,7 @@
 			wrong[s] = strings.Join(found, "; ") + shares.during(s) + "\n    " + s.String()
 		}
 	}
-	res.Premises = shares.list()
+	res.Conditions = shares.list()
 	var err error
 	res.Ages, err = r.readLogs(wrong, func(l logLine) {
 		if l.Event == "request_done" && takeUps[l.Request] {
@@ -271,3 +273,39 @@
 	}
 	return 0
 }
+
+// endAll ends all relays and keepers by SIGKILL.
+func (r *run) endAll() error {
+	procs := make([]*fleet.Proc, 0, len(r.dep.Relays)+len(r.dep.Keepers))
+	for _, relay := range r.dep.Relays {
+		procs = append(procs, relay.Proc())
+	}
+	for _, k := range r.dep.Keepers {
+		procs = append(procs, k.Proc())
+	}
+	for _, p := range procs {
+		kill(p)
+	}
+	errs := make([]error, len(procs))
+	for i, p := range procs {
+		errs[i] = awaitEnd(p)
+	}
+	return errors.Join(errs...)
+}
+
+func kill(p *fleet.Proc) {
+	if p != nil && p.Running() {
+		_ = p.Signal(syscall.SIGKILL) // fails only if the process has ended
+	}
+}
+
+// awaitEnd waits until a process that was killed has ended.
+func awaitEnd(p *fleet.Proc) error {
+	if p == nil {
+		return nil
+	}
+	if _ = p.Wait(endTimeout); p.Running() { // it reports the signal
+		return fmt.Errorf("%s outlived SIGKILL", p.Name)
+	}
+	return nil
+}
--- a/proof/stream/stream_test.go
+++ b/proof/stream/stream_test.go
@@ -35,7 +35,7 @@
 // relays of a small deployment are lost soon after entries of engines lapsed.
 func TestRun(t *testing.T) {
 	res, err := stream.Run{
-		Seed: 35, Relays: 10, Duration: 12 * time.Second, Rate: 20, Breaks: 0.3, Retries: 3, Least: 20, Scale: 1,
+		Seed: 35, Relays: 10, Duration: 15 * time.Second, Rate: 20, Breaks: 0.3, Retries: 3, Least: 20, Scale: 1,
 		Dir: t.TempDir(), Bin: binDir, Logf: t.Logf,
 	}.Run(context.Background())
 	if err != nil {
