proof/stream: links that are held in a cut end with their relay

Suspected: relays that are cut off dial again and again, and the network held each connection until the end of the cut, so that descriptors (20,000) ran out. Change: a connection that isn't led on yet ends when its relay closes it; a process that failed to start doesn't count as running.

--- a/proof/fleet/procs.go
+++ b/proof/fleet/procs.go
@@ -56,8 +56,11 @@
 	return p.Wait(timeout)
 }
 
-// Running reports whether the process has not ended.
+// Running reports whether the process was started and has not ended.
 func (p *Proc) Running() bool {
+	if p.done == nil {
+		return false
+	}
 	select {
 	case <-p.done:
 		return false
--- a/proof/stream/network.go
+++ b/proof/stream/network.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Relays listen for one another on one loopback address, and the network on another one under
@@ -109,7 +111,12 @@
 
 func (l *link) forward(client net.Conn, target string) {
 	defer func() { _ = client.Close() }()
-	l.hold()
+	for l.isCut() {
+		if !isOpen(client) { // else relays that dial again and again use up all descriptors
+			return
+		}
+		time.Sleep(holdInterval)
+	}
 	server, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		return
@@ -122,6 +129,21 @@
 	_ = server.Close()
 }
 
+// isOpen reports whether the other side hasn't closed a connection.
+func isOpen(conn net.Conn) bool {
+	const established = 1 // of the kernel's states of connections
+	open := true
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		open = err == nil && info.State == established
+	})
+	return err == nil && open
+}
+
 // hold waits while the link is cut.
 func (l *link) hold() {
 	for l.isCut() {
--- a/proof/stream/run.go
+++ b/proof/stream/run.go
@@ -301,7 +301,7 @@
 
 // awaitEnd waits until a process that was killed has ended.
 func awaitEnd(p *fleet.Proc) error {
-	if p == nil {
+	if p == nil || !p.Running() {
 		return nil
 	}
 	if _ = p.Wait(endTimeout); p.Running() { // it reports the signal
