--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -89,11 +89,12 @@
 	// Policy returns the active policy.
 	Policy func() sets.Policy
 
-	mu        sync.Mutex
-	budgets   map[string]*retry.Budget // by service; guarded by mu
-	holds     map[string]*batch.Hold   // by service; guarded by mu
-	waits     map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
-	reach     reachability             // admission is what is needed to admit requests to stages. mu is held while it changes.
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget // by service; guarded by mu
+	holds   map[string]*batch.Hold   // by service; guarded by mu
+	waits   map[string]time.Duration // longest timeout that a caller has named, by route; guarded by mu
+	reach   reachability
+	// admission is what is needed to admit requests to stages. mu is held while it changes.
 	admission atomic.Pointer[admission]
 }
 
