--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -38,6 +38,9 @@
 	var w *world
 	defer func() {
 		if v := recover(); v != nil {
+			if setup, ok := v.(errSetup); ok {
+				v = setup.err
+			}
 			fmt.Println("the case could not run:", v)
 			if w != nil {
 				w.note("the case could not run: %v", v)
