review: the records name what was sent, answered and run

Cause: the records of cases 6, 7 and 9 left out most requests. Change: a line for each request of a client and each run at a server.

--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -142,6 +142,7 @@
 	e.mu.Lock()
 	e.runs++
 	e.mu.Unlock()
+	e.w.note("server %s runs %s from event %d", id, attempt, from)
 	if e.onBegin != nil && !e.onBegin(e, r) {
 		panic(http.ErrAbortHandler)
 	}
--- a/review/standin-2/isolated.go
+++ b/review/standin-2/isolated.go
@@ -117,6 +117,7 @@
 			time.Sleep(time.Second)
 			front := others[n%len(others)]
 			res := stream(context.Background(), front.front, "/coach/1", fmt.Sprintf("cccc%012x", n), "", -1, streamDeadline, fmt.Sprintf("5c1e07a2:800,%08x:200", 1000+n), 0)
+			w.note("new stream cccc%012x at %s: status %d, events to %d, complete %v", n, front.name, res.status, res.last, res.complete)
 			mu.Lock()
 			fresh++
 			if res.status == 200 && res.last >= 0 {
--- a/review/standin-2/poison.go
+++ b/review/standin-2/poison.go
@@ -100,6 +100,7 @@
 			if !res.complete || res.status != 200 {
 				lost++
 			}
+			w.note("sound stream 50dd%012x at %s: status %d, events to %d, complete %v", n, relays[n%4].name, res.status, res.last, res.complete)
 		}()
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -170,8 +170,10 @@
 func (w *world) judgeLedger(id, method string, a answer) string {
 	switch {
 	case a.err != nil && a.status == 0:
+		w.note("%s %s: no answer, %v", method, id, a.err)
 		return "no answer"
 	case !a.complete:
+		w.note("%s %s: status %d, seen to be incomplete", method, id, a.status)
 		return "seen to be incomplete"
 	case a.status >= 300:
 		w.note("%s %s: status %d, stamp %q", method, id, a.status, a.header.Get("X-Server-Stamp"))
@@ -181,6 +183,7 @@
 			a.header.Get("X-Server-Stamp"), a.header.Get("Content-Length"), len(a.body), len(ledgerBody(id)))
 		return "truncated"
 	}
+	w.note("%s %s: status %d, whole", method, id, a.status)
 	return "whole"
 }
 
@@ -191,6 +194,9 @@
 		for _, f := range files {
 			raw, _ := os.ReadFile(f)
 			w.note("server %s ran %d requests", s.id, strings.Count(string(raw), "ran "))
+			for line := range strings.Lines(string(raw)) {
+				w.note("server %s %s", s.id, strings.TrimSpace(line))
+			}
 		}
 	}
 }
