--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,13 +35,13 @@
 	first   time.Duration // to the first event
 	gap     time.Duration // between two events
 
-	mu    sync.Mutex
-	id    string
-	born  int64
-	lives int
-	srv   *http.Server
-	down  bool
-	runs  int // requests that began to run
+	mu      sync.Mutex
+	id      string
+	born    int64
+	lives   int
+	srv     *http.Server
+	down    bool
+	running atomic.Int64 // streams
 }
 
 var bornMu sync.Mutex
@@ -62,14 +63,36 @@
 	id := e.id
 	e.mu.Unlock()
 	go func() { _ = srv.Serve(ln) }()
-	entry := map[string]any{
-		"service": e.service, "address": e.addr, "zone": e.zone, "version": e.version, "slots": 64, "state": "ready", "coldLeftMs": 0,
-		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "seq": 1, "born": born,
-	}
-	if e.unversioned {
-		delete(entry, "version")
+	go e.beat(id, born, time.Now())
+}
+
+// coldPeriod is how long a server that starts during traffic is cold (coldS).
+const coldPeriod = 3 * time.Second
+
+// beat writes the server's entry now and every 1.2 s, for as long as this lifetime lasts.
+func (e *engine) beat(id string, born int64, started time.Time) {
+	for seq := 1; ; seq++ {
+		e.mu.Lock()
+		over, lives := e.down || e.id != id, e.lives
+		e.mu.Unlock()
+		if over {
+			return
+		}
+		cold := time.Duration(0)
+		if lives > 1 { // the first one starts before the traffic
+			cold = max(0, coldPeriod-time.Since(started))
+		}
+		entry := map[string]any{
+			"service": e.service, "address": e.addr, "zone": e.zone, "version": e.version, "slots": 64, "state": "ready",
+			"coldLeftMs": cold.Milliseconds(), "stage": "both",
+			"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "seq": seq, "born": born,
+		}
+		if e.unversioned {
+			delete(entry, "version")
+		}
+		e.w.store.put("servers/"+id, entry)
+		time.Sleep(1200 * time.Millisecond)
 	}
-	e.w.store.put("servers/"+id, entry)
 }
 
 // crash ends the current lifetime, without a word.
@@ -139,15 +162,14 @@
 	if !sleepCtx(r.Context(), e.first) {
 		return
 	}
-	e.mu.Lock()
-	e.runs++
-	e.mu.Unlock()
 	e.w.note("server %s runs %s from event %d", id, attempt, from)
 	if e.onBegin != nil && !e.onBegin(e, r) {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Server-Stamp", id+"."+attempt)
+	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,64", e.running.Add(1)))
+	defer e.running.Add(-1)
 	for n := from; n < e.events; n++ {
 		if n > from && !sleepCtx(r.Context(), e.gap) {
 			return
--- a/review/standin-2/hup.go
+++ b/review/standin-2/hup.go
@@ -10,7 +10,10 @@
 // runHup sends SIGHUP to keepers, which the platform does when a settings file has changed.
 func runHup(w *world, trouble bool) (bool, string) {
 	streamConfig(w)
-	ips := []string{"127.0.4.1", "127.0.4.2", "127.0.4.3", "127.0.4.4"}
+	var ips []string
+	for i := range 8 {
+		ips = append(ips, fmt.Sprintf("127.0.4.%d", i+1))
+	}
 	port := freePort(ips...)
 	keepers := make([]*process, len(ips))
 	begin := func(i int) {
--- a/review/standin-2/isolated.go
+++ b/review/standin-2/isolated.go
@@ -11,7 +11,8 @@
 	streamEvents   = 40
 	streamGap      = 100 * time.Millisecond
 	streamDeadline = 15 * time.Second // of study-coach and board-note
-	takeUps        = 24
+	clients        = 48               // at the cut relay
+	brokenShare    = 2                // the connection of one in so many of them is reset
 )
 
 func streamConfig(w *world) {
@@ -50,13 +51,13 @@
 	}
 	cut, others := relays[0], relays[1:]
 	if trouble {
-		// What the cut relay sees of the other machines, and they of it, accepts connections and
+		// What the cut relay sees of the other machines, and they of it, answers nothing:
 		// never answers.
 		silentPort := freePort(ips...)
 		for _, ip := range ips {
-			w.silentListener(ip, silentPort)
+			w.silentAddr(ip, silentPort)
 		}
-		silent := []string{w.silentListener("127.0.5.1", 0), w.silentListener("127.0.5.2", 0), w.silentListener("127.0.5.3", 0)}
+		silent := []string{w.silentAddr("127.0.5.1", 0), w.silentAddr("127.0.5.2", 0), w.silentAddr("127.0.5.3", 0)}
 		for _, r := range others {
 			w.startRelay(r, []string{silent[0], seeds[1], seeds[2]}, keeperPort)
 		}
@@ -73,21 +74,28 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	begun, takenUp, wentOn, fresh, freshBegan := 0, 0, 0, 0, 0
-	for n := range takeUps {
+	for n := range clients {
 		wg.Add(2)
-		go func() { // a stream that begins at the cut relay; its client's connection breaks
+		go func() { // a stream that begins at the cut relay
 			defer wg.Done()
 			first := fmt.Sprintf("aaaa%012x", n)
 			start := time.Now()
 			prefix := fmt.Sprintf("5c1e07a2:800,%08x:200", n)
-			res := stream(context.Background(), cut.front, "/coach/1", first, "", -1, streamDeadline, prefix, 8)
-			w.note("client %d at %s: status %d, events to %d %s; its connection breaks", n, cut.name, res.status, res.last, res.text)
+			stopAt := 0
+			if n%brokenShare == 0 {
+				stopAt = 8 // events
+			}
+			res := stream(context.Background(), cut.front, "/coach/1", first, "", -1, streamDeadline, prefix, stopAt)
+			w.note("client %d at %s: status %d, events to %d, complete %v %s; its connection is reset: %v", n, cut.name, res.status, res.last, res.complete, res.text, stopAt > 0)
 			if res.status != 200 || res.last < 0 {
 				return
 			}
 			mu.Lock()
 			begun++
 			mu.Unlock()
+			if stopAt == 0 {
+				return
+			}
 			time.Sleep(100 * time.Millisecond)
 			goesOn, tried := false, 0
 			last := res.last
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -55,6 +57,13 @@
 		w.close()
 		os.Exit(2)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		w.close()
+		os.Exit(2)
+	}()
 	w.note("case %s, trouble: %v", name, trouble)
 	broken, seen := cases[name](w, trouble)
 	verdict, code := "held", 0
--- a/review/standin-2/unframed.go
+++ b/review/standin-2/unframed.go
@@ -41,6 +41,8 @@
 	}
 }
 
+var running atomic.Int64 // requests at this server
+
 func serveLedgerConn(c net.Conn, id string) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
@@ -73,7 +75,8 @@
 		}
 		body := ledgerBody(attempt)
 		fmt.Printf("ran %s\n", attempt)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s.%s\r\nConnection: close\r\n\r\n%s", attempt, id, attempt, body[:len(body)/2])
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s.%s\r\nX-Server-Load: %d,0,6\r\nConnection: close\r\n\r\n%s", attempt, id, attempt, running.Add(1), body[:len(body)/2])
+		defer running.Add(-1)
 		time.Sleep(ledgerWork)
 		_, _ = c.Write([]byte(body[len(body)/2:]))
 		return
@@ -88,11 +91,24 @@
 
 func (w *world) startLedger(self, id, addr, zone string) *ledgerServer {
 	s := &ledgerServer{process: w.start(id, self, "ledger-server", addr, id), id: id, addr: addr, zone: zone}
+	born := time.Now().UnixMilli()
 	awaitPort(addr)
-	w.store.put("servers/"+id, map[string]any{
-		"service": "ledger", "address": addr, "zone": zone, "version": "v1", "slots": 6, "state": "ready", "coldLeftMs": 0,
-		"seq": 1, "born": time.Now().UnixMilli(),
-	})
+	put := func(seq int) {
+		w.store.put("servers/"+id, map[string]any{
+			"service": "ledger", "address": addr, "zone": zone, "version": "v1", "slots": 6, "state": "ready", "coldLeftMs": 0,
+			"seq": seq, "born": born,
+		})
+	}
+	put(1)
+	go func() { // its status reports
+		for seq := 2; ; seq++ {
+			time.Sleep(1200 * time.Millisecond)
+			if !s.alive() {
+				return
+			}
+			put(seq)
+		}
+	}()
 	return s
 }
 
@@ -128,7 +144,7 @@
 	var number atomic.Int64
 	end := time.Now().Add(8 * time.Second)
 	var wg sync.WaitGroup
-	for c := range 20 {
+	for c := range 16 { // at most the 6 slots of each server
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -254,23 +254,27 @@
 	}
 }
 
-// silentListener accepts connections and never answers, as a peer behind a cut.
-func (w *world) silentListener(ip string, port int) string {
-	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+// silentAddr returns an address at which connections hang, as behind a cut: its queue of new
+// connections is full, and nothing accepts them.
+func (w *world) silentAddr(ip string, port int) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	check(err)
-	w.closes = append(w.closes, func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			w.mu.Lock()
-			w.closes = append(w.closes, func() { _ = c.Close() })
-			w.mu.Unlock()
+	sa := &syscall.SockaddrInet4{Port: port}
+	copy(sa.Addr[:], net.ParseIP(ip).To4())
+	check(syscall.Bind(fd, sa))
+	check(syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	check(err)
+	addr := net.JoinHostPort(ip, fmt.Sprint(name.(*syscall.SockaddrInet4).Port))
+	w.closes = append(w.closes, func() { _ = syscall.Close(fd) })
+	for range 8 {
+		c, err := net.DialTimeout("tcp", addr, 150*time.Millisecond)
+		if err != nil {
+			return addr
 		}
-	}()
-	return ln.Addr().String()
+		w.closes = append(w.closes, func() { _ = c.Close() })
+	}
+	panic(errSetup{fmt.Errorf("%s still accepts connections", addr)})
 }
 
 // answer is what a client gets.
