base/start: one handling of signals for all daemons

Cause: AwaitStop, by which keepers, agents and entries wait, took SIGTERM and SIGINT only; the relay had a wait of its own. A closed standard output ended all daemons by SIGPIPE, and at a relay four SIGHUPs that waited displaced a SIGTERM.

Change: start.Main takes the signals of all daemons before it parses the command line, stops and reloads apart, and Signals.AwaitStop is the only wait. base/sets.Live reloads the settings of each: keepers apply memory_bytes, agents and entries warn. The streams soak sends SIGHUP to keepers as well.

--- a/agent/cmds/cmds.go
+++ b/agent/cmds/cmds.go
@@ -38,13 +38,15 @@
 // Main runs the agent and returns its exit status.
 func Main(args []string) int {
 	var opts start.Options
-	return start.Main(Parser(&opts), args, func() error { return run(opts) })
+	return start.Main(Parser(&opts), args, func(signals *start.Signals) error { return run(opts, signals) })
 }
 
-func run(opts start.Options) error {
+func run(opts start.Options, signals *start.Signals) error {
 	c := dig.New()
 	constructors := []any{
-		func() (sets.Settings, error) { return base.Load[sets.Settings](opts.Settings) },
+		func() (*base.Live[sets.Settings], error) { return base.OpenFixed[sets.Settings](opts.Settings) },
+		func(live *base.Live[sets.Settings]) sets.Settings { return *live.Get() },
+		func() *start.Signals { return signals },
 		func() (*logs.Set, error) { return logs.New(os.Stderr, "agent", opts.Log) },
 		start.NewIncarnation,
 		newComponents,
@@ -139,7 +141,7 @@
 // serveUntilStopped serves until a signal asks the agent to stop. It then refuses
 // new work and waits, up to the stop timeout, until no work is queued or running
 // and no result is retained. If a listener fails, it returns the error at once.
-func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, d *engine.Driver, srv *link.Server, adm *admin.Server) error {
+func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, d *engine.Driver, srv *link.Server, adm *admin.Server, live *base.Live[sets.Settings], signals *start.Signals) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	onShortage := func(addr string, err error) {
@@ -158,7 +160,13 @@
 	go func() { failed <- adm.Serve(adminLn) }()
 	go d.Run(ctx)
 
-	if err := start.AwaitStop(failed); err != nil {
+	// No setting can change without a restart.
+	reload := func() {
+		if _, err := live.Reload(); err != nil {
+			l.Logger(logs.LayerControl).Warn().Err(err).Msg("changed settings are not applied")
+		}
+	}
+	if err := signals.AwaitStop(failed, reload); err != nil {
 		return err
 	}
 	l.Logger(logs.LayerControl).Warn().Msg("stopping: refusing new work and waiting for running work")
--- a/base/start/start.go
+++ b/base/start/start.go
@@ -1,15 +1,12 @@
 // Package start contains what the main functions of the daemons share: command
-// line options, the incarnation of a process, and the wait for a signal to stop.
+// line options, the incarnation of a process, and the handling of signals.
 package start
 
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 )
@@ -33,15 +30,17 @@
 
 // Main parses args with p, calls run and returns the exit status: 0 if run
 // succeeded or help was requested, 1 if run failed, 2 for an invalid command
-// line.
-func Main(p *flags.Parser, args []string, run func() error) int {
+// line. It takes signals before anything else, since they may arrive as soon as
+// the process runs.
+func Main(p *flags.Parser, args []string, run func(*Signals) error) int {
+	signals := catchSignals()
 	if _, err := p.ParseArgs(args); err != nil {
 		if flags.WroteHelp(err) {
 			return 0
 		}
 		return 2
 	}
-	if err := run(); err != nil {
+	if err := run(signals); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
 		return 1
 	}
@@ -67,17 +66,3 @@
 	}
 	return Incarnation{ID: binary.BigEndian.Uint64(raw), Key: raw[idBytes:]}, nil
 }
-
-// AwaitStop blocks until the process receives SIGTERM or SIGINT, or until an
-// error arrives on failed, which it returns. Later signals are ignored, so that
-// they don't interrupt the graceful shutdown.
-func AwaitStop(failed <-chan error) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	select {
-	case err := <-failed:
-		return errors.Join(errors.New("listener failed"), err)
-	case <-signals:
-		return nil
-	}
-}
--- a/entry/cmds/cmds.go
+++ b/entry/cmds/cmds.go
@@ -46,14 +46,16 @@
 // Main runs the entry and returns its exit status.
 func Main(args []string) int {
 	var opts start.Options
-	return start.Main(Parser(&opts), args, func() error { return run(opts) })
+	return start.Main(Parser(&opts), args, func(signals *start.Signals) error { return run(opts, signals) })
 }
 
 // run builds the entry and serves until it is stopped.
-func run(opts start.Options) error {
+func run(opts start.Options, signals *start.Signals) error {
 	c := dig.New()
 	provide := []any{
-		func() (sets.Settings, error) { return base.Load[sets.Settings](opts.Settings) },
+		func() (*base.Live[sets.Settings], error) { return base.OpenFixed[sets.Settings](opts.Settings) },
+		func(live *base.Live[sets.Settings]) sets.Settings { return *live.Get() },
+		func() *start.Signals { return signals },
 		func() (*logs.Set, error) { return logs.New(os.Stderr, "entry", opts.Log) },
 		start.NewIncarnation,
 		newComponents,
@@ -166,7 +168,7 @@
 
 // serveUntilStopped serves callers and operators until a signal or a failed
 // listener stops the entry.
-func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, executor *exec.Executor, f *front.Server, adm *admin.Server) error {
+func serveUntilStopped(s sets.Settings, l *logs.Set, c *ctrl.Control, executor *exec.Executor, f *front.Server, adm *admin.Server, live *base.Live[sets.Settings], signals *start.Signals) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	onShortage := func(addr string, err error) {
@@ -186,7 +188,13 @@
 	go c.Run(ctx)
 	go rotateStats(ctx, executor.Stats)
 
-	if err := start.AwaitStop(failed); err != nil {
+	// No setting can change without a restart.
+	reload := func() {
+		if _, err := live.Reload(); err != nil {
+			l.Logger(logs.LayerControl).Warn().Err(err).Msg("changed settings are not applied")
+		}
+	}
+	if err := signals.AwaitStop(failed, reload); err != nil {
 		return err
 	}
 	l.Logger(logs.LayerControl).Warn().Msg("stopping: reported as not ready, waiting for requests in flight")
--- a/proof/deploy/deploy.go
+++ b/proof/deploy/deploy.go
@@ -108,13 +108,16 @@
 }
 
 // WriteSettings writes Settings to SettingsFile.
-func (r *Relay) WriteSettings() error {
-	raw, err := yaml.Marshal(r.Settings)
+func (r *Relay) WriteSettings() error { return writeSettings(r.Name, r.SettingsFile, r.Settings) }
+
+// writeSettings writes the settings file of a process.
+func writeSettings(name, file string, settings any) error {
+	raw, err := yaml.Marshal(settings)
 	if err != nil {
-		return fmt.Errorf("encode settings of %s: %w", r.Name, err)
+		return fmt.Errorf("encode settings of %s: %w", name, err)
 	}
-	if err := os.WriteFile(r.SettingsFile, raw, 0o600); err != nil {
-		return fmt.Errorf("write settings of %s: %w", r.Name, err)
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return fmt.Errorf("write settings of %s: %w", name, err)
 	}
 	return nil
 }
--- a/proof/deploy/deploy_test.go
+++ b/proof/deploy/deploy_test.go
@@ -21,7 +21,7 @@
 	flag.Parse()
 	dir, err := os.MkdirTemp("", "wigeonplank-deploy-")
 	if err == nil {
-		err = fleet.BuildRace(filepath.Join("..", ".."), dir, "relay", "wpctl")
+		err = fleet.BuildRace(filepath.Join("..", ".."), dir, "relay", "wpctl", "agent", "entry")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "build programs:", err)
--- a/proof/deploy/keeper.go
+++ b/proof/deploy/keeper.go
@@ -4,13 +4,10 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
 
-	"github.com/goccy/go-yaml"
-
 	base "wigeonplank.example/base/sets"
 	"wigeonplank.example/proof/fleet"
 	"wigeonplank.example/relay/sets"
@@ -19,6 +16,7 @@
 // Keeper is a keeper process and its files.
 type Keeper struct {
 	Name         string
+	Settings     sets.Keeper
 	SettingsFile string // path of the settings file
 	LogFile      string // path of the log
 
@@ -28,6 +26,18 @@
 // Proc returns the process of the last start.
 func (k *Keeper) Proc() *fleet.Proc { return k.proc.Load() }
 
+// WriteSettings writes the keeper's settings file.
+func (k *Keeper) WriteSettings() error { return writeSettings(k.Name, k.SettingsFile, k.Settings) }
+
+// Listens reports whether the keeper accepts links.
+func (k *Keeper) Listens() bool {
+	c, err := net.Dial("tcp", k.Settings.Links.Listen)
+	if err == nil {
+		_ = c.Close() // nothing was sent on it
+	}
+	return err == nil
+}
+
 // StartKeeper starts a keeper on the host with an address, without waiting until it listens.
 // Relays that are started later use it if endpoints run on that host. A keeper that was started
 // before under the same name is started again; ip is ignored then.
@@ -47,14 +57,12 @@
 				return nil, fmt.Errorf("port of keepers: %w", err)
 			}
 		}
-		k = &Keeper{Name: name, SettingsFile: filepath.Join(d.Dir, name+".yaml"), LogFile: filepath.Join(d.Dir, name+".log")}
-		s := sets.Keeper{Instance: name, Links: base.Listen{Listen: net.JoinHostPort(ip, strconv.Itoa(d.keeperPort))}}
-		raw, err := yaml.Marshal(s)
-		if err == nil {
-			err = os.WriteFile(k.SettingsFile, raw, 0o600)
+		k = &Keeper{
+			Name: name, SettingsFile: filepath.Join(d.Dir, name+".yaml"), LogFile: filepath.Join(d.Dir, name+".log"),
+			Settings: sets.Keeper{Instance: name, Links: base.Listen{Listen: net.JoinHostPort(ip, strconv.Itoa(d.keeperPort))}},
 		}
-		if err != nil {
-			return nil, fmt.Errorf("write settings of %s: %w", name, err)
+		if err := k.WriteSettings(); err != nil {
+			return nil, err
 		}
 		if d.Keepers == nil {
 			d.Keepers = make(map[string]*Keeper)
--- a/proof/deploy/script_test.go
+++ b/proof/deploy/script_test.go
@@ -236,11 +236,14 @@
 //
 //	signal NAME TERM|KILL|HUP|STOP|CONT
 //
-// It sends a signal to a relay.
+// It sends a signal to a relay or a keeper.
 func sendSignal(cmd *command) error {
 	sig := map[string]syscall.Signal{
 		"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "HUP": syscall.SIGHUP, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
 	}[cmd.arg(1)]
+	if k := cmd.state.dep.Keepers[cmd.arg(0)]; k != nil {
+		return k.Proc().Signal(sig)
+	}
 	return cmd.relay(cmd.arg(0)).Proc().Signal(sig)
 }
 
@@ -270,10 +273,13 @@
 //
 //	set NAME KEY VALUE [raw=TEXT]
 //
-// It changes a key in the settings file of a relay. The only value of the key store is
+// It changes a key in the settings file of a relay or a keeper. The only value of the key store is
 // "remote", the store's remote address. With the option raw it replaces
 // the file by a text.
 func changeSettings(cmd *command) error {
+	if k := cmd.state.dep.Keepers[cmd.arg(0)]; k != nil {
+		return cmd.changeKeeperSettings(k)
+	}
 	r := cmd.relay(cmd.arg(0))
 	if text, ok := cmd.opts["raw"]; ok {
 		return os.WriteFile(r.SettingsFile, []byte(text), 0o600)
@@ -295,6 +301,19 @@
 	return r.WriteSettings()
 }
 
+// changeKeeperSettings changes a key in the settings file of a keeper.
+func (cmd *command) changeKeeperSettings(k *deploy.Keeper) error {
+	switch cmd.arg(1) {
+	case "memory_bytes":
+		k.Settings.MemoryBytes = int64(cmd.intArg(2))
+	case "links":
+		k.Settings.Links.Listen = cmd.arg(2)
+	default:
+		return fmt.Errorf("no key %q", cmd.arg(1))
+	}
+	return k.WriteSettings()
+}
+
 // setFault implements the command
 //
 //	fault ENDPOINT FAULT N
@@ -554,7 +573,7 @@
 //
 //	log NAME PATTERN...
 //
-// It waits until a line of a relay's log matches all patterns.
+// It waits until a line of the log of a relay or a keeper matches all patterns.
 func awaitLog(cmd *command) error {
 	patterns := make([]*regexp.Regexp, 0, len(cmd.args))
 	for _, expr := range cmd.args[1:] {
@@ -580,9 +599,18 @@
 	return nil
 }
 
-// countLogLines returns the number of lines of a relay's log that match all patterns.
-func (cmd *command) countLogLines(relay string, patterns []*regexp.Regexp) int {
-	raw, err := os.ReadFile(cmd.relay(relay).LogFile)
+// logFile returns the log of a relay or a keeper.
+func (cmd *command) logFile(name string) string {
+	if k := cmd.state.dep.Keepers[name]; k != nil {
+		return k.LogFile
+	}
+	return cmd.relay(name).LogFile
+}
+
+// countLogLines returns the number of lines of the log of a relay or a keeper that match all
+// patterns.
+func (cmd *command) countLogLines(name string, patterns []*regexp.Regexp) int {
+	raw, err := os.ReadFile(cmd.logFile(name))
 	cmd.ts.Check(err)
 	n := 0
 lines:
--- a/proof/fleet/procs.go
+++ b/proof/fleet/procs.go
@@ -69,6 +69,15 @@
 	}
 }
 
+// EndedBy reports whether a signal has ended the process.
+func (p *Proc) EndedBy(s syscall.Signal) bool {
+	if p.Running() {
+		return false
+	}
+	status, ok := p.cmd.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
 // Signal sends a signal to the process.
 func (p *Proc) Signal(s syscall.Signal) error {
 	if err := p.cmd.Process.Signal(s); err != nil {
--- a/proof/stream/conditions.go
+++ b/proof/stream/conditions.go
@@ -19,7 +19,7 @@
 	ConditionMostCutOff      Condition = "more than half of the relays are cut off from store and relays, in a release"
 	ConditionMostCutOffWhole Condition = "more than half of the relays are cut off from store, relays and keepers, in a release"
 	ConditionTerminated      Condition = "relays get SIGTERM in series"
-	ConditionReloaded        Condition = "relays get SIGHUP in series"
+	ConditionReloaded        Condition = "relays and keepers get SIGHUP in series"
 	ConditionSuspended       Condition = "relays are suspended"
 	ConditionUnframedCut     Condition = "engines that send streams without a length or chunks are killed"
 	ConditionEngineClocks    Condition = "the time of day of machines of engines is wrong"
--- a/proof/stream/disturb.go
+++ b/proof/stream/disturb.go
@@ -1,12 +1,14 @@
 package stream
 
 import (
+	"fmt"
 	"net"
 	"syscall"
 	"time"
 
 	"wigeonplank.example/fakes/site"
 	"wigeonplank.example/proof/deploy"
+	"wigeonplank.example/proof/fleet"
 )
 
 const (
@@ -14,6 +16,8 @@
 	maxAway        = 12 * time.Second
 	maxAwayForAll  = 10 * time.Second
 	maxClockStep   = 3500 * time.Millisecond
+	signalTimeout  = 500 * time.Millisecond // within which a process that a signal ends has ended
+	keeperGroups   = 4                      // one of them gets each signal of a series
 	endPoll        = 100 * time.Millisecond
 	manyResponses  = 1 << 30
 	minSeries      = 3 // signals
@@ -75,54 +79,82 @@
 // terminate sends SIGTERM to some relays, one group after the other. They start again when they
 // have ended.
 func (f *faults) terminate() error {
-	f.inSeries(ConditionTerminated, "SIGTERM", func(relay *deploy.Relay) {
-		p := relay.Proc()
-		_ = p.Signal(syscall.SIGTERM) // fails only if the process has ended
-		var restart func() error
-		restart = func() error {
-			switch {
-			case relay.Proc() != p: // started again before
-				return nil
-			case p.Running():
-				f.after(endPoll, restart)
-				return nil
-			}
-			_, err := f.dep.StartRelay(relay.Name, "")
-			return err
+	f.inSeries(ConditionTerminated, "SIGTERM", func() {
+		for _, relay := range f.signalledRelays() {
+			f.terminateRelay(relay)
 		}
-		f.after(endPoll, restart)
 	})
 	return nil
 }
 
-// reload sends SIGHUP to some relays, one group after the other.
+func (f *faults) terminateRelay(relay *deploy.Relay) {
+	p := relay.Proc()
+	_ = p.Signal(syscall.SIGTERM) // fails only if the process has ended
+	var restart func() error
+	restart = func() error {
+		switch {
+		case relay.Proc() != p: // started again before
+			return nil
+		case p.Running():
+			f.after(endPoll, restart)
+			return nil
+		}
+		_, err := f.dep.StartRelay(relay.Name, "")
+		return err
+	}
+	f.after(endPoll, restart)
+}
+
+// reload sends SIGHUP to some relays and keepers, one group after the other.
 func (f *faults) reload() error {
-	f.inSeries(ConditionReloaded, "SIGHUP", func(relay *deploy.Relay) {
-		p := relay.Proc()
-		go func() {
-			if relay.Ready() { // else the signal may come before the process handles it
-				_ = p.Signal(syscall.SIGHUP) // fails only if the process has ended
-			}
-		}()
+	hosts := 0
+	f.inSeries(ConditionReloaded, "SIGHUP", func() {
+		for _, relay := range f.signalledRelays() {
+			f.hangUp(relay.Proc(), relay.Ready)
+		}
+		for range max(1, f.site.Hosts/keeperGroups) {
+			k := f.dep.Keepers[keeperName(hosts%f.site.Hosts)]
+			hosts++
+			f.hangUp(k.Proc(), k.Listens)
+		}
 	})
 	return nil
 }
 
-// inSeries signals groups of relays, one after the other.
-func (f *faults) inSeries(p Condition, name string, signal func(*deploy.Relay)) {
+// hangUp sends SIGHUP to a process if it serves already, which has to outlive the signal.
+func (f *faults) hangUp(p *fleet.Proc, serves func() bool) {
+	sent := make(chan bool, 1)
+	go func() {
+		ok := serves() // else the signal may come before the process handles it
+		if ok {
+			_ = p.Signal(syscall.SIGHUP) // fails only if the process has ended
+		}
+		sent <- ok
+	}()
+	f.after(signalTimeout, func() error {
+		if <-sent && p.EndedBy(syscall.SIGHUP) {
+			return fmt.Errorf("%s ended by SIGHUP", p.Name)
+		}
+		return nil
+	})
+}
+
+// inSeries calls signal several times, with gaps. name names the signal that it sends.
+func (f *faults) inSeries(p Condition, name string, signal func()) {
 	n := minSeries + f.rng.IntN(maxSeries-minSeries)
-	f.Logf("relays get %s, %d times", name, n)
+	f.Logf("processes get %s, %d times", name, n)
 	f.impose(p, time.Duration(n)*maxSignalGap)
 	for i := range n {
 		f.after(time.Duration(i)*f.between(0, maxSignalGap), func() error {
-			for _, relay := range f.someRelays(0.1 + 0.2*f.rng.Float64()) {
-				signal(relay)
-			}
+			signal()
 			return nil
 		})
 	}
 }
 
+// signalledRelays returns the relays that get the next signal of a series.
+func (f *faults) signalledRelays() []*deploy.Relay { return f.someRelays(0.1 + 0.2*f.rng.Float64()) }
+
 // cutUnframed lets some engines send streams without a length or chunks, and kills them.
 func (f *faults) cutUnframed() error {
 	list, d := f.someEngines(0.3), f.between(minUnframed, maxUnframed)
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -4,13 +4,10 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -22,6 +19,7 @@
 	"wigeonplank.example/base/accept"
 	"wigeonplank.example/base/admin"
 	"wigeonplank.example/base/budget"
+	base "wigeonplank.example/base/sets"
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
@@ -65,9 +63,8 @@
 	// stopMargin is left of the time for a stop once requests in flight are cancelled. Handlers
 	// and log lines may take 200 ms each; the rest is for a machine without idle cores.
 	stopMargin       = time.Second
-	usableRetryShare = 0.75 // share of the allowed retries that is used; the rest is a margin
-	usableColdShare  = 0.8  // share of the rate allowed at a cold endpoint that is used; the rest is a margin
-	reloadInterval   = time.Second
+	usableRetryShare = 0.75                   // share of the allowed retries that is used; the rest is a margin
+	usableColdShare  = 0.8                    // share of the rate allowed at a cold endpoint that is used; the rest is a margin
 	flushTimeout     = 200 * time.Millisecond // bounds the write of the last log lines if standard output is slow
 )
 
@@ -89,18 +86,19 @@
 // Main runs the relay and returns its exit status.
 func Main(args []string) int {
 	var opts Options
-	return start.Main(Parser(&opts), args, func() error {
+	return start.Main(Parser(&opts), args, func(signals *start.Signals) error {
 		if opts.Keeper {
-			return runKeeper(opts.Start.Settings)
+			return runKeeper(opts.Start.Settings, signals)
 		}
-		return run(opts.Start)
+		return run(opts.Start, signals)
 	})
 }
 
-func run(opts start.Options) error {
+func run(opts start.Options, signals *start.Signals) error {
 	container := dig.New()
 	constructors := []any{
 		func() (*sets.Live, error) { return sets.Open(opts.Settings) },
+		func() *start.Signals { return signals },
 		newLogger,
 		func() *stats.Meters { return &stats.Meters{Registry: metrics.NewRegistry()} },
 		newControl,
@@ -393,9 +391,10 @@
 // signalled to stop or a listener fails.
 func serveUntilStopped(
 	live *sets.Live, l *logs.Logger, c *ctrl.Control, f *proxy.Forwarder, r *stage.Runner, m *peers.Mesh, k *keeper.Links, srv *front.Server, adm *admin.Server,
+	signals *start.Signals,
 ) error {
 	s := live.Get()
-	setMemoryLimit(s)
+	setMemoryLimit(s.MemoryBytes)
 	debug.SetGCPercent(gcPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -429,7 +428,11 @@
 	go c.Run(ctx)
 	go runTicks(ctx, r, c)
 	l.Event(logs.Started).Str("zone", s.Zone).Str("store", s.Store).Str("settings", live.File()).Msg("")
-	if err := waitForStop(failed, func() { reload(live, l, f) }); err != nil {
+	apply := func(s *sets.Settings) {
+		setMemoryLimit(s.MemoryBytes)
+		f.ResizeBudgets()
+	}
+	if err := signals.AwaitStop(failed, func() { reload(live, l, apply) }); err != nil {
 		return err
 	}
 	m.Leave()
@@ -438,16 +441,18 @@
 	return nil
 }
 
-func setMemoryLimit(s *sets.Settings) {
+// setMemoryLimit sets the soft memory limit of the process for an instance's memory. A memory of
+// 0 is unknown.
+func setMemoryLimit(memoryBytes int64) {
 	limit := int64(math.MaxInt64) // none
-	if s.MemoryBytes > 0 {
-		limit = int64(float64(s.MemoryBytes) * memoryLimitRatio)
+	if memoryBytes > 0 {
+		limit = int64(math.Ceil(float64(memoryBytes) * memoryLimitRatio))
 	}
 	debug.SetMemoryLimit(limit)
 }
 
-// reload applies the settings file if it has changed.
-func reload(live *sets.Live, l *logs.Logger, f *proxy.Forwarder) {
+// reload applies a settings file if it has changed. apply is called with the new settings.
+func reload[T any](live *base.Live[T], l *logs.Logger, apply func(s *T)) {
 	keys, err := live.Reload()
 	if err != nil {
 		l.Event(logs.SettingsRejected).Str("settings", live.File()).Err(err).Msg("")
@@ -456,8 +461,7 @@
 	if len(keys) == 0 {
 		return
 	}
-	setMemoryLimit(live.Get())
-	f.ResizeBudgets()
+	apply(live.Get())
 	l.Event(logs.SettingsApplied).Str("settings", live.File()).Strs("keys", keys).Msg("")
 }
 
@@ -477,29 +481,6 @@
 	}
 }
 
-// waitForStop blocks until SIGTERM or SIGINT is received, in which case it
-// returns nil, or until a listener fails. It calls reload on SIGHUP and every
-// reloadInterval.
-func waitForStop(failed <-chan error, reload func()) error {
-	t := time.NewTicker(reloadInterval)
-	defer t.Stop()
-	sig := make(chan os.Signal, 4)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for {
-		select {
-		case err := <-failed:
-			return errors.Join(errors.New("listener stopped unexpectedly"), err)
-		case s := <-sig:
-			if s != syscall.SIGHUP {
-				return nil
-			}
-			reload()
-		case <-t.C:
-			reload()
-		}
-	}
-}
-
 // shutDown accepts requests for another acceptPeriod, as the load balancer must
 // first detect that the relay isn't ready, and then waits for the requests in
 // flight.
--- a/relay/cmds/keeper.go
+++ b/relay/cmds/keeper.go
@@ -2,34 +2,25 @@
 
 import (
 	"fmt"
-	"math"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"wigeonplank.example/base/accept"
-	base "wigeonplank.example/base/sets"
 	"wigeonplank.example/base/start"
 	"wigeonplank.example/core/clock"
-	"wigeonplank.example/core/conf"
 	"wigeonplank.example/relay/keeper"
 	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/sets"
 )
 
 // runKeeper runs a keeper until the process is signalled to stop or its listener fails.
-func runKeeper(file string) error {
-	var s sets.Keeper
-	raw, err := os.ReadFile(file)
-	if err == nil {
-		err = conf.DecodeStrict(raw, &s)
-	}
+func runKeeper(file string, signals *start.Signals) error {
+	live, err := sets.OpenKeeper(file)
 	if err != nil {
-		return &base.FileError{File: file, Err: err}
-	}
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(math.Ceil(float64(s.MemoryBytes) * memoryLimitRatio)))
+		return err
 	}
+	s := live.Get()
+	setMemoryLimit(s.MemoryBytes)
 	inc, err := start.NewIncarnation()
 	if err != nil {
 		return err
@@ -43,7 +34,8 @@
 	failed := make(chan error, 1)
 	go func() { failed <- k.Serve(ln) }()
 	l.Event(logs.Started).Str("settings", file).Msg("")
-	if err := start.AwaitStop(failed); err != nil {
+	apply := func(s *sets.Keeper) { setMemoryLimit(s.MemoryBytes) }
+	if err := signals.AwaitStop(failed, func() { reload(live, l, apply) }); err != nil {
 		return err
 	}
 	l.Event(logs.Stopped).Msg("")
--- a/relay/sets/sets.go
+++ b/relay/sets/sets.go
@@ -40,7 +40,8 @@
 	Port int `yaml:"port,omitempty" validate:"min=0,max=65535"` // port of the keeper on each instance that runs endpoints; 0: there are no keepers, and no stream goes on after a loss of all relays
 }
 
-// Keeper are the settings of a keeper.
+// Keeper are the settings of a keeper, which it reads when it starts and whenever their file
+// changes.
 type Keeper struct {
 	Instance    string      `yaml:"instance" validate:"required"`            // ID of the instance
 	Links       sets.Listen `yaml:"links"`                                   // address for relays
