relay/pool: a reset under a long upload is no end of an answer

Cause: the system reports a reset once. If the write in the background is told, the next read finds an end of file; Call.Read took it for the end of the body.

Change: Call.Read ends a body without a length or chunks only once the request was written whole, and fails with the write's error. Streams and calls of stages read through it, too.

--- a/relay/pool/call.go
+++ b/relay/pool/call.go
@@ -207,10 +207,27 @@
 	if l, ok := c.body.(*io.LimitedReader); ok && l.N > 0 {
 		return 0, fmt.Errorf("%w: %d bytes are missing", ErrResponse, l.N)
 	}
+	if !c.IsFramed() {
+		if err := c.awaitWritten(); err != nil {
+			return 0, fmt.Errorf("%w: it ended before the request: %w", ErrResponse, err)
+		}
+	}
 	c.complete = true
 	return 0, io.EOF
 }
 
+// awaitWritten waits until the whole request is written, and returns the error of the write. If
+// the endpoint resets the connection meanwhile, the system tells the write alone, and a read finds
+// the end of the connection as after a whole response.
+func (c *Call) awaitWritten() error {
+	if c.written == nil {
+		return nil
+	}
+	err := <-c.written
+	c.written <- err // for requestWritten
+	return err
+}
+
 // skipBody reads the body of a response to another request.
 func (c *Call) skipBody() error {
 	n, err := io.Copy(io.Discard, io.LimitReader(c, maxLateBytes+1))
