relay/proxy: plain answers without a length are whole only if their endpoint lives

Cause: the system closes the connections of a killed process in order. Streams asked whether the incarnation still lives, plain answers did not.

Change: checkEnd decides for both. Such an answer counts as broken off, so that what crashes endpoints is learnt from it, too.

--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -383,7 +383,7 @@
 		return req.recordFailure(e, attemptFailed, err)
 	}
 	req.recordResponse(e, call)
-	body, err := call.ReadAll()
+	body, err := req.readAnswer(ctx, e, call)
 	if err != nil {
 		return req.recordFailure(e, attemptFailed, err)
 	}
--- a/relay/proxy/events_test.go
+++ b/relay/proxy/events_test.go
@@ -118,6 +118,18 @@
 
 // streamAt is streamOver for a service whose endpoints are all at an address.
 func streamAt(t *testing.T, addr string, resumable bool, lastEvent int64) (body string, whole bool) {
+	t.Helper()
+	_, r := responseAt(t, addr, &fleet.Route{Kind: fleet.KindStream, Resumable: resumable}, lastEvent, (*request).forwardStream)
+	var b strings.Builder
+	whole = copyChunks(&b, r) == nil
+	return b.String(), whole
+}
+
+// responseAt returns the head and a reader of the body that a caller gets for a request of a route to a
+// service whose endpoints are all at an address.
+func responseAt(
+	t *testing.T, addr string, route *fleet.Route, lastEvent int64, forward func(*request, context.Context),
+) (*fasthttp.ResponseHeader, *bufio.Reader) {
 	t.Helper()
 	svc := &fleet.Service{Name: "s"}
 	list := make([]*fleet.Endpoint, 0, 3)
@@ -135,7 +147,8 @@
 	req.NewBudget = func() *retry.Budget { return &retry.Budget{Ratio: 10, MaxBalance: 10} }
 	req.Refresh = func(context.Context, time.Duration) bool { return true }
 	req.Incarnations = &life.Ledger{Announce: func() {}, Clock: req.Clock, Log: req.Log}
-	req.route = &fleet.Route{Name: "r", Kind: fleet.KindStream, Resumable: resumable, Timeout: 5 * time.Second, MaxAttempts: 3}
+	route.Name, route.Timeout, route.MaxAttempts = "r", 5*time.Second, 3
+	req.route = route
 	req.headers.ID, req.headers.LastEventID, req.headers.Deadline = "r1", lastEvent, time.Hour
 	srv := &front.Server{Limits: func() fleet.Limits { return fleet.Limits{} }, Log: req.Log}
 	srv.Handle = func(x *front.Exchange) {
@@ -143,7 +156,7 @@
 		req.setDeadline()
 		ctx, cancel := context.WithDeadline(x.Context, req.deadline)
 		defer cancel()
-		req.forwardStream(ctx)
+		forward(req, ctx)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -155,7 +168,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = c.Close() }()
+	t.Cleanup(func() { _ = c.Close() })
 	var request fasthttp.RequestHeader
 	request.SetRequestURI("/r")
 	request.SetHost("h")
@@ -168,9 +181,7 @@
 	if err := h.Read(r); err != nil {
 		t.Fatal(err)
 	}
-	var b strings.Builder
-	whole = copyChunks(&b, r) == nil
-	return b.String(), whole
+	return &h, r
 }
 
 // copyChunks copies a chunked body and returns an error if it isn't whole.
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"maps"
 	"syscall"
 	"time"
@@ -17,6 +19,10 @@
 // incarnation that it tells isn't the one that the view lists, or it tells none.
 var errDoubted = errors.New("not known to be the incarnation that is listed")
 
+// errEndedWithEndpoint reports a response without a length whose endpoint may have been killed. The
+// endpoint has broken it off then.
+var errEndedWithEndpoint = fmt.Errorf("endpoint has ended with its response: %w", io.ErrUnexpectedEOF)
+
 const (
 	// maxListedWait bounds the wait until the view lists the incarnation at which a stream began.
 	maxListedWait  = time.Second
@@ -30,11 +36,34 @@
 	return c.Incarnation() > 0 && c.Incarnation() == e.StartUnixMs
 }
 
-// survives reports whether an endpoint has outlived a response without a length, which has
-// ended with its connection c. The connections of a process that is killed end in the same way.
-func (req *request) survives(ctx context.Context, e *fleet.Endpoint, c *pool.Conn) bool {
+// readAnswer reads the whole answer of a call that isn't a stream.
+func (req *request) readAnswer(ctx context.Context, e *fleet.Endpoint, call *pool.Call) ([]byte, error) {
+	body, err := call.ReadAll()
+	if err == nil && !call.Response.NotRun { // a refusal is told by its head alone
+		err = req.checkEnd(ctx, e, call)
+	}
+	return body, err
+}
+
+// checkEnd returns an error if an endpoint may have been killed within the response that it has
+// ended. The connections of a killed process end like one on which a response without a length
+// is complete.
+func (req *request) checkEnd(ctx context.Context, e *fleet.Endpoint, call *pool.Call) error {
+	if call.IsFramed() {
+		return nil
+	}
+	before := call.Conn.Incarnation()
+	if before == 0 {
+		before = e.StartUnixMs // it wasn't asked
+	}
 	start, err := req.Pool.Ask(ctx, e.ID, e.Addr, req.deadline)
-	return err == nil && (c.Incarnation() == 0 || c.Incarnation() == start)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", errEndedWithEndpoint, err)
+	case start > 0 && before > 0 && start != before:
+		return fmt.Errorf("%w: another incarnation has followed", errEndedWithEndpoint)
+	}
+	return nil
 }
 
 // listedVersion returns the version of the software of an incarnation, and false if the view
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -26,9 +26,6 @@
 	defaultMaxEventGap    = time.Second // for routes that set none
 )
 
-// errEndedWithEndpoint reports a response without a length whose endpoint may have been killed.
-var errEndedWithEndpoint = errors.New("endpoint has ended with its response")
-
 // forwardStream forwards a request whose response is a stream of events.
 func (req *request) forwardStream(ctx context.Context) {
 	lastEvent := req.headers.LastEventID
@@ -155,7 +152,7 @@
 	}
 	req.recordResponse(e, call)
 	if a := call.Response; a.NotRun || a.Status != fasthttp.StatusOK {
-		body, err := call.ReadAll()
+		body, err := req.readAnswer(ctx, e, call)
 		if err != nil {
 			return req.recordFailure(e, attemptFailed, err)
 		}
@@ -208,8 +205,10 @@
 			req.recordVersion(e, call.Conn)
 			first = false
 		}
-		if errors.Is(err, io.EOF) && !call.IsFramed() && !req.survives(ctx, e, call.Conn) {
-			err = errEndedWithEndpoint
+		if errors.Is(err, io.EOF) {
+			if lost := req.checkEnd(ctx, e, call); lost != nil {
+				err = lost
+			}
 		}
 		if errors.Is(err, io.EOF) && (req.events > 0 || call.IsFramed()) {
 			return req.endStream(e, call)
