relay/guard: crashes at the same time are evidence, and a probation decides

Cause: a relay that noticed more than three crashes in 250 ms took them for a loss of power and forgot them, and counted an endpoint again for each broken connection that came after its probe. Crashes at once count as one, so that three groups were needed.

Change: what ran at three quarters of many crashes is recorded. Five crashes that count as one put it on probation: one request at a time is sent, whose good end acquits and whose crash convicts. A crash within 250 ms of its trial is told to other relays also if the record is full.

TestBurstsOfBadPartsAreContained and TestCrashesAtOnce failed before and pass; TestSimultaneousCrashes and TestSoundPartsAreNotHeld pass unchanged, also with 60 schedules.

--- a/core/poison/model_test.go
+++ b/core/poison/model_test.go
@@ -27,6 +27,7 @@
 	relays  int
 	bad     []uint64      // parts that crash engines
 	badGap  time.Duration // mean time between two bad requests
+	burst   int           // bad requests that come at once, at one relay; 0: one
 	trouble trouble
 	spread  bool // bad requests have another part by which their engine is chosen
 	rnd     *rand.Rand
@@ -121,11 +122,14 @@
 		m.now = m.now.Add(modelStep)
 		for due := soundPerStep; due > 0; due-- {
 			if m.rnd.Float64() < due {
-				m.send(false)
+				m.sendFrom(m.rnd.IntN(m.relays), false)
 			}
 		}
 		for len(m.bad) > 0 && !m.now.Before(nextBad) {
-			m.send(true)
+			relay := m.rnd.IntN(m.relays)
+			for range max(1, m.burst) {
+				m.sendFrom(relay, true)
+			}
 			nextBad = nextBad.Add(time.Duration(m.rnd.ExpFloat64() * float64(m.badGap)))
 		}
 		if m.now.Sub(start) > warmup {
@@ -136,9 +140,8 @@
 	}
 }
 
-// send sends a request from a random relay, if its table allows it.
-func (m *model) send(bad bool) {
-	relay := m.rnd.IntN(m.relays)
+// sendFrom sends a request from a relay, if its table allows it.
+func (m *model) sendFrom(relay int, bad bool) {
 	table := &m.nodes[relay].table
 	if !m.nodes[relay].ready {
 		return
@@ -155,6 +158,9 @@
 	}
 	for _, s := range parts {
 		q, ok := table.Quarantines()[s.Subject]
+		if !ok {
+			q, ok = table.Probations()[s.Subject]
+		}
 		if !ok {
 			continue
 		}
@@ -369,6 +375,27 @@
 	}
 }
 
+// TestBurstsOfBadPartsAreContained guards against a part that is never learnt as the requests with it come
+// together, so that many engines crash at once, as if they had lost power.
+func TestBurstsOfBadPartsAreContained(t *testing.T) {
+	for _, relays := range []int{4, 24} {
+		for _, burst := range []int{3, 4, 5, 6, 10} {
+			t.Run(fmt.Sprintf("%d relays, %d at once", relays, burst), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(modelSeeds(relays)) {
+					m := newModel(seed, relays, []uint64{66}, 5*time.Second, troubleNone)
+					m.spread, m.burst = true, burst
+					m.run(t, 40*time.Second)
+					if m.late > 3 || len(m.wronglyHeld) > 0 || m.soundKept*10 > m.soundSent {
+						t.Errorf("seed %d: %d engines crashed; %d requests late; held back %v, %d of %d sound requests",
+							seed, m.crashes, m.late, m.wronglyHeld, m.soundKept, m.soundSent)
+					}
+				}
+			})
+		}
+	}
+}
+
 // modelSeeds returns the number of seeds for a number of relays, so that larger models
 // take no longer.
 func modelSeeds(relays int) int { return max(1, 4**schedules/relays) }
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -12,9 +12,8 @@
 
 const (
 	// minCrashes is the number of independent crashes after which a subject is quarantined
-	// that ran at minCoverage of the service's crashes from its first to its last one.
-	minCrashes  = 3
-	minCoverage = 0.75
+	// that ran at MinCoverage of the service's crashes from its first to its last one.
+	minCrashes = 3
 	// minCrashesHalf applies to one that ran at halfCoverage of them at least. The others
 	// may have another cause, and so may these.
 	minCrashesHalf = 4
@@ -23,6 +22,10 @@
 	// knownPeriod before the crashes.
 	minCrashesUnlikely = 5
 	knownPeriod        = time.Minute
+	// minWidespread is the number of crashes, two of them independent, after which a subject
+	// without such a good run is quarantined if it ran at MinCoverage of the service's crashes.
+	// If they count as one, it is on probation: what the endpoints share may have failed instead.
+	minWidespread = 5
 	// minCrashesBeside applies to subjects that had such a good run and were always beside
 	// a subject that hadn't and ran at several crashes.
 	minCrashesBeside = 7
@@ -34,13 +37,19 @@
 	minTrialDelay     = 10 * time.Second // until a quarantined subject is tried again; doubles with each further crash
 	maxTrialDoublings = 5
 
+	probationInterval = 2 * time.Second // between two requests with a subject on probation
+
 	// trialStagger is the time between the turns of two relays to send a trial. A relay
 	// tells the others of its trial in less.
 	trialStagger = 400 * time.Millisecond
 
-	maxCrashes = 8 // remembered of a subject, the newest ones
+	maxCrashes = 16 // remembered of a subject, the newest ones
 )
 
+// MinCoverage is the share of the crashes at which a subject has to have run to be to blame for all
+// of them.
+const MinCoverage = 0.75
+
 // Kind is the kind of a subject.
 type Kind string
 
@@ -177,14 +186,17 @@
 	return len(open) > 0 && !r.soundAt.IsZero() && open[0].At.Sub(r.soundAt) < knownPeriod
 }
 
-// lastAt returns the time of the latest crash or trial.
-func (r Record) lastAt() time.Time {
+// lastCrash returns the time of the latest crash, zero if there is none.
+func (r Record) lastCrash() time.Time {
 	if len(r.crashes) == 0 {
-		return r.trialAt
+		return time.Time{}
 	}
-	return later(r.trialAt, r.crashes[len(r.crashes)-1].At)
+	return r.crashes[len(r.crashes)-1].At
 }
 
+// lastAt returns the time of the latest crash or trial.
+func (r Record) lastAt() time.Time { return later(r.trialAt, r.lastCrash()) }
+
 // independent returns the number of crashes, in the order of compare, that don't have
 // the same cause other than the subject.
 func independent(crashes []Crash) int {
@@ -217,3 +229,12 @@
 	doublings := min(max(0, crashes-minCrashes), maxTrialDoublings)
 	return Quarantine{Subject: s, Crashes: open, TrialAt: r.lastAt().Add(minTrialDelay << doublings)}
 }
+
+// probation returns the probation of a subject, whose first request may be sent at once.
+func (r Record) probation(s Subject, open []Crash) Quarantine {
+	q := Quarantine{Subject: s, Crashes: open, TrialAt: r.lastAt()}
+	if r.trialAt.After(r.lastCrash()) {
+		q.TrialAt = r.trialAt.Add(probationInterval)
+	}
+	return q
+}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -322,7 +322,7 @@
 	for i := range suspects {
 		suspects[i] = uint64(i)
 	}
-	for n := range 8 {
+	for n := range 16 {
 		now = now.Add(time.Second)
 		crash(&table, n, now, prompt(suspects...))
 	}
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -23,6 +23,7 @@
 type Table struct {
 	records     map[Subject]tableRecord
 	quarantines map[Subject]Quarantine
+	probations  map[Subject]Quarantine
 	version     int
 	sound       recentRuns
 }
@@ -64,10 +65,13 @@
 	}
 }
 
-// BeginTrial reports whether a request with a subject that is or was quarantined may be
-// sent now. While it is quarantined, it records the request as a trial.
+// BeginTrial reports whether a request with a subject that is or was quarantined or on
+// probation may be sent now. While it is, it records the request as a trial.
 func (t *Table) BeginTrial(now time.Time, s Subject) bool {
 	q, ok := t.quarantines[s]
+	if !ok {
+		q, ok = t.probations[s]
+	}
 	if !ok {
 		return true
 	}
@@ -87,7 +91,8 @@
 	if at, ok := t.sound.get(s); ok {
 		merged = merged.WithSound(at)
 	}
-	news := !known || len(merged.open(nil)) != len(before.open(nil)) || merged.lastAt().Sub(before.lastAt()) > simultaneous ||
+	news := !known || len(merged.open(nil)) != len(before.open(nil)) ||
+		merged.lastCrash().Sub(before.lastCrash()) > simultaneous || merged.trialAt.Sub(before.trialAt) > simultaneous ||
 		merged.isKnown(merged.open(nil)) != before.isKnown(before.open(nil))
 	changed := before.changed
 	if news {
@@ -105,18 +110,26 @@
 // depends only on the records, so relays with the same records decide alike.
 func (t *Table) update(now time.Time) {
 	t.prune(now)
-	t.quarantines = make(map[Subject]Quarantine)
+	t.quarantines, t.probations = make(map[Subject]Quarantine), make(map[Subject]Quarantine)
 	explained := make(map[crashKey]bool)
 	for {
 		s, open, n := t.mostLikely(explained)
 		if n == 0 {
-			return
+			break
 		}
 		t.quarantines[s] = t.records[s].quarantine(s, open, n)
 		for _, c := range t.records[s].open(nil) {
 			explained[c.key()] = true
 		}
 	}
+	for s, r := range t.records {
+		if _, ok := t.quarantines[s]; ok || len(r.crashes) < minWidespread {
+			continue
+		}
+		if open := r.open(explained); t.isWidespread(r.Record, open, minWidespread, explained) {
+			t.probations[s] = r.probation(s, open)
+		}
+	}
 }
 
 // mostLikely returns the subject that is most likely to blame for crashes that are not
@@ -139,7 +152,7 @@
 		open := r.open(explained)
 		c := candidate{subject: s, open: open, independent: independent(open), depth: r.depth}
 		c.threshold = t.threshold(r.Record, open, services)
-		if c.independent < c.threshold {
+		if c.independent < c.threshold && (c.independent == 1 || !t.isWidespread(r.Record, open, minWidespread, explained)) {
 			continue
 		}
 		// A part that had good runs is in many requests, also in those with the part that is
@@ -208,7 +221,29 @@
 		return false
 	}
 	open := r.open(nil)
-	return independent(open) >= t.threshold(r.Record, open, t.crashTimes(nil))-1
+	return independent(open) >= t.threshold(r.Record, open, t.crashTimes(nil))-1 || t.isWidespread(r.Record, open, minWidespread-1, nil)
+}
+
+// isWidespread reports whether the open crashes of a subject, which isn't known to be sound, are
+// least at least and MinCoverage of those of their service at the time. Those in explained don't
+// count.
+func (t *Table) isWidespread(r Record, open []Crash, least int, explained map[crashKey]bool) bool {
+	if len(open) < least || r.isKnown(open) {
+		return false
+	}
+	from, to := open[0].At, open[len(open)-1].At.Add(simultaneous)
+	if len(r.crashes) < maxCrashes { // else earlier ones may be forgotten
+		from = from.Add(-simultaneous)
+	}
+	all := make(map[crashKey]bool)
+	for _, other := range t.records {
+		for _, c := range other.crashes {
+			if c.Service == open[0].Service && !c.At.Before(from) && !c.At.After(to) && !explained[c.key()] {
+				all[c.key()] = true
+			}
+		}
+	}
+	return float64(len(open)) >= MinCoverage*float64(len(all))
 }
 
 // threshold returns the number of independent crashes, of those in open, from which on
@@ -220,7 +255,7 @@
 		return minCrashesBeside
 	case r.isKnown(open) || share < halfCoverage:
 		return minCrashesUnlikely
-	case share < minCoverage:
+	case share < MinCoverage:
 		return minCrashesHalf
 	default:
 		return minCrashes
@@ -286,8 +321,9 @@
 	Crashes     []Crash   // since the last good run
 	Needed      int       // independent crashes from which on it is quarantined
 	SoundAt     time.Time // end of the last good run; zero: none is known
-	TrialAt     time.Time // while it is quarantined: from when on one request is sent as a trial
+	TrialAt     time.Time // while it is quarantined or on probation: from when on one request is sent as a trial
 	Quarantined bool
+	OnProbation bool
 }
 
 // Suspicions returns the subjects that had crashes since their last good run, the
@@ -300,9 +336,13 @@
 		if len(open) == 0 {
 			continue
 		}
-		q, held := t.quarantines[s]
+		q, quarantined := t.quarantines[s]
+		p, onProbation := t.probations[s]
+		if onProbation {
+			q = p
+		}
 		out = append(out, Suspicion{
-			Subject: s, Crashes: open, Needed: t.threshold(r.Record, open, services), SoundAt: r.soundAt, TrialAt: q.TrialAt, Quarantined: held,
+			Subject: s, Crashes: open, Needed: t.threshold(r.Record, open, services), SoundAt: r.soundAt, TrialAt: q.TrialAt, Quarantined: quarantined, OnProbation: onProbation,
 		})
 	}
 	slices.SortFunc(out, func(a, b Suspicion) int {
@@ -321,6 +361,10 @@
 // which the table doesn't modify either.
 func (t *Table) Quarantines() map[Subject]Quarantine { return t.quarantines }
 
+// Probations returns the subjects that are on probation: one request at a time shows whether
+// they crash endpoints. The caller must not modify the map, which the table doesn't modify either.
+func (t *Table) Probations() map[Subject]Quarantine { return t.probations }
+
 // Len returns the number of subjects with crashes.
 func (t *Table) Len() int { return len(t.records) }
 
--- a/relay/guard/guard.go
+++ b/relay/guard/guard.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,8 +32,8 @@
 	announceDelay = 30 * time.Millisecond
 	forwardDelay  = 100 * time.Millisecond
 	// maxCrashes is the number of endpoints that crash within crashPeriod, as far as this
-	// relay notices, up to which the requests that they ran are suspects. If more crash,
-	// what they share has failed, such as their power.
+	// relay notices, up to which all that they ran is suspect. If more crash, the cause is
+	// something that they share, such as their power or a part of their requests.
 	maxCrashes  = 3
 	crashPeriod = 250 * time.Millisecond
 )
@@ -57,23 +58,25 @@
 	Pool     *pool.Pool
 
 	quarantines atomic.Pointer[map[poison.Subject]poison.Quarantine] // as of table
+	held        atomic.Pointer[map[poison.Subject]poison.Quarantine] // as of table; those on probation, too
 	confined    atomic.Pointer[map[poison.Subject]bool]              // as of table
 
 	mu         sync.Mutex
 	table      poison.Table
 	probes     map[*fleet.Endpoint]*probe
-	crashed    []*probe    // that found a crash which isn't recorded yet
-	recent     []time.Time // when crashes were recorded, or would have been, within crashPeriod
-	announcing bool        // announceSoon was called, and other relays are told later
-	forwarding bool        // the same for forwardSoon
+	crashed    []*probe // that found a crash which isn't recorded yet
+	recent     []*probe // that found a crash which was recorded within crashPeriod
+	announcing bool     // announceSoon was called, and other relays are told later
+	forwarding bool     // the same for forwardSoon
 }
 
 // probe finds out whether an endpoint has crashed.
 type probe struct {
-	runs     []Run
-	brokenAt time.Time
-	crashed  bool          // may be read once done is closed
-	done     chan struct{} // closed once the crash, if it was one, is recorded or ignored
+	runs       []Run
+	brokenAt   time.Time
+	recordedAt time.Time
+	crashed    bool          // may be read once done is closed
+	done       chan struct{} // closed once the crash, if it was one, is recorded
 }
 
 // Decision tells whether a request may be sent to an endpoint.
@@ -86,13 +89,13 @@
 
 // Admit decides about a request with the given subjects.
 func (g *Guard) Admit(suspects []poison.Suspect) Decision {
-	quarantines := g.quarantines.Load()
-	if quarantines == nil || len(*quarantines) == 0 {
+	held := load(&g.held)
+	if len(held) == 0 {
 		return Decision{}
 	}
 	var d Decision
 	for _, s := range suspects {
-		q, ok := (*quarantines)[s.Subject]
+		q, ok := held[s.Subject]
 		if !ok {
 			continue
 		}
@@ -104,8 +107,8 @@
 	return d
 }
 
-// decide rejects a request with a quarantined subject, unless it is this relay's turn to
-// send a trial.
+// decide rejects a request with a subject that is quarantined or on probation, unless it is this
+// relay's turn to send a trial.
 func (g *Guard) decide(q poison.Quarantine) Decision {
 	now := g.Clock.Now()
 	name := subjectName(q.Subject)
@@ -128,32 +131,44 @@
 	return ok
 }
 
-// publish makes the quarantines of the table those that Admit uses. It logs what has
-// changed. The caller holds g.mu.
+// publish makes the quarantines and probations of the table those that Admit uses. It logs what
+// has changed. The caller holds g.mu.
 func (g *Guard) publish() {
-	before, after := g.quarantines.Load(), g.table.Quarantines()
-	g.quarantines.Store(&after)
+	quarantines, probations := g.table.Quarantines(), g.table.Probations()
+	held := make(map[poison.Subject]poison.Quarantine, len(quarantines)+len(probations))
+	maps.Copy(held, probations)
+	maps.Copy(held, quarantines)
 	confined := g.table.Confined()
+	before, heldBefore := load(&g.quarantines), load(&g.held)
+	g.quarantines.Store(&quarantines)
+	g.held.Store(&held)
 	g.confined.Store(&confined)
-	for s, q := range after {
-		if before != nil {
-			if _, known := (*before)[s]; known {
-				continue
-			}
+	for s, q := range probations {
+		if _, known := heldBefore[s]; !known {
+			g.Log.Event(logs.OnProbation).Str("subject", subjectName(s)).Strs("endpoints", endpointsOf(q.Crashes)).Int("crashes", len(q.Crashes)).Msg("")
 		}
-		g.Log.Event(logs.Quarantined).Str("subject", subjectName(s)).Strs("endpoints", endpointsOf(q.Crashes)).Int("crashes", len(q.Crashes)).
-			Dur("pause_ms", q.TrialAt.Sub(g.Clock.Now())).Msg("")
 	}
-	if before == nil {
-		return
+	for s, q := range quarantines {
+		if _, known := before[s]; !known {
+			g.Log.Event(logs.Quarantined).Str("subject", subjectName(s)).Strs("endpoints", endpointsOf(q.Crashes)).Int("crashes", len(q.Crashes)).
+				Dur("pause_ms", q.TrialAt.Sub(g.Clock.Now())).Msg("")
+		}
 	}
-	for s := range *before {
-		if _, ok := after[s]; !ok {
+	for s := range heldBefore {
+		if _, ok := held[s]; !ok {
 			g.Log.Event(logs.QuarantineEnded).Str("subject", subjectName(s)).Msg("")
 		}
 	}
 }
 
+// load returns the map that p points to, or nil.
+func load[V any](p *atomic.Pointer[map[poison.Subject]V]) map[poison.Subject]V {
+	if m := p.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
+
 func endpointsOf(crashes []poison.Crash) []string {
 	out := make([]string, 0, len(crashes))
 	for _, c := range crashes {
@@ -182,12 +197,12 @@
 // endpoint, as they have a suspected subject in common, and 0 if the request may run
 // anywhere.
 func (g *Guard) Confinement(suspects []poison.Suspect) uint64 {
-	confined := g.confined.Load()
-	if confined == nil || len(*confined) == 0 {
+	confined := load(&g.confined)
+	if len(confined) == 0 {
 		return 0
 	}
 	for _, s := range slices.Backward(suspects) {
-		if (*confined)[s.Subject] {
+		if confined[s.Subject] {
 			return s.ID
 		}
 	}
@@ -309,29 +324,59 @@
 	})
 }
 
-// recordCrashes adds the crashes that were found since the last call, unless they are too
-// many. The caller holds g.mu.
+// recordCrashes adds the crashes that were found since the last call. The caller holds g.mu.
 func (g *Guard) recordCrashes() {
 	if len(g.crashed) == 0 {
 		return
 	}
 	now := g.Clock.Now()
-	g.recent = slices.DeleteFunc(g.recent, func(t time.Time) bool { return now.Sub(t) > crashPeriod })
+	g.recent = slices.DeleteFunc(g.recent, func(p *probe) bool { return now.Sub(p.recordedAt) > crashPeriod })
+	for _, p := range g.crashed {
+		p.recordedAt = now
+		g.recent = append(g.recent, p)
+		defer close(p.done)
+	}
+	isSuspect := g.sharedByRecent()
 	var evidence []poison.Evidence
 	for _, p := range g.crashed {
-		g.recent = append(g.recent, now)
 		for _, run := range p.runs {
 			e := run.Endpoint
 			crash := poison.Crash{Endpoint: e.ID, Incarnation: e.StartUnixMs, Service: e.Service, BeganAt: run.BeganAt, At: p.brokenAt}
-			evidence = append(evidence, poison.Evidence{Suspects: run.Suspects, Crash: crash})
+			shared := slices.DeleteFunc(slices.Clone(run.Suspects), func(s poison.Suspect) bool { return !isSuspect(s.Subject) })
+			evidence = append(evidence, poison.Evidence{Suspects: shared, Crash: crash})
 		}
-		defer close(p.done)
 	}
 	g.crashed = nil
-	if len(g.recent) <= maxCrashes {
-		g.table.RecordCrash(now, evidence...)
-		g.publish()
+	g.table.RecordCrash(now, evidence...)
+	g.publish()
+}
+
+// sharedByRecent returns a function that reports whether a subject is suspect after the recent
+// crashes. If they are many, it has to have run at most of them: there would be too many others
+// to tell other relays of. The caller holds g.mu.
+func (g *Guard) sharedByRecent() func(s poison.Subject) bool {
+	ran := make(map[*fleet.Endpoint]map[poison.Subject]bool) // what ran at each crashed endpoint
+	for _, p := range g.recent {
+		for _, run := range p.runs {
+			if ran[run.Endpoint] == nil {
+				ran[run.Endpoint] = make(map[poison.Subject]bool)
+			}
+			for _, s := range run.Suspects {
+				ran[run.Endpoint][s.Subject] = true
+			}
+		}
+	}
+	if len(ran) <= maxCrashes {
+		return func(poison.Subject) bool { return true }
+	}
+	crashes := make(map[poison.Subject]int)
+	for _, subjects := range ran {
+		for s := range subjects {
+			crashes[s]++
+		}
 	}
+	least := poison.MinCoverage * float64(len(ran))
+	return func(s poison.Subject) bool { return float64(crashes[s]) >= least }
 }
 
 // refuses reports whether an endpoint's address refuses connections. A connection that
--- a/relay/guard/guard_test.go
+++ b/relay/guard/guard_test.go
@@ -1,6 +1,7 @@
 package guard_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -113,6 +114,59 @@
 	a.Merge("from", [][]byte{{0xff}}) // logged, and harmless
 }
 
+// crashAtOnce ends endpoints at the same time, each of them under the runs with the given subjects.
+func crashAtOnce(t *testing.T, g *guard.Guard, endpoints int, runs func(endpoint int) [][]poison.Suspect) {
+	t.Helper()
+	list := make([]*fleet.Endpoint, endpoints)
+	for i := range list {
+		list[i] = &fleet.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Addr: refusing(t), State: fleet.StateReady, StartUnixMs: 1}
+	}
+	view := fleet.View{}.WithChange(fleet.Change{Put: list})
+	g.View = func() *fleet.View { return &view }
+	var done []<-chan struct{}
+	beganAt := time.Now()
+	for i, e := range list {
+		for _, s := range runs(i) {
+			done = append(done, g.Broken(guard.Run{Endpoint: e, Suspects: s, BeganAt: beganAt}))
+		}
+	}
+	for _, d := range done {
+		<-d
+	}
+}
+
+// TestCrashesAtOnce guards against a request that is never learnt as those like it come together and crash
+// many endpoints at once, and against blaming what ran at endpoints that have lost power.
+func TestCrashesAtOnce(t *testing.T) {
+	const bad = 7
+	g := newGuard()
+	crashAtOnce(t, g, 6, func(i int) [][]poison.Suspect { return [][]poison.Suspect{suspects(bad), suspects(uint64(100 + i))} })
+	if n := g.NumSuspects(); n != 1 {
+		t.Errorf("%d suspects of many crashes, want 1", n)
+	}
+	if d := g.Admit(suspects(bad)); !d.Trial {
+		t.Errorf("the first request on probation: %+v", d)
+	}
+	if d := g.Admit(suspects(bad)); !d.Rejected || d.RetryAfter <= 0 {
+		t.Errorf("the second request on probation: %+v", d)
+	}
+	if !g.Suspected(suspects(bad)) || g.NumQuarantined() != 0 {
+		t.Error("it may be sent again, or is quarantined already")
+	}
+	g.Completed(suspects(bad))
+	if d := g.Admit(suspects(bad)); d.Rejected {
+		t.Errorf("rejected after a good end: %+v", d)
+	}
+
+	lost := newGuard() // power
+	crashAtOnce(t, lost, 8, func(i int) [][]poison.Suspect {
+		return [][]poison.Suspect{suspects(uint64(i / 2)), suspects(uint64(100 + i))}
+	})
+	if n := lost.NumSuspects(); n != 0 {
+		t.Errorf("%d suspects after a loss of power", n)
+	}
+}
+
 // BenchmarkAdmit measures the check of a request while another one is quarantined.
 func BenchmarkAdmit(b *testing.B) {
 	g := newGuard()
--- a/relay/guard/status.go
+++ b/relay/guard/status.go
@@ -10,11 +10,12 @@
 type Suspect struct {
 	Subject     string    `json:"subject"` // as in log lines
 	Quarantined bool      `json:"quarantined"`
-	Endpoints   []string  `json:"endpoints"` // that crashed under it since its last good run
-	Needed      int       `json:"needed"`    // crashes from which on it is quarantined
+	OnProbation bool      `json:"on_probation"` // one request with it at a time is sent
+	Endpoints   []string  `json:"endpoints"`    // that crashed under it since its last good run
+	Needed      int       `json:"needed"`       // crashes from which on it is quarantined
 	FirstCrash  time.Time `json:"first_crash"`
 	LastCrash   time.Time `json:"last_crash"`
-	TrialAt     time.Time `json:"trial_at,omitzero"` // while it is quarantined: when one request is sent next
+	TrialAt     time.Time `json:"trial_at,omitzero"` // while it is quarantined or on probation: when one request is sent next
 }
 
 // Suspects returns what requests have in common that ran at crashed endpoints, the
@@ -32,7 +33,7 @@
 
 func newSuspect(s poison.Suspicion) Suspect {
 	return Suspect{
-		Subject: subjectName(s.Subject), Quarantined: s.Quarantined, Endpoints: endpointsOf(s.Crashes), Needed: s.Needed,
+		Subject: subjectName(s.Subject), Quarantined: s.Quarantined, OnProbation: s.OnProbation, Endpoints: endpointsOf(s.Crashes), Needed: s.Needed,
 		FirstCrash: s.Crashes[0].At.UTC(), LastCrash: s.Crashes[len(s.Crashes)-1].At.UTC(), TrialAt: s.TrialAt.UTC(),
 	}
 }
@@ -46,9 +47,5 @@
 
 // NumQuarantined returns the number of quarantined subjects.
 func (g *Guard) NumQuarantined() int64 {
-	quarantines := g.quarantines.Load()
-	if quarantines == nil {
-		return 0
-	}
-	return int64(len(*quarantines))
+	return int64(len(load(&g.quarantines)))
 }
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -67,6 +67,7 @@
 
 	EndpointCrashed   = newEventType("endpoint_crashed", log.WarnLevel, changeRate, "An endpoint that ran requests of this relay has ended without leaving.", "endpoint", "service", "requests_lost")
 	Quarantined       = newEventType("quarantined", log.WarnLevel, changeRate, "Endpoints crash under requests with a subject in common, such as a part of their prompts. Requests with it are rejected.", "subject", "endpoints", "crashes", "pause_ms")
+	OnProbation       = newEventType("on_probation", log.WarnLevel, changeRate, "Many endpoints crashed at once that ran requests with a subject in common. One request with it at a time is sent, until one comes to a good end or crashes another endpoint.", "subject", "endpoints", "crashes")
 	QuarantineTrial   = newEventType("quarantine_trial", log.InfoLevel, changeRate, "This relay sends one request with a quarantined subject to an endpoint.", "subject")
 	QuarantineEnded   = newEventType("quarantine_ended", log.InfoLevel, changeRate, "Requests with a subject are sent to endpoints again, as one came to a good end, or none crashed an endpoint for long.", "subject")
 	KnowledgeRejected = newEventType("knowledge_rejected", log.ErrorLevel, changeRate, "Knowledge that relays share could not be encoded, or that of another relay could not be decoded.", "kind", "from", "error")
--- a/relay/logs/kinds_test.go
+++ b/relay/logs/kinds_test.go
@@ -80,7 +80,7 @@
 		"store_regained", "history_gone", "store_restored", "view_learnt", "changes_overdue", "config_applied", "config_rejected", "zone_drained",
 		"zone_returned", "endpoint_seen", "endpoint_gone", "endpoint_missing", "endpoint_rejected", "endpoint_suspected",
 		"endpoint_cleared", "endpoint_doubted", "endpoint_limited", "endpoint_leaving", "endpoint_closed", "limit_ended", "member_heard", "member_forgotten", "link_up", "link_down", "link_lost",
-		"endpoint_crashed", "quarantined", "quarantine_trial", "quarantine_ended", "knowledge_rejected", "request_rejected", "handler_panicked",
+		"endpoint_crashed", "quarantined", "on_probation", "quarantine_trial", "quarantine_ended", "knowledge_rejected", "request_rejected", "handler_panicked",
 		"request_done", "stages_estimated", "stages_done", "stages_again", "stage_call", "release_failed", "attempt_begun",
 		"attempt_done", "attempt_silent", "origin_sought", "origin_stored", "retry_decided",
 	}
--- a/wpctl/cmds/suspects.go
+++ b/wpctl/cmds/suspects.go
@@ -18,6 +18,7 @@
 type suspect struct {
 	Subject     string    `json:"subject"`
 	Quarantined bool      `json:"quarantined"`
+	OnProbation bool      `json:"on_probation"`
 	Endpoints   []string  `json:"endpoints"`
 	Needed      int       `json:"needed"`
 	FirstCrash  time.Time `json:"first_crash"`
@@ -36,8 +37,11 @@
 		fmt.Fprintln(w, "SUBJECT\tSTATE\tCRASHES\tFIRST\tLAST\tNEXT TRIAL\tENDPOINTS")
 		for _, s := range list {
 			state, trial := fmt.Sprintf("suspect, quarantined at %d", s.Needed), "-"
-			if s.Quarantined {
+			switch {
+			case s.Quarantined:
 				state, trial = "quarantined", s.TrialAt.Format(time.TimeOnly)
+			case s.OnProbation:
+				state, trial = "on probation", s.TrialAt.Format(time.TimeOnly)
 			}
 			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\n", s.Subject, state, len(s.Endpoints),
 				s.FirstCrash.Format(time.TimeOnly), s.LastCrash.Format(time.TimeOnly), trial, strings.Join(s.Endpoints, " "))
