relay/peers: a relay that nobody hears begins no streams that callers could take up

Cause: a relay counted as cut off only if it had lost the store as well, and one that starts behind the cut knows no other relay that it could miss.

Change: a relay without a link to any keeper or relay for 1.5 s refuses such streams with 503 and a retry after 50 ms, where there are keepers.

--- a/relay/peers/keepers_test.go
+++ b/relay/peers/keepers_test.go
@@ -114,3 +114,30 @@
 		t.Errorf("%+v after %d questions to the first, want the record", f, b.times[b.keepers[0]])
 	}
 }
+
+// TestAlone guards against streams that begin at a relay of which nobody else hears, and against a
+// relay that refuses them although somebody does, or might not be there at all.
+func TestAlone(t *testing.T) {
+	for name, c := range map[string]struct {
+		relays int
+		beside Keepers
+		since  time.Duration
+		want   bool
+	}{
+		"no link":                          {0, &besideTest{keepers: make([]origin.Keeper, 3)}, 2 * aloneAfter, true},
+		"no link for a short time":         {0, &besideTest{keepers: make([]origin.Keeper, 3)}, aloneAfter / 2, false},
+		"linked to a keeper":               {0, newBesideTest(3, nil), 2 * aloneAfter, false},
+		"linked to a relay":                {1, &besideTest{keepers: make([]origin.Keeper, 3)}, 2 * aloneAfter, false},
+		"there are no keepers":             {0, nil, 2 * aloneAfter, false},
+		"no machine may have a keeper yet": {0, newBesideTest(0, nil), 2 * aloneAfter, false},
+	} {
+		ot := newOriginTest(c.relays)
+		ot.mesh.Beside = c.beside
+		ot.mesh.updateUnlinked()
+		ot.clk.Advance(c.since)
+		ot.mesh.updateUnlinked()
+		if got := ot.mesh.IsAlone(); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/relay/peers/mesh.go
+++ b/relay/peers/mesh.go
@@ -25,9 +25,10 @@
 )
 
 const (
-	linkLinger = 5 * time.Second // a link that is no longer needed is kept for this long
-	seedPeriod = 5 * time.Second // links to all seeds are kept for this long after the start
-	informWait = time.Second     // after the start, at most, until requests are served without what other relays know
+	linkLinger = 5 * time.Second         // a link that is no longer needed is kept for this long
+	seedPeriod = 5 * time.Second         // links to all seeds are kept for this long after the start
+	informWait = time.Second             // after the start, at most, until requests are served without what other relays know
+	aloneAfter = 1500 * time.Millisecond // without a link, in which one that broke would be up again
 )
 
 // Handler runs the stage items that other relays submit, and receives the
@@ -133,11 +134,12 @@
 	sessions  map[*session]bool        // all sessions that are up, in both directions
 	owners    map[batch.Pool]ownership
 	keepers   keepers
-	reads     bool // this relay reads the store for others
-	alone     bool // all known relays read the store
-	informed  bool // a relay has told what it knows
-	leaving   bool // this relay is shutting down
-	pulling   pull // request for changes that is in flight
+	reads     bool      // this relay reads the store for others
+	alone     bool      // all known relays read the store
+	informed  bool      // a relay has told what it knows
+	leaving   bool      // this relay is shutting down
+	pulling   pull      // request for changes that is in flight
+	unlinked  time.Time // since when this relay has had no link to a relay or a keeper; zero: it has one
 	relink    chan struct{}
 	transfers chan struct{} // holds one value for each response with changes that is sent
 	ln        net.Listener
@@ -155,6 +157,7 @@
 	defer t.Stop()
 	for {
 		m.updateLinks(ctx)
+		m.updateUnlinked()
 		select {
 		case <-ctx.Done():
 			return
@@ -211,6 +214,31 @@
 	}
 }
 
+// updateUnlinked records since when this relay has been linked to nobody that remembers streams.
+func (m *Mesh) updateUnlinked() {
+	linked := m.Beside != nil && slices.ContainsFunc(m.Beside.Keepers(), func(k origin.Keeper) bool { return k.Incarnation != 0 })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case linked || len(m.byID) > 0:
+		m.unlinked = time.Time{}
+	case m.unlinked.IsZero():
+		m.unlinked = m.Clock.Now()
+	}
+}
+
+// IsAlone reports whether nobody else remembers the streams that begin at this relay: it has been
+// linked to no keeper and to no other relay for a while. Where there are no keepers, the other
+// relays may have ended, so that it isn't known.
+func (m *Mesh) IsAlone() bool {
+	if m.Beside == nil || !m.Beside.Enabled() || len(m.Beside.Keepers()) == 0 {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.unlinked.IsZero() && m.Clock.Now().Sub(m.unlinked) > aloneAfter
+}
+
 // updateReaders records whether this relay reads the store. The caller holds m.mu.
 func (m *Mesh) updateReaders(now time.Time) {
 	m.reads = m.Group.Reads(now)
--- a/relay/proxy/cutoff.go
+++ b/relay/proxy/cutoff.go
@@ -17,16 +17,27 @@
 	cutOffRetryAfter = 50 * time.Millisecond
 )
 
-// reasonCutOff is the reason why a stream doesn't begin at a relay that is cut off.
-const reasonCutOff = "this relay reaches neither the store nor half of the others"
+// Reasons why a stream doesn't begin at a relay.
+const (
+	reasonCutOff = "this relay reaches neither the store nor half of the others"
+	reasonAlone  = "this relay reaches none of those that remember streams"
+)
 
-// isCutOff reports whether the request is a stream that can be taken up elsewhere, and this relay is
-// cut off from the store and most other relays, which remember streams and can serve it.
-func (req *request) isCutOff() bool {
-	return req.route.Kind == fleet.KindStream && req.route.Resumable && !req.takesUpStream() && req.ViewAge() > cutOffViewAge && !req.ReachesHalf()
+// cutOffReason returns why a stream that can be taken up elsewhere doesn't begin here, or "". Another
+// relay can serve it: this one is cut off from the store and most other relays, or from all that
+// would know where the stream began, once its caller takes it up.
+func (req *request) cutOffReason() string {
+	switch {
+	case req.route.Kind != fleet.KindStream || !req.route.Resumable || req.takesUpStream():
+	case req.IsAlone != nil && req.IsAlone():
+		return reasonAlone
+	case req.ViewAge() > cutOffViewAge && !req.ReachesHalf():
+		return reasonCutOff
+	}
+	return ""
 }
 
 // rejectCutOff rejects a request that another relay can serve.
-func (req *request) rejectCutOff() {
-	req.reject(fasthttp.StatusServiceUnavailable, cutOffRetryAfter, "not run: "+reasonCutOff)
+func (req *request) rejectCutOff(reason string) {
+	req.reject(fasthttp.StatusServiceUnavailable, cutOffRetryAfter, "not run: "+reason)
 }
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -70,6 +70,8 @@
 	ViewAge func() time.Duration
 	// ReachesHalf reports whether this relay reaches at least half of the others.
 	ReachesHalf func() bool
+	// IsAlone reports whether nobody else remembers the streams that begin here. nil: somebody does.
+	IsAlone func() bool
 	Balancer    *Balancer
 	Pool        *pool.Pool
 	Stages      *stage.Runner
@@ -254,8 +256,8 @@
 	}
 	ctx, cancel := context.WithDeadline(req.exchange.Context, req.deadline)
 	defer cancel()
-	if req.isCutOff() {
-		req.rejectCutOff()
+	if reason := req.cutOffReason(); reason != "" {
+		req.rejectCutOff(reason)
 		return
 	}
 	if req.takesUpStream() && !req.bindToOrigin(ctx) {
