--- a/fakes/site/standard.go
+++ b/fakes/site/standard.go
@@ -136,12 +136,13 @@
 // leave them.
 func OddEntries() []string {
 	entry := func(address, extra string) string {
-		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":"ready","born":1,"seq":1%s}`, plainService, address, extra)
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"born":1,"seq":1%s}`, plainService, address, extra)
 	}
 	return []string{
 		"", "null", "[]", "\xff\xfe", strings.Repeat("[", 100_000), `{"service":` + strings.Repeat(`{"a":`, 100_000),
 		entry("127.0.0.1:65536", ""), entry("127.0.0.1:0", ""), entry("127.0.0.1:-1", ""), entry("127.0.0.1:9", `,"slots":1e400`),
 		entry("127.0.0.1:9", `,"born":99999999999999999999`), entry("127.0.0.1:9", `,"state":"sleepy"`),
+		entry("127.0.0.1:9", `,"version":null`), entry("127.0.0.1:9", `,"zone":""`),
 	}
 }
 
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -137,7 +137,7 @@
 	f.revision++
 	return plat.Entry{
 		Key: plat.EndpointPrefix + id, Revision: f.revision,
-		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z","state":"ready","slots":1}`),
+		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z","version":"v1","state":"ready","slots":1,"coldLeftMs":0,"seq":1}`),
 	}
 }
 
@@ -288,7 +288,7 @@
 func endpointEntry(id, state string, born, seq, revision int64) plat.Entry {
 	return plat.Entry{
 		Key: plat.EndpointPrefix + id, Revision: revision,
-		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z-%s","state":%q,"slots":1,"born":%d,"seq":%d}`, id, state, born, seq),
+		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z-%s","version":"v1","state":%q,"slots":1,"coldLeftMs":0,"born":%d,"seq":%d}`, id, state, born, seq),
 	}
 }
 
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -71,13 +71,13 @@
 	// ReachesHalf reports whether this relay reaches at least half of the others.
 	ReachesHalf func() bool
 	// IsAlone reports whether nobody else remembers the streams that begin here. nil: somebody does.
-	IsAlone func() bool
-	Balancer    *Balancer
-	Pool        *pool.Pool
-	Stages      *stage.Runner
-	Engines     *assign.Assigner
-	Origins     Origins
-	Guard       *guard.Guard
+	IsAlone  func() bool
+	Balancer *Balancer
+	Pool     *pool.Pool
+	Stages   *stage.Runner
+	Engines  *assign.Assigner
+	Origins  Origins
+	Guard    *guard.Guard
 	// Incarnations tells which incarnations of endpoints have ended.
 	Incarnations *life.Ledger
 	Clock        clock.Clock
