--- a/agent/engine/forms_test.go
+++ b/agent/engine/forms_test.go
@@ -10,16 +10,8 @@
 
 // TestForms guards against bytes of an endpoint in trouble that count as its answer or its load.
 func TestForms(t *testing.T) {
-	list, err := forms.All()
-	if err != nil {
-		t.Fatal(err)
-	}
 	call := Call{RequestID: "r", Stage: &conf.Stage{Kind: conf.KindService, Path: "/"}, Timeout: time.Second, Body: []byte(`{"input":"a"}`)}
-	for _, f := range list {
-		addr, closeServer, err := forms.Serve(f.Raw)
-		if err != nil {
-			t.Fatal(err)
-		}
+	err := forms.Each(func(f forms.Form, addr string) {
 		c := NewClient(addr)
 		answer := ""
 		out := c.Do(call, func(p []byte) { answer += string(p) })
@@ -29,6 +21,8 @@
 		if _, err := c.ReadLoad(); (err == nil) != f.Whole {
 			t.Errorf("%s: load: %v", f.Name, err)
 		}
-		closeServer()
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
 }
--- a/base/fetch/forms_test.go
+++ b/base/fetch/forms_test.go
@@ -9,20 +9,14 @@
 
 // TestForms guards against bytes of a service in trouble that count as a configuration.
 func TestForms(t *testing.T) {
-	list, err := forms.All()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range list {
-		addr, closeServer, err := forms.Serve(f.Raw)
-		if err != nil {
-			t.Fatal(err)
-		}
+	err := forms.Each(func(f forms.Form, addr string) {
 		p := fetch.Platform{ConfigAddr: addr}
 		got, err := p.ReadConfig()
 		if err == nil && (!f.Whole || string(got) != "{}") {
 			t.Errorf("%s: got %q", f.Name, got)
 		}
-		closeServer()
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
 }
--- a/base/http1/forms/forms.go
+++ b/base/http1/forms/forms.go
@@ -39,23 +39,31 @@
 	return out, nil
 }
 
-// Serve answers each request on loopback with raw and ends its connection. It returns the address,
-// and a function that ends it.
-func Serve(raw string) (addr string, closeServer func(), err error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// Each serves each response of the list in turn on loopback, and calls check with the address. A
+// connection carries one request.
+func Each(check func(f Form, addr string)) error {
+	list, err := All()
 	if err != nil {
-		return "", nil, fmt.Errorf("listen: %w", err)
+		return err
 	}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go answer(conn, raw)
+	for _, f := range list {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
 		}
-	}()
-	return ln.Addr().String(), func() { _ = ln.Close() }, nil
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go answer(conn, f.Raw)
+			}
+		}()
+		check(f, ln.Addr().String())
+		_ = ln.Close() // nothing depends on it
+	}
+	return nil
 }
 
 // answer reads the head of a request, writes raw and closes the connection.
--- a/base/http1/http1_test.go
+++ b/base/http1/http1_test.go
@@ -21,21 +21,15 @@
 // TestForms guards against bytes that a client of a library takes for a response although they are
 // none, and against sound responses that it refuses.
 func TestForms(t *testing.T) {
-	list, err := forms.All()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range list {
-		addr, closeServer, err := forms.Serve(f.Raw)
-		if err != nil {
-			t.Fatal(err)
-		}
+	err := forms.Each(func(f forms.Form, addr string) {
 		client := &fasthttp.HostClient{Addr: addr, DialTimeout: http1.Dial, MaxIdemponentCallAttempts: 1}
 		status, body, err := client.GetTimeout(nil, "http://"+addr+"/", time.Minute)
 		if (err == nil) != f.Whole || (f.Whole && (status != fasthttp.StatusOK || string(body) != "{}")) {
 			t.Errorf("%s: got %d, %q, %v", f.Name, status, body, err)
 		}
-		closeServer()
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
 }
 
--- a/relay/pool/forms_test.go
+++ b/relay/pool/forms_test.go
@@ -12,15 +12,7 @@
 // TestForms guards against bytes of an endpoint in trouble that callers get as its answer, such as a
 // status of 000 or a field whose name holds a blank, and against sound answers that are refused.
 func TestForms(t *testing.T) {
-	list, err := forms.All()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range list {
-		addr, closeServer, err := forms.Serve(f.Raw)
-		if err != nil {
-			t.Fatal(err)
-		}
+	err := forms.Each(func(f forms.Form, addr string) {
 		var p pool.Pool
 		conn, err := p.Get(context.Background(), pool.KindStage, "e", addr, true)
 		if err != nil {
@@ -36,6 +28,8 @@
 			t.Errorf("%s: got %q, %v", f.Name, body, err)
 		}
 		c.Finish(&p)
-		closeServer()
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
 }
