base/sets: a settings file that is gone is reported once

Cause: a file that can't be read was reported at each look, every second; since daemons look by themselves, agents and entries would write a warning a second.

Change: missing contents count as read contents do.

Result: TestReload passes; it failed for the missing file with the check as it was.

--- a/base/sets/live.go
+++ b/base/sets/live.go
@@ -16,7 +16,7 @@
 type Live[T any] struct {
 	file     string
 	fixed    func(before, after *T) string
-	lastRead []byte // contents of the file at the last read, even if they were rejected
+	lastRead []byte // contents of the file at the last read, even if they were rejected; nil: it couldn't be read
 	current  atomic.Pointer[T]
 }
 
@@ -62,12 +62,10 @@
 // current settings then stay active.
 func (l *Live[T]) Reload() ([]string, error) {
 	raw, v, err := read[T](l.file)
-	if raw != nil && bytes.Equal(raw, l.lastRead) {
+	if bytes.Equal(raw, l.lastRead) && (raw == nil) == (l.lastRead == nil) {
 		return nil, nil
 	}
-	if raw != nil {
-		l.lastRead = raw // also if the contents are invalid, so that they are reported once
-	}
+	l.lastRead = raw // also if the contents are invalid or missing, so that they are reported once
 	if err != nil {
 		return nil, err
 	}
