--- a/fakes/engine/engine.go
+++ b/fakes/engine/engine.go
@@ -12,6 +12,7 @@
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
 
+	"wigeonplank.example/base/http1"
 	"wigeonplank.example/core/feed"
 	"wigeonplank.example/fakes/fault"
 	"wigeonplank.example/fakes/load"
@@ -92,7 +93,9 @@
 
 // New returns an engine that starts cold now.
 func New(o Options) *Server {
-	return &Server{opts: o, load: load.New(o.Options), model: o.Model, completions: make(map[string]*completion)}
+	return &Server{
+		opts: o, load: load.New(o.Options), model: o.Model, completions: make(map[string]*completion), client: fasthttp.Client{DialTimeout: http1.Dial},
+	}
 }
 
 // Handler returns the HTTP handler of the engine.
--- a/fakes/site/standard.go
+++ b/fakes/site/standard.go
@@ -132,6 +132,12 @@
 	return config
 }
 
+// Entry returns the value of the store entry of an endpoint of a service "s", at an address at which
+// nothing listens.
+func Entry(zone, state string, startUnixMs, seq int64) []byte {
+	return fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":%q,"version":"v1","slots":1,"state":%q,"coldLeftMs":0,"born":%d,"seq":%d}`, zone, state, startUnixMs, seq)
+}
+
 // OddEntries returns values of store entries that name no endpoint, as another writer may
 // leave them.
 func OddEntries() []string {
--- a/relay/ctrl/ctrl_test.go
+++ b/relay/ctrl/ctrl_test.go
@@ -1,13 +1,13 @@
 package ctrl
 
 import (
-	"fmt"
 	"io"
 	"testing"
 	"time"
 
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/repl"
+	"wigeonplank.example/fakes/site"
 	plat "wigeonplank.example/platform"
 	"wigeonplank.example/relay/logs"
 )
@@ -135,10 +135,7 @@
 // entry returns an entry that lists a ready endpoint of service s.
 func (f *fixture) entry(id string) plat.Entry {
 	f.revision++
-	return plat.Entry{
-		Key: plat.EndpointPrefix + id, Revision: f.revision,
-		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z","version":"v1","state":"ready","slots":1,"coldLeftMs":0,"seq":1}`),
-	}
+	return plat.Entry{Key: plat.EndpointPrefix + id, Revision: f.revision, Value: site.Entry("z", "ready", 0, 1)}
 }
 
 // removal returns a change that removes the entry of an endpoint.
@@ -286,10 +283,7 @@
 
 // endpointEntry returns an entry of an endpoint at a revision.
 func endpointEntry(id, state string, born, seq, revision int64) plat.Entry {
-	return plat.Entry{
-		Key: plat.EndpointPrefix + id, Revision: revision,
-		Value: fmt.Appendf(nil, `{"service":"s","address":"127.0.0.1:9","zone":"z-%s","version":"v1","state":%q,"slots":1,"coldLeftMs":0,"born":%d,"seq":%d}`, id, state, born, seq),
-	}
+	return plat.Entry{Key: plat.EndpointPrefix + id, Revision: revision, Value: site.Entry("z-"+id, state, born, seq)}
 }
 
 // restore applies a read of the whole store in another era.
