Review case 14: no stream goes on after a loss of power of all machines

Cause: where a stream began is remembered by relays and keepers alone. After a loss of all of them, streams that are taken up are refused for good, though all servers are of the one version that has ever been listed.

--- a/review/standin-3/poison.go
+++ b/review/standin-3/poison.go
@@ -105,7 +105,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Server-Stamp", "stamp-"+e.id)
 	w.Header().Set("X-Weight-Versions", "1")
-	for n := 1; n <= e.events; n++ {
+	from := 0
+	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &from); err == nil {
+		e.w.note("engine %s goes on with %s after event %d", e.id, id, from)
+	}
+	for n := from + 1; n <= e.events; n++ {
 		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", n, n)
 		w.(http.Flusher).Flush()
 		select {
