--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -34,6 +36,13 @@
 		w.close()
 		os.Exit(2)
 	})
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-stop
+		w.close()
+		os.Exit(2)
+	}()
 	err = run(w)
 	timer.Stop()
 	w.close()
