Review: cuts at which connections hang, denser spells, children that end

Change: the wire has no place for new connections while it is cut; the spells of case 11 have 2 s between them and the play lasts 100 s; the processes end with the script.

--- a/review/standin-3/extra.go
+++ b/review/standin-3/extra.go
@@ -158,7 +158,7 @@
 	}
 	time.Sleep(time.Second)
 
-	const play = 80 * time.Second
+	const play = 100 * time.Second
 	cl := &client{}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -203,8 +203,8 @@
 		case <-lookup.C:
 			send(n, http.MethodGet, "/lookup/x")
 		}
-		// 5 s of every 10 s, the first after 5 s
-		now := w.trouble && int(time.Since(begun).Seconds())%10 >= 5
+		// 5 s of every 7 s, the first after 2 s
+		now := w.trouble && int(time.Since(begun).Seconds())%7 >= 2
 		garble.Lock()
 		if now != garble.on {
 			garble.on = now
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -33,6 +33,7 @@
 	// Whatever happens, no process outlives the script.
 	timer := time.AfterFunc(115*time.Second, func() {
 		w.note("out of time")
+		w.flush()
 		w.close()
 		os.Exit(2)
 	})
@@ -40,6 +41,8 @@
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		<-stop
+		w.note("stopped by a signal")
+		w.flush()
 		w.close()
 		os.Exit(2)
 	}()
--- a/review/standin-3/power.go
+++ b/review/standin-3/power.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -154,11 +155,7 @@
 
 func isTimeout(err error) bool {
 	var ne net.Error
-	ok := false
-	if e, is := err.(net.Error); is {
-		ne, ok = e, true
-	}
-	return ok && ne.Timeout()
+	return errors.As(err, &ne) && ne.Timeout()
 }
 
 // playPower plays study-coach of the sheet: 9 engines of one software version, 4.69 streams a second of 70 events.
--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -8,47 +8,72 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 func init() { scenarios["reborn"] = playReborn }
 
 // wire is the network between the relays and one server. While it is cut, it holds what either side has sent,
-// the end of a connection too, and passes it on once the cut has healed: TCP sends again what was lost.
+// the end of a connection too, and passes it on once the cut has healed: TCP sends again what was lost. New
+// connections hang meanwhile, as nothing answers.
 type wire struct {
-	ln net.Listener
+	ln *net.TCPListener
 	to func() string
 
 	mu     sync.Mutex
 	healed chan struct{} // closed while the wire isn't cut
+	filler net.Conn      // takes the only place in the listener's queue during a cut
 }
 
+const queueLength = 128 // of connections that wait to be accepted
+
 func newWire(addr string, to func() string) (*wire, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	x := &wire{ln: ln, to: to, healed: make(chan struct{})}
+	x := &wire{ln: ln.(*net.TCPListener), to: to, healed: make(chan struct{})}
 	close(x.healed)
 	go func() {
 		for {
-			c, err := ln.Accept()
+			c, err := x.ln.AcceptTCP()
+			if isTimeout(err) { // a cut begins
+				x.wait()
+				continue
+			}
 			if err != nil {
 				return
 			}
-			go x.carry(c.(*net.TCPConn))
+			go x.carry(c)
 		}
 	}()
 	return x, nil
 }
 
+// setQueue sets the length of the listener's queue. With 0, one connection has a place.
+func (x *wire) setQueue(n int) {
+	if raw, err := x.ln.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), n) })
+	}
+}
+
 func (x *wire) cut() {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.healed = make(chan struct{})
+	x.mu.Unlock()
+	_ = x.ln.SetDeadline(time.Now()) // ends the wait for a connection
+	time.Sleep(5 * time.Millisecond)
+	x.setQueue(0)
+	x.filler, _ = net.DialTimeout("tcp", x.ln.Addr().String(), 100*time.Millisecond)
 }
 
 func (x *wire) heal() {
+	if x.filler != nil {
+		_ = x.filler.Close()
+	}
+	x.setQueue(queueLength)
+	_ = x.ln.SetDeadline(time.Time{})
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	close(x.healed)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -216,6 +216,7 @@
 	p.cmd = exec.Command("target/relay", append(p.args, "--settings", p.settings)...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.Env = append(os.Environ(), "WIGEONPLANK_CONFIG="+p.settings)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if the script itself fails
 	p.out = out
 	if err := p.cmd.Start(); err != nil {
 		return err
