poison: a verdict is on all that nothing has told apart

After three crashes the bad first part and the document that sound requests share had the same crashes and no good end, and the table took the deeper one.

Cause: evidence that speaks against several subjects together was turned into a verdict on one, and confinement sent the sound requests, which would have told them apart, to the endpoint that the bad ones crash next.

Change: a crash tells what all runs of a subject had in common. A verdict is on a subject and those that are inseparable from it; requests that lack one of them are sent. Requests with the same set of suspects share an endpoint. An answer acquits after a second. A trial is a request without other suspects if one comes, and is due at once if others may be to blame. Former releases skip the new field, and what they tell convicts as before (TestCrashesOfFormerRelease).

--- a/core/poison/codec.go
+++ b/core/poison/codec.go
@@ -7,6 +7,7 @@
 	for _, c := range r.crashes {
 		w.Crashes = append(w.Crashes, &CrashState{
 			Endpoint: c.Endpoint, Incarnation: c.Incarnation, Service: c.Service, BeganUs: now.Sub(c.BeganAt).Microseconds(), AgeUs: now.Sub(c.At).Microseconds(),
+			Common: c.common.ids(), CommonTold: c.commonTold,
 		})
 	}
 	if !r.soundAt.IsZero() {
@@ -24,6 +25,7 @@
 	for _, c := range w.GetCrashes() {
 		r = r.WithCrash(Crash{
 			Endpoint: c.GetEndpoint(), Incarnation: c.GetIncarnation(), Service: c.GetService(), BeganAt: ago(c.GetBeganUs()), At: ago(c.GetAgeUs()),
+			common: newIDSet(c.GetCommon()[:min(len(c.GetCommon()), maxCommon)]), commonTold: c.GetCommonTold(),
 		})
 	}
 	if w.GetSound() {
--- a/core/poison/model_test.go
+++ b/core/poison/model_test.go
@@ -18,6 +18,7 @@
 const (
 	modelStep     = 10 * time.Millisecond
 	contactPeriod = 3 * time.Second // after which few bad requests may still be sent, once they have crashed five engines
+	warmup        = 5 * time.Second // in which only sound requests come
 	linkDegree    = 6               // links that each relay opens, if there are more relays
 )
 
@@ -30,6 +31,7 @@
 	burst   int           // bad requests that come at once, at one relay; 0: one
 	trouble trouble
 	spread  bool // bad requests have another part by which their engine is chosen
+	shape   *shape
 	rnd     *rand.Rand
 
 	now      time.Time
@@ -38,12 +40,50 @@
 	inFlight []*modelRun
 	started  int // engines ever started
 
-	crashes     int // under bad requests
-	graceEnd    time.Time
-	late        int // bad requests sent after graceEnd
-	soundSent   int
-	soundKept   int // sound requests that were rejected
-	wronglyHeld map[uint64]bool
+	crashes                   int // under bad requests
+	graceEnd                  time.Time
+	crashesEnd                time.Time // of the first five
+	late                      int       // bad requests sent after graceEnd
+	soundSent                 int
+	soundKept                 int // sound requests that were rejected
+	wronglyHeld               map[uint64]bool
+	callersSent, callersBegan int // sound requests of the callers of bad ones, later than twice the contactPeriod after the crashes
+}
+
+// shape is what bad requests have in common with sound ones of the same callers.
+type shape struct {
+	place    int           // of the bad part in the prompt
+	shared   int           // other parts that all share
+	renewed  time.Duration // after which callers go on to other shared parts, which were never used before
+	soundGap time.Duration // between two sound requests of these callers
+	soundRun time.Duration // from the begin of an answer to its end
+}
+
+func drawShape(r *rand.Rand) (shape, time.Duration) {
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(r.Int64N(int64(most-least)))
+	}
+	s := shape{
+		shared: 1 + r.IntN(3), renewed: between(4*time.Second, time.Minute), soundGap: between(50*time.Millisecond, time.Second),
+		soundRun: between(200*time.Millisecond, 8*time.Second),
+	}
+	s.place = r.IntN(s.shared + 1)
+	return s, between(50*time.Millisecond, time.Second)
+}
+
+// prompt returns the prompt of a request of these callers.
+func (s shape) prompt(bad uint64, sinceFirst time.Duration) []poison.Suspect {
+	const sound, fresh = 500, 100_000
+	generation := uint64(0)
+	if sinceFirst >= 0 {
+		generation = 1 + uint64(sinceFirst/s.renewed)
+	}
+	parts := make([]uint64, s.shared+1)
+	for i := range parts {
+		parts[i] = fresh + 100*generation + uint64(i)
+	}
+	parts[s.place] = cmp.Or(bad, sound)
+	return prompt(parts...)
 }
 
 // trouble is a disturbance of a model, besides bad requests.
@@ -83,6 +123,8 @@
 	engine  *modelEngine
 	parts   []poison.Suspect
 	bad     bool
+	counted bool // in callersSent, and not begun yet
+	vouched bool
 	beganAt time.Time
 	answer  time.Time // begin of the answer, at which a bad one crashes its engine
 	end     time.Time
@@ -115,9 +157,8 @@
 // run plays the model for a time. Sound requests come first for a while.
 func (m *model) run(t *testing.T, d time.Duration) {
 	t.Helper()
-	const warmup = 5 * time.Second
 	soundPerStep := float64(len(m.engines)) * 2 * modelStep.Seconds()
-	nextBad := start.Add(warmup)
+	nextBad, nextOfCallers := start.Add(warmup), start
 	for m.now.Before(start.Add(d)) {
 		m.now = m.now.Add(modelStep)
 		for due := soundPerStep; due > 0; due-- {
@@ -132,6 +173,10 @@
 			}
 			nextBad = nextBad.Add(time.Duration(m.rnd.ExpFloat64() * float64(m.badGap)))
 		}
+		for m.shape != nil && !m.now.Before(nextOfCallers) {
+			m.send(m.rnd.IntN(m.relays), m.shape.prompt(0, m.now.Sub(start.Add(warmup))), false, true)
+			nextOfCallers = nextOfCallers.Add(m.shape.soundGap)
+		}
 		if m.now.Sub(start) > warmup {
 			m.disturb(m.now.Sub(start) - warmup)
 		}
@@ -142,13 +187,14 @@
 
 // sendFrom sends a request from a relay, if its table allows it.
 func (m *model) sendFrom(relay int, bad bool) {
-	table := &m.nodes[relay].table
 	if !m.nodes[relay].ready {
 		return
 	}
 	// Sound requests have one of a few first parts and one of many others.
 	parts := prompt(uint64(1+m.rnd.IntN(3)), uint64(1000+m.rnd.IntN(20*m.relays)))
 	switch {
+	case bad && m.shape != nil:
+		parts = m.shape.prompt(m.bad[m.rnd.IntN(len(m.bad))], m.now.Sub(start.Add(warmup)))
 	case bad && m.spread:
 		parts = prompt(parts[0].ID, m.bad[m.rnd.IntN(len(m.bad))], parts[1].ID)
 	case bad:
@@ -156,19 +202,21 @@
 	default:
 		m.soundSent++
 	}
-	for _, s := range parts {
-		q, ok := table.Quarantines()[s.Subject]
-		if !ok {
-			q, ok = table.Probations()[s.Subject]
-		}
-		if !ok {
-			continue
-		}
-		rank := int(xxhash.Sum64String(fmt.Sprint(relay, s.ID)) % uint64(m.relays))
-		if !m.now.Before(q.Turn(rank)) && table.BeginTrial(m.now, s.Subject) {
-			continue
-		}
-		if !bad {
+	m.send(relay, parts, bad, false)
+}
+
+// send sends a request from a relay, if its table allows it. ofCallers tells that it is a sound one of the
+// callers of bad ones.
+func (m *model) send(relay int, parts []poison.Suspect, bad, ofCallers bool) {
+	table := &m.nodes[relay].table
+	counted := ofCallers && m.crashes > 0 && m.now.After(m.crashesEnd.Add(2*contactPeriod))
+	if counted {
+		m.callersSent++
+	}
+	rank := func(s poison.Subject) int { return int(xxhash.Sum64String(fmt.Sprint(relay, s.ID)) % uint64(m.relays)) }
+	held, sendAt := table.Verdicts().Check(parts, rank)
+	if len(held) > 0 && (m.now.Before(sendAt) || !table.BeginTrial(m.now, held)) {
+		if !bad && !ofCallers {
 			m.soundKept++
 		}
 		return
@@ -182,21 +230,18 @@
 	}
 	e.queue++
 	wait := time.Duration(50+m.rnd.IntN(200)+10*e.queue) * time.Millisecond
-	r := &modelRun{relay: relay, engine: e, parts: parts, bad: bad, beganAt: m.now, answer: m.now.Add(wait)}
+	r := &modelRun{relay: relay, engine: e, parts: parts, bad: bad, counted: counted, beganAt: m.now, answer: m.now.Add(wait)}
 	r.end = r.answer.Add(time.Duration(200+m.rnd.IntN(2000)) * time.Millisecond)
+	if ofCallers {
+		r.end = r.answer.Add(m.shape.soundRun)
+	}
 	m.inFlight = append(m.inFlight, r)
 }
 
 // choose returns an engine that is up for a request: that to which the confined subject of
 // the request belongs, or otherwise the last part of its prompt.
 func (m *model) choose(table *poison.Table, parts []poison.Suspect) *modelEngine {
-	affinity := parts[len(parts)-1].ID
-	confined := table.Confined()
-	for _, s := range parts {
-		if confined[s.Subject] {
-			affinity = s.ID
-		}
-	}
+	affinity := cmp.Or(table.Verdicts().Confinement(parts), parts[len(parts)-1].ID)
 	return slices.MaxFunc(m.engines, func(a, b *modelEngine) int { return cmp.Compare(m.score(a, affinity), m.score(b, affinity)) })
 }
 
@@ -220,7 +265,16 @@
 			if m.crashes == 5 {
 				m.graceEnd = m.now.Add(contactPeriod)
 			}
+			if m.crashes <= 5 {
+				m.crashesEnd = m.now
+			}
 			m.crash(r.engine)
+		case r.counted && !m.now.Before(r.answer) && !m.now.Before(r.engine.upFrom):
+			m.callersBegan++
+			r.counted = false
+		case !r.bad && !r.vouched && m.now.Sub(r.answer) > time.Second:
+			r.vouched = true
+			m.nodes[r.relay].table.RecordSound(m.now, r.parts)
 		case !r.bad && !m.now.Before(r.end) && !m.now.Before(r.engine.upFrom):
 			r.engine.queue--
 			m.nodes[r.relay].table.RecordSound(m.now, r.parts)
@@ -396,6 +450,27 @@
 	}
 }
 
+// TestSoundRequestsOfTheSameCallersAreSent guards against holding back what bad requests have in common
+// with sound ones of their callers, wherever the bad part stands and however fast new parts come.
+func TestSoundRequestsOfTheSameCallersAreSent(t *testing.T) {
+	for _, bad := range [][]uint64{{66}, {66, 67}} {
+		for _, relays := range []int{4, 24} {
+			t.Run(fmt.Sprintf("%d relays, %d bad parts", relays, len(bad)), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(modelSeeds(relays)) {
+					s, badGap := drawShape(rand.New(rand.NewPCG(seed, 1)))
+					m := newModel(seed, relays, bad, badGap, troubleNone)
+					m.shape = &s
+					m.run(t, 45*time.Second)
+					if m.callersBegan*10 < m.callersSent*9 || m.late > 3*len(bad) {
+						t.Errorf("seed %d, %+v, bad every %s: %d of %d sound requests begin; %d engines crashed; %d requests late", seed, s, badGap, m.callersBegan, m.callersSent, m.crashes, m.late)
+					}
+				}
+			})
+		}
+	}
+}
+
 // modelSeeds returns the number of seeds for a number of relays, so that larger models
 // take no longer.
 func modelSeeds(relays int) int { return max(1, 4**schedules/relays) }
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -39,6 +39,10 @@
 
 	probationInterval = 2 * time.Second // between two requests with a subject on probation
 
+	// sharedTrialDelay is how much longer a request waits to be sent as a trial that has other
+	// suspected subjects. One that hasn't may come meanwhile, and its end tells more.
+	sharedTrialDelay = 5 * time.Second
+
 	// trialStagger is the time between the turns of two relays to send a trial. A relay
 	// tells the others of its trial in less.
 	trialStagger = 400 * time.Millisecond
@@ -88,6 +92,11 @@
 	Incarnation int64     // start of the endpoint's incarnation, ms since 1970
 	BeganAt     time.Time // when the request was sent
 	At          time.Time
+
+	// common are the subjects that all runs of a subject had that it ended, as far as commonTold.
+	// Relays of former releases don't tell them.
+	common     idSet
+	commonTold bool
 }
 
 func (c Crash) key() crashKey { return crashKey{endpoint: c.Endpoint, incarnation: c.Incarnation} }
@@ -152,6 +161,7 @@
 		if c.BeganAt.Before(out.crashes[i].BeganAt) {
 			out.crashes[i].BeganAt = c.BeganAt
 		}
+		out.crashes[i] = out.crashes[i].mergeCommon(c)
 	}
 	slices.SortFunc(out.crashes, Crash.compare)
 	out.crashes = out.crashes[max(0, len(out.crashes)-maxCrashes):]
@@ -214,6 +224,7 @@
 // Quarantine says why requests with a subject are not sent to endpoints, and until when.
 type Quarantine struct {
 	Subject Subject
+	With    []uint64  // IDs of further subjects; requests that lack one of them are not held back
 	Crashes []Crash   // under the subject, since its last good run
 	TrialAt time.Time // from when on one request is sent as a trial
 }
@@ -224,17 +235,28 @@
 	return q.TrialAt.Add(time.Duration(rank) * trialStagger)
 }
 
-// quarantine returns the quarantine of a subject after independent crashes.
-func (r Record) quarantine(s Subject, open []Crash, crashes int) Quarantine {
+// covers reports whether a request with the subject has all the others.
+func (q Quarantine) covers(suspects []Suspect) bool {
+	return !slices.ContainsFunc(q.With, func(id uint64) bool {
+		return !slices.ContainsFunc(suspects, func(s Suspect) bool { return s.ID == id })
+	})
+}
+
+// nextTrial returns the time of the next trial of a quarantined subject after independent
+// crashes. If another subject may be to blame for them, the first trial is due at once.
+func (r Record) nextTrial(crashes int, ambiguous bool) time.Time {
+	if ambiguous && !r.trialAt.After(r.open(nil)[0].At) {
+		return r.lastAt()
+	}
 	doublings := min(max(0, crashes-minCrashes), maxTrialDoublings)
-	return Quarantine{Subject: s, Crashes: open, TrialAt: r.lastAt().Add(minTrialDelay << doublings)}
+	return r.lastAt().Add(minTrialDelay << doublings)
 }
 
-// probation returns the probation of a subject, whose first request may be sent at once.
-func (r Record) probation(s Subject, open []Crash) Quarantine {
-	q := Quarantine{Subject: s, Crashes: open, TrialAt: r.lastAt()}
+// nextProbe returns the time of the next request with a subject that is on probation. The first one
+// may be sent at once.
+func (r Record) nextProbe() time.Time {
 	if r.trialAt.After(r.lastCrash()) {
-		q.TrialAt = r.trialAt.Add(probationInterval)
+		return r.trialAt.Add(probationInterval)
 	}
-	return q
+	return r.lastAt()
 }
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"wigeonplank.example/core/poison"
 )
 
@@ -31,6 +33,11 @@
 	t.RecordCrash(at, poison.Evidence{Suspects: suspects, Crash: poison.Crash{Endpoint: fmt.Sprint("e", n), Incarnation: 1, BeganAt: at.Add(-300 * time.Millisecond), At: at}})
 }
 
+// beginTrial reports whether a request with a subject may be sent now, and records it as a trial.
+func beginTrial(t *poison.Table, now time.Time, s poison.Subject) bool {
+	return t.BeginTrial(now, []poison.Quarantine{{Subject: s}})
+}
+
 func quarantined(t *poison.Table) []uint64 {
 	out := make([]uint64, 0, len(t.Quarantines()))
 	for s := range t.Quarantines() {
@@ -121,6 +128,112 @@
 	}
 }
 
+// check reports whether a relay of rank 0 may send a request now.
+func check(t *poison.Table, now time.Time, suspects []poison.Suspect) bool {
+	held, sendAt := t.Verdicts().Check(suspects, func(poison.Subject) int { return 0 })
+	return len(held) == 0 || !now.Before(sendAt)
+}
+
+// TestInseparableParts guards against blaming a part that sound requests share with bad ones, as the
+// same crashes speak against it: what has always been together is rejected together only.
+func TestInseparableParts(t *testing.T) {
+	const sound, bad, document, other = 1, 66, 2, 3
+	convict := func(parts ...uint64) (*poison.Table, time.Time) {
+		var table poison.Table
+		now := start
+		table.RecordSound(now, prompt(sound))
+		for i := range 3 {
+			now = now.Add(time.Second)
+			crash(&table, i, now, prompt(parts...))
+			if i == 0 { // a sound request has run beside
+				crash(&table, i, now, prompt(sound, document))
+				if v := table.Verdicts(); v.Confinement(prompt(parts...)) == v.Confinement(prompt(sound, document)) {
+					t.Error("sound requests go where bad ones go")
+				}
+			}
+		}
+		return &table, now
+	}
+	for name, parts := range map[string][]uint64{"bad part first": {bad, document}, "bad part last": {document, bad}} {
+		t.Run(name, func(t *testing.T) {
+			table, now := convict(parts...)
+			if check(table, now, prompt(parts...)) {
+				t.Error("a request with all parts is sent")
+			}
+			if !check(table, now, prompt(sound, document)) {
+				t.Error("a request without the bad part is rejected")
+			}
+			if table.Suspected(prompt(sound, document)) || !table.Suspected(prompt(parts...)) {
+				t.Error("it isn't sent again, or one with all parts is")
+			}
+			table.RecordSound(now, prompt(sound, document))
+			if got := quarantined(table); !slices.Equal(got, []uint64{bad}) || check(table, now, prompt(bad, 9)) {
+				t.Errorf("quarantined %v after a good run without the bad part", got)
+			}
+		})
+	}
+	t.Run("the shared part is bad", func(t *testing.T) {
+		table, now := convict(other, document)
+		crash(table, 9, now.Add(time.Second), prompt(sound, document))
+		if got := quarantined(table); !slices.Equal(got, []uint64{document}) || check(table, now, prompt(sound, document)) {
+			t.Errorf("quarantined %v", got)
+		}
+	})
+}
+
+// TestSharedPartOfTwoBadOnes guards against waiting for the trial of a part that is only in the room: two bad
+// ones come with it by turns, and a request without them shows at once whether it is to blame.
+func TestSharedPartOfTwoBadOnes(t *testing.T) {
+	const bad, bad2, document = 66, 67, 2
+	var table poison.Table
+	now := start
+	for i, part := range []uint64{bad, bad2, bad} {
+		now = now.Add(time.Second)
+		crash(&table, i, now, prompt(part, document))
+	}
+	if check(&table, now, prompt(bad, document)) {
+		t.Error("a bad request is the trial")
+	}
+	if !check(&table, now, prompt(1, document)) {
+		t.Error("a request without bad parts has to wait")
+	}
+	table.RecordSound(now.Add(time.Second), prompt(1, document))
+	if got := quarantined(&table); len(got) != 0 {
+		t.Errorf("quarantined %v after a good run", got)
+	}
+}
+
+// TestCrashesOfFormerRelease checks that crashes of which a relay of the former release tells no more than
+// the endpoint convict as they did.
+func TestCrashesOfFormerRelease(t *testing.T) {
+	var former, table poison.Table
+	for i := range 3 {
+		crash(&former, i, start.Add(time.Duration(i)*time.Second), prompt(1, 66))
+	}
+	records, _, err := former.Changes(start, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, raw := range records {
+		var w poison.SubjectState
+		if err := proto.Unmarshal(raw, &w); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range w.GetCrashes() {
+			c.Common, c.CommonTold = nil, false
+		}
+		if records[i], err = proto.Marshal(&w); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := table.Merge(start, records); err != nil {
+		t.Fatal(err)
+	}
+	if got := quarantined(&table); !slices.Equal(got, []uint64{66}) || check(&table, start, prompt(66, 9)) {
+		t.Errorf("quarantined %v", got)
+	}
+}
+
 // TestSimultaneousCrashes guards against blaming what ran at many endpoints that lost
 // power together.
 func TestSimultaneousCrashes(t *testing.T) {
@@ -175,14 +288,14 @@
 	}
 	wait := 10 * time.Second
 	for i := range 4 {
-		if table.BeginTrial(now.Add(wait-time.Millisecond), part(9)) {
+		if beginTrial(&table, now.Add(wait-time.Millisecond), part(9)) {
 			t.Fatalf("trial %d before its time", i)
 		}
 		now = now.Add(wait)
-		if !table.BeginTrial(now, part(9)) {
+		if !beginTrial(&table, now, part(9)) {
 			t.Fatalf("no trial %d after %s", i, wait)
 		}
-		if table.BeginTrial(now, part(9)) {
+		if beginTrial(&table, now, part(9)) {
 			t.Fatal("two trials at once")
 		}
 		crash(&table, 10+i, now.Add(time.Second), prompt(1, 9))
@@ -193,7 +306,7 @@
 	if got := quarantined(&table); len(got) != 0 {
 		t.Errorf("quarantined %v after a good run", got)
 	}
-	if !table.BeginTrial(now, part(9)) {
+	if !beginTrial(&table, now, part(9)) {
 		t.Error("a request after the quarantine was not allowed")
 	}
 }
@@ -215,7 +328,7 @@
 			case 3:
 				at.RecordSound(now, parts)
 			case 4:
-				at.BeginTrial(now, parts[1].Subject)
+				beginTrial(at, now, parts[1].Subject)
 			}
 			if r.IntN(4) == 0 {
 				exchange(t, now, &tables[r.IntN(len(tables))], at)
@@ -250,7 +363,7 @@
 }
 
 func sameQuarantine(a, b poison.Quarantine) bool {
-	return a.TrialAt.Equal(b.TrialAt) && slices.Equal(a.Crashes, b.Crashes)
+	return a.TrialAt.Equal(b.TrialAt) && slices.Equal(a.With, b.With) && slices.Equal(a.Crashes, b.Crashes)
 }
 
 // TestChanges checks that a relay that has learned something passes it on once, and that
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -24,6 +24,7 @@
 	records     map[Subject]tableRecord
 	quarantines map[Subject]Quarantine
 	probations  map[Subject]Quarantine
+	explained   map[crashKey]bool // crashes for which a quarantined subject is to blame
 	version     int
 	sound       recentRuns
 }
@@ -42,8 +43,10 @@
 // RecordCrash adds requests that ran at crashed endpoints.
 func (t *Table) RecordCrash(now time.Time, list ...Evidence) {
 	for _, ev := range list {
+		crash := ev.Crash
+		crash.common, crash.commonTold = idsOf(ev.Suspects), true
 		for _, s := range ev.Suspects {
-			t.put(s.Subject, Record{}.WithCrash(ev.Crash).WithDepth(s.Depth))
+			t.put(s.Subject, Record{}.WithCrash(crash).WithDepth(s.Depth))
 		}
 	}
 	t.update(now)
@@ -65,21 +68,29 @@
 	}
 }
 
-// BeginTrial reports whether a request with a subject that is or was quarantined or on
-// probation may be sent now. While it is, it records the request as a trial.
-func (t *Table) BeginTrial(now time.Time, s Subject) bool {
-	q, ok := t.quarantines[s]
-	if !ok {
-		q, ok = t.probations[s]
+// BeginTrial reports whether a request with subjects that are or were quarantined or on probation,
+// as of Verdicts.Check, may be sent now. While they are, it records the request as a trial of all.
+func (t *Table) BeginTrial(now time.Time, held []Quarantine) bool {
+	var due []Subject
+	for _, h := range held {
+		q, ok := t.quarantines[h.Subject]
+		if !ok {
+			q, ok = t.probations[h.Subject]
+		}
+		if !ok {
+			continue
+		}
+		if now.Before(q.TrialAt) {
+			return false
+		}
+		due = append(due, h.Subject)
 	}
-	if !ok {
-		return true
+	for _, s := range due {
+		t.put(s, Record{}.WithTrial(now))
 	}
-	if now.Before(q.TrialAt) {
-		return false
+	if len(due) > 0 {
+		t.update(now)
 	}
-	t.put(s, Record{}.WithTrial(now))
-	t.update(now)
 	return true
 }
 
@@ -111,61 +122,72 @@
 func (t *Table) update(now time.Time) {
 	t.prune(now)
 	t.quarantines, t.probations = make(map[Subject]Quarantine), make(map[Subject]Quarantine)
-	explained := make(map[crashKey]bool)
+	t.explained = make(map[crashKey]bool)
 	for {
-		s, open, n := t.mostLikely(explained)
-		if n == 0 {
+		c, found := t.mostLikely()
+		if !found {
 			break
 		}
-		t.quarantines[s] = t.records[s].quarantine(s, open, n)
-		for _, c := range t.records[s].open(nil) {
-			explained[c.key()] = true
+		r := t.records[c.subject]
+		t.quarantines[c.subject] = Quarantine{
+			Subject: c.subject, With: c.with, Crashes: c.open,
+			TrialAt: r.nextTrial(c.independent, t.isAmbiguous(c.subject, c.with, c.open)),
+		}
+		for _, crash := range r.open(nil) {
+			t.explained[crash.key()] = true
 		}
 	}
 	for s, r := range t.records {
 		if _, ok := t.quarantines[s]; ok || len(r.crashes) < minWidespread {
 			continue
 		}
-		if open := r.open(explained); t.isWidespread(r.Record, open, minWidespread, explained) {
-			t.probations[s] = r.probation(s, open)
+		if open := r.open(t.explained); t.isWidespread(r.Record, open, minWidespread, t.explained) {
+			t.probations[s] = Quarantine{Subject: s, With: t.inseparable(s, open), Crashes: open, TrialAt: r.nextProbe()}
 		}
 	}
 }
 
+// candidate is a subject that may be to blame for crashes.
+type candidate struct {
+	subject     Subject
+	open        []Crash  // that it may be to blame for
+	with        []uint64 // subjects that nothing has told apart from it
+	independent int      // number of independent crashes
+	threshold   int      // from which on it is to blame
+	depth       int
+}
+
+// compare orders candidates by how likely they are to blame, the most likely one first. A part that
+// had good runs is in many requests, also in those with the part that is to blame. Of two subjects
+// with the same evidence, the one whose runs have more in common holds back fewer other requests,
+// and so does the deeper one. The ID makes the order the same everywhere.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.threshold, other.threshold), cmp.Compare(other.independent, c.independent), cmp.Compare(len(other.with), len(c.with)),
+		cmp.Compare(other.depth, c.depth), cmp.Compare(c.subject.ID, other.subject.ID),
+	)
+}
+
 // mostLikely returns the subject that is most likely to blame for crashes that are not
-// explained, with those crashes and the number of independent ones. The number is 0 if
-// none is to blame.
-func (t *Table) mostLikely(explained map[crashKey]bool) (Subject, []Crash, int) {
-	type candidate struct {
-		subject     Subject
-		open        []Crash
-		independent int
-		threshold   int
-		depth       int
-	}
-	var best candidate
-	services := t.crashTimes(explained)
+// explained, and false if none is to blame.
+func (t *Table) mostLikely() (best candidate, found bool) {
+	services := t.crashTimes(t.explained)
 	for s, r := range t.records {
 		if _, done := t.quarantines[s]; done || len(r.crashes) < minCrashes {
 			continue
 		}
-		open := r.open(explained)
+		open := r.open(t.explained)
 		c := candidate{subject: s, open: open, independent: independent(open), depth: r.depth}
 		c.threshold = t.threshold(r.Record, open, services)
-		if c.independent < c.threshold && (c.independent == 1 || !t.isWidespread(r.Record, open, minWidespread, explained)) {
+		if c.independent < c.threshold && (c.independent == 1 || !t.isWidespread(r.Record, open, minWidespread, t.explained)) {
 			continue
 		}
-		// A part that had good runs is in many requests, also in those with the part that is
-		// to blame. Of two subjects with the same evidence, the deeper one is in fewer.
-		// The ID makes the choice the same everywhere.
-		if best.independent == 0 || cmp.Or(
-			cmp.Compare(best.threshold, c.threshold), cmp.Compare(c.independent, best.independent), cmp.Compare(c.depth, best.depth),
-			cmp.Compare(s.ID, best.subject.ID),
-		) > 0 {
-			best = c
+		c.with = t.inseparable(s, open)
+		if !found || c.compare(best) < 0 {
+			best, found = c, true
 		}
 	}
-	return best.subject, best.open, best.independent
+	return best, found
 }
 
 // prune drops subjects without recent crashes, and the oldest ones that are not
@@ -199,29 +221,40 @@
 	}
 }
 
-// Confined returns the subjects that had a crash and no good run shortly before or since,
-// and are not quarantined. Requests with one of them should all run at the same endpoint,
-// so that they can crash one at a time.
-func (t *Table) Confined() map[Subject]bool {
+// confined returns the subjects that had a crash and no good run since, but for those whose requests
+// are all quarantined. Those that had a good run shortly before, false in the result, are in many
+// requests, and only distinguish those that have another such subject.
+func (t *Table) confined() map[Subject]bool {
 	out := make(map[Subject]bool)
 	for s, r := range t.records {
-		if open := r.open(nil); len(open) > 0 && !r.isKnown(open) {
-			if _, ok := t.quarantines[s]; !ok {
-				out[s] = true
-			}
+		open := r.open(nil)
+		known := r.isKnown(open)
+		if q, ok := t.quarantines[s]; len(open) == 0 || known && independent(open) == 1 || ok && len(q.With) == 0 {
+			continue
 		}
+		out[s] = !known
 	}
 	return out
 }
 
-// Suspected reports whether one more crash may be enough to quarantine a subject.
-func (t *Table) Suspected(s Subject) bool {
-	r, ok := t.records[s]
-	if !ok {
-		return false
-	}
-	open := r.open(nil)
-	return independent(open) >= t.threshold(r.Record, open, t.crashTimes(nil))-1 || t.isWidespread(r.Record, open, minWidespread-1, nil)
+// Suspected reports whether one more crash may be enough to quarantine requests with the given
+// subjects.
+func (t *Table) Suspected(suspects []Suspect) bool {
+	services := t.crashTimes(t.explained)
+	return slices.ContainsFunc(suspects, func(s Suspect) bool {
+		if q, ok := t.quarantines[s.Subject]; ok {
+			return q.covers(suspects)
+		}
+		r, ok := t.records[s.Subject]
+		if !ok {
+			return false
+		}
+		open := r.open(t.explained)
+		if independent(open) < t.threshold(r.Record, open, services)-1 && !t.isWidespread(r.Record, open, minWidespread-1, t.explained) {
+			return false
+		}
+		return Quarantine{With: t.inseparable(s.Subject, open)}.covers(suspects)
+	})
 }
 
 // isWidespread reports whether the open crashes of a subject, which isn't known to be sound, are
@@ -251,7 +284,7 @@
 func (t *Table) threshold(r Record, open []Crash, services map[string][]time.Time) int {
 	share := coverage(open, services)
 	switch {
-	case r.isKnown(open) && t.isBeside(r, open):
+	case r.isKnown(open) && t.besides(open, nil) == len(open):
 		return minCrashesBeside
 	case r.isKnown(open) || share < halfCoverage:
 		return minCrashesUnlikely
@@ -262,20 +295,6 @@
 	}
 }
 
-// isBeside reports whether at each of the open crashes of a subject a deeper one ran that
-// is not known to be sound and ran at several crashes.
-func (t *Table) isBeside(r Record, open []Crash) bool {
-	beside := make(map[crashKey]bool)
-	for _, other := range t.records {
-		if list := other.open(nil); other.depth > r.depth && !other.isKnown(list) && independent(list) > 1 {
-			for _, c := range list {
-				beside[c.key()] = true
-			}
-		}
-	}
-	return !slices.ContainsFunc(open, func(c Crash) bool { return !beside[c.key()] })
-}
-
 // coverage returns the share that the open crashes of a subject have in the independent
 // crashes of the same service from the first to the last of them.
 func coverage(open []Crash, services map[string][]time.Time) float64 {
@@ -322,6 +341,7 @@
 	Needed      int       // independent crashes from which on it is quarantined
 	SoundAt     time.Time // end of the last good run; zero: none is known
 	TrialAt     time.Time // while it is quarantined or on probation: from when on one request is sent as a trial
+	With        []uint64  // the same: IDs of subjects that nothing has told apart; requests that lack one are sent
 	Quarantined bool
 	OnProbation bool
 }
@@ -342,7 +362,7 @@
 			q = p
 		}
 		out = append(out, Suspicion{
-			Subject: s, Crashes: open, Needed: t.threshold(r.Record, open, services), SoundAt: r.soundAt, TrialAt: q.TrialAt, Quarantined: quarantined, OnProbation: onProbation,
+			Subject: s, Crashes: open, Needed: t.threshold(r.Record, open, services), SoundAt: r.soundAt, TrialAt: q.TrialAt, With: q.With, Quarantined: quarantined, OnProbation: onProbation,
 		})
 	}
 	slices.SortFunc(out, func(a, b Suspicion) int {
@@ -357,13 +377,14 @@
 	return out
 }
 
-// Quarantines returns the quarantined subjects. The caller must not modify the map,
+// Verdicts returns what the table concludes for requests. The caller must not modify its maps,
 // which the table doesn't modify either.
-func (t *Table) Quarantines() map[Subject]Quarantine { return t.quarantines }
+func (t *Table) Verdicts() *Verdicts {
+	return &Verdicts{Quarantines: t.quarantines, Probations: t.probations, Confined: t.confined()}
+}
 
-// Probations returns the subjects that are on probation: one request at a time shows whether
-// they crash endpoints. The caller must not modify the map, which the table doesn't modify either.
-func (t *Table) Probations() map[Subject]Quarantine { return t.probations }
+// Quarantines returns the quarantined subjects. The caller must not modify the map.
+func (t *Table) Quarantines() map[Subject]Quarantine { return t.quarantines }
 
 // Len returns the number of subjects with crashes.
 func (t *Table) Len() int { return len(t.records) }
--- a/relay/guard/guard.go
+++ b/relay/guard/guard.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -57,9 +56,7 @@
 	Meters   *stats.Meters
 	Pool     *pool.Pool
 
-	quarantines atomic.Pointer[map[poison.Subject]poison.Quarantine] // as of table
-	held        atomic.Pointer[map[poison.Subject]poison.Quarantine] // as of table; those on probation, too
-	confined    atomic.Pointer[map[poison.Subject]bool]              // as of table
+	verdicts atomic.Pointer[poison.Verdicts] // as of table
 
 	mu         sync.Mutex
 	table      poison.Table
@@ -89,86 +86,67 @@
 
 // Admit decides about a request with the given subjects.
 func (g *Guard) Admit(suspects []poison.Suspect) Decision {
-	held := load(&g.held)
+	held, sendAt := g.current().Check(suspects, func(s poison.Subject) int { return g.Rank(subjectName(s)) })
 	if len(held) == 0 {
 		return Decision{}
 	}
-	var d Decision
-	for _, s := range suspects {
-		q, ok := held[s.Subject]
-		if !ok {
-			continue
-		}
-		if d = g.decide(q); d.Rejected {
-			g.Meters.RecordQuarantined(string(s.Kind))
-			return d
-		}
-	}
-	return d
-}
-
-// decide rejects a request with a subject that is quarantined or on probation, unless it is this
-// relay's turn to send a trial.
-func (g *Guard) decide(q poison.Quarantine) Decision {
 	now := g.Clock.Now()
-	name := subjectName(q.Subject)
-	turn := q.Turn(g.Rank(name))
-	if !now.Before(turn) && g.beginTrial(now, q) {
+	if !now.Before(sendAt) && g.beginTrial(now, held) {
 		return Decision{Trial: true}
 	}
-	return Decision{Rejected: true, RetryAfter: max(0, turn.Sub(now)), Reason: reason(q)}
+	g.Meters.RecordQuarantined(string(held[0].Subject.Kind))
+	return Decision{Rejected: true, RetryAfter: max(0, sendAt.Sub(now)), Reason: reason(held[0])}
 }
 
-func (g *Guard) beginTrial(now time.Time, q poison.Quarantine) bool {
+// beginTrial reports whether a request with subjects that are held back may be sent as a trial of
+// them, and tells the other relays.
+func (g *Guard) beginTrial(now time.Time, held []poison.Quarantine) bool {
 	g.mu.Lock()
-	ok := g.table.BeginTrial(now, q.Subject)
+	ok := g.table.BeginTrial(now, held)
 	g.publish()
 	g.mu.Unlock()
 	if ok {
-		g.Log.Event(logs.QuarantineTrial).Str("subject", subjectName(q.Subject)).Msg("")
+		for _, q := range held {
+			g.Log.Event(logs.QuarantineTrial).Str("subject", subjectName(q.Subject)).Msg("")
+		}
 		g.Announce()
 	}
 	return ok
 }
 
-// publish makes the quarantines and probations of the table those that Admit uses. It logs what
-// has changed. The caller holds g.mu.
+// current returns the verdicts that Admit uses.
+func (g *Guard) current() *poison.Verdicts {
+	if v := g.verdicts.Load(); v != nil {
+		return v
+	}
+	return &poison.Verdicts{}
+}
+
+// publish makes the verdicts of the table those that Admit uses. It logs what has changed. The
+// caller holds g.mu.
 func (g *Guard) publish() {
-	quarantines, probations := g.table.Quarantines(), g.table.Probations()
-	held := make(map[poison.Subject]poison.Quarantine, len(quarantines)+len(probations))
-	maps.Copy(held, probations)
-	maps.Copy(held, quarantines)
-	confined := g.table.Confined()
-	before, heldBefore := load(&g.quarantines), load(&g.held)
-	g.quarantines.Store(&quarantines)
-	g.held.Store(&held)
-	g.confined.Store(&confined)
-	for s, q := range probations {
-		if _, known := heldBefore[s]; !known {
+	before, now := g.current(), g.table.Verdicts()
+	g.verdicts.Store(now)
+	for s, q := range now.Probations {
+		if !before.Holds(s) {
 			g.Log.Event(logs.OnProbation).Str("subject", subjectName(s)).Strs("endpoints", endpointsOf(q.Crashes)).Int("crashes", len(q.Crashes)).Msg("")
 		}
 	}
-	for s, q := range quarantines {
-		if _, known := before[s]; !known {
-			g.Log.Event(logs.Quarantined).Str("subject", subjectName(s)).Strs("endpoints", endpointsOf(q.Crashes)).Int("crashes", len(q.Crashes)).
-				Dur("pause_ms", q.TrialAt.Sub(g.Clock.Now())).Msg("")
+	for s, q := range now.Quarantines {
+		if old, known := before.Quarantines[s]; !known || !slices.Equal(old.With, q.With) {
+			g.Log.Event(logs.Quarantined).Str("subject", subjectName(s)).Strs("with", idNames(q.With)).Strs("endpoints", endpointsOf(q.Crashes)).
+				Int("crashes", len(q.Crashes)).Dur("pause_ms", q.TrialAt.Sub(g.Clock.Now())).Msg("")
 		}
 	}
-	for s := range heldBefore {
-		if _, ok := held[s]; !ok {
-			g.Log.Event(logs.QuarantineEnded).Str("subject", subjectName(s)).Msg("")
+	for _, list := range []map[poison.Subject]poison.Quarantine{before.Probations, before.Quarantines} {
+		for s := range list {
+			if !now.Holds(s) {
+				g.Log.Event(logs.QuarantineEnded).Str("subject", subjectName(s)).Msg("")
+			}
 		}
 	}
 }
 
-// load returns the map that p points to, or nil.
-func load[V any](p *atomic.Pointer[map[poison.Subject]V]) map[poison.Subject]V {
-	if m := p.Load(); m != nil {
-		return *m
-	}
-	return nil
-}
-
 func endpointsOf(crashes []poison.Crash) []string {
 	out := make([]string, 0, len(crashes))
 	for _, c := range crashes {
@@ -190,23 +168,23 @@
 
 // subjectName returns the name of a subject in logs and reasons.
 func subjectName(s poison.Subject) string {
-	return strings.ReplaceAll(string(s.Kind), "_", " ") + " " + strconv.FormatUint(s.ID, 16)
+	return strings.ReplaceAll(string(s.Kind), "_", " ") + " " + idName(s.ID)
 }
 
-// Confinement returns the same number for all requests that should run at the same
-// endpoint, as they have a suspected subject in common, and 0 if the request may run
-// anywhere.
-func (g *Guard) Confinement(suspects []poison.Suspect) uint64 {
-	confined := load(&g.confined)
-	if len(confined) == 0 {
-		return 0
-	}
-	for _, s := range slices.Backward(suspects) {
-		if confined[s.Subject] {
-			return s.ID
-		}
+func idName(id uint64) string { return strconv.FormatUint(id, 16) }
+
+func idNames(ids []uint64) []string {
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, idName(id))
 	}
-	return 0
+	return out
+}
+
+// Confinement returns the same number for all requests that should run at the same endpoint, and 0
+// if the request may run anywhere.
+func (g *Guard) Confinement(suspects []poison.Suspect) uint64 {
+	return g.current().Confinement(suspects)
 }
 
 // Suspected reports whether a request should not be sent to another endpoint after one
@@ -214,10 +192,10 @@
 func (g *Guard) Suspected(suspects []poison.Suspect) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return slices.ContainsFunc(suspects, func(s poison.Suspect) bool { return g.table.Suspected(s.Subject) })
+	return g.table.Suspected(suspects)
 }
 
-// Completed records that a request came to a good end.
+// Completed records that a request came to a good end, or that its answer goes on.
 func (g *Guard) Completed(suspects []poison.Suspect) {
 	g.mu.Lock()
 	before := g.table.Version()
--- a/relay/guard/status.go
+++ b/relay/guard/status.go
@@ -9,6 +9,7 @@
 // Suspect describes a subject for people, as the admin address serves it.
 type Suspect struct {
 	Subject     string    `json:"subject"` // as in log lines
+	With        []string  `json:"with"`    // IDs of further subjects; only requests with all of them are held back
 	Quarantined bool      `json:"quarantined"`
 	OnProbation bool      `json:"on_probation"` // one request with it at a time is sent
 	Endpoints   []string  `json:"endpoints"`    // that crashed under it since its last good run
@@ -33,7 +34,7 @@
 
 func newSuspect(s poison.Suspicion) Suspect {
 	return Suspect{
-		Subject: subjectName(s.Subject), Quarantined: s.Quarantined, OnProbation: s.OnProbation, Endpoints: endpointsOf(s.Crashes), Needed: s.Needed,
+		Subject: subjectName(s.Subject), With: idNames(s.With), Quarantined: s.Quarantined, OnProbation: s.OnProbation, Endpoints: endpointsOf(s.Crashes), Needed: s.Needed,
 		FirstCrash: s.Crashes[0].At.UTC(), LastCrash: s.Crashes[len(s.Crashes)-1].At.UTC(), TrialAt: s.TrialAt.UTC(),
 	}
 }
@@ -47,5 +48,5 @@
 
 // NumQuarantined returns the number of quarantined subjects.
 func (g *Guard) NumQuarantined() int64 {
-	return int64(len(load(&g.quarantines)))
+	return int64(len(g.current().Quarantines))
 }
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -66,7 +66,7 @@
 	LinkLost         = newEventType("link_lost", log.InfoLevel, changeRate, "An established link has closed; its pending items are placed again.", "member", "items", "error")
 
 	EndpointCrashed   = newEventType("endpoint_crashed", log.WarnLevel, changeRate, "An endpoint that ran requests of this relay has ended without leaving.", "endpoint", "service", "requests_lost")
-	Quarantined       = newEventType("quarantined", log.WarnLevel, changeRate, "Endpoints crash under requests with a subject in common, such as a part of their prompts. Requests with it are rejected.", "subject", "endpoints", "crashes", "pause_ms")
+	Quarantined       = newEventType("quarantined", log.WarnLevel, changeRate, "Endpoints crash under requests with a subject in common, such as a part of their prompts. Requests with it, and with those of with, are rejected.", "subject", "with", "endpoints", "crashes", "pause_ms")
 	OnProbation       = newEventType("on_probation", log.WarnLevel, changeRate, "Many endpoints crashed at once that ran requests with a subject in common. One request with it at a time is sent, until one comes to a good end or crashes another endpoint.", "subject", "endpoints", "crashes")
 	QuarantineTrial   = newEventType("quarantine_trial", log.InfoLevel, changeRate, "This relay sends one request with a quarantined subject to an endpoint.", "subject")
 	QuarantineEnded   = newEventType("quarantine_ended", log.InfoLevel, changeRate, "Requests with a subject are sent to endpoints again, as one came to a good end, or none crashed an endpoint for long.", "subject")
@@ -186,6 +186,7 @@
 	"status":           {"", "HTTP status of the response; 0: the connection was closed"},
 	"store":            {"", "IP:port"},
 	"stream":           {"", "ID of the caller's attempt that brought the first event of the stream; empty: not named"},
+	"with":             {"", "IDs of further subjects, in hexadecimal: only requests with all of them are rejected"},
 	"subject":          {"", "what requests have in common: prompt part, or request (all of it), and a hash in hexadecimal, as in parts and content"},
 	"team":             {"", "name of the team"},
 	"took_ms":          {"ms", "duration"},
--- a/relay/proxy/attempt.go
+++ b/relay/proxy/attempt.go
@@ -265,7 +265,7 @@
 
 // logAttemptStarted logs the choice of an endpoint and the reason for it.
 func (req *request) logAttemptStarted(c pick.Choice, lastEvent int64) {
-	req.attemptAt, req.firstEventAt, req.events = req.Clock.Now(), time.Time{}, 0
+	req.attemptAt, req.firstEventAt, req.events, req.vouched = req.Clock.Now(), time.Time{}, 0, false
 	req.Log.Event(logs.AttemptStarted).Str("request", req.headers.ID).Str("endpoint", c.Endpoint.ID).Str("zone", c.Endpoint.Zone).
 		Str("endpoint_version", c.Endpoint.Version).Str("resumes", req.headers.Resumes).
 		Int("attempt", len(req.tried)).Str("choice", string(c.Reason)).Int("candidates", c.Candidates).Float64("load", c.Load).
--- a/relay/proxy/guard.go
+++ b/relay/proxy/guard.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// vouchForAnswer acquits what the request consists of once its answer has gone on for longer than
+// a crash takes to show. A long stream ends much later.
+func (req *request) vouchForAnswer() {
+	if !req.vouched && req.Clock.Now().Sub(req.firstEventAt) > maxSuspectAnswer {
+		req.vouched = true
+		req.Guard.Completed(req.suspects)
+	}
+}
+
 // reportItemCrash makes the request a suspect if its stages failed since one of its items
 // crashed an endpoint.
 func (req *request) reportItemCrash(err error) {
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -140,6 +140,7 @@
 	retryAfter     time.Duration    // retry delay sent to the caller; 0: none
 	content        uint64           // see contentHash; 0: not computed yet
 	suspects       []poison.Suspect // what the request has in common with others that could crash endpoints
+	vouched        bool             // the current attempt has shown that they don't
 	trial          bool             // sent to one endpoint although a suspect is quarantined
 	silence        silence          // of the current attempt's endpoint
 	conn           *pool.Conn       // to the endpoint of the next attempt; nil: none yet
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -226,6 +226,7 @@
 			*lastEvent = id
 		}
 		req.unnumbered = req.unnumbered || id < 0 && event.HasData(raw)
+		req.vouchForAnswer()
 		progress = !event.IsComment(raw)
 		if progress {
 			req.events++
--- a/wpctl/cmds/suspects.go
+++ b/wpctl/cmds/suspects.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"strings"
@@ -17,6 +18,7 @@
 // suspect is a subject as the admin address of a relay serves it.
 type suspect struct {
 	Subject     string    `json:"subject"`
+	With        []string  `json:"with"`
 	Quarantined bool      `json:"quarantined"`
 	OnProbation bool      `json:"on_probation"`
 	Endpoints   []string  `json:"endpoints"`
@@ -34,7 +36,7 @@
 		return err
 	}
 	return c.print(list, func(w io.Writer) {
-		fmt.Fprintln(w, "SUBJECT\tSTATE\tCRASHES\tFIRST\tLAST\tNEXT TRIAL\tENDPOINTS")
+		fmt.Fprintln(w, "SUBJECT\tSTATE\tCRASHES\tFIRST\tLAST\tNEXT TRIAL\tENDPOINTS\tWITH")
 		for _, s := range list {
 			state, trial := fmt.Sprintf("suspect, quarantined at %d", s.Needed), "-"
 			switch {
@@ -43,8 +45,8 @@
 			case s.OnProbation:
 				state, trial = "on probation", s.TrialAt.Format(time.TimeOnly)
 			}
-			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\n", s.Subject, state, len(s.Endpoints),
-				s.FirstCrash.Format(time.TimeOnly), s.LastCrash.Format(time.TimeOnly), trial, strings.Join(s.Endpoints, " "))
+			fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n", s.Subject, state, len(s.Endpoints),
+				s.FirstCrash.Format(time.TimeOnly), s.LastCrash.Format(time.TimeOnly), trial, strings.Join(s.Endpoints, " "), cmp.Or(strings.Join(s.With, " "), "-"))
 		}
 	})
 }
