poison: a request that was sent again is no other cause than its parts

Cause: the crashes of a request that its relay had sent twice counted as those of another subject, so that the verdict on its parts looked ambiguous and its trial was due at once. Only prompt parts count as other causes now.

--- a/core/poison/common.go
+++ b/core/poison/common.go
@@ -76,12 +76,13 @@
 	return slices.DeleteFunc(all.common.ids(), func(id uint64) bool { return id == s.ID || t.hasGoodRunSince(id, open[0].At) })
 }
 
-// besides returns the number of crashes, of those in open, at which another subject ran that is not
-// known to be sound and ran at several crashes. Those in except don't count.
+// besides returns the number of crashes, of those in open, at which another prompt part ran that is
+// not known to be sound and ran at several crashes. Those in except don't count. A request that was
+// sent again is no other cause than its parts.
 func (t *Table) besides(open []Crash, except []uint64) int {
 	beside := make(map[crashKey]bool)
 	for s, r := range t.records {
-		if list := r.open(nil); !slices.Contains(except, s.ID) && !r.isKnown(list) && independent(list) > 1 {
+		if list := r.open(nil); s.Kind == KindPromptPart && !slices.Contains(except, s.ID) && !r.isKnown(list) && independent(list) > 1 {
 			for _, c := range list {
 				beside[c.key()] = true
 			}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -203,6 +203,20 @@
 	}
 }
 
+// TestRequestSentAgainIsNoOtherCause guards against a bad request that is sent at once as the trial of its parts, since
+// one like it had crashed two endpoints by its retry.
+func TestRequestSentAgainIsNoOtherCause(t *testing.T) {
+	var table poison.Table
+	now := start
+	for i, request := range []uint64{7, 7, 8} {
+		now = now.Add(time.Second)
+		crash(&table, i, now, append([]poison.Suspect{{Subject: poison.Subject{Kind: poison.KindRequest, ID: request}, Depth: poison.RequestDepth}}, prompt(66, 2)...))
+	}
+	if check(&table, now.Add(5*time.Second), prompt(66, 2)) {
+		t.Error("a bad request is sent before the time of the trial")
+	}
+}
+
 // TestCrashesOfFormerRelease checks that crashes of which a relay of the former release tells no more than
 // the endpoint convict as they did.
 func TestCrashesOfFormerRelease(t *testing.T) {
