streams: go on after a loss of everything if their service has had one version only

Cause: records of where streams began are in the memory of relays and keepers, all of which were lost, and a stream without a record is refused.

Change: those who answer a search tell for how long they have remembered. If all have forgotten, the relay reads all changes that were ever made to the store, and the stream goes on if its service has had one version in all of them. That holds whatever the age of the view by which it began. While such a conclusion is possible, streams don't begin at incarnations that aren't listed, whose version may never be written.

--- a/core/origin/search.go
+++ b/core/origin/search.go
@@ -17,6 +17,7 @@
 	Found      Result = "found"      // another relay or a keeper remembers it
 	Unknown    Result = "unknown"    // it is remembered that the version can't be known
 	Unrecorded Result = "unrecorded" // all that would remember it answered that they don't; it goes on nowhere
+	Forgotten  Result = "forgotten"  // likewise, and none of them has remembered streams since before it began
 	Unanswered Result = "unanswered" // not enough of these have answered
 )
 
@@ -63,6 +64,17 @@
 	s.origin = s.origin.merge(a.Origin)
 }
 
+// isForgotten reports whether all who answered have remembered streams for less than the age of this
+// one, as after a loss of all of them.
+func (s *Search) isForgotten() bool {
+	for _, a := range s.answers {
+		if a.Since == 0 || a.Since > s.MaxAge {
+			return false
+		}
+	}
+	return len(s.answers) > 0
+}
+
 // merge returns the origin of a stream of which two relays have records. A correction
 // wins over what it corrects.
 func (o Origin) merge(other Origin) Origin {
@@ -105,6 +117,9 @@
 		return f, true
 	case !s.known && all: // others than the first ones may know it, and the stream ends with this
 		f.Result = Unrecorded
+		if s.isForgotten() {
+			f.Result = Forgotten
+		}
 		return f, true
 	}
 	return f, false
--- a/relay/cmds/cmds.go
+++ b/relay/cmds/cmds.go
@@ -322,7 +322,7 @@
 	m *peers.Mesh, g *guard.Guard, lives *life.Ledger,
 ) *proxy.Forwarder {
 	return &proxy.Forwarder{
-		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, ViewAge: c.ViewAge, ReachesHalf: m.ReachesHalf, IsAlone: m.IsAlone, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
+		Zone: live.Get().Zone, View: c.View, Ready: readyFunc(c, m), Confirmed: c.Confirmed, Refresh: c.Refresh, History: c.ReadHistory, ViewAge: c.ViewAge, ReachesHalf: m.ReachesHalf, IsAlone: m.IsAlone, Balancer: b, Pool: p, Stages: r, Engines: a, Origins: m, Guard: g, OverShare: r.OverShare, Clock: clock.System{}, Log: l, Meters: meters,
 		Policy:       policyFunc(live),
 		Incarnations: lives,
 		NewBudget: func() *retry.Budget {
--- a/relay/ctrl/ctrl.go
+++ b/relay/ctrl/ctrl.go
@@ -59,6 +59,7 @@
 	queries  chan query
 	state    state
 	contacts contacts
+	history  wholeHistory
 
 	mu        sync.Mutex // guards the fields below
 	point     repl.Point // of the replica
@@ -141,6 +142,7 @@
 func (c *Control) Run(ctx context.Context) {
 	c.state = newState()
 	go c.followStore(ctx)
+	go c.followHistory(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/relay/logs/kinds.go
+++ b/relay/logs/kinds.go
@@ -90,6 +90,8 @@
 		"request", "endpoint", "attempt", "end", "result", "reason", "since_ms")
 	AttemptSilent = newEventType("attempt_silent", log.InfoLevel, requestRate, "An endpoint has sent nothing for longer than expected. Until another endpoint has been acquired, the attempt goes on.",
 		"request", "endpoint", "attempt", "decision", "reason", "left_ms")
+	OriginConcluded = newEventType("origin_concluded", log.InfoLevel, requestRate, "All that would remember where a stream began have forgotten it, as after a loss of everything. It goes on at the only version that its service has ever had.",
+		"request", "stream", "endpoint_version", "entries")
 	OriginSought = newEventType("origin_sought", log.InfoLevel, requestRate, "The relays that may remember where a stream began were asked, as its caller takes it up.",
 		"request", "stream", "result", "asked", "answered", "took_ms")
 	OriginStored = newEventType("origin_stored", log.InfoLevel, changeRate, "The first of the other relays that remember a stream has acknowledged the record of where it began, or the correction of that.",
--- a/relay/logs/kinds_test.go
+++ b/relay/logs/kinds_test.go
@@ -82,7 +82,7 @@
 		"endpoint_cleared", "endpoint_doubted", "endpoint_limited", "endpoint_leaving", "endpoint_closed", "limit_ended", "member_heard", "member_forgotten", "link_up", "link_down", "link_lost",
 		"endpoint_crashed", "quarantined", "on_probation", "quarantine_trial", "quarantine_ended", "knowledge_rejected", "request_rejected", "handler_panicked",
 		"request_done", "stages_estimated", "stages_done", "stages_again", "stage_call", "release_failed", "attempt_begun",
-		"attempt_done", "attempt_silent", "origin_sought", "origin_stored", "retry_decided",
+		"attempt_done", "attempt_silent", "origin_concluded", "origin_sought", "origin_stored", "retry_decided",
 	}
 	got := make([]string, 0, len(want))
 	for _, e := range logs.All() {
--- a/relay/peers/origin.go
+++ b/relay/peers/origin.go
@@ -65,7 +65,7 @@
 		order = append(order, m.askRelays(now, &q)...)
 		search.Asked = len(q.relays) + len(q.beside)
 		f, ok := search.Decide(now, order)
-		if f.Result == origin.Unrecorded && (!linked || len(order) == 0 && !m.Informed()) {
+		if (f.Result == origin.Unrecorded || f.Result == origin.Forgotten) && (!linked || len(order) == 0 && !m.Informed()) {
 			f.Result, ok = origin.Unanswered, false // it isn't known yet whom to ask
 		}
 		if ok || now.Sub(begun) >= timeout {
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -12,6 +12,8 @@
 	"wigeonplank.example/base/wait"
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/origin"
+	"wigeonplank.example/relay/ctrl"
+	"wigeonplank.example/relay/logs"
 	"wigeonplank.example/relay/pool"
 )
 
@@ -209,7 +211,7 @@
 		if other {
 			req.Incarnations.Ended(e)
 		}
-		if req.version == nil || leadsTo(c, e) {
+		if leadsTo(c, e) || req.version == nil && !req.mustBeListed(ctx, e) {
 			return c, nil
 		}
 		req.Pool.Put(c, 0)
@@ -217,6 +219,40 @@
 	}
 }
 
+// mustBeListed reports whether a stream may only begin at the listed incarnation of an endpoint, as
+// others might conclude its version from the history of the store; see concludeOrigin.
+func (req *request) mustBeListed(ctx context.Context, e *fleet.Endpoint) bool {
+	if e.StartUnixMs == 0 {
+		return false // and its service has no sole version
+	}
+	h, err := req.History(ctx)
+	if err != nil {
+		return !errors.Is(err, ctrl.ErrNoHistory)
+	}
+	_, sole := h.SoleVersion(req.service)
+	return sole
+}
+
+// concludeOrigin returns where a stream began that nobody remembers any more, if its service has only
+// ever had one version. That holds for a stream that a relay began by a view of any age: its endpoint
+// was listed once, and the history of the store is whole.
+func (req *request) concludeOrigin(ctx context.Context) (origin.Origin, origin.Result) {
+	h, err := req.History(ctx)
+	switch {
+	case errors.Is(err, ctrl.ErrNoHistory):
+		return origin.Origin{}, origin.Unrecorded
+	case err != nil:
+		return origin.Origin{}, origin.Unanswered
+	}
+	version, sole := h.SoleVersion(req.service)
+	host, path := req.hostAndPath()
+	if !sole || !h.LeadsOnlyTo(req.service, host, path) || !h.HasAll(req.View().Endpoints(req.service)) {
+		return origin.Origin{}, origin.Unrecorded
+	}
+	req.Log.Event(logs.OriginConcluded).Str("request", req.headers.ID).Str("stream", req.headers.Resumes).Str("endpoint_version", version).Int("entries", len(h.Endpoints)).Msg("")
+	return origin.Origin{Service: req.service, Version: version}, origin.Found
+}
+
 // isUnreached reports whether an error of a connection tells that the endpoint can't be
 // reached, and records whether it has ended.
 func (req *request) isUnreached(e *fleet.Endpoint, err error) bool {
--- a/relay/proxy/panic_test.go
+++ b/relay/proxy/panic_test.go
@@ -10,8 +10,10 @@
 
 	"wigeonplank.example/core/clock"
 	"wigeonplank.example/core/fleet"
+	"wigeonplank.example/core/origin"
 	"wigeonplank.example/core/pick"
 	"wigeonplank.example/core/retry"
+	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/guard"
 	"wigeonplank.example/relay/logs"
@@ -30,6 +32,7 @@
 	f := &Forwarder{
 		View: func() *fleet.View { return &v }, Balancer: &Balancer{Clock: clock.System{}}, Guard: &guard.Guard{}, Clock: clock.System{},
 		Log: logs.New(io.Discard, clock.System{}, "a"), Meters: &stats.Meters{Registry: metrics.NewRegistry()},
+		History: func(context.Context) (*origin.History, error) { return nil, ctrl.ErrNoHistory },
 		ViewAge: func() time.Duration { return 0 }, NewBudget: func() *retry.Budget { return &retry.Budget{} }, Policy: func() sets.Policy { return sets.Policy{} },
 	}
 	return &request{
--- a/relay/proxy/proxy.go
+++ b/relay/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,8 @@
 	// Refresh brings View up to date as of a time that is at most maxAge before the call, and
 	// reports false if that isn't possible. It blocks for a read from the store.
 	Refresh func(ctx context.Context, maxAge time.Duration) bool
+	// History returns all that the store has ever held. The error is final if it wraps ctrl.ErrNoHistory.
+	History func(ctx context.Context) (*origin.History, error)
 	// ViewAge returns the time since the contact with the store up to which View is complete.
 	ViewAge func() time.Duration
 	// ReachesHalf reports whether this relay reaches at least half of the others.
@@ -283,17 +286,19 @@
 	}
 }
 
+// hostAndPath returns by what the request is routed.
+func (req *request) hostAndPath() (host, path string) {
+	path = string(req.exchange.Header.RequestURI())
+	if i := strings.IndexAny(path, "?#"); i >= 0 {
+		path = path[:i]
+	}
+	return string(req.exchange.Header.Host()), path
+}
+
 // resolve finds the route, team and service of the request. If there is no
 // route or the key is unknown, it rejects the request and returns false.
 func (req *request) resolve(cfg *fleet.Config) bool {
-	path := req.exchange.Header.RequestURI()
-	for i, b := range path {
-		if b == '?' || b == '#' {
-			path = path[:i]
-			break
-		}
-	}
-	req.route = cfg.Match(string(req.exchange.Header.Host()), string(path))
+	req.route = cfg.Match(req.hostAndPath())
 	if req.route == nil {
 		req.deny(fasthttp.StatusNotFound, "no route")
 		return false
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -47,12 +47,15 @@
 	o, result := req.findOrigin(ctx)
 	if o.Service != "" && !slices.ContainsFunc(req.route.Targets, func(t fleet.Target) bool { return t.Service == o.Service }) {
 		req.moved = true
-		if o, result = req.findOrigin(ctx); result == origin.Unrecorded {
+		if o, result = req.findOrigin(ctx); result == origin.Unrecorded || result == origin.Forgotten {
 			return true // it hasn't gone on at this service yet
 		}
 	}
+	if result == origin.Forgotten && !req.moved {
+		o, result = req.concludeOrigin(ctx)
+	}
 	switch result {
-	case origin.Unknown, origin.Unrecorded:
+	case origin.Unknown, origin.Unrecorded, origin.Forgotten:
 		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
 		return false
 	case origin.Unanswered:
--- a/relay/proxy/takeup_test.go
+++ b/relay/proxy/takeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"wigeonplank.example/core/fleet"
 	"wigeonplank.example/core/origin"
 	plat "wigeonplank.example/platform"
+	"wigeonplank.example/relay/ctrl"
 	"wigeonplank.example/relay/front"
 	"wigeonplank.example/relay/life"
 )
@@ -45,6 +47,7 @@
 		"found":          {origin.Finding{Result: origin.Found, Origin: began}, "a", true, false, 1},
 		"unknown":        {origin.Finding{Result: origin.Unknown}, "a", false, false, 1},
 		"unrecorded":     {origin.Finding{Result: origin.Unrecorded}, "a", false, false, 1},
+		"forgotten":      {origin.Finding{Result: origin.Forgotten}, "a", false, false, 1},
 		"unanswered":     {origin.Finding{Result: origin.Unanswered}, "a", false, true, 1},
 		"not named":      {origin.Finding{Result: origin.Found, Origin: began}, "", false, false, 0},
 		"of another one": {origin.Finding{Result: origin.Found, Origin: origin.Origin{Service: "s", Version: "v2"}}, "a", false, true, 1},
@@ -73,6 +76,77 @@
 	}
 }
 
+// TestTakeUpAfterLossOfEverything guards against streams that are refused although their service has only ever
+// had one version, and against streams that go on where that isn't certain.
+func TestTakeUpAfterLossOfEverything(t *testing.T) {
+	listed := &fleet.Endpoint{ID: "e", Service: "s", Version: "v1", Slots: 1, State: fleet.StateReady, StartUnixMs: 2}
+	former, other := *listed, *listed
+	former.StartUnixMs, other.Version, other.StartUnixMs = 1, "v0", 1
+	for name, c := range map[string]struct {
+		result   origin.Result
+		history  []*fleet.Endpoint
+		err      error
+		goesOn   bool
+		comeBack bool
+	}{
+		"one version":                {origin.Forgotten, []*fleet.Endpoint{&former, listed}, nil, true, false},
+		"somebody would know":        {origin.Unrecorded, []*fleet.Endpoint{&former, listed}, nil, false, false},
+		"two versions":               {origin.Forgotten, []*fleet.Endpoint{&other, listed}, nil, false, false},
+		"the listed one isn't in it": {origin.Forgotten, []*fleet.Endpoint{&former}, nil, false, false},
+		"discarded":                  {origin.Forgotten, nil, ctrl.ErrNoHistory, false, false},
+		"the store is away":          {origin.Forgotten, nil, context.DeadlineExceeded, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := newPanicking(t, &fleet.Service{Name: "s"}, listed)
+			req.Balancer.Observe(req.View())
+			req.route = &fleet.Route{Kind: fleet.KindStream, Resumable: true, Targets: []fleet.Target{{Service: "s"}}}
+			req.Origins = &foundOrigins{finding: origin.Finding{Result: c.result}}
+			req.History = func(context.Context) (*origin.History, error) { return &origin.History{Endpoints: c.history}, c.err }
+			req.Incarnations = &life.Ledger{Clock: clock.System{}}
+			req.headers = plat.Request{ID: "b", Resumes: "a", LastEventID: 3}
+			exchangeWith(t, req, func(x *front.Exchange) {
+				req.exchange = x
+				goesOn := req.bindToOrigin(x.Context)
+				if goesOn != c.goesOn || goesOn && *req.version != "v1" || req.retryAfter > 0 != c.comeBack {
+					t.Errorf("goes on: %v at %v, retry after %v; want %v, to come back: %v", goesOn, req.version, req.retryAfter, c.goesOn, c.comeBack)
+				}
+				if goesOn {
+					x.Reject(fasthttp.StatusOK, 0)
+				}
+			})
+		})
+	}
+}
+
+// TestBeginsAtListedIncarnation guards against a stream that goes on at another version after a loss of
+// everything: it began at an incarnation that the store has never listed.
+func TestBeginsAtListedIncarnation(t *testing.T) {
+	for name, c := range map[string]struct {
+		told   int64
+		others []*fleet.Endpoint // in the history
+		err    error
+		begins bool
+	}{
+		"listed":                   {1, nil, nil, true},
+		"not listed":               {2, nil, nil, false},
+		"not told":                 {0, nil, nil, false},
+		"there were two versions":  {2, []*fleet.Endpoint{{ID: "f", Service: "s", Version: "v0", StartUnixMs: 1}}, nil, true},
+		"nobody could conclude it": {2, nil, ctrl.ErrNoHistory, true},
+		"the store is away":        {2, nil, context.DeadlineExceeded, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req, _, e, kept := newStream(t, 1, c.told)
+			req.Pool.Put(kept, 0)
+			req.History = func(context.Context) (*origin.History, error) {
+				return &origin.History{Endpoints: append(c.others, e)}, c.err
+			}
+			if _, err := req.connect(t.Context(), e); (err == nil) != c.begins || err != nil && !errors.Is(err, errDoubted) {
+				t.Errorf("error %v; begins: %v", err, c.begins)
+			}
+		})
+	}
+}
+
 // TestStreamOfRouteThatWasResumable guards against a stream that holds events of two software
 // versions: the caller takes it up where the route can't be resumed any more, or not yet by an
 // older configuration, and it goes on at any version.
