--- a/core/origin/history_test.go
+++ b/core/origin/history_test.go
@@ -40,7 +40,7 @@
 func TestLeadsOnlyTo(t *testing.T) {
 	config := func(targets ...string) *fleet.Config {
 		r := &fleet.Route{Name: "r", Host: "h", Prefix: "/x/", Kind: fleet.KindStream, Resumable: true}
-		var services []*fleet.Service
+		services := make([]*fleet.Service, 0, len(targets))
 		for _, s := range targets {
 			r.Targets = append(r.Targets, fleet.Target{Service: s, Weight: 1})
 			services = append(services, &fleet.Service{Name: s})
--- a/core/poison/common.go
+++ b/core/poison/common.go
@@ -8,10 +8,10 @@
 
 const (
 	idBytes = 8
-	// maxCommon bounds the subjects that are kept of a run for the comparison with others.
+	// maxCommon bounds the subjects of a run by which it is compared with others.
 	maxCommon = 8
-	// maxUnambiguous is the number of crashes at which no other subject ran that may be to blame, up to
-	// which a verdict is ambiguous: such a subject may have had one crash so far.
+	// maxUnambiguous is the number of crashes without another suspect up to which a verdict is ambiguous:
+	// the suspect of one of them may have had no other crash yet.
 	maxUnambiguous = 1
 )
 
@@ -27,7 +27,7 @@
 	return idSet(raw)
 }
 
-// idsOf returns the set of the first subjects of a run: the request, then the parts of its prompt.
+// idsOf returns the IDs of a run's first maxCommon subjects.
 func idsOf(suspects []Suspect) idSet {
 	ids := make([]uint64, 0, maxCommon)
 	for _, s := range suspects[:min(len(suspects), maxCommon)] {
@@ -53,7 +53,7 @@
 	return newIDSet(slices.DeleteFunc(s.ids(), func(id uint64) bool { return !slices.Contains(theirs, id) }))
 }
 
-// mergeCommon adds what is known of the runs at the same crash.
+// mergeCommon returns a copy whose common subjects are also those of another record's crash.
 func (c Crash) mergeCommon(other Crash) Crash {
 	switch {
 	case !other.commonTold:
@@ -103,6 +103,7 @@
 	return t.besides(open, append([]uint64{s.ID}, with...)) >= len(open)-maxUnambiguous
 }
 
+// hasGoodRunSince reports whether a run with a subject came to a good end after a time.
 func (t *Table) hasGoodRunSince(id uint64, at time.Time) bool {
 	for _, kind := range []Kind{KindPromptPart, KindRequest} {
 		if t.records[Subject{Kind: kind, ID: id}].soundAt.After(at) {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -93,8 +93,8 @@
 	BeganAt     time.Time // when the request was sent
 	At          time.Time
 
-	// common are the subjects that all runs of a subject had that it ended, as far as commonTold.
-	// Relays of former releases don't tell them.
+	// common holds, in the record of a subject, what all runs of the subject had that the crash
+	// ended. It isn't known unless commonTold: relays of former releases don't tell it.
 	common     idSet
 	commonTold bool
 }
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -221,9 +221,9 @@
 	}
 }
 
-// confined returns the subjects that had a crash and no good run since, but for those whose requests
-// are all quarantined. Those that had a good run shortly before, false in the result, are in many
-// requests, and only distinguish those that have another such subject.
+// confined returns Verdicts.Confined: the subjects that had a crash and no good run since, but for
+// those whose requests are all quarantined. One that had a good run shortly before is in many requests.
+// It tells requests with a true one apart if it ran at several crashes.
 func (t *Table) confined() map[Subject]bool {
 	out := make(map[Subject]bool)
 	for s, r := range t.records {
--- a/core/poison/verdicts.go
+++ b/core/poison/verdicts.go
@@ -10,8 +10,8 @@
 type Verdicts struct {
 	Quarantines map[Subject]Quarantine
 	Probations  map[Subject]Quarantine
-	// Confined holds the subjects whose requests are kept together, and whether they decide that
-	// by themselves; see Confinement.
+	// Confined holds the subjects by which requests are kept together. Those with false only tell
+	// requests apart that have one with true; see Confinement.
 	Confined map[Subject]bool
 }
 
@@ -63,14 +63,14 @@
 	var group, request uint64
 	confined := false
 	for _, s := range suspects {
-		alone, ok := v.Confined[s.Subject]
+		decides, ok := v.Confined[s.Subject]
 		switch {
 		case !ok:
 		case s.Kind == KindRequest:
 			request = s.ID
 		default:
 			group ^= s.ID
-			confined = confined || alone
+			confined = confined || decides
 		}
 	}
 	if confined {
--- a/relay/proxy/incarnation.go
+++ b/relay/proxy/incarnation.go
@@ -223,7 +223,7 @@
 // others might conclude its version from the history of the store; see concludeOrigin.
 func (req *request) mustBeListed(ctx context.Context, e *fleet.Endpoint) bool {
 	if e.StartUnixMs == 0 {
-		return false // and its service has no sole version
+		return false // nothing is concluded for a service with such an endpoint
 	}
 	h, err := req.History(ctx)
 	if err != nil {
--- a/relay/proxy/stream.go
+++ b/relay/proxy/stream.go
@@ -51,11 +51,11 @@
 			return true // it hasn't gone on at this service yet
 		}
 	}
-	if result == origin.Forgotten && !req.moved {
+	if result == origin.Forgotten {
 		o, result = req.concludeOrigin(ctx)
 	}
 	switch result {
-	case origin.Unknown, origin.Unrecorded, origin.Forgotten:
+	case origin.Unknown, origin.Unrecorded:
 		req.reject(fasthttp.StatusServiceUnavailable, 0, reasonUnknownVersion)
 		return false
 	case origin.Unanswered:
