poison: the model plays bad parts that were sound before, a known fault

A bad part that had good runs until it turned bad comes with new parts, which are blamed in its place: runs that began before it turned bad end after the first crash and vouch for it.

--- a/core/poison/model_test.go
+++ b/core/poison/model_test.go
@@ -57,6 +57,7 @@
 	renewed  time.Duration // after which callers go on to other shared parts, which were never used before
 	soundGap time.Duration // between two sound requests of these callers
 	soundRun time.Duration // from the begin of an answer to its end
+	turned   bool          // the bad parts were sound during the warmup
 }
 
 func drawShape(r *rand.Rand) (shape, time.Duration) {
@@ -175,6 +176,9 @@
 		}
 		for m.shape != nil && !m.now.Before(nextOfCallers) {
 			m.send(m.rnd.IntN(m.relays), m.shape.prompt(0, m.now.Sub(start.Add(warmup))), false, true)
+			if m.shape.turned && m.now.Before(start.Add(warmup)) {
+				m.send(m.rnd.IntN(m.relays), m.shape.prompt(m.bad[m.rnd.IntN(len(m.bad))], -1), false, true)
+			}
 			nextOfCallers = nextOfCallers.Add(m.shape.soundGap)
 		}
 		if m.now.Sub(start) > warmup {
@@ -452,13 +456,21 @@
 
 // TestSoundRequestsOfTheSameCallersAreSent guards against holding back what bad requests have in common
 // with sound ones of their callers, wherever the bad part stands and however fast new parts come.
-func TestSoundRequestsOfTheSameCallersAreSent(t *testing.T) {
+func TestSoundRequestsOfTheSameCallersAreSent(t *testing.T) { testCallers(t, false) }
+
+// TestTurnedPartsBesideNewOnes guards against the same where the bad part has had good runs until it turned
+// bad, so that the new ones that come with it seem more likely to blame.
+func TestTurnedPartsBesideNewOnes(t *testing.T) { testCallers(t, true) }
+
+func testCallers(t *testing.T, turned bool) {
+	t.Helper()
 	for _, bad := range [][]uint64{{66}, {66, 67}} {
 		for _, relays := range []int{4, 24} {
 			t.Run(fmt.Sprintf("%d relays, %d bad parts", relays, len(bad)), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(modelSeeds(relays)) {
 					s, badGap := drawShape(rand.New(rand.NewPCG(seed, 1)))
+					s.turned = turned
 					m := newModel(seed, relays, bad, badGap, troubleNone)
 					m.shape = &s
 					m.run(t, 45*time.Second)
