streams: a history without the first configuration isn't whole

A store that leaves out the beginning of its history without a 410 could pass for one that has had a single version, if the endpoints that it lists were created since (found by reading). No stream begins before the first configuration, so the creation of that entry has to be there.

--- a/relay/ctrl/history.go
+++ b/relay/ctrl/history.go
@@ -100,5 +100,8 @@
 			h.Configs = append(h.Configs, cfg)
 		}
 	}
+	if len(h.Configs) == 0 { // no stream has begun before the first one
+		return nil, fmt.Errorf("%w: it begins after the first configuration", ErrNoHistory)
+	}
 	return h, nil
 }
--- a/relay/ctrl/history_test.go
+++ b/relay/ctrl/history_test.go
@@ -39,6 +39,7 @@
 		"restored from a copy":           {http.StatusOK, "2", whole, true, false},
 		"no era":                         {http.StatusOK, "", whole, true, false},
 		"the creation is missing":        {http.StatusOK, "1", whole[2:], true, false},
+		"begins late, with a creation":   {http.StatusOK, "1", whole[1:], true, false},
 		"an entry of another writer":     {http.StatusOK, "1", append(whole[:2:2], event("servers/b", 4, 4, []byte(`{"service":7}`))), true, false},
 		"a configuration isn't readable": {http.StatusOK, "1", append(whole[:2:2], event(plat.ConfigKey, 2, 4, []byte("{"))), true, false},
 		"an event isn't readable":        {http.StatusOK, "1", append(whole[:2:2], map[string]any{"key": 7, "revision": "x"}), true, false},
